--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PROTOS := $(wildcard src/galenadrum/_internal/protocol/*.proto)
+
+.PHONY: demo test format lint bench protocol binary clean
+
+demo: $(STAMP)
+	$(BIN)/galenadrum demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+format: $(STAMP)
+	$(BIN)/ruff format src tests benchmarks
+	$(BIN)/ruff check --fix src tests benchmarks
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check src tests benchmarks
+	$(BIN)/ruff check src tests benchmarks
+
+protocol: $(STAMP)
+	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -I src \
+		--python_out=src --grpclib_python_out=src $(PROTOS)
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) build dist .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; figures are ratios against named baselines."""
--- /dev/null
+++ b/src/galenadrum/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""The implementation; nothing below this package is public."""
--- /dev/null
+++ b/src/galenadrum/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: its root command, output and options."""
--- /dev/null
+++ b/src/galenadrum/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command, named as the user types it."""
--- /dev/null
+++ b/src/galenadrum/_internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control host: replicated log, resources, claims and orders."""
--- /dev/null
+++ b/src/galenadrum/_internal/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Fake backend servers and the demonstration that uses them."""
--- /dev/null
+++ b/src/galenadrum/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host: callers, pipeline execution and drains."""
--- /dev/null
+++ b/src/galenadrum/_internal/exceptions.py
@@ -0,0 +1,69 @@
+"""The tree of errors that galenadrum raises."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from galenadrum._internal.models.findings import Finding
+    from galenadrum._internal.models.requests import Refusal
+
+
+class GalenadrumError(Exception):
+    """The root of all errors that galenadrum raises on purpose."""
+
+
+class CheckFailedError(GalenadrumError):
+    """Raised when settings or declarations have findings.
+
+    Attributes:
+        findings: All of them, in the order of their places.
+    """
+
+    def __init__(self, findings: tuple[Finding, ...]) -> None:
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
+
+
+class InvariantError(GalenadrumError):
+    """Raised when the program finds one of its own invariants broken."""
+
+
+class RequestRefusedError(GalenadrumError):
+    """Raised when a request ends with a refusal.
+
+    Attributes:
+        refusal: The final answer for the caller.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class ControlUnreachableError(GalenadrumError):
+    """Raised when no control host answers as the leader in time."""
+
+
+class NotLeaderError(GalenadrumError):
+    """Raised when a change reaches a control host that isn't the leader.
+
+    Attributes:
+        leader_address: Peer address of the leader, when it is known.
+    """
+
+    def __init__(self, leader_address: str | None) -> None:
+        super().__init__(f"not the leader; the leader is {leader_address or 'unknown'}")
+        self.leader_address = leader_address
+
+
+class OutcomeUnknownError(GalenadrumError):
+    """Raised when a change may or may not have been accepted."""
+
+
+class StorageError(GalenadrumError):
+    """Raised when the data folder can't be read or written safely."""
+
+
+class LogDamagedError(StorageError):
+    """Raised when the log is damaged before its tail; names the place."""
--- /dev/null
+++ b/src/galenadrum/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements, leases and digests of backend servers."""
--- /dev/null
+++ b/src/galenadrum/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small value types that the other packages share."""
--- /dev/null
+++ b/src/galenadrum/_internal/models/findings.py
@@ -0,0 +1,27 @@
+"""Findings of a check, each with its place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Finding:
+    """One thing that is wrong in a file or a change.
+
+    Attributes:
+        file: Name of the file, or an empty string for a change sent over the
+            network.
+        line: Line from 1, or 0 where there is no file.
+        column: Column from 1, or 0 where there is no file.
+        path: Path inside the document, such as ``stages[2].name``.
+    """
+
+    file: str
+    line: int
+    column: int
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}:{self.column}: {self.path}: {self.message}"
--- /dev/null
+++ b/src/galenadrum/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that touches a socket."""
--- /dev/null
+++ b/src/galenadrum/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Traces, metrics and logs."""
--- /dev/null
+++ b/src/galenadrum/_internal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes, generated from the .proto files beside."""
--- /dev/null
+++ b/src/galenadrum/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The policy: admission, scoring, retry budgets, ejection and fairness."""
--- /dev/null
+++ b/src/galenadrum/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Reading and checking of settings files and declarations."""
--- /dev/null
+++ b/src/galenadrum/_internal/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""The tree of long-lived tasks."""
--- /dev/null
+++ b/src/galenadrum/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Leaf helpers, one subject a module, that import nothing above them."""
