Add errors and a setting for the replicated log

Cause: a proposal can be refused for load, and a member for its data folder. Change: LogBusyError, MembershipError, MemberRefusedError; ControlSettings.replaces, with a default.

--- a/src/galenadrum/_internal/exceptions.py
+++ b/src/galenadrum/_internal/exceptions.py
@@ -67,3 +67,15 @@
 
 class LogDamagedError(StorageError):
     """Raised when the log is damaged before its tail; names the place."""
+
+
+class LogBusyError(GalenadrumError):
+    """Raised when a change certainly was not accepted: too many are waiting."""
+
+
+class MembershipError(GalenadrumError):
+    """Raised when a change to the members of the log is not possible."""
+
+
+class MemberRefusedError(GalenadrumError):
+    """Raised when the cluster doesn't accept this member as it was started."""
--- a/src/galenadrum/_internal/models/settings.py
+++ b/src/galenadrum/_internal/models/settings.py
@@ -107,6 +107,8 @@
         heartbeat_ms: Interval between a leader's heartbeats.
         election_timeout_ms: Shortest silence after which a member asks for
             votes; a random part of the same length is added.
+        replaces: Member whose disk was lost and whose place this one takes
+            when it joins; empty otherwise.
         change_id_retention_s: How long a resent change finds its outcome.
     """
 
@@ -118,6 +120,7 @@
     members: tuple[ControlMember, ...]
     operators: tuple[Operator, ...]
     join_addresses: tuple[str, ...] = ()
+    replaces: str = ""
     heartbeat_ms: int = 150
     election_timeout_ms: int = 1_000
     change_id_retention_s: int = 86_400
