--- /dev/null
+++ b/src/galenadrum/_internal/control/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of the control hosts."""
--- /dev/null
+++ b/src/galenadrum/_internal/control/replication/election.py
@@ -0,0 +1,115 @@
+"""Pre-vote and election."""
+
+from __future__ import annotations
+
+from galenadrum._internal.control.replication import leader
+from galenadrum._internal.control.replication.messages import (
+    Message,
+    PreVoteRequest,
+    PreVoteResponse,
+    VoteRequest,
+    VoteResponse,
+)
+from galenadrum._internal.control.replication.state import ReplicaState, Role
+
+
+def tick(state: ReplicaState, now: float) -> None:
+    """Campaign when no leader was heard of for long enough."""
+    if not state.membership.is_voter(state.member_id):
+        return
+    if state.membership.voter_ids() == {state.member_id}:
+        # No other member could have been promised anything.
+        if state.role is Role.FOLLOWER:
+            _start_election(state, now)
+        return
+    if now >= state.election_deadline:
+        _start_pre_vote(state, now)
+
+
+def _start_pre_vote(state: ReplicaState, now: float) -> None:
+    state.role = Role.PRE_CANDIDATE
+    state.leader_id = ""
+    state.votes = {state.member_id}
+    state.reset_election_deadline(now)
+    request = PreVoteRequest(state.term + 1, state.log.last_index, state.log.last_term)
+    for member_id in state.peer_voter_ids():
+        state.send(member_id, request)
+
+
+def _start_election(state: ReplicaState, now: float) -> None:
+    state.enter_term(state.term + 1, state.member_id)
+    state.role = Role.CANDIDATE
+    state.votes = set()
+    state.disk_ids_by_voter = {}
+    state.reset_election_deadline(now)
+    request = VoteRequest(state.log.last_index, state.log.last_term)
+    for member_id in state.peer_voter_ids():
+        state.send_after_sync(member_id, request)
+
+
+def handle_pre_vote_request(state: ReplicaState, message: Message, now: float) -> None:
+    """Say whether a vote would be granted; nothing is promised."""
+    body = message.body
+    granted = (
+        not state.hears_leader(now)
+        and body.next_term > state.term
+        and _is_up_to_date(state, body.last_index, body.last_term)
+    )
+    state.send(message.sender_id, PreVoteResponse(body.next_term, granted))
+
+
+def handle_pre_vote_response(state: ReplicaState, message: Message, now: float) -> None:
+    """Count a pre-vote and start the election at a quorum."""
+    body = message.body
+    if state.role is not Role.PRE_CANDIDATE or body.next_term != state.term + 1:
+        return
+    if not body.granted:
+        return
+    state.votes.add(message.sender_id)
+    if state.membership.is_quorum(state.votes):
+        _start_election(state, now)
+
+
+def handle_vote_request(state: ReplicaState, message: Message, now: float) -> None:
+    """Grant at most one vote a term, and none while a leader is heard."""
+    body = message.body
+    if state.hears_leader(now) or message.term < state.term:
+        state.send(message.sender_id, VoteResponse(granted=False))
+        return
+    if message.term > state.term:
+        state.become_follower(message.term, now)
+    granted = (
+        state.voted_for in ("", message.sender_id)
+        and not state.term_leader_id
+        and _is_up_to_date(state, body.last_index, body.last_term)
+    )
+    if granted:
+        state.become_follower(message.term, now)
+        state.enter_term(state.term, message.sender_id)
+        state.reset_election_deadline(now)
+    state.send_after_sync(message.sender_id, VoteResponse(granted))
+
+
+def handle_vote_response(state: ReplicaState, message: Message, now: float) -> None:
+    """Count a vote of the current term."""
+    if state.role is not Role.CANDIDATE or message.term != state.term:
+        return
+    if not message.body.granted:
+        return
+    state.votes.add(message.sender_id)
+    state.disk_ids_by_voter[message.sender_id] = message.sender_disk_id
+    win_if_elected(state, now)
+
+
+def win_if_elected(state: ReplicaState, now: float) -> None:
+    """Become the leader when a quorum voted and the own vote is synced."""
+    if state.role is not Role.CANDIDATE or state.synced_term != state.term:
+        return
+    votes = state.votes | {state.member_id}
+    if state.membership.is_quorum(votes):
+        leader.start(state, now)
+
+
+def _is_up_to_date(state: ReplicaState, last_index: int, last_term: int) -> bool:
+    own = (state.log.last_term, state.log.last_index)
+    return (last_term, last_index) >= own
--- /dev/null
+++ b/src/galenadrum/_internal/control/replication/leader.py
@@ -0,0 +1,394 @@
+"""What a leader does: rounds of heartbeats, appends, commitment, its lease."""
+
+from __future__ import annotations
+
+from galenadrum._internal.control.replication import (
+    codec,
+    membership,
+    snapshot_sender,
+)
+from galenadrum._internal.control.replication.entries import Entry, EntryKind
+from galenadrum._internal.control.replication.membership import Membership
+from galenadrum._internal.control.replication.messages import (
+    AppendRequest,
+    LeadershipChanged,
+    Message,
+    ReadReady,
+)
+from galenadrum._internal.control.replication.state import (
+    LeaderState,
+    Progress,
+    ReplicaState,
+    Role,
+    SendMode,
+)
+from galenadrum._internal.exceptions import (
+    InvariantError,
+    LogBusyError,
+    MembershipError,
+)
+
+_CLUSTER_ID_BITS = 64
+
+
+def start(state: ReplicaState, now: float) -> None:
+    """Take the lead in the current term."""
+    if state.term_leader_id:
+        raise InvariantError(f"two leaders in term {state.term}")
+    state.role = Role.LEADER
+    state.leader_id = state.member_id
+    state.term_leader_id = state.member_id
+    state.leader = LeaderState(since=now, first_index=state.log.last_index + 1)
+    if state.membership.is_founding():
+        disk_ids_by_id = {
+            **state.disk_ids_by_voter,
+            state.member_id: state.disk_id,
+        }
+        cluster_id = f"{state.rng.getrandbits(_CLUSTER_ID_BITS):016x}"
+        founded = membership.found(state.membership, disk_ids_by_id, cluster_id)
+        append_membership(state, founded)
+    else:
+        append(state, EntryKind.TERM_START, b"")
+    _follow_membership(state)
+    start_round(state, now)
+
+
+def tick(state: ReplicaState, now: float) -> None:
+    """Step down without a quorum in the lease; else keep the rounds going."""
+    if now >= step_down_at(state):
+        state.become_follower(state.term, now)
+        return
+    if now >= state.leader.next_round_at:
+        start_round(state, now)
+
+
+def step_down_at(state: ReplicaState) -> float:
+    """Return the loop time at which leadership ends without more answers."""
+    if _is_alone(state):
+        return float("inf")
+    started = state.leader.quorum_round_started
+    since = state.leader.since if started is None else started
+    return since + state.options.lease_s
+
+
+def lease_until(state: ReplicaState) -> float | None:
+    """Return the loop time until which no other leader can exist.
+
+    None before a quorum has answered a round and an entry of the term is
+    committed.
+    """
+    leader = state.leader
+    if state.commit_index < leader.first_index:
+        return None
+    if _is_alone(state):
+        return float("inf")
+    if leader.quorum_round_started is None:
+        return None
+    return leader.quorum_round_started + state.options.lease_s
+
+
+def _is_alone(state: ReplicaState) -> bool:
+    return state.membership.voter_ids() == {state.member_id}
+
+
+def start_round(state: ReplicaState, now: float) -> None:
+    """Ask every member to answer; a quorum of answers extends the lease."""
+    leader = state.leader
+    leader.round += 1
+    leader.round_started_by_round[leader.round] = now
+    leader.next_round_at = now + state.options.heartbeat_s
+    for progress in leader.progress_by_id.values():
+        progress.heartbeat_due = True
+        progress.probe_sent = False
+
+
+def append(state: ReplicaState, kind: EntryKind, data: bytes) -> int:
+    """Append one entry of the own term and return its index."""
+    index = state.log.last_index + 1
+    state.log.append(Entry(index, state.term, kind, data))
+    return index
+
+
+def propose(state: ReplicaState, command: bytes) -> int:
+    """Append a command.
+
+    Raises:
+        LogBusyError: When too much is waiting to be committed, or the command
+            is too large; it certainly was not accepted.
+    """
+    leader = state.leader
+    if len(command) > state.options.max_command_bytes:
+        raise LogBusyError(
+            f"a command of {len(command)} bytes is over the limit of "
+            f"{state.options.max_command_bytes}"
+        )
+    if leader.uncommitted_bytes + len(command) > state.options.max_uncommitted_bytes:
+        raise LogBusyError(
+            f"{leader.uncommitted_bytes} bytes wait to be committed; try again later"
+        )
+    index = append(state, EntryKind.COMMAND, command)
+    leader.uncommitted.append((index, len(command)))
+    leader.uncommitted_bytes += len(command)
+    return index
+
+
+def append_membership(state: ReplicaState, changed: Membership) -> int:
+    """Append a membership that differs from the latest in one member."""
+    return append(state, EntryKind.MEMBERSHIP, codec.membership_to_bytes(changed))
+
+
+def change_membership(state: ReplicaState, changed: Membership) -> int:
+    """Append one change when the one before is committed.
+
+    Raises:
+        MembershipError: When another change is under way.
+    """
+    if not _may_change_membership(state):
+        raise MembershipError("another change of members is under way; try again")
+    index = append_membership(state, changed)
+    _follow_membership(state)
+    return index
+
+
+def _may_change_membership(state: ReplicaState) -> bool:
+    # An entry of the own term must be committed before: a membership that an
+    # earlier leader left uncommitted could otherwise decide beside this one.
+    return (
+        state.commit_index >= state.leader.first_index
+        and state.commit_index >= state.log.membership_index
+    )
+
+
+def _follow_membership(state: ReplicaState) -> None:
+    """Track exactly the other members of the latest membership."""
+    leader = state.leader
+    member_ids = {m.member_id for m in state.membership.members}
+    member_ids.discard(state.member_id)
+    for member_id in set(leader.progress_by_id) - member_ids:
+        del leader.progress_by_id[member_id]
+    for member_id in sorted(member_ids - set(leader.progress_by_id)):
+        progress = Progress(next_index=state.log.last_index + 1, heartbeat_due=True)
+        leader.progress_by_id[member_id] = progress
+
+
+def handle_append_response(state: ReplicaState, message: Message, now: float) -> None:
+    """Learn what a member has synced."""
+    progress = note_answer(state, message, now)
+    if progress is None:
+        return
+    body = message.body
+    if body.accepted:
+        _note_match(state, message.sender_id, progress, body.match_index)
+        advance_commit(state, now)
+        return
+    if progress.mode is SendMode.SNAPSHOT:
+        return
+    if body.rejected_index <= progress.match_index:
+        return
+    # A repeated or late rejection sends some entries twice, no more.
+    progress.next_index = max(
+        progress.match_index + 1, min(body.hint_index + 1, body.rejected_index)
+    )
+    progress.mode = SendMode.PROBE
+    progress.probe_sent = False
+    progress.in_flight.clear()
+
+
+def handle_snapshot_response(state: ReplicaState, message: Message, now: float) -> None:
+    """Go on with a snapshot after the bytes that were received."""
+    progress = note_answer(state, message, now)
+    if progress is not None:
+        snapshot_sender.note_received(progress, message.body)
+
+
+def note_answer(state: ReplicaState, message: Message, now: float) -> Progress | None:
+    """Count an answer for its round and return the sender's progress."""
+    if state.role is not Role.LEADER or message.term != state.term:
+        return None
+    progress = state.leader.progress_by_id.get(message.sender_id)
+    if progress is None:
+        return None
+    if progress.disk_id != message.sender_disk_id:
+        # A learner that lost its folder before it was recorded starts over.
+        progress.disk_id = message.sender_disk_id
+        progress.match_index = 0
+    if message.body.round > state.leader.round:
+        raise InvariantError(f"answer to round {message.body.round} before it began")
+    if message.body.round > progress.acked_round:
+        progress.acked_round = message.body.round
+        _advance_quorum_round(state)
+    return progress
+
+
+def _note_match(
+    state: ReplicaState, member_id: str, progress: Progress, match_index: int
+) -> None:
+    if match_index > state.log.last_index:
+        raise InvariantError(
+            f"{member_id} acknowledged {match_index}, beyond {state.log.last_index}"
+        )
+    progress.match_index = max(progress.match_index, match_index)
+    if progress.mode is SendMode.SNAPSHOT:
+        if progress.match_index < progress.snapshot.index:
+            return
+        progress.snapshot = None
+        progress.next_index = progress.match_index + 1
+    while progress.in_flight and progress.in_flight[0] <= progress.match_index:
+        progress.in_flight.popleft()
+    progress.next_index = max(progress.next_index, progress.match_index + 1)
+    progress.mode = SendMode.STREAM
+
+
+def _advance_quorum_round(state: ReplicaState) -> None:
+    leader = state.leader
+    acked = {
+        member_id: progress.acked_round
+        for member_id, progress in leader.progress_by_id.items()
+    }
+    acked[state.member_id] = leader.round
+    quorum_round = _quorum_value(state, acked)
+    if quorum_round <= leader.quorum_round:
+        return
+    leader.quorum_round = quorum_round
+    leader.quorum_round_started = leader.round_started_by_round[quorum_round]
+    for old in [r for r in leader.round_started_by_round if r < quorum_round]:
+        del leader.round_started_by_round[old]
+    _announce_lease(state)
+
+
+def _announce_lease(state: ReplicaState) -> None:
+    until = lease_until(state)
+    if until is not None:
+        state.outbox.append(LeadershipChanged(state.term, until))
+
+
+def _quorum_value(state: ReplicaState, value_by_id: dict[str, int]) -> int:
+    """Return the largest value that a quorum of voters has reached."""
+    voters = state.membership.voter_ids()
+    values = sorted((value_by_id.get(v, 0) for v in voters), reverse=True)
+    return values[state.membership.quorum_size() - 1]
+
+
+def advance_commit(state: ReplicaState, now: float) -> None:
+    """Commit what a quorum of voters has synced, in the own term."""
+    leader = state.leader
+    synced = {
+        member_id: progress.match_index
+        for member_id, progress in leader.progress_by_id.items()
+    }
+    synced[state.member_id] = state.log.stable_index
+    index = _quorum_value(state, synced)
+    if index <= state.commit_index or state.log.term_at(index) != state.term:
+        return
+    opened = state.commit_index < leader.first_index
+    state.advance_commit(index)
+    while leader.uncommitted and leader.uncommitted[0][0] <= index:
+        leader.uncommitted_bytes -= leader.uncommitted.popleft()[1]
+    if opened:
+        _announce_lease(state)
+    committed = state.log.membership_at(index)
+    if committed == state.membership and not committed.is_voter(state.member_id):
+        state.become_follower(state.term, now)
+
+
+def step_membership(state: ReplicaState) -> None:
+    """Take the next change that learners and replacements ask for."""
+    if not _may_change_membership(state):
+        return
+    caught_up = {
+        member_id: progress.disk_id
+        for member_id, progress in state.leader.progress_by_id.items()
+        if progress.disk_id and progress.match_index >= state.commit_index
+    }
+    changed = membership.next_step(state.membership, caught_up)
+    if changed is not None:
+        append_membership(state, changed)
+        _follow_membership(state)
+
+
+def add_read(state: ReplicaState, token: int) -> None:
+    """Queue a read for the next round.
+
+    Raises:
+        LogBusyError: When too many reads wait.
+    """
+    leader = state.leader
+    if len(leader.waiting_reads) >= state.options.max_waiting_reads:
+        raise LogBusyError(f"{len(leader.waiting_reads)} reads are waiting")
+    leader.waiting_reads.append(token)
+
+
+def advance_reads(state: ReplicaState, now: float) -> None:
+    """Confirm reads by a round that began after they were asked for."""
+    leader = state.leader
+    if state.commit_index < leader.first_index:
+        return
+    if _is_alone(state):
+        _finish_reads(state, leader.confirming_reads)
+        _finish_reads(state, leader.waiting_reads)
+        return
+    if leader.confirming_reads and leader.quorum_round >= leader.reads_round:
+        _finish_reads(state, leader.confirming_reads)
+    if leader.waiting_reads and not leader.confirming_reads:
+        leader.confirming_reads, leader.waiting_reads = leader.waiting_reads, []
+        start_round(state, now)
+        leader.reads_round = leader.round
+
+
+def _finish_reads(state: ReplicaState, tokens: list[int]) -> None:
+    for token in tokens:
+        state.outbox.append(ReadReady(token, state.commit_index))
+    tokens.clear()
+
+
+def send_appends(state: ReplicaState) -> None:
+    """Send each member what it lacks, within the limits, and heartbeats."""
+    for member_id, progress in state.leader.progress_by_id.items():
+        if progress.mode is SendMode.SNAPSHOT:
+            snapshot_sender.send_chunk(state, member_id, progress)
+            continue
+        _send_appends_to(state, member_id, progress)
+
+
+def _send_appends_to(state: ReplicaState, member_id: str, progress: Progress) -> None:
+    if state.log.term_at(progress.next_index - 1) is None:
+        snapshot_sender.begin(state, progress)
+        snapshot_sender.send_chunk(state, member_id, progress)
+        return
+    while _may_send_entries(state, progress):
+        _send_append(state, member_id, progress, with_entries=True)
+    if progress.heartbeat_due:
+        _send_append(state, member_id, progress, with_entries=False)
+
+
+def _may_send_entries(state: ReplicaState, progress: Progress) -> bool:
+    if progress.next_index > state.log.last_index:
+        return False
+    if progress.mode is SendMode.PROBE:
+        return not progress.probe_sent
+    return len(progress.in_flight) < state.options.max_in_flight
+
+
+def _send_append(
+    state: ReplicaState, member_id: str, progress: Progress, with_entries: bool
+) -> None:
+    previous_index = progress.next_index - 1
+    entries = ()
+    if with_entries:
+        entries = state.log.slice(
+            progress.next_index,
+            state.options.max_append_entries,
+            state.options.max_append_bytes,
+        )
+        progress.next_index = entries[-1].index + 1
+        progress.in_flight.append(entries[-1].index)
+    progress.probe_sent = True
+    progress.heartbeat_due = False
+    request = AppendRequest(
+        previous_index,
+        state.log.term_at(previous_index),
+        entries,
+        state.commit_index,
+        state.leader.round,
+    )
+    state.send(member_id, request)
--- /dev/null
+++ b/tests/functional/control/test_replicated_log.py
@@ -0,0 +1,72 @@
+import asyncio
+
+import pytest
+
+from galenadrum._internal.exceptions import MemberRefusedError, NotLeaderError
+from lib.log_cluster import running_cluster, until
+
+# Bounds only how long a failing test hangs.
+_TIMEOUT_S = 60
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, _TIMEOUT_S))
+
+
+class TestReplicatedLog:
+    def test_one_member_accepts_and_remembers(self, tmp_path):
+        async def scenario():
+            async with running_cluster(tmp_path, ["a"]) as cluster:
+                member = await cluster.leader()
+                assert await member.log.propose(b"first", _TIMEOUT_S) == b"1"
+                await member.stop()
+                await member.start()
+                await cluster.leader()
+                await member.log.read_barrier(_TIMEOUT_S)
+                assert member.machine.commands == [b"first"]
+
+        run(scenario())
+
+    def test_three_members_hold_the_same_after_a_change_of_leader(self, tmp_path):
+        async def scenario():
+            async with running_cluster(tmp_path, ["a", "b", "c"]) as cluster:
+                old = await cluster.leader()
+                proposals = [old.log.propose(b"%d" % n, _TIMEOUT_S) for n in range(50)]
+                await asyncio.gather(*proposals)
+                await old.stop()
+                others = [m for m in cluster.members_by_id.values() if m is not old]
+                await until(lambda: any(m.log.is_leader for m in others))
+                new = next(m for m in others if m.log.is_leader)
+                await new.log.read_barrier(_TIMEOUT_S)
+                assert new.machine.commands == [b"%d" % n for n in range(50)]
+                await old.start()
+                with pytest.raises(NotLeaderError):
+                    await old.log.propose(b"refused", _TIMEOUT_S)
+                await until(lambda: old.machine.commands == new.machine.commands)
+
+        run(scenario())
+
+    def test_lost_disk_is_refused_and_a_new_member_takes_its_place(self, tmp_path):
+        async def scenario():
+            async with running_cluster(tmp_path, ["a", "b", "c"]) as cluster:
+                leader = await cluster.leader()
+                await leader.log.propose(b"kept", _TIMEOUT_S)
+                lost = next(m for m in cluster.members_by_id.values() if m != leader)
+                lost_id = lost.settings.member_id
+                await lost.stop()
+                lost.settings.data_folder.rename(tmp_path / "gone")
+                await lost.start()
+                with pytest.raises(MemberRefusedError, match="new member_id"):
+                    await lost.log.wait_failed()
+                new = cluster.add_joining("d", replaces=lost_id)
+                await new.start()
+
+                def replaced():
+                    members = leader.log.status.members
+                    voters = {m.member.member_id for m in members if m.member.voter}
+                    return "d" in voters and lost_id not in voters
+
+                await until(replaced)
+                await until(lambda: new.machine.commands == [b"kept"])
+
+        run(scenario())
