--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -220,7 +220,7 @@
         """
         self._require_lead(now)
         changed = membership.add_learner(self._state.membership, member)
-        return leader.change_membership(self._state, changed), self._state.term
+        return leader.change_membership(self._state, changed, now), self._state.term
 
     def remove_member(self, member_id: str, now: float) -> tuple[int, int]:
         """Remove a member for good.
@@ -231,7 +231,7 @@
         """
         self._require_lead(now)
         changed = membership.remove(self._state.membership, member_id)
-        return leader.change_membership(self._state, changed), self._state.term
+        return leader.change_membership(self._state, changed, now), self._state.term
 
     def request_read(self, token: int, now: float) -> None:
         """Ask for `ReadReady` or `ReadFailed` with this token.
@@ -301,7 +301,7 @@
         state = self._state
         self._expire_lease(now)
         if state.role is Role.LEADER:
-            leader.step_membership(state)
+            leader.step_membership(state, now)
             leader.advance_reads(state, now)
             leader.send_appends(state)
         if state.has_unsaved():
--- a/src/galenadrum/_internal/control/replication/leader.py
+++ b/src/galenadrum/_internal/control/replication/leader.py
@@ -137,19 +137,34 @@
     return append(state, EntryKind.MEMBERSHIP, codec.membership_to_bytes(changed))
 
 
-def change_membership(state: ReplicaState, changed: Membership) -> int:
+def change_membership(state: ReplicaState, changed: Membership, now: float) -> int:
     """Append one change when the one before is committed.
 
     Raises:
-        MembershipError: When another change is under way.
+        MembershipError: When another change is under way, or too few voters
+            would be left that answer.
     """
     if not _may_change_membership(state):
         raise MembershipError("another change of members is under way; try again")
+    if not _has_answering_quorum(state, changed, now):
+        raise MembershipError(
+            "the voters that answer would be no quorum after this change"
+        )
     index = append_membership(state, changed)
     _follow_membership(state)
     return index
 
 
+def _has_answering_quorum(state: ReplicaState, changed: Membership, now: float) -> bool:
+    since = now - state.options.election_timeout_s
+    answering = {
+        member_id
+        for member_id, progress in state.leader.progress_by_id.items()
+        if progress.answered_at is not None and progress.answered_at > since
+    }
+    return changed.is_quorum(answering | {state.member_id})
+
+
 def _may_change_membership(state: ReplicaState) -> bool:
     # An entry of the own term must be committed before: a membership that an
     # earlier leader left uncommitted could otherwise decide beside this one.
@@ -214,6 +229,7 @@
         progress.match_index = 0
     if message.body.round > state.leader.round:
         raise InvariantError(f"answer to round {message.body.round} before it began")
+    progress.answered_at = now
     if message.body.round > progress.acked_round:
         progress.acked_round = message.body.round
         _advance_quorum_round(state)
@@ -291,17 +307,17 @@
         state.become_follower(state.term, now)
 
 
-def step_membership(state: ReplicaState) -> None:
+def step_membership(state: ReplicaState, now: float) -> None:
     """Take the next change that learners and replacements ask for."""
     if not _may_change_membership(state):
         return
     caught_up = {
         member_id: progress.disk_id
         for member_id, progress in state.leader.progress_by_id.items()
-        if progress.disk_id and progress.match_index >= state.commit_index
+        if progress.match_index >= state.commit_index
     }
     changed = membership.next_step(state.membership, caught_up)
-    if changed is not None:
+    if changed is not None and _has_answering_quorum(state, changed, now):
         append_membership(state, changed)
         _follow_membership(state)
 
--- a/src/galenadrum/_internal/control/replication/membership.py
+++ b/src/galenadrum/_internal/control/replication/membership.py
@@ -24,7 +24,7 @@
         address: IP number and port for the other members.
         disk_id: Name of its data folder; empty while it is not recorded.
         voter: False while it only receives entries.
-        replaces: Member to remove when this one has caught up, or empty.
+        replaces: Member to remove when this one votes, or empty.
     """
 
     member_id: str
@@ -125,9 +125,7 @@
 def promote(membership: Membership, member_id: str, disk_id: str) -> Membership:
     """Return the membership in which a learner has become a voter."""
     members = tuple(
-        replace(m, voter=True, disk_id=disk_id, replaces="")
-        if m.member_id == member_id
-        else m
+        replace(m, voter=True, disk_id=disk_id) if m.member_id == member_id else m
         for m in membership.members
     )
     return replace(membership, members=members)
@@ -153,8 +151,8 @@
 ) -> Membership | None:
     """Return the next single change on the way to what was asked for.
 
-    A member that is replaced goes before its successor is promoted, so that
-    no more voters are needed for a decision than there were before.
+    A learner is promoted before the member that it replaces goes, so that the
+    loss of a disk in between leaves a quorum while both are alive.
 
     Args:
         membership: The latest membership, committed.
@@ -162,10 +160,10 @@
             all that is committed.
     """
     for member in membership.members:
-        if member.voter or member.member_id not in caught_up_disk_ids_by_id:
-            continue
-        if membership.get(member.replaces) and len(membership.voter_ids()) > 1:
+        if member.voter and member.replaces and membership.get(member.replaces):
             return remove(membership, member.replaces)
-        disk_id = caught_up_disk_ids_by_id[member.member_id]
-        return promote(membership, member.member_id, disk_id)
+    for member in membership.members:
+        disk_id = caught_up_disk_ids_by_id.get(member.member_id)
+        if not member.voter and disk_id:
+            return promote(membership, member.member_id, disk_id)
     return None
--- a/src/galenadrum/_internal/control/replication/state.py
+++ b/src/galenadrum/_internal/control/replication/state.py
@@ -86,6 +86,7 @@
         match_index: Last entry the member has synced.
         in_flight: Last index of each append request without an answer.
         acked_round: Latest round that the member has answered.
+        answered_at: Loop time in seconds of the latest answer.
         disk_id: The disk that gave these answers.
         snapshot_offset: Bytes of ``snapshot`` the member has received.
     """
@@ -95,6 +96,7 @@
     mode: SendMode = SendMode.PROBE
     in_flight: deque[int] = field(default_factory=deque)
     acked_round: int = 0
+    answered_at: float | None = None
     disk_id: str = ""
     heartbeat_due: bool = False
     probe_sent: bool = False
--- a/src/galenadrum/_internal/control/replication/storage.py
+++ b/src/galenadrum/_internal/control/replication/storage.py
@@ -143,7 +143,7 @@
             number += 1
         if not is_last or frames.has_frame_after(data, offset, number):
             raise LogDamagedError(f"{segment.name}: damaged at byte {offset}")
-        logger.warning(
+        logger.info(
             "cut %d bytes of an unfinished write off %s at byte %d",
             len(data) - offset,
             segment.name,
--- a/tests/lib/log_cluster.py
+++ b/tests/lib/log_cluster.py
@@ -37,6 +37,11 @@
     return sock
 
 
+def address_of(sock):
+    host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
 class RunningMember:
     """A member with its server; it can be stopped and started again."""
 
@@ -70,8 +75,7 @@
         self.folder = folder
         socks_by_id = {name: bind_free_port() for name in names}
         self.founders = tuple(
-            ControlMember(name, "127.0.0.1:%d" % sock.getsockname()[1])
-            for name, sock in socks_by_id.items()
+            ControlMember(name, address_of(sock)) for name, sock in socks_by_id.items()
         )
         self.members_by_id = {
             founder.member_id: RunningMember(
@@ -96,7 +100,7 @@
 
     def add_joining(self, name, replaces=""):
         sock = bind_free_port()
-        member = ControlMember(name, "127.0.0.1:%d" % sock.getsockname()[1])
+        member = ControlMember(name, address_of(sock))
         settings = self.settings(
             member,
             members=(),
--- /dev/null
+++ b/tests/lib/log_simulation.py
@@ -0,0 +1,556 @@
+"""Cores of the replicated log on fake disks, a fake network and fake clocks.
+
+`Simulation` checks across the members what no member can check alone; what a
+member can check, the core asserts itself.
+"""
+
+import heapq
+import itertools
+import random
+
+from galenadrum._internal.control.replication import codec
+from galenadrum._internal.control.replication import messages as m
+from galenadrum._internal.control.replication.core import ReplicaCore
+from galenadrum._internal.control.replication.entries import EntryKind
+from galenadrum._internal.control.replication.membership import Member, Membership
+from galenadrum._internal.control.replication.state import ReplicaOptions
+from galenadrum._internal.control.replication.storage import open_storage
+from galenadrum._internal.exceptions import (
+    LogBusyError,
+    MembershipError,
+    NotLeaderError,
+)
+from lib.fake_disk import DiskCrashed, FakeDisk
+
+OPTIONS = ReplicaOptions(
+    max_append_entries=8,
+    max_in_flight=3,
+    snapshot_chunk_bytes=64,
+    retained_entries=5,
+)
+_MAX_STALE_READINGS = 12
+_USUAL_SYNC_S = 0.005
+_MAX_MEMBERS_EVER = 12
+
+
+class Violation(AssertionError):
+    """The members together broke a promise of the log."""
+
+
+class Node:
+    """A member: its disk outlives its process, which ``core`` stands for."""
+
+    def __init__(self, member_id, rate):
+        self.member_id = member_id
+        self.disk = FakeDisk()
+        self.rate = rate
+        self.core = None
+        self.storage = None
+        self.lost = False
+        self.refusal = ""
+        self.persists = []
+        self.backlog = None
+        self.frozen_at = None
+        self.stale_readings = 0
+        self.sync_s = _USUAL_SYNC_S
+        self.replaces = ""
+        self.applied = []
+        self.proposals_by_index = {}
+        self.reads_by_token = {}
+
+
+class Simulation:
+    """A cluster whose every random choice comes from ``seed``.
+
+    Args:
+        sync_early: Lets members say that they have synced when they have not.
+    """
+
+    def __init__(self, seed, founders=3, sync_early=False):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.sync_early = sync_early
+        self.blocked = set()
+        self.committed_by_index = {}
+        self.leader_by_term = {}
+        self.accepted = []
+        self.nodes_by_id = {}
+        self._events = []
+        self._order = itertools.count()
+        self._tokens = itertools.count()
+        self._founders = Membership(
+            tuple(Member(f"m{n}", f"m{n}") for n in range(founders))
+        )
+        for member in self._founders.members:
+            self._add_node(member.member_id)
+
+    def _add_node(self, member_id):
+        node = Node(member_id, rate=self.rng.uniform(0.97, 1.03))
+        self.nodes_by_id[member_id] = node
+        self.start(node)
+        return node
+
+    # What can happen to members.
+
+    def start(self, node):
+        if node.core is not None:
+            return
+        node.storage, stored = open_storage(node.disk, self.rng)
+        founders = self._founders
+        if founders.get(node.member_id) is None:
+            founders = Membership()
+        options, now = OPTIONS, self.clock(node)
+        node.core = ReplicaCore(
+            node.member_id, stored, founders, options, self.rng, now
+        )
+        node.applied = []
+        if stored.snapshot is not None:
+            self._restore(node, stored.snapshot)
+        self._pump(node, lambda core, now: core.tick(now))
+        if node.replaces:
+            self._ask_to_join(node, node.core)
+
+    def crash(self, node, power=True):
+        if node.core is None:
+            return
+        try:
+            if node.persists:
+                node.disk.crash_after(self.rng.randint(0, 4))
+                node.storage.write(tuple(node.persists))
+        except DiskCrashed:
+            pass
+        if power:
+            node.disk.lose_power(self.rng)
+        else:
+            node.disk.kill_process()
+        node.core = None
+        node.persists = []
+        node.backlog = node.frozen_at = None
+        node.stale_readings = 0
+        node.proposals_by_index = {}
+        node.reads_by_token = {}
+
+    def lose_disk(self, node):
+        """Destroy the folder; the process is started by mistake without it."""
+        self.crash(node)
+        node.lost = True
+        node.disk = FakeDisk()
+
+    def replace(self, node):
+        """Start a new member that asks to take the place of a lost one."""
+        new = self._add_node(f"m{len(self.nodes_by_id)}")
+        new.replaces = node.member_id
+        self._ask_to_join(new, new.core)
+        return new
+
+    def _ask_to_join(self, new, core):
+        if new.core is not core or core.membership.get(new.member_id):
+            return
+        self._schedule(0.5, self._ask_to_join, new, core)
+        for node in self.running():
+            known = node.core.membership
+            member = Member(
+                new.member_id,
+                new.member_id,
+                core.status().disk_id,
+                voter=False,
+                replaces=new.replaces if known.get(new.replaces) else "",
+            )
+            self._change(node, lambda c, now, m=member: c.add_member(m, now))
+
+    def remove(self, node, member_id):
+        self._change(node, lambda core, now: core.remove_member(member_id, now))
+
+    def _change(self, node, change):
+        if node.backlog is not None:
+            return
+        try:
+            self._pump(node, change)
+        except (NotLeaderError, MembershipError):
+            return
+
+    def freeze(self, node):
+        if node.core is not None and node.frozen_at is None:
+            node.frozen_at = self.clock(node)
+            node.backlog = []
+
+    def thaw(self, node):
+        """Go on; the first readings of the clock are those of the freeze."""
+        if node.frozen_at is None:
+            return
+        backlog, node.backlog = node.backlog, None
+        node.stale_readings = self.rng.randint(0, _MAX_STALE_READINGS)
+        self.read(node)
+        self.propose(node)
+        for event in backlog:
+            self._pump(node, event)
+        node.stale_readings = 0
+        node.frozen_at = None
+        self._pump(node, lambda core, now: core.tick(now))
+
+    def partition(self, groups):
+        """Let messages pass only between members of one group."""
+        group_by_id = {i: n for n, group in enumerate(groups) for i in group}
+        pairs = itertools.permutations(self.nodes_by_id, 2)
+        self.blocked = {
+            (a, b) for a, b in pairs if group_by_id.get(a) != group_by_id.get(b)
+        }
+
+    def cut_links(self, share):
+        """Cut a share of all links, each in one direction."""
+        for pair in itertools.permutations(self.nodes_by_id, 2):
+            if self.rng.random() < share:
+                self.blocked.add(pair)
+
+    def heal(self):
+        self.blocked = set()
+        self.loss = self.duplication = 0.0
+
+    def propose(self, node):
+        command = b"command-%d" % next(self._tokens)
+        if node.core is None or node.backlog is not None:
+            return
+        try:
+            self._pump(node, lambda core, now: self._append(node, core, command, now))
+        except (NotLeaderError, LogBusyError):
+            return
+
+    def _append(self, node, core, command, now):
+        index, term = core.propose(command, now)
+        node.proposals_by_index[index] = (term, command)
+
+    def read(self, node):
+        if node.core is None or node.backlog is not None:
+            return
+        token = next(self._tokens)
+        node.reads_by_token[token] = max(self.committed_by_index, default=0)
+        try:
+            self._pump(node, lambda core, now: core.request_read(token, now))
+        except NotLeaderError:
+            del node.reads_by_token[token]
+
+    def snapshot(self, node):
+        if node.core is None or not node.applied or node.backlog is not None:
+            return
+        data = b"\n".join(data for _, data in node.applied)
+        index = node.core.status().applied_index
+        self._pump(node, lambda core, now: core.snapshot_taken(index, data))
+
+    # Time, the network and the disks.
+
+    def clock(self, node):
+        if node.stale_readings:
+            node.stale_readings -= 1
+            return node.frozen_at
+        return self.now * node.rate
+
+    def running(self):
+        return [n for n in self.nodes_by_id.values() if n.core and n.backlog is None]
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, function, arguments = heapq.heappop(self._events)
+            function(*arguments)
+            self._check()
+        self.now = end
+
+    def _schedule(self, delay, function, *arguments):
+        event = (self.now + delay, next(self._order), function, arguments)
+        heapq.heappush(self._events, event)
+
+    def _pump(self, node, event):
+        """Hand an event to a member and carry out what it asks for."""
+        if node.core is None:
+            return
+        if node.backlog is not None:
+            node.backlog.append(event)
+            return
+        core = node.core
+        event(core, self.clock(node))
+        while True:
+            for action in core.collect(self.clock(node)):
+                self._carry_out(node, action)
+            if not core.has_more_to_apply:
+                break
+        wakeup = core.next_wakeup()
+        if wakeup is not None:
+            delay = max(0.001, wakeup / node.rate - self.now)
+            self._schedule(delay, self._tick, node, core)
+
+    def _tick(self, node, core):
+        due = core.next_wakeup()
+        if node.core is core and due is not None and due <= self.now * node.rate + 1e-6:
+            self._pump(node, lambda core, now: core.tick(now))
+
+    def _carry_out(self, node, action):
+        match action:
+            case m.Send(message, _):
+                self._send(message)
+            case m.Persist():
+                node.persists.append(action)
+                if self.sync_early:
+                    self._schedule(0, self._confirm, node, node.core, action)
+                delay = self.rng.expovariate(1 / node.sync_s)
+                self._schedule(delay, self._write, node, node.core)
+            case m.Apply(entries):
+                for entry in entries:
+                    self._applied(node, entry)
+            case m.Restore(snapshot):
+                self._restore(node, snapshot)
+            case m.ReadReady(token, index):
+                self._read_ready(node, token, index)
+            case m.ReadFailed(token):
+                node.reads_by_token.pop(token, None)
+            case m.Refused(reason):
+                node.refusal = reason
+
+    def _send(self, message):
+        copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(copies):
+            if self.rng.random() >= self.loss:
+                delay = self.rng.expovariate(500)
+                self._schedule(delay, self._deliver, message)
+
+    def _deliver(self, message):
+        if (message.sender_id, message.recipient_id) in self.blocked:
+            return
+        node = self.nodes_by_id.get(message.recipient_id)
+        if node is not None:
+            self._pump(node, lambda core, now: core.receive(message, now))
+
+    def _write(self, node, core):
+        if node.core is not core or not node.persists:
+            return
+        batches, node.persists = tuple(node.persists), []
+        node.storage.write(batches)
+        if not self.sync_early:
+            self._confirm(node, core, batches[-1])
+
+    def _confirm(self, node, core, batch):
+        if node.core is core:
+            self._pump(node, lambda core, now: core.persisted(batch.sequence, now))
+
+    # What must hold across the members.
+
+    def _applied(self, node, entry):
+        known = self.committed_by_index.setdefault(entry.index, entry)
+        if known != entry:
+            raise Violation(f"{node.member_id} applied {entry}, not {known}")
+        if entry.kind is EntryKind.COMMAND:
+            node.applied.append((entry.index, entry.data))
+        term, command = node.proposals_by_index.pop(entry.index, (0, b""))
+        if term == entry.term:
+            if command != entry.data:
+                raise Violation(f"{command} was answered with {entry}")
+            self.accepted.append((entry.index, command))
+
+    def _restore(self, node, snapshot):
+        expected = [
+            (i, e.data)
+            for i, e in sorted(self.committed_by_index.items())
+            if i <= snapshot.index and e.kind is EntryKind.COMMAND
+        ]
+        if b"\n".join(data for _, data in expected) != snapshot.data:
+            raise Violation(f"{node.member_id} restored what was not committed")
+        node.applied = expected
+
+    def _read_ready(self, node, token, index):
+        needed = node.reads_by_token.pop(token)
+        if index < needed:
+            raise Violation(f"{node.member_id} read at {index}, before {needed}")
+
+    def _check(self):
+        leaders = []
+        for node in self.nodes_by_id.values():
+            if node.core is None:
+                continue
+            if node.core.is_leader:
+                leaders.append(node)
+                known = self.leader_by_term.setdefault(node.core.term, node.member_id)
+                if known != node.member_id:
+                    raise Violation(f"two leaders in term {node.core.term}")
+        if len(leaders) < 2:
+            return
+        for node in leaders:
+            until = node.core.status().lease_until
+            if until is None or until <= self.now * node.rate:
+                continue
+            if any(other.core.term > node.core.term for other in leaders):
+                raise Violation(f"another leader in the lease of {node.member_id}")
+
+    # The end of a run.
+
+    def can_decide(self):
+        """Whether enough disks are left for the cluster to go on.
+
+        A disk that is lost during a change of members may cost a quorum in
+        the membership of before or of after, though no accepted change.
+        """
+        memberships = [
+            node.core.membership
+            for node in self.nodes_by_id.values()
+            if node.core and node.core.status().last_index >= self._last_change()[0]
+        ]
+        left = {i for i, node in self.nodes_by_id.items() if not node.lost}
+        return all(
+            membership.is_quorum(left)
+            for membership in (self._last_change()[1], *memberships)
+        )
+
+    def _last_change(self):
+        last = (0, self._founders)
+        for index, entry in sorted(self.committed_by_index.items()):
+            if entry.kind is EntryKind.MEMBERSHIP:
+                last = (index, codec.membership_from_bytes(entry.data))
+        return last
+
+    def is_last_founder(self, node):
+        """Whether all founders would be without a disk.
+
+        Together they could then found another cluster, as on a first start.
+        """
+        left = {
+            member.member_id
+            for member in self._founders.members
+            if not self.nodes_by_id[member.member_id].lost
+        }
+        return left == {node.member_id}
+
+    def settle(self, seconds=30):
+        """Mend everything; then a leader must hold all that was accepted."""
+        self.heal()
+        for node in list(self.nodes_by_id.values()):
+            node.sync_s = _USUAL_SYNC_S
+            self.thaw(node)
+            self.start(node)
+        self.run(seconds)
+        leaders = [n for n in self.running() if n.core.status().lease_until]
+        if not leaders:
+            if self.can_decide():
+                raise Violation("no leader though a quorum has its disks")
+            return
+        self.read(leaders[0])
+        self.run(1)
+        held = dict(leaders[0].applied)
+        lost = [pair for pair in self.accepted if held.get(pair[0]) != pair[1]]
+        if lost:
+            raise Violation(f"accepted and lost: {lost[:5]}")
+        if leaders[0].reads_by_token:
+            raise Violation("a read at the leader got no answer")
+
+
+def run_randomly(simulation, steps):
+    """Take random steps with random faults; the simulation's seed decides."""
+    rng = simulation.rng
+    for _ in range(steps):
+        for _ in range(rng.randint(0, 4)):
+            simulation.propose(_likely_leader(simulation))
+            simulation.read(_likely_leader(simulation))
+        simulation.run(rng.choice([0.0, 0.001, 0.005, 0.02]))
+        if rng.random() < 0.3:
+            fault = rng.choices(_FAULTS, _FAULT_WEIGHTS)[0]
+            fault(simulation, _likely_leader(simulation))
+            simulation.run(rng.choice([0.0, 0.005, 0.2]))
+        if rng.random() < 0.3:
+            _recover(simulation)
+        simulation.run(rng.choice([0.0, 0.05, 0.5, 1.0, 3.0]))
+
+
+def _likely_leader(simulation):
+    nodes = list(simulation.nodes_by_id.values())
+    leaders = [n for n in nodes if n.core and n.core.is_leader]
+    if leaders and simulation.rng.random() < 0.7:
+        return simulation.rng.choice(leaders)
+    return simulation.rng.choice(nodes)
+
+
+def _recover(simulation):
+    for node in list(simulation.nodes_by_id.values()):
+        if simulation.rng.random() < 0.8:
+            node.sync_s = _USUAL_SYNC_S
+            simulation.thaw(node)
+            simulation.start(node)
+    if simulation.rng.random() < 0.7:
+        simulation.heal()
+
+
+def _crash(simulation, node):
+    simulation.crash(node, power=simulation.rng.random() < 0.7)
+
+
+def _cut_power_of_many(simulation, node):
+    for other in simulation.nodes_by_id.values():
+        if simulation.rng.random() < 0.8:
+            simulation.crash(other)
+
+
+def _restart_at_once(simulation, node):
+    _crash(simulation, node)
+    simulation.start(node)
+
+
+def _freeze(simulation, node):
+    simulation.freeze(node)
+
+
+def _partition(simulation, node):
+    groups = [set(), set()]
+    for member_id in simulation.nodes_by_id:
+        simulation.rng.choice(groups).add(member_id)
+    simulation.partition(groups)
+
+
+def _cut_links(simulation, node):
+    simulation.cut_links(simulation.rng.choice([0.2, 0.5]))
+
+
+def _degrade_network(simulation, node):
+    simulation.loss = simulation.rng.choice([0.05, 0.3])
+    simulation.duplication = simulation.rng.choice([0.0, 0.3])
+
+
+def _slow_disk(simulation, node):
+    node.sync_s = simulation.rng.choice([0.05, 0.5])
+
+
+def _lose_disk(simulation, node):
+    if len(simulation.nodes_by_id) < _MAX_MEMBERS_EVER and not node.lost:
+        if simulation.is_last_founder(node):
+            return
+        simulation.lose_disk(node)
+        if simulation.can_decide():
+            simulation.replace(node)
+
+
+def _change_members(simulation, node):
+    if node.core is None:
+        return
+    members = node.core.membership.members
+    if len(members) > 3 and simulation.rng.random() < 0.5:
+        simulation.remove(node, simulation.rng.choice(members).member_id)
+    elif len(simulation.nodes_by_id) < _MAX_MEMBERS_EVER:
+        simulation.replace(node)
+
+
+def _snapshot(simulation, node):
+    simulation.snapshot(node)
+
+
+_WEIGHT_BY_FAULT = {
+    _crash: 3,
+    _cut_power_of_many: 2,
+    _restart_at_once: 2,
+    _freeze: 3,
+    _partition: 3,
+    _cut_links: 3,
+    _degrade_network: 3,
+    _slow_disk: 2,
+    _lose_disk: 1,
+    _change_members: 1,
+    _snapshot: 4,
+}
+_FAULTS = tuple(_WEIGHT_BY_FAULT)
+_FAULT_WEIGHTS = tuple(_WEIGHT_BY_FAULT.values())
