Prove the log under faults with property-based and seeded tests

Change: a hypothesis state machine and seeded runs over the simulation, tests of single faults, and tests that take one rule out and expect to be told. Conclusion: acknowledging before the sync, reads without a quorum, votes for members that lack entries, votes while a leader is heard, and founding by a majority are each noticed.

--- a/tests/lib/log_simulation.py
+++ b/tests/lib/log_simulation.py
@@ -30,6 +30,8 @@
 )
 _MAX_STALE_READINGS = 12
 _USUAL_SYNC_S = 0.005
+_USUAL_DELAY_S = 0.002
+_MAX_DELAY_S = 3.0
 _MAX_MEMBERS_EVER = 12
 
 
@@ -71,6 +73,7 @@
         self.now = 100.0
         self.loss = 0.0
         self.duplication = 0.0
+        self.late_share = 0.0
         self.sync_early = sync_early
         self.blocked = set()
         self.committed_by_index = {}
@@ -206,7 +209,7 @@
 
     def heal(self):
         self.blocked = set()
-        self.loss = self.duplication = 0.0
+        self.loss = self.duplication = self.late_share = 0.0
 
     def propose(self, node):
         command = b"command-%d" % next(self._tokens)
@@ -254,7 +257,7 @@
         while self._events and self._events[0][0] <= end:
             self.now, _, function, arguments = heapq.heappop(self._events)
             function(*arguments)
-            self._check()
+            self.check()
         self.now = end
 
     def _schedule(self, delay, function, *arguments):
@@ -311,7 +314,9 @@
         copies = 1 + (self.rng.random() < self.duplication)
         for _ in range(copies):
             if self.rng.random() >= self.loss:
-                delay = self.rng.expovariate(500)
+                delay = self.rng.expovariate(1 / _USUAL_DELAY_S)
+                if self.rng.random() < self.late_share:
+                    delay = self.rng.uniform(0, _MAX_DELAY_S)
                 self._schedule(delay, self._deliver, message)
 
     def _deliver(self, message):
@@ -362,7 +367,7 @@
         if index < needed:
             raise Violation(f"{node.member_id} read at {index}, before {needed}")
 
-    def _check(self):
+    def check(self):
         leaders = []
         for node in self.nodes_by_id.values():
             if node.core is None:
@@ -492,6 +497,13 @@
     simulation.start(node)
 
 
+def _restart_again_and_again(simulation, node):
+    for _ in range(simulation.rng.randint(2, 8)):
+        simulation.run(simulation.rng.choice([0.002, 0.01, 0.1, 0.7]))
+        _restart_at_once(simulation, _likely_leader(simulation))
+        simulation.propose(_likely_leader(simulation))
+
+
 def _freeze(simulation, node):
     simulation.freeze(node)
 
@@ -510,6 +522,7 @@
 def _degrade_network(simulation, node):
     simulation.loss = simulation.rng.choice([0.05, 0.3])
     simulation.duplication = simulation.rng.choice([0.0, 0.3])
+    simulation.late_share = simulation.rng.choice([0.0, 0.1, 0.5])
 
 
 def _slow_disk(simulation, node):
@@ -543,6 +556,7 @@
     _crash: 3,
     _cut_power_of_many: 2,
     _restart_at_once: 2,
+    _restart_again_and_again: 2,
     _freeze: 3,
     _partition: 3,
     _cut_links: 3,
--- /dev/null
+++ b/tests/unit/control/replication/test_simulation.py
@@ -0,0 +1,160 @@
+import os
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from galenadrum._internal.control.replication import election, leader
+from galenadrum._internal.control.replication.membership import Membership
+from galenadrum._internal.control.replication.state import ReplicaState
+from galenadrum._internal.exceptions import InvariantError, LogDamagedError
+from lib.log_simulation import Simulation, Violation, run_randomly
+
+# GALENADRUM_LOG_SEEDS and GALENADRUM_LOG_STEPS lengthen the seeded run.
+SEEDS = int(os.environ.get("GALENADRUM_LOG_SEEDS", "8"))
+STEPS = int(os.environ.get("GALENADRUM_LOG_STEPS", "100"))
+FIRST_SEED = int(os.environ.get("GALENADRUM_LOG_FIRST_SEED", "0"))
+
+
+def run_seed(seed, steps=STEPS, **options):
+    simulation = Simulation(seed, founders=3 if seed % 3 else 5, **options)
+    run_randomly(simulation, steps)
+    simulation.settle()
+    return simulation
+
+
+class LogMachine(RuleBasedStateMachine):
+    """Faults that hypothesis chooses and shrinks, over a simulated cluster."""
+
+    def __init__(self):
+        super().__init__()
+        self.simulation = Simulation(seed=0)
+        self.simulation.run(3.0)
+
+    nodes = st.integers(0, 4)
+
+    def node(self, number):
+        nodes = list(self.simulation.nodes_by_id.values())
+        return nodes[number % len(nodes)]
+
+    @rule(seconds=st.sampled_from([0.001, 0.01, 0.2, 1.0, 3.0]))
+    def run_for(self, seconds):
+        self.simulation.run(seconds)
+
+    @rule(number=nodes, count=st.integers(1, 5))
+    def propose(self, number, count):
+        for _ in range(count):
+            self.simulation.propose(self.node(number))
+
+    @rule(number=nodes)
+    def read(self, number):
+        self.simulation.read(self.node(number))
+
+    @rule(number=nodes)
+    def snapshot(self, number):
+        self.simulation.snapshot(self.node(number))
+
+    @rule(number=nodes, power=st.booleans())
+    def crash(self, number, power):
+        self.simulation.crash(self.node(number), power)
+
+    @rule(number=nodes)
+    def start(self, number):
+        self.simulation.start(self.node(number))
+
+    @rule(number=nodes)
+    def freeze(self, number):
+        self.simulation.freeze(self.node(number))
+
+    @rule(number=nodes)
+    def thaw(self, number):
+        self.simulation.thaw(self.node(number))
+
+    @rule(alone=nodes)
+    def isolate(self, alone):
+        ids = set(self.simulation.nodes_by_id)
+        isolated = {self.node(alone).member_id}
+        self.simulation.partition([isolated, ids - isolated])
+
+    @rule(loss=st.sampled_from([0.1, 0.5]), late=st.sampled_from([0.0, 0.3]))
+    def degrade(self, loss, late):
+        self.simulation.loss = self.simulation.duplication = loss
+        self.simulation.late_share = late
+
+    @rule()
+    def heal(self):
+        self.simulation.heal()
+
+    @precondition(lambda self: len(self.simulation.nodes_by_id) < 6)
+    @rule(number=nodes)
+    def lose_disk_and_replace(self, number):
+        node = self.node(number)
+        if not node.lost and not self.simulation.is_last_founder(node):
+            self.simulation.lose_disk(node)
+            self.simulation.replace(node)
+
+    @invariant()
+    def promises_hold(self):
+        self.simulation.check()
+
+    def teardown(self):
+        self.simulation.settle()
+
+
+TestLogMachine = LogMachine.TestCase
+TestLogMachine.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+class TestSeededRuns:
+    def test_accept_and_keep_changes_under_faults(self):
+        runs = [run_seed(FIRST_SEED + number) for number in range(SEEDS)]
+        assert all(run.accepted for run in runs)
+        assert any(len(run.leader_by_term) > 3 for run in runs)
+
+
+class TestChecksCanFail:
+    """Each takes one rule out of the members; the checks must notice."""
+
+    def assert_noticed(self, seeds, **options):
+        with pytest.raises((Violation, InvariantError, LogDamagedError)):
+            for seed in seeds:
+                run_seed(seed, steps=200, **options)
+
+    def test_when_changes_are_acknowledged_before_they_are_synced(self):
+        assert self.power_cuts(sync_early=False) > 0
+        with pytest.raises(Violation, match="accepted and lost|applied"):
+            self.power_cuts(sync_early=True)
+
+    def power_cuts(self, sync_early):
+        """Cut all power soon after proposals; return how many were accepted."""
+        simulation = Simulation(seed=1, sync_early=sync_early)
+        for _ in range(20):
+            simulation.settle(5)
+            for node in simulation.running():
+                node.sync_s = 0.03
+                simulation.propose(node)
+            simulation.run(0.02)
+            for node in simulation.nodes_by_id.values():
+                simulation.crash(node)
+        simulation.settle()
+        return len(simulation.accepted)
+
+    def test_when_reads_are_served_without_asking_a_quorum(self, monkeypatch):
+        def serve_at_once(state, now):
+            leader._finish_reads(state, state.leader.waiting_reads)
+
+        monkeypatch.setattr(leader, "advance_reads", serve_at_once)
+        self.assert_noticed(range(10))
+
+    def test_when_votes_go_to_members_that_lack_entries(self, monkeypatch):
+        monkeypatch.setattr(election, "_is_up_to_date", lambda *_: True)
+        self.assert_noticed(range(10))
+
+    def test_when_members_vote_while_they_hear_a_leader(self, monkeypatch):
+        monkeypatch.setattr(ReplicaState, "hears_leader", lambda *_: False)
+        self.assert_noticed(range(19, 60))
+
+    def test_when_a_lost_disk_may_found_with_a_majority(self, monkeypatch):
+        monkeypatch.setattr(Membership, "is_founding", lambda _: False)
+        self.assert_noticed(range(4, 60))
