--- a/src/galenadrum/_internal/control/replication/follower.py
+++ b/src/galenadrum/_internal/control/replication/follower.py
@@ -70,10 +70,10 @@
 def _is_outdated(state: ReplicaState, message: Message) -> bool:
     if message.term >= state.term:
         return False
-    # The answer's term makes the sender step down.
+    # The answer's term makes the sender step down. It must not name the round:
+    # the sender may lead that term by then, with rounds of its own.
     state.send(
-        message.sender_id,
-        AppendResponse(accepted=False, match_index=0, round=message.body.round),
+        message.sender_id, AppendResponse(accepted=False, match_index=0, round=0)
     )
     return True
 
