--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -248,6 +248,14 @@
         if self._state.role is not Role.LEADER:
             raise NotLeaderError(self.leader_address())
 
+    def lease_until(self, now: float) -> float | None:
+        """Return until when no other leader can exist; None if not the leader."""
+        self._expire_lease(now)
+        if self._state.role is not Role.LEADER:
+            return None
+        until = leader.lease_until(self._state)
+        return until if until is not None and until > now else None
+
     def leader_address(self) -> str | None:
         """Return the peer address of the leader, when it is known."""
         member = self._state.membership.get(self._state.leader_id)
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -40,6 +40,7 @@
 # of the two run at rates that differ by this share.
 _CLOCK_RATE_MARGIN = 0.1
 _SILENCE_SHARE = 0.5
+_FOUNDING_LOG_INTERVAL_S = 10.0
 _SNAPSHOT_MIN_BYTES = 1024 * 1024
 _ENTRY_OVERHEAD_BYTES = 64
 
@@ -114,6 +115,7 @@
         self._snapshot_bytes = 0
         self._pump_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
+        self._next_founding_log = 0.0
         self._service = ReplicationService(
             self._receive_inbound, self._inbound_closed, self._answer_join
         )
@@ -268,10 +270,7 @@
         """Loop time until which no other leader can exist; None if not leader."""
         if not self._is_running():
             return None
-        lease_until = self._core.status().lease_until
-        if lease_until is None or lease_until <= self._loop.time():
-            return None
-        return lease_until
+        return self._core.lease_until(self._loop.time())
 
     @property
     def leader_address(self) -> str | None:
@@ -363,8 +362,19 @@
     def _tick(self) -> None:
         self._timer = None
         self._core.tick(self._loop.time())
+        self._log_missing_founders()
         self._pump()
 
+    def _log_missing_founders(self) -> None:
+        membership = self._core.membership
+        now = self._loop.time()
+        if not membership.is_founding() or now < self._next_founding_log:
+            return
+        self._next_founding_log = now + _FOUNDING_LOG_INTERVAL_S
+        logger.info(
+            "the first start needs all of %s", ", ".join(sorted(membership.voter_ids()))
+        )
+
     def _schedule_pump(self) -> None:
         # One pump for all events of one pass of the loop sends them together.
         if not self._pump_scheduled:
