--- a/src/galenadrum/_internal/supervision/__init__.py
+++ b/src/galenadrum/_internal/supervision/__init__.py
@@ -1,1 +1,1 @@
-"""The tree of long-lived tasks."""
+"""The tree of supervised, long-lived tasks of a daemon."""
