--- a/src/galenadrum/_internal/membership/__init__.py
+++ b/src/galenadrum/_internal/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Announcements, leases and digests of backend servers."""
+"""Membership of a zone: backend servers, entry hosts, digests of other zones."""
--- /dev/null
+++ b/src/galenadrum/_internal/membership/announcement_codec.py
@@ -0,0 +1,221 @@
+"""The JSON form of announcements, as backend servers send them over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from galenadrum._internal.exceptions import CheckFailedError
+from galenadrum._internal.models.findings import Finding
+from galenadrum._internal.models.servers import (
+    Announcement,
+    CacheEvent,
+    LoadReport,
+    ServerState,
+)
+
+MAX_BODY_BYTES = 256 * 1024
+_MISSING = object()
+
+
+def parse_announcement(body: bytes) -> Announcement:
+    """Parse the body of ``POST /v1/announcements``.
+
+    Raises:
+        CheckFailedError: The body has findings; all of them are in the error.
+    """
+    reader = _Reader()
+    document = _load_object(body, reader)
+    announcement = _read_announcement(document, reader)
+    if reader.findings:
+        raise CheckFailedError(tuple(reader.findings))
+    return announcement
+
+
+def dump_announcement(announcement: Announcement) -> bytes:
+    """Return the JSON body that ``parse_announcement`` reads back."""
+    load = announcement.load
+    document = {
+        "server_id": announcement.server_id,
+        "incarnation": announcement.incarnation,
+        "sequence": announcement.sequence,
+        "address": announcement.address,
+        "zone": announcement.zone,
+        "stages": announcement.stages,
+        "capacity": announcement.capacity,
+        "ttl_s": announcement.ttl_s,
+        "state": announcement.state,
+        "model_versions": announcement.model_versions,
+        "adapters": announcement.adapters,
+        "role": announcement.role,
+        "checks_fencing": announcement.checks_fencing,
+        "checks_orderer": announcement.checks_orderer,
+        "load": None
+        if load is None
+        else {"running": load.running, "queued": load.queued, "age_s": load.age_s},
+        "cache_events": [
+            {
+                "sequence": event.sequence,
+                "stored": event.stored,
+                "evicted": event.evicted,
+            }
+            for event in announcement.cache_events
+        ],
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+class _Reader:
+    """Reads typed members of JSON objects and collects findings."""
+
+    def __init__(self) -> None:
+        self.findings: list[Finding] = []
+
+    def report(self, path: str, message: str) -> None:
+        self.findings.append(Finding("", 0, 0, path, message))
+
+    def member(
+        self,
+        document: dict[str, Any],
+        path: str,
+        name: str,
+        read: Callable[[Any, str], Any],
+        default: Any = _MISSING,
+    ) -> Any:
+        """Read one member; a missing one without a default is a finding."""
+        full_path = f"{path}.{name}" if path else name
+        if name not in document:
+            if default is _MISSING:
+                self.report(full_path, "is missing")
+                return None
+            return default
+        return read(document[name], full_path)
+
+    def check_names(self, document: dict[str, Any], path: str, names: set[str]) -> None:
+        for name in sorted(set(document) - names):
+            self.report(f"{path}.{name}" if path else name, "is not known")
+
+    def text(self, value: Any, path: str) -> str:
+        if not isinstance(value, str):
+            self.report(path, "must be a string")
+            return ""
+        return value
+
+    def count(self, value: Any, path: str) -> int:
+        if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+            self.report(path, "must be a whole number, 0 or more")
+            return 0
+        return value
+
+    def seconds(self, value: Any, path: str) -> float:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            self.report(path, "must be a number of seconds")
+            return 0.0
+        # Larger whole numbers than a float can hold are no durations.
+        if not 0 <= value <= 1e9:
+            self.report(path, "must be from 0 to 1e9 seconds")
+            return 0.0
+        return float(value)
+
+    def flag(self, value: Any, path: str) -> bool:
+        if not isinstance(value, bool):
+            self.report(path, "must be true or false")
+            return False
+        return value
+
+    def items(
+        self, value: Any, path: str, read: Callable[[Any, str], Any]
+    ) -> tuple[Any, ...]:
+        if not isinstance(value, list):
+            self.report(path, "must be a list")
+            return ()
+        return tuple(read(item, f"{path}[{i}]") for i, item in enumerate(value))
+
+    def texts(self, value: Any, path: str) -> tuple[str, ...]:
+        return self.items(value, path, self.text)
+
+    def pair(self, value: Any, path: str) -> tuple[str, str]:
+        if not isinstance(value, list) or len(value) != 2:
+            self.report(path, "must be a list of a model name and a version")
+            return ("", "")
+        return (self.text(value[0], f"{path}[0]"), self.text(value[1], f"{path}[1]"))
+
+    def pairs(self, value: Any, path: str) -> tuple[tuple[str, str], ...]:
+        return self.items(value, path, self.pair)
+
+    def state(self, value: Any, path: str) -> ServerState:
+        try:
+            return ServerState(value)
+        except ValueError:
+            self.report(path, "must be serving or leaving")
+            return ServerState.SERVING
+
+    def load(self, value: Any, path: str) -> LoadReport | None:
+        if value is None:
+            return None
+        if not isinstance(value, dict):
+            self.report(path, "must be an object or null")
+            return None
+        self.check_names(value, path, {"running", "queued", "age_s"})
+        return LoadReport(
+            running=self.member(value, path, "running", self.count),
+            queued=self.member(value, path, "queued", self.count),
+            age_s=self.member(value, path, "age_s", self.seconds, 0.0),
+        )
+
+    def cache_event(self, value: Any, path: str) -> CacheEvent | None:
+        if not isinstance(value, dict):
+            self.report(path, "must be an object")
+            return None
+        self.check_names(value, path, {"sequence", "stored", "evicted"})
+        return CacheEvent(
+            sequence=self.member(value, path, "sequence", self.count),
+            stored=self.member(value, path, "stored", self.texts, ()),
+            evicted=self.member(value, path, "evicted", self.texts, ()),
+        )
+
+    def cache_events(self, value: Any, path: str) -> tuple[CacheEvent, ...]:
+        return self.items(value, path, self.cache_event)
+
+
+def _load_object(body: bytes, reader: _Reader) -> dict[str, Any]:
+    if len(body) > MAX_BODY_BYTES:
+        reader.report("", f"the body is larger than {MAX_BODY_BYTES} bytes")
+    else:
+        try:
+            document = json.loads(body)
+        except (ValueError, RecursionError) as error:
+            reader.report("", f"the body is not JSON: {error}")
+        else:
+            if isinstance(document, dict):
+                return document
+            reader.report("", "the body must be a JSON object")
+    raise CheckFailedError(tuple(reader.findings))
+
+
+def _read_announcement(document: dict[str, Any], reader: _Reader) -> Announcement:
+    readers: dict[str, tuple[Callable[[Any, str], Any], Any]] = {
+        "server_id": (reader.text, _MISSING),
+        "incarnation": (reader.count, _MISSING),
+        "sequence": (reader.count, _MISSING),
+        "address": (reader.text, _MISSING),
+        "zone": (reader.text, _MISSING),
+        "stages": (reader.texts, _MISSING),
+        "capacity": (reader.count, _MISSING),
+        "ttl_s": (reader.seconds, _MISSING),
+        "state": (reader.state, ServerState.SERVING),
+        "model_versions": (reader.pairs, ()),
+        "adapters": (reader.texts, ()),
+        "role": (reader.text, "both"),
+        "checks_fencing": (reader.flag, False),
+        "checks_orderer": (reader.flag, False),
+        "load": (reader.load, None),
+        "cache_events": (reader.cache_events, ()),
+    }
+    reader.check_names(document, "", set(readers))
+    values = {
+        name: reader.member(document, "", name, read, default)
+        for name, (read, default) in readers.items()
+    }
+    return Announcement(**values)
--- /dev/null
+++ b/src/galenadrum/_internal/membership/validation.py
@@ -0,0 +1,121 @@
+"""Checks of an announcement that need no other state."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+from collections.abc import Iterator
+
+from galenadrum._internal.membership.verdicts import Rejection, RejectReason
+from galenadrum._internal.models.servers import Announcement
+
+MIN_TTL_S = 1.0
+MAX_TTL_S = 60.0
+MAX_CAPACITY = 100_000
+MAX_COUNTER = 2**53
+MAX_NAME_CHARACTERS = 128
+MAX_NAMES = 64
+MAX_CACHE_EVENTS = 256
+MAX_CACHE_HASHES = 256
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT`` or ``[IP]:PORT`` into the IP number and the port.
+
+    Raises:
+        ValueError: It isn't the number of a single host and a port.
+    """
+    host, separator, port_text = address.rpartition(":")
+    if not separator or not port_text.isascii() or not port_text.isdigit():
+        raise ValueError(f"{address!r} is not an IP number and a port")
+    if host.startswith("[") and host.endswith("]"):
+        host = str(ipaddress.IPv6Address(host[1:-1]))
+    else:
+        host = str(ipaddress.IPv4Address(host))
+    number = ipaddress.ip_address(host)
+    if number.is_unspecified or number.is_multicast:
+        raise ValueError(f"{address!r} is not the address of one host")
+    if not 1 <= int(port_text) <= 65_535:
+        raise ValueError(f"{address!r} has no usable port")
+    return host, int(port_text)
+
+
+def check_announcement(
+    announcement: Announcement, zone: str, peer_ip: str | None
+) -> Rejection | None:
+    """Return why the announcement can't be accepted by any host of the zone.
+
+    Args:
+        announcement: The announcement as it was parsed.
+        zone: The zone of this entry host.
+        peer_ip: IP number of the socket's other end, or None when a peer entry
+            host passed the announcement on.
+    """
+    if announcement.zone != zone:
+        message = f"this host serves zone {zone}, not {announcement.zone}"
+        return Rejection(RejectReason.WRONG_ZONE, message)
+    try:
+        announced_ip, _ = split_address(announcement.address)
+    except ValueError as error:
+        return Rejection(RejectReason.BAD_ADDRESS, str(error))
+    if peer_ip is not None and announced_ip != peer_ip:
+        message = f"announced {announced_ip}, but the connection is from {peer_ip}"
+        return Rejection(RejectReason.PEER_MISMATCH, message)
+    for message in _field_problems(announcement):
+        return Rejection(RejectReason.BAD_FIELD, message)
+    return None
+
+
+def _field_problems(announcement: Announcement) -> Iterator[str]:
+    if not _is_name(announcement.server_id):
+        yield f"server_id must have 1 to {MAX_NAME_CHARACTERS} printable characters"
+    for name in ("incarnation", "sequence"):
+        if not 0 <= getattr(announcement, name) <= MAX_COUNTER:
+            yield f"{name} must be from 0 to {MAX_COUNTER}"
+    if not 1 <= announcement.capacity <= MAX_CAPACITY:
+        yield f"capacity must be from 1 to {MAX_CAPACITY}"
+    if not MIN_TTL_S <= announcement.ttl_s <= MAX_TTL_S:
+        yield f"ttl_s must be from {MIN_TTL_S:g} to {MAX_TTL_S:g} seconds"
+    if not announcement.stages:
+        yield "stages must name at least one stage"
+    yield from _name_problems(announcement)
+    yield from _report_problems(announcement)
+
+
+def _name_problems(announcement: Announcement) -> Iterator[str]:
+    versions = tuple(part for pair in announcement.model_versions for part in pair)
+    for field, names, limit in (
+        ("stages", announcement.stages, MAX_NAMES),
+        ("adapters", announcement.adapters, MAX_NAMES),
+        ("model_versions", versions, 2 * MAX_NAMES),
+        ("role", (announcement.role,), 1),
+    ):
+        if len(names) > limit:
+            yield f"{field} has too many members"
+        if not all(_is_name(name) for name in names):
+            yield f"{field}: names need 1 to {MAX_NAME_CHARACTERS} printable characters"
+    if len(set(announcement.stages)) != len(announcement.stages):
+        yield "stages names a stage twice"
+
+
+def _report_problems(announcement: Announcement) -> Iterator[str]:
+    load = announcement.load
+    if load is not None:
+        if not (0 <= load.running <= MAX_COUNTER and 0 <= load.queued <= MAX_COUNTER):
+            yield "load.running and load.queued must be 0 or more"
+        if not (math.isfinite(load.age_s) and load.age_s >= 0):
+            yield "load.age_s must be 0 or more seconds"
+    if len(announcement.cache_events) > MAX_CACHE_EVENTS:
+        yield f"cache_events has more than {MAX_CACHE_EVENTS} members"
+    for event in announcement.cache_events:
+        hashes = (*event.stored, *event.evicted)
+        if not 0 <= event.sequence <= MAX_COUNTER:
+            yield f"cache_events: sequence must be from 0 to {MAX_COUNTER}"
+        if len(hashes) > MAX_CACHE_HASHES:
+            yield f"cache_events: more than {MAX_CACHE_HASHES} hashes in one event"
+        if not all(_is_name(block) for block in hashes):
+            yield "cache_events: a hash is empty or too long"
+
+
+def _is_name(text: str) -> bool:
+    return 1 <= len(text) <= MAX_NAME_CHARACTERS and text.isprintable()
