--- /dev/null
+++ b/src/galenadrum/_internal/membership/digests.py
@@ -0,0 +1,142 @@
+"""Digests of other zones: what each could take over, and how old that is."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from galenadrum._internal.models.servers import ZoneDigest
+
+DIGEST_TTL_S = 30.0
+MAX_STAGES = 256
+_MAX_ZONES = 64
+_REFRESH_S = 10.0
+_MIN_PROGRESS_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class StageLoad:
+    """The load of one stage in a zone.
+
+    Attributes:
+        free_capacity: Calls that could start at once.
+        queue_delay_s: Expected wait of a new call, in seconds.
+    """
+
+    stage: str
+    free_capacity: int
+    queue_delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerDigest:
+    """The digest of a zone on its way between hosts.
+
+    Attributes:
+        serial: Identifies the digest; only compared for equality.
+        age_s: Seconds since the zone made it.
+    """
+
+    zone: str
+    entry_address: str
+    serial: int
+    age_s: float
+    stages: tuple[StageLoad, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldDigest:
+    digest: PeerDigest
+    made_at: float
+
+
+class DigestTable:
+    """The newest digest of each other zone.
+
+    Args:
+        zone: The zone of this host, whose digests are ignored.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._held_by_zone: dict[str, _HeldDigest] = {}
+
+    def merge(self, digest: PeerDigest, now: float) -> bool:
+        """Take a digest; return whether it should be passed on in the zone.
+
+        A digest that says the same as the last is passed on only when the last
+        one gets old, so that quiet zones cost little.
+        """
+        if digest.zone == self._zone or len(digest.stages) > MAX_STAGES:
+            return False
+        made_at = now - max(0.0, digest.age_s)
+        held = self._held_by_zone.get(digest.zone)
+        if held is None:
+            if now - made_at >= DIGEST_TTL_S or len(self._held_by_zone) >= _MAX_ZONES:
+                return False
+        elif held.digest.serial == digest.serial:
+            return False
+        elif made_at <= held.made_at + _MIN_PROGRESS_S:
+            return False
+        elif (
+            held.digest.stages == digest.stages
+            and held.digest.entry_address == digest.entry_address
+            and made_at - held.made_at < _REFRESH_S
+        ):
+            return False
+        self._held_by_zone[digest.zone] = _HeldDigest(digest, made_at)
+        return True
+
+    def expire(self, now: float) -> None:
+        """Forget digests that are too old to act on."""
+        for zone, held in list(self._held_by_zone.items()):
+            if now - held.made_at >= DIGEST_TTL_S:
+                del self._held_by_zone[zone]
+
+    def peer_digest(self, zone: str, now: float) -> PeerDigest | None:
+        """Return the digest of a zone in the form that is passed on."""
+        held = self._held_by_zone.get(zone)
+        if held is None:
+            return None
+        return replace(held.digest, age_s=now - held.made_at)
+
+    def digests_by_stage(self, now: float) -> dict[str, tuple[ZoneDigest, ...]]:
+        """Return the digests that are young enough, by stage name."""
+        digests: dict[str, list[ZoneDigest]] = {}
+        for zone, held in sorted(self._held_by_zone.items()):
+            if now - held.made_at >= DIGEST_TTL_S:
+                continue
+            for load in held.digest.stages:
+                digests.setdefault(load.stage, []).append(
+                    ZoneDigest(
+                        zone=zone,
+                        stage=load.stage,
+                        free_capacity=load.free_capacity,
+                        queue_delay_s=load.queue_delay_s,
+                        entry_address=held.digest.entry_address,
+                        sent_at=held.made_at,
+                    )
+                )
+        return {stage: tuple(items) for stage, items in digests.items()}
+
+    def zones(self) -> tuple[str, ...]:
+        """Return the zones with a digest."""
+        return tuple(self._held_by_zone)
+
+
+def coarsen(loads: Iterable[StageLoad]) -> tuple[StageLoad, ...]:
+    """Round loads to two significant bits, so that noise is not sent around."""
+    ordered = sorted(loads, key=lambda load: load.stage)[:MAX_STAGES]
+    return tuple(
+        StageLoad(
+            load.stage,
+            _round_down(load.free_capacity),
+            _round_down(round(load.queue_delay_s * 1_000)) / 1_000,
+        )
+        for load in ordered
+    )
+
+
+def _round_down(number: int) -> int:
+    shift = max(0, number.bit_length() - 2)
+    return number >> shift << shift
