--- /dev/null
+++ b/src/galenadrum/_internal/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Checks that declarations must pass, on files and on accepted state alike."""
--- /dev/null
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -0,0 +1,173 @@
+"""Specifications to and from plain JSON values, checked field by field."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import cattrs
+from cattrs import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+from cattrs.gen import make_dict_structure_fn, override
+from cattrs.v import format_exception
+
+from galenadrum._internal.declarations import fields
+from galenadrum._internal.declarations.names import NAME_RULE, is_valid_name
+from galenadrum._internal.models.findings import Finding
+from galenadrum._internal.models.resources import (
+    SPEC_CLASS_BY_KIND,
+    Kind,
+    ModelSpec,
+    Objective,
+    OrganisationSpec,
+    PipelineSpec,
+    PolicySpec,
+    Spec,
+    StageSpec,
+)
+
+PIPELINE_MAX_STAGES = 8
+DEADLINE_MAX_MS = 600_000
+POLICY_NAME = "default"
+_MAX_KEYS = 32
+_MAX_PIPELINES = 256
+_MAX_ADAPTERS = 256
+_MAX_ZONES = 64
+_MAX_REPLICAS = 10_000
+_MAX_WEIGHT = 1e6
+_MAX_PRIORITY = 9
+_VERSION_MAX_CHARACTERS = 128
+
+_DIGEST = fields.text_matching(
+    "[0-9a-f]{64}", "expected a SHA-256 digest: 64 lower-case hex digits"
+)
+
+_HOOKS_BY_CLASS: dict[type, dict[str, fields.Hook]] = {
+    OrganisationSpec: {
+        "key_sha256": fields.distinct_list(_DIGEST, 1, _MAX_KEYS),
+        "weight": fields.number_above(0, _MAX_WEIGHT),
+        "priority": fields.integer_between(0, _MAX_PRIORITY),
+        "pipelines": fields.distinct_list(fields.name, 0, _MAX_PIPELINES),
+    },
+    StageSpec: {
+        "repeatable": fields.boolean,
+        "streams": fields.boolean,
+        "model": fields.optional(fields.name),
+        "expected_service_ms": fields.integer_between(1, DEADLINE_MAX_MS),
+    },
+    PipelineSpec: {
+        # A reply echoes its stage, so that a stage may stand only once.
+        "stages": fields.distinct_list(fields.name, 1, PIPELINE_MAX_STAGES),
+        "deadline_ms": fields.integer_between(1, DEADLINE_MAX_MS),
+    },
+    ModelSpec: {
+        "version": fields.text_up_to(_VERSION_MAX_CHARACTERS),
+        "adapters": fields.distinct_list(fields.name, 0, _MAX_ADAPTERS),
+        "replicas_by_zone": fields.map_of(
+            fields.name, fields.integer_between(0, _MAX_REPLICAS), _MAX_ZONES
+        ),
+    },
+    PolicySpec: {"objective": fields.one_of(Objective)},
+}
+
+
+def structure_spec(
+    kind: Kind, mapping: Mapping[str, Any], path: str = "spec"
+) -> Spec | tuple[Finding, ...]:
+    """Turn plain JSON values into the specification of a resource.
+
+    Args:
+        kind: The kind of the resource.
+        mapping: The ``spec`` object as it was parsed.
+        path: Path of that object, put before the path of each finding.
+
+    Returns:
+        The specification, or all findings in the order of their paths. Their
+        file is empty and their line and column are 0.
+    """
+    if not isinstance(mapping, Mapping):
+        message = f"expected an object, found {fields.type_name(mapping)}"
+        return (Finding("", 0, 0, path, message),)
+    try:
+        return _CONVERTER.structure(dict(mapping), SPEC_CLASS_BY_KIND[kind])
+    except (ClassValidationError, IterableValidationError) as error:
+        return tuple(sorted(_findings_of(error, path)))
+
+
+def unstructure_spec(spec: Spec) -> dict[str, Any]:
+    """Return ``spec`` as plain JSON values; fields at their default included."""
+    return _CONVERTER.unstructure(spec)
+
+
+def check_name(kind: Kind, name: str, path: str = "name") -> tuple[Finding, ...]:
+    """Return what is wrong with the name of a resource."""
+    if not is_valid_name(name):
+        return (Finding("", 0, 0, path, NAME_RULE),)
+    if kind is Kind.POLICY and name != POLICY_NAME:
+        message = f"the one policy is named {POLICY_NAME!r}"
+        return (Finding("", 0, 0, path, message),)
+    return ()
+
+
+def _build_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+    converter.register_unstructure_hook(Objective, lambda value: value.value)
+    for cls, hook_by_field in _HOOKS_BY_CLASS.items():
+        overrides = {
+            name: override(struct_hook=hook) for name, hook in hook_by_field.items()
+        }
+        hook = make_dict_structure_fn(
+            cls, converter, _cattrs_forbid_extra_keys=True, **overrides
+        )
+        converter.register_structure_hook(cls, hook)
+    return converter
+
+
+def _findings_of(
+    error: ClassValidationError | IterableValidationError, path: str
+) -> list[Finding]:
+    """Flatten the errors that cattrs grouped, each with its path."""
+    if isinstance(error, ClassValidationError):
+        places = [
+            (inner, path if note is None else f"{path}.{note.name}")
+            for inner, note in _with_notes(error)
+        ]
+    else:
+        places = [
+            (inner, path if note is None else _item_path(path, note.index))
+            for inner, note in _with_notes(error)
+        ]
+    findings: list[Finding] = []
+    for inner, place in places:
+        if isinstance(inner, ClassValidationError | IterableValidationError):
+            findings.extend(_findings_of(inner, place))
+        elif isinstance(inner, ForbiddenExtraKeysError):
+            findings.extend(
+                Finding("", 0, 0, f"{place}.{field}", "unknown field")
+                for field in inner.extra_fields
+            )
+        else:
+            findings.append(Finding("", 0, 0, place, _message_of(inner)))
+    return findings
+
+
+def _with_notes(error: ClassValidationError | IterableValidationError) -> list[Any]:
+    with_notes, without = error.group_exceptions()
+    return list(with_notes) + [(inner, None) for inner in without]
+
+
+def _item_path(path: str, index: int | str) -> str:
+    return f"{path}[{index}]" if isinstance(index, int) else f"{path}.{index}"
+
+
+def _message_of(error: Exception) -> str:
+    """Return the text of a hook's own error, or of one that cattrs raised."""
+    if type(error) in (TypeError, ValueError):
+        return str(error)
+    return format_exception(error, None)
+
+
+_CONVERTER = _build_converter()
--- /dev/null
+++ b/tests/unit/declarations/test_specs.py
@@ -0,0 +1,68 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenadrum._internal.declarations.specs import (
+    check_name,
+    structure_spec,
+    unstructure_spec,
+)
+from galenadrum._internal.models.resources import Kind, PipelineSpec, StageSpec
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["stages", "deadline_ms", "key_sha256", "version", "model"])
+            | st.text(max_size=3),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+
+
+class TestStructureSpec:
+    def test_fills_in_defaults(self):
+        assert structure_spec(Kind.STAGE, {"model": "m1"}) == StageSpec(model="m1")
+
+    def test_reports_all_findings_with_their_paths(self):
+        findings = structure_spec(
+            Kind.PIPELINE,
+            {"stages": ["a", "B", 3, "a"], "deadline_ms": 0, "deadline": 1},
+        )
+        assert [finding.path for finding in findings] == [
+            "spec.deadline",
+            "spec.deadline_ms",
+            "spec.stages[1]",
+            "spec.stages[2]",
+            "spec.stages[3]",
+        ]
+
+    @pytest.mark.parametrize("count", [0, 9])
+    def test_bounds_the_number_of_stages(self, count):
+        stages = [f"s{number}" for number in range(count)]
+        spec = structure_spec(Kind.PIPELINE, {"stages": stages, "deadline_ms": 1})
+        assert [finding.path for finding in spec] == ["spec.stages"]
+
+    def test_refuses_a_second_name_for_the_policy(self):
+        assert check_name(Kind.POLICY, "default") == ()
+        assert len(check_name(Kind.POLICY, "other")) == 1
+
+    @given(st.sampled_from(Kind), _JSON)
+    def test_any_json_gives_findings_or_a_spec_that_round_trips(self, kind, value):
+        result = structure_spec(kind, value)
+        if isinstance(result, tuple):
+            assert result
+            assert all(finding.path.startswith("spec") for finding in result)
+        else:
+            document = json.loads(json.dumps(unstructure_spec(result)))
+            assert structure_spec(kind, document) == result
+
+    def test_a_pipeline_round_trips(self):
+        spec = PipelineSpec(("encode", "rank"), 5_000)
+        assert structure_spec(Kind.PIPELINE, unstructure_spec(spec)) == spec
