--- a/src/galenadrum/_internal/models/requests.py
+++ b/src/galenadrum/_internal/models/requests.py
@@ -89,6 +89,8 @@
         stage_index: Position in ``request.stages``.
         attempt: From 1; unique for its request and stage.
         tried_server_ids: Servers that earlier attempts were sent to.
+        forwarded: Whether an entry host of another zone handed the call over;
+            such a call is not forwarded again.
     """
 
     request: Request
@@ -96,6 +98,7 @@
     stage_index: int
     attempt: int
     tried_server_ids: frozenset[str] = frozenset()
+    forwarded: bool = False
 
     @property
     def key(self) -> tuple[str, int, int]:
@@ -141,12 +144,16 @@
     Attributes:
         address: IP number and port of the server.
         first_byte_timeout_s: Silence after which the connection is suspect.
+        forward_zone: The zone whose entry host at ``address`` takes the call
+            over, or None when ``address`` is a backend server's. The
+            ``server_id`` is then ``zone/NAME``.
     """
 
     call: StageCall
     server_id: str
     address: str
     first_byte_timeout_s: float
+    forward_zone: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/models/servers.py
+++ b/src/galenadrum/_internal/models/servers.py
@@ -86,6 +86,9 @@
         queue_delay_s: Expected wait of a new call, in seconds.
         entry_address: An entry host of that zone that forwards calls.
         sent_at: Loop time of the receiver at which it arrived, in seconds.
+        capacity: Calls that the zone's servers run at once.
+        service_s: Recent mean service time of the stage, 0 when not known.
+        failure_share: Recent share of the zone's calls that failed, 0 to 1.
     """
 
     zone: str
@@ -94,3 +97,6 @@
     queue_delay_s: float
     entry_address: str
     sent_at: float
+    capacity: int = 0
+    service_s: float = 0.0
+    failure_share: float = 0.0
--- a/src/galenadrum/_internal/routing/__init__.py
+++ b/src/galenadrum/_internal/routing/__init__.py
@@ -1,1 +1,1 @@
-"""The policy: admission, scoring, retry budgets, ejection and fairness."""
+"""The routing policy: admission, queues, choice of server, retries, ejection."""
