--- a/src/galenadrum/_internal/network/http_server.py
+++ b/src/galenadrum/_internal/network/http_server.py
@@ -24,6 +24,8 @@
 _MAX_HEAD_BYTES = 32 * 1024
 _EXPIRATION_INTERVAL_S = 0.25
 _SHUTDOWN_TIMEOUT_S = 2
+_LINGER_S = 0.3
+_MAX_LINGER_BYTES = 8 * 1024 * 1024
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -75,6 +77,14 @@
         reader.deadline = time.monotonic() + limits.body_timeout_ms / 1_000
         self.conn.socket.settimeout(_WRITE_TIMEOUT_S)
 
+    def send_headers(self) -> None:
+        # The server would wait here for the rest of the body, and send nothing
+        # when it does not come.
+        if getattr(self.rfile, "remaining", 0) > 0:
+            self.close_connection = True
+            self.conn.has_unread_body = True
+        super().send_headers()
+
 
 class _LimitedConnection(server.HTTPConnection):
     RequestHandlerClass = _LimitedRequest
@@ -82,6 +92,33 @@
     def __init__(self, owner: Any, sock: socket.socket, _make: object = None) -> None:
         super().__init__(owner, sock, _make_file)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.has_unread_body = False
+
+    def close(self) -> None:
+        """Close the connection, so that an answer sent before still arrives."""
+        if self.has_unread_body:
+            _discard_input(self.socket)
+        super().close()
+
+
+def _discard_input(sock: socket.socket) -> None:
+    """Read what the peer still sends, for a bounded time and size.
+
+    Closing a socket that holds unread bytes resets the connection, and the
+    peer may then lose the answer.
+    """
+    until = time.monotonic() + _LINGER_S
+    size = 0
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while size < _MAX_LINGER_BYTES and (left_s := until - time.monotonic()) > 0:
+            sock.settimeout(left_s)
+            part = sock.recv(65_536)
+            if not part:
+                return
+            size += len(part)
+    except OSError:
+        return
 
 
 class _SocketGateway(wsgi.Gateway_10):
--- /dev/null
+++ b/tests/functional/test_stage_client.py
@@ -0,0 +1,143 @@
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from galenadrum._internal.demo.backend_server import BackendOptions, BackendServer
+from galenadrum._internal.models.requests import Dispatch, Outcome, Request, StageCall
+from galenadrum._internal.network.stage_client import (
+    AttemptLimits,
+    ConnectionPool,
+    StageClient,
+)
+
+FAR_S = 30.0
+
+
+@contextlib.contextmanager
+def backend(**options):
+    server = BackendServer(
+        BackendOptions(
+            "backend-1",
+            "zone",
+            ("generate",),
+            frozenset({"generate"}) if options.pop("streams", False) else frozenset(),
+            (),
+            service_ms=0,
+            **options,
+        )
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+@contextlib.contextmanager
+def scripted_server(reply):
+    """A server that answers each connection with fixed bytes, then closes it."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(65_536)
+                    connection.sendall(reply)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    try:
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        thread.join()
+
+
+def call(address, client=None, on_delta=None, first_byte_s=FAR_S, caller=None):
+    request = Request("r1", "o", "p", ("generate",), FAR_S, 0.0)
+    dispatch = Dispatch(
+        StageCall(request, "generate", 0, 1), "backend-1", address, first_byte_s
+    )
+    limits = AttemptLimits(time.monotonic() + FAR_S, first_byte_s, False, caller)
+    client = client or StageClient(ConnectionPool())
+    return client.call(dispatch, {"input": "a b c d e"}, None, limits, on_delta)
+
+
+def plain_reply(request_id="r1", attempt="1", body=b'{"output": 1}', length=None):
+    head = (
+        f"HTTP/1.1 200 OK\r\nGalenadrum-Request-Id: {request_id}\r\n"
+        f"Galenadrum-Stage: generate\r\nGalenadrum-Attempt: {attempt}\r\n"
+        f"Content-Length: {length or len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class TestStageClient:
+    def test_returns_the_output_of_the_call(self):
+        with backend() as server:
+            reply = call(server.address)
+        assert reply.result.outcome is Outcome.COMPLETED
+        assert reply.output == "generate(a b c d e)"
+
+    def test_collects_a_stream_and_passes_its_parts_on(self):
+        deltas = []
+        with backend(streams=True) as server:
+            reply = call(server.address, on_delta=deltas.append)
+        assert reply.output == "".join(deltas) == "generate(a b c d e)"
+        assert len(deltas) > 1
+
+    def test_a_truncated_stream_is_not_an_output(self):
+        with backend(streams=True, truncate_every=1) as server:
+            reply = call(server.address)
+        assert reply.result.outcome is Outcome.UNKNOWN
+        assert reply.output is None
+
+    def test_a_refusal_of_the_server_is_a_certain_not_run(self):
+        with backend(refuse_every=1) as server:
+            assert call(server.address).result.outcome is Outcome.NOT_RUN
+
+    def test_a_failed_connect_is_a_certain_not_run(self):
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+            assert call(address).result.outcome is Outcome.NOT_RUN
+
+    @pytest.mark.parametrize(
+        "wire",
+        [
+            plain_reply(request_id="r2"),
+            plain_reply(attempt="2"),
+            plain_reply(length=50),
+            plain_reply(body=b'{"output": '),
+            b"",
+        ],
+        ids=["other request", "other attempt", "cut short", "no JSON", "closed"],
+    )
+    def test_a_reply_that_is_not_the_calls_own_is_unknown(self, wire):
+        with scripted_server(wire) as address:
+            reply = call(address)
+        assert reply.result.outcome is Outcome.UNKNOWN
+        assert reply.output is None
+
+    def test_a_silent_connection_is_replaced_by_a_new_one(self):
+        client = StageClient(ConnectionPool())
+        with backend() as server:
+            assert call(server.address, client).result.outcome is Outcome.COMPLETED
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            reply = call(address, client, first_byte_s=0.05)
+            assert reply.result.outcome is Outcome.UNKNOWN
+
+    def test_ends_at_once_when_the_caller_leaves(self):
+        ours, theirs = socket.socketpair()
+        theirs.close()
+        with socket.create_server(("127.0.0.1", 0)) as silent, ours:
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            reply = call(address, caller=ours)
+        assert reply.result.outcome is Outcome.CANCELLED
