Add the exchange between a zone's entry hosts, relay choice and digests

Cause: each entry host must know each backend server of its zone. Change: hosts pass changes on over a few long-lived links each and compare digests; leases, beats and digests travel as ages.

--- a/src/galenadrum/_internal/membership/digests.py
+++ b/src/galenadrum/_internal/membership/digests.py
@@ -21,11 +21,17 @@
     Attributes:
         free_capacity: Calls that could start at once.
         queue_delay_s: Expected wait of a new call, in seconds.
+        capacity: Calls that run at once when nothing else does.
+        service_s: Recent mean service time, in seconds; 0 when not known.
+        failure_share: Recent share of calls that failed, 0 to 1.
     """
 
     stage: str
     free_capacity: int
     queue_delay_s: float
+    capacity: int = 0
+    service_s: float = 0.0
+    failure_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,17 +78,10 @@
         made_at = now - max(0.0, digest.age_s)
         held = self._held_by_zone.get(digest.zone)
         if held is None:
-            if now - made_at >= DIGEST_TTL_S or len(self._held_by_zone) >= _MAX_ZONES:
-                return False
-        elif held.digest.serial == digest.serial:
-            return False
-        elif made_at <= held.made_at + _MIN_PROGRESS_S:
-            return False
-        elif (
-            held.digest.stages == digest.stages
-            and held.digest.entry_address == digest.entry_address
-            and made_at - held.made_at < _REFRESH_S
-        ):
+            is_news = len(self._held_by_zone) < _MAX_ZONES
+        else:
+            is_news = _is_news(digest, made_at, held)
+        if not is_news or now - made_at >= DIGEST_TTL_S:
             return False
         self._held_by_zone[digest.zone] = _HeldDigest(digest, made_at)
         return True
@@ -115,6 +114,9 @@
                         queue_delay_s=load.queue_delay_s,
                         entry_address=held.digest.entry_address,
                         sent_at=held.made_at,
+                        capacity=load.capacity,
+                        service_s=load.service_s,
+                        failure_share=load.failure_share,
                     )
                 )
         return {stage: tuple(items) for stage, items in digests.items()}
@@ -124,14 +126,29 @@
         return tuple(self._held_by_zone)
 
 
+def _is_news(digest: PeerDigest, made_at: float, held: _HeldDigest) -> bool:
+    if held.digest.serial == digest.serial:
+        return False
+    if made_at <= held.made_at + _MIN_PROGRESS_S:
+        return False
+    is_same = (held.digest.stages, held.digest.entry_address) == (
+        digest.stages,
+        digest.entry_address,
+    )
+    return not is_same or made_at - held.made_at >= _REFRESH_S
+
+
 def coarsen(loads: Iterable[StageLoad]) -> tuple[StageLoad, ...]:
     """Round loads to two significant bits, so that noise is not sent around."""
     ordered = sorted(loads, key=lambda load: load.stage)[:MAX_STAGES]
     return tuple(
         StageLoad(
-            load.stage,
-            _round_down(load.free_capacity),
-            _round_down(round(load.queue_delay_s * 1_000)) / 1_000,
+            stage=load.stage,
+            free_capacity=_round_down(load.free_capacity),
+            queue_delay_s=_round_down(round(load.queue_delay_s * 1_000)) / 1_000,
+            capacity=load.capacity,
+            service_s=_round_down(round(load.service_s * 1_000)) / 1_000,
+            failure_share=_round_down(round(load.failure_share * 100)) / 100,
         )
         for load in ordered
     )
--- a/src/galenadrum/_internal/membership/hosts.py
+++ b/src/galenadrum/_internal/membership/hosts.py
@@ -9,6 +9,7 @@
 from galenadrum._internal.exceptions import InvariantError
 
 _BEAT_INTERVAL_S = 2.0
+_REFUTE_INTERVAL_S = 0.25
 _HOST_TTL_S = 7.0
 _MAX_HOSTS = 256
 
@@ -111,14 +112,20 @@
         return self._digest
 
     def next_beat(self) -> float:
-        """Return the loop time at which this host's next beat is due."""
-        return self._entries_by_id[self._host_id].heard_at + _BEAT_INTERVAL_S
+        """Return the loop time at which this host's next beat is due.
+
+        It comes early when the others hold a higher beat, from before a restart.
+        """
+        own = self._entries_by_id[self._host_id]
+        if self._refuted_beat >= own.record.beat:
+            return own.heard_at + _REFUTE_INTERVAL_S
+        return own.heard_at + _BEAT_INTERVAL_S
 
     def beat(self, now: float) -> bool:
         """Renew this host's record when it is due; return whether it was."""
         if now < self.next_beat():
             return False
-        self.update(now)
+        self._renew(self.own, now)
         return True
 
     def update(
@@ -128,7 +135,7 @@
         control: ControlReach | None = None,
         leaving: bool | None = None,
     ) -> bool:
-        """Change this host's record; return whether its content changed.
+        """Change this host's record; return whether anything is new in it.
 
         Raises:
             InvariantError: The revision is lower than before.
@@ -136,16 +143,16 @@
         own = self.own
         if revision is not None and revision < own.revision:
             raise InvariantError(f"revision {revision} is below {own.revision}")
-        previous_ref = host_ref(own)
         record = replace(
             own,
-            beat=max(own.beat, self._refuted_beat) + 1,
             revision=own.revision if revision is None else revision,
             control=own.control if control is None else control,
             leaving=own.leaving if leaving is None else leaving,
         )
-        self._put(record, now)
-        return host_ref(record) != previous_ref
+        if record == own:
+            return False
+        self._renew(record, now)
+        return True
 
     def merge(self, peer_host: PeerHost, now: float) -> bool | None:
         """Take a record from a peer.
@@ -212,6 +219,10 @@
             if (entry.expires_at > now or host_id == own) and not entry.record.leaving
         )
 
+    def _renew(self, record: HostRecord, now: float) -> None:
+        beat = max(record.beat, self._refuted_beat) + 1
+        self._put(replace(record, beat=beat), now)
+
     def _put(self, record: HostRecord, heard_at: float) -> None:
         self._drop(record.host_id)
         ref = host_ref(record)
--- a/src/galenadrum/_internal/membership/registry.py
+++ b/src/galenadrum/_internal/membership/registry.py
@@ -74,6 +74,16 @@
         """Rises whenever a server joins, leaves, expires or changes."""
         return self._version
 
+    @property
+    def size(self) -> int:
+        """The number of backend servers that are known, leaving ones included."""
+        return len(self._entries_by_id)
+
+    @property
+    def has_reports(self) -> bool:
+        """Whether ``drain_reports`` has something to return."""
+        return bool(self._reports)
+
     @property
     def digest(self) -> int:
         """XOR of the references of all entries; equal on hosts that agree."""
@@ -98,12 +108,7 @@
             rejection = self._check_claims(announcement)
         if rejection is not None:
             return Verdict(announcement.server_id, rejection=rejection)
-        change = self._store(announcement, now, now)
-        return Verdict(
-            announcement.server_id,
-            change=change,
-            renew_after_s=announcement.ttl_s / _RENEWALS_PER_TTL,
-        )
+        return self._store(announcement, now)
 
     def merge(
         self, peer_entries: Iterable[PeerEntry], now: float
@@ -265,8 +270,7 @@
             and len(self._entries_by_id) >= _MAX_SERVERS
         ):
             return _reject(announcement, RejectReason.TABLE_FULL, "table is full")
-        change = self._store(announcement, now - max(0.0, peer_entry.age_s), now)
-        return Verdict(announcement.server_id, change=change)
+        return self._store(announcement, now - max(0.0, peer_entry.age_s))
 
     def _displace_holder(self, announcement: Announcement, now: float) -> bool:
         """Decide between two servers that hosts accepted for one address.
@@ -287,7 +291,7 @@
         self._bury(holder, now)
         return True
 
-    def _store(self, announcement: Announcement, heard_at: float, now: float) -> Change:
+    def _store(self, announcement: Announcement, heard_at: float) -> Verdict:
         server_id = announcement.server_id
         previous = self._entries_by_id.get(server_id)
         events = announcement.cache_events
@@ -299,15 +303,18 @@
         tombstone = self._tombstones_by_id.pop(server_id, None)
         if tombstone is not None and tombstone.rank >= entry.rank:
             raise InvariantError(f"{server_id}: an announcement outlived its lease")
-        self._reports.add(bare, events)
+        new_events = self._reports.add(bare, events)
         self._earliest_expiry = min(self._earliest_expiry, entry.expires_at)
         if previous is not None and previous.ref == ref:
             self._entries_by_id[server_id] = entry
-            return Change.LEASE
-        if previous is not None:
-            self._remove(previous)
-        self._insert(entry)
-        return Change.CONTENT
+            change = Change.LEASE
+        else:
+            if previous is not None:
+                self._remove(previous)
+            self._insert(entry)
+            change = Change.CONTENT
+        renew_after_s = announcement.ttl_s / _RENEWALS_PER_TTL
+        return Verdict(server_id, change, None, renew_after_s, new_events)
 
     def _insert(self, entry: ServerEntry) -> None:
         server_id = entry.announcement.server_id
--- a/src/galenadrum/_internal/membership/reports.py
+++ b/src/galenadrum/_internal/membership/reports.py
@@ -17,12 +17,14 @@
         self._waiting_by_id: dict[str, deque[CacheEvent]] = {}
         self._last_event_by_id: dict[str, tuple[int, int]] = {}
 
-    def add(self, announcement: Announcement, events: Iterable[CacheEvent]) -> None:
-        """Note a new announcement of a server and the cache events in it."""
+    def add(
+        self, announcement: Announcement, events: Iterable[CacheEvent]
+    ) -> tuple[CacheEvent, ...]:
+        """Note a new announcement; return those of its events that are new."""
         self._waiting_by_id.setdefault(
             announcement.server_id, deque(maxlen=_MAX_WAITING_EVENTS)
         )
-        self.add_events(announcement, events)
+        return self.add_events(announcement, events)
 
     def add_events(
         self, announcement: Announcement, events: Iterable[CacheEvent]
@@ -49,6 +51,9 @@
             waiting.extend(new)
         return tuple(new)
 
+    def __bool__(self) -> bool:
+        return bool(self._waiting_by_id)
+
     def drain(self) -> tuple[tuple[str, tuple[CacheEvent, ...]], ...]:
         """Return and forget the ids of servers that reported, with their events."""
         waiting = self._waiting_by_id
--- a/src/galenadrum/_internal/membership/validation.py
+++ b/src/galenadrum/_internal/membership/validation.py
@@ -8,6 +8,7 @@
 
 from galenadrum._internal.membership.verdicts import Rejection, RejectReason
 from galenadrum._internal.models.servers import Announcement
+from galenadrum._internal.utils.addresses import split_address
 
 MIN_TTL_S = 1.0
 MAX_TTL_S = 60.0
@@ -19,25 +20,19 @@
 MAX_CACHE_HASHES = 256
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:PORT`` or ``[IP]:PORT`` into the IP number and the port.
+def host_ip(address: str) -> str:
+    """Return the IP number in the address of one backend server.
 
     Raises:
         ValueError: It isn't the number of a single host and a port.
     """
-    host, separator, port_text = address.rpartition(":")
-    if not separator or not port_text.isascii() or not port_text.isdigit():
-        raise ValueError(f"{address!r} is not an IP number and a port")
-    if host.startswith("[") and host.endswith("]"):
-        host = str(ipaddress.IPv6Address(host[1:-1]))
-    else:
-        host = str(ipaddress.IPv4Address(host))
-    number = ipaddress.ip_address(host)
+    ip, port = split_address(address)
+    number = ipaddress.ip_address(ip)
     if number.is_unspecified or number.is_multicast:
         raise ValueError(f"{address!r} is not the address of one host")
-    if not 1 <= int(port_text) <= 65_535:
+    if port == 0:
         raise ValueError(f"{address!r} has no usable port")
-    return host, int(port_text)
+    return str(number)
 
 
 def check_announcement(
@@ -55,7 +50,7 @@
         message = f"this host serves zone {zone}, not {announcement.zone}"
         return Rejection(RejectReason.WRONG_ZONE, message)
     try:
-        announced_ip, _ = split_address(announcement.address)
+        announced_ip = host_ip(announcement.address)
     except ValueError as error:
         return Rejection(RejectReason.BAD_ADDRESS, str(error))
     if peer_ip is not None and announced_ip != peer_ip:
--- a/src/galenadrum/_internal/membership/verdicts.py
+++ b/src/galenadrum/_internal/membership/verdicts.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from galenadrum._internal.models.servers import CacheEvent
+
 
 class RejectReason(StrEnum):
     """Why an announcement was rejected; the value is the code servers see."""
@@ -51,12 +53,14 @@
         change: What was changed, or None when the announcement was rejected.
         rejection: The reason, or None when the announcement was accepted.
         renew_after_s: Seconds after which the server should renew.
+        cache_events: Those of its cache events that were not known.
     """
 
     server_id: str
     change: Change | None = None
     rejection: Rejection | None = None
     renew_after_s: float = 0.0
+    cache_events: tuple[CacheEvent, ...] = ()
 
     @property
     def accepted(self) -> bool:
--- /dev/null
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -0,0 +1,245 @@
+"""The membership of a zone on an entry host: decisions, links and handlers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterable
+from contextlib import AbstractAsyncContextManager
+
+import grpclib.client
+import grpclib.const
+import grpclib.exceptions
+import grpclib.server
+
+from galenadrum._internal.membership.digest_peers import (
+    DIGEST_INTERVAL_S,
+    DigestPeers,
+    is_sender,
+)
+from galenadrum._internal.membership.digests import (
+    DigestTable,
+    PeerDigest,
+    StageLoad,
+    coarsen,
+)
+from galenadrum._internal.membership.exchange import ZoneExchange
+from galenadrum._internal.membership.hosts import HostTable
+from galenadrum._internal.membership.registry import ServerRegistry
+from galenadrum._internal.membership.relay import FollowPlan, HostRevision, RelayRole
+from galenadrum._internal.membership.verdicts import Verdict
+from galenadrum._internal.membership.zone_codec import decode_digest, encode_digest
+from galenadrum._internal.membership.zone_dialer import ZoneDialer
+from galenadrum._internal.membership.zone_driver import ZoneDriver, ZoneStream
+from galenadrum._internal.models.servers import Announcement, ZoneDigest
+from galenadrum._internal.models.settings import EntrySettings
+from galenadrum._internal.network.peer_link import ServerStream, open_stream
+from galenadrum._internal.protocol import zone_pb2
+from galenadrum._internal.protocol.zone_grpc import ZoneBase, ZoneStub
+from galenadrum._internal.supervision.supervisor import Supervisor
+from galenadrum._internal.utils.addresses import split_address
+
+logger = logging.getLogger(__name__)
+
+_CONNECT_TIMEOUT_S = 1.0
+_DIGEST_TIMEOUT_S = 2.0
+
+
+class ZoneService(ZoneBase):
+    """Keeps the zone's membership on one entry host.
+
+    Use: construct it on the loop, register it as a grpclib handler at
+    ``settings.peer_address``, and run ``supervisor(...)``. All methods belong to
+    the loop.
+
+    Args:
+        settings: This host's settings.
+        rng: Source of jitter and choices.
+        on_change: Called after servers joined, left, changed or reported.
+        local_loads: Returns this zone's load by stage, for other zones.
+        open_link: Opens a stream to a peer on a new connection.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        rng: random.Random,
+        on_change: Callable[[], None] | None = None,
+        local_loads: Callable[[], Iterable[StageLoad]] = tuple,
+        open_link: Callable[[str], AbstractAsyncContextManager[ZoneStream]]
+        | None = None,
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._local_loads = local_loads
+        now = asyncio.get_running_loop().time()
+        self.registry = ServerRegistry(settings.zone)
+        self.hosts = HostTable(settings.host_id, settings.peer_address, now)
+        self.digests = DigestTable(settings.zone)
+        self.relay = RelayRole(
+            self.hosts, settings.zone, settings.control_addresses, rng
+        )
+        self.exchange = ZoneExchange(
+            self.registry, self.hosts, self.digests, settings.zone
+        )
+        self.driver = ZoneDriver(self.exchange, on_change)
+        self._dialer = ZoneDialer(
+            self.driver,
+            settings.peer_address,
+            settings.zone_peer_addresses,
+            open_link or open_zone_link,
+            rng,
+        )
+        self._digest_peers = DigestPeers(settings.other_zone_addresses, rng)
+
+    def supervisor(self, name: str = "membership") -> Supervisor:
+        """Return a supervisor of all tasks of the zone's membership."""
+        supervisor = Supervisor(name, self._rng)
+        supervisor.add("exchange", self.driver.run)
+        for slot in range(self._dialer.slot_count):
+            supervisor.add(
+                f"link-{slot}", lambda slot=slot: self._dialer.run_slot(slot)
+            )
+        if self._settings.other_zone_addresses:
+            supervisor.add("digests", self.run_digests)
+        return supervisor
+
+    def announce(
+        self, announcement: Announcement, peer_ip: str | None = None
+    ) -> Verdict:
+        """Take an announcement that a backend server made to this host."""
+        verdict = self.exchange.announce(announcement, self._now(), peer_ip)
+        if not verdict.accepted:
+            logger.warning(
+                "announcement of %s rejected: %s",
+                announcement.server_id[:128],
+                verdict.rejection.message,
+                extra={"reason": str(verdict.rejection.reason)},
+            )
+        self.driver.wake()
+        return verdict
+
+    def set_revision(self, revision: int) -> None:
+        """Tell the zone the revision that this host serves from."""
+        self.exchange.update_host(self._now(), revision=revision)
+        self.driver.wake()
+
+    def set_leaving(self) -> None:
+        """Tell the zone that this host shuts down."""
+        self.exchange.update_host(self._now(), leaving=True)
+        self.driver.wake()
+
+    def follow_plan(
+        self, follows_control: bool = False, control_failed: bool = False
+    ) -> FollowPlan:
+        """Return where to follow the declarations now.
+
+        The follower calls this before each connection and every second or so.
+
+        Args:
+            follows_control: Whether a watch at a control host stands.
+            control_failed: Whether control was tried since the last call and
+                none of its hosts could be followed.
+        """
+        now = self._now()
+        reach = self.relay.reach_after(follows_control, control_failed, now)
+        if reach is not None:
+            self.exchange.update_host(now, control=reach)
+            self.driver.wake()
+        return self.relay.plan(now)
+
+    def zone_revisions(self) -> tuple[HostRevision, ...]:
+        """Return the revisions of all live hosts of the zone, to be confirmed."""
+        return self.relay.zone_revisions(self._now())
+
+    def servers(self) -> tuple[Announcement, ...]:
+        """Return the zone's backend servers that take new work."""
+        return self.registry.servers(self._now())
+
+    def digests_by_stage(self) -> dict[str, tuple[ZoneDigest, ...]]:
+        """Return what other zones could take over, by stage name."""
+        return self.digests.digests_by_stage(self._now())
+
+    async def Exchange(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[zone_pb2.ZoneMessage, zone_pb2.ZoneMessage],
+    ) -> None:
+        """Serve a link that another entry host of the zone dialled."""
+        await self.driver.run_link(ServerStream(stream))
+
+    async def ShareDigests(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            zone_pb2.ShareDigestsRequest, zone_pb2.ShareDigestsResponse
+        ],
+    ) -> None:
+        """Take another zone's digest and answer with this zone's."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        try:
+            self._take_digest(decode_digest(request.digest))
+        except ValueError as error:
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT, str(error)
+            ) from error
+        response = zone_pb2.ShareDigestsResponse(digest=encode_digest(self._digest()))
+        await stream.send_message(response)
+
+    async def run_digests(self) -> None:
+        """Exchange digests with other zones while this host is the sender."""
+        while True:
+            await asyncio.sleep(DIGEST_INTERVAL_S * (0.9 + 0.2 * self._rng.random()))
+            live = (host.host_id for host in self.hosts.live(self._now()))
+            if not is_sender(self._settings.host_id, live):
+                continue
+            addresses = self._digest_peers.choose(self._now())
+            await asyncio.gather(*map(self._share_digest, addresses))
+
+    async def _share_digest(self, address: str) -> None:
+        host, port = split_address(address)
+        request = zone_pb2.ShareDigestsRequest(digest=encode_digest(self._digest()))
+        channel = grpclib.client.Channel(host, port)
+        try:
+            response = await ZoneStub(channel).ShareDigests(
+                request, timeout=_DIGEST_TIMEOUT_S
+            )
+            digest = decode_digest(response.digest)
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            grpclib.exceptions.GRPCError,
+            grpclib.exceptions.StreamTerminatedError,
+        ) as error:
+            logger.debug("no digest from %s: %s", address, error)
+            self._digest_peers.failed(address, self._now())
+        else:
+            self._digest_peers.succeeded(address, digest.zone)
+            self._take_digest(digest)
+        finally:
+            channel.close()
+
+    def _take_digest(self, digest: PeerDigest) -> None:
+        self.exchange.add_digest(digest, self._now())
+        self.driver.wake()
+
+    def _digest(self) -> PeerDigest:
+        return PeerDigest(
+            zone=self._settings.zone,
+            entry_address=self._settings.peer_address,
+            serial=self._rng.getrandbits(64),
+            age_s=0.0,
+            stages=coarsen(self._local_loads()),
+        )
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def open_zone_link(address: str) -> AbstractAsyncContextManager[ZoneStream]:
+    """Open an exchange stream to another entry host on a new connection."""
+    return open_stream(
+        address, lambda channel: ZoneStub(channel).Exchange, _CONNECT_TIMEOUT_S
+    )
