--- /dev/null
+++ b/tests/lib/processes.py
@@ -0,0 +1,87 @@
+"""Daemons and backend servers as separate processes on loopback ports."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import urllib3
+
+ROOT = Path(__file__).parents[2]
+START_TIMEOUT_S = 60.0
+
+
+def free_address():
+    """Return a loopback address that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
+    """Poll ``condition`` until it is true; the limit only ends a broken run."""
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        with contextlib.suppress(urllib3.exceptions.HTTPError, OSError):
+            if condition():
+                return
+        time.sleep(0.02)
+    raise AssertionError(f"{what} did not come about in {timeout_s} s")
+
+
+def get_json(url):
+    response = urllib3.request("GET", url, retries=False, timeout=5)
+    return response.status, response.json()
+
+
+class Process:
+    """A process of the system that a test started."""
+
+    def __init__(self, name, arguments, folder):
+        self.name = name
+        self.log_path = folder / f"{name}.log"
+        environment = os.environ | {"PYTHONPATH": str(ROOT / "src")}
+        self._log = self.log_path.open("ab")
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+            env=environment,
+        )
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        if self.popen.poll() is None:
+            # A stopped process must go on to be killed in an orderly manner.
+            self.popen.kill()
+        self.popen.wait()
+        self.close()
+
+    def stop(self):
+        """Ask the process to stop and return its exit code."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGTERM)
+        code = self.popen.wait(START_TIMEOUT_S)
+        self.close()
+        return code
+
+    def close(self):
+        self.popen.stdout.close()
+        self._log.close()
+
+    def read_log(self):
+        return self.log_path.read_text()
+
+
+def write_settings(folder, name, settings):
+    path = folder / f"{name}.json"
+    path.write_text(json.dumps(settings, indent=2))
+    return path
