Add refusals for claims without a known or kept outcome

Cause: a repeated key may find a claim that ended without a known outcome, or whose answer was too large to keep; neither is 'in progress'. Change: RefusalReason.OUTCOME_UNKNOWN and ALREADY_RUN, both status 409. Measured: nothing. Conclusion: none.

--- a/src/galenadrum/_internal/entry/answers.py
+++ b/src/galenadrum/_internal/entry/answers.py
@@ -28,6 +28,8 @@
     RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 400,
     RefusalReason.IDEMPOTENCY_KEY_REUSED: 422,
     RefusalReason.IN_PROGRESS: 409,
+    RefusalReason.OUTCOME_UNKNOWN: 409,
+    RefusalReason.ALREADY_RUN: 409,
 }
 
 _PHRASE_BY_STATUS = {
--- a/src/galenadrum/_internal/models/requests.py
+++ b/src/galenadrum/_internal/models/requests.py
@@ -33,6 +33,8 @@
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ALREADY_RUN = "already_run"
 
 
 @dataclass(frozen=True, slots=True)
