--- /dev/null
+++ b/src/galenadrum/_internal/control/state/__init__.py
@@ -0,0 +1,1 @@
+"""The declared state and the claims that the replicated log carries."""
--- /dev/null
+++ b/src/galenadrum/_internal/control/state/machine.py
@@ -0,0 +1,330 @@
+"""The state machine behind the replicated log: resources and claims."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from google.protobuf.message import DecodeError
+
+from galenadrum._internal.control.state.change_ids import ChangeIds
+from galenadrum._internal.control.state.changes import (
+    Evaluation,
+    KeyHolders,
+    ParsedChange,
+    evaluate,
+    fingerprint_of,
+    outcome_word,
+    result_of,
+)
+from galenadrum._internal.control.state.claims import MAX_CLAIMS, ClaimTable
+from galenadrum._internal.declarations.records import key_of, record_of, resource_of
+from galenadrum._internal.declarations.table import MAX_DELETIONS, ResourceTable
+from galenadrum._internal.exceptions import (
+    CheckFailedError,
+    InvariantError,
+    StorageError,
+)
+from galenadrum._internal.models.resources import Kind, Resource, ResourceKey
+from galenadrum._internal.protocol.claims_pb2 import (
+    ClaimResponse,
+    RecordOutcomeResponse,
+)
+from galenadrum._internal.protocol.commands_pb2 import (
+    ChangeFinding,
+    ChangeOutcome,
+    ChangeResult,
+    ChangeSet,
+    Command,
+    CommandError,
+    CommandResult,
+    DeletionSnapshot,
+    StateSnapshot,
+)
+from galenadrum._internal.protocol.declarations_pb2 import ResourceId, WatchEvent
+
+logger = logging.getLogger(__name__)
+
+_Body = ChangeResult | ClaimResponse | RecordOutcomeResponse | CommandError
+
+
+class ControlState:
+    """Declared resources, outcomes of changes by id, and claims.
+
+    ``apply`` is deterministic: it depends on the commands alone, so that
+    members that applied the same commands hold the same state.
+
+    Attributes:
+        revision: Revision of the last accepted change set that changed
+            anything; it never falls.
+    """
+
+    def __init__(
+        self, max_claims: int = MAX_CLAIMS, max_deletions: int = MAX_DELETIONS
+    ) -> None:
+        self._applied_index = 0
+        self._time_ms = 0
+        self._table = ResourceTable(max_deletions)
+        self._holders = KeyHolders()
+        self._change_ids = ChangeIds()
+        self._claims = ClaimTable(max_claims)
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """The revision that the resources stand at."""
+        return self._table.revision
+
+    @property
+    def cluster_id(self) -> str:
+        """The identity of the cluster; empty before its first command."""
+        return self._table.cluster_id
+
+    @property
+    def time_ms(self) -> int:
+        """The latest leader's time that was seen, in milliseconds."""
+        return self._time_ms
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last command that was applied."""
+        return self._applied_index
+
+    @property
+    def claim_count(self) -> int:
+        """Number of claims that are remembered."""
+        return len(self._claims)
+
+    @property
+    def change_id_count(self) -> int:
+        """Number of changes whose outcome is remembered."""
+        return len(self._change_ids)
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Have ``listener`` called after each change of the revision."""
+        self._listeners.append(listener)
+
+    def remove_listener(self, listener: Callable[[], None]) -> None:
+        """Undo ``add_listener``."""
+        self._listeners.remove(listener)
+
+    def get(self, key: ResourceKey) -> Resource | None:
+        """Return the resource with that key, if it is declared."""
+        return self._table.get(key)
+
+    def resources(
+        self, kind: Kind | None = None, owner: str | None = None
+    ) -> tuple[Resource, ...]:
+        """Return resources ordered by kind and name."""
+        chosen = [
+            resource
+            for resource in self._table
+            if kind in (None, resource.key.kind) and owner in (None, resource.owner)
+        ]
+        return tuple(sorted(chosen, key=_name_order))
+
+    def events_after(self, revision: int) -> WatchEvent:
+        """Return all that happened after ``revision`` as one event."""
+        return self._table.events_after(revision)
+
+    def check(self, change_set: ChangeSet) -> ChangeResult:
+        """Say what would become of a change set; change nothing."""
+        evaluation = evaluate(change_set, self._table, self._holders)
+        outcomes = []
+        if evaluation.status == ChangeResult.ACCEPTED:
+            outcomes = [self._foresee(change) for change in evaluation.changes]
+        return result_of(evaluation, outcomes, self.revision)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one committed command.
+
+        Args:
+            index: Its place in the log; it rises from call to call.
+            command: A serialised ``Command``.
+
+        Returns:
+            A serialised ``CommandResult``. A command that can't be read gives
+            a result that says so, on each member alike.
+
+        Raises:
+            InvariantError: If an invariant of the state is broken.
+        """
+        if index <= self._applied_index:
+            raise InvariantError(f"index {index} after {self._applied_index}")
+        self._applied_index = index
+        try:
+            parsed = Command.FromString(command)
+        except DecodeError:
+            return _serialise(_malformed("the command can't be parsed"))
+        before = self.revision
+        self._advance_time(parsed)
+        result = _serialise(self._dispatch(parsed))
+        if self.revision != before:
+            self._notify()
+        return result
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        table = self._table
+        snapshot = StateSnapshot(
+            applied_index=self._applied_index,
+            time_ms=self._time_ms,
+            cluster_id=table.cluster_id,
+            revision=table.revision,
+            delta_floor=table.floor,
+            resources=[record_of(resource) for resource in self.resources()],
+            deletions=[
+                DeletionSnapshot(
+                    id=ResourceId(kind=key.kind, name=key.name), revision=revision
+                )
+                for key, revision in table.deletions()
+            ],
+            change_ids=self._change_ids.snapshot(),
+            change_id_sequence=self._change_ids.sequence,
+            claims=self._claims.snapshot(),
+        )
+        return snapshot.SerializeToString(deterministic=True)
+
+    def restore(self, data: bytes) -> None:
+        """Take over a snapshot in place of everything held so far.
+
+        Raises:
+            StorageError: If it can't be read; the state is as before.
+        """
+        try:
+            snapshot = StateSnapshot.FromString(data)
+            resources = [resource_of(record) for record in snapshot.resources]
+            deletions = [
+                (key_of(row.id.kind, row.id.name), row.revision)
+                for row in snapshot.deletions
+            ]
+        except (DecodeError, CheckFailedError) as error:
+            raise StorageError(f"the snapshot can't be read: {error}") from error
+        self._applied_index = snapshot.applied_index
+        self._time_ms = snapshot.time_ms
+        self._restore_table(snapshot, resources, deletions)
+        self._change_ids.restore(snapshot.change_ids, snapshot.change_id_sequence)
+        self._claims.restore(snapshot.claims)
+        self._notify()
+
+    def _restore_table(
+        self,
+        snapshot: StateSnapshot,
+        resources: list[Resource],
+        deletions: list[tuple[ResourceKey, int]],
+    ) -> None:
+        self._table.replace(resources, snapshot.revision, snapshot.delta_floor)
+        self._table.cluster_id = snapshot.cluster_id
+        for key, revision in deletions:
+            self._table.remove(key, revision)
+        self._holders = KeyHolders()
+        for resource in resources:
+            self._holders.replace(resource.key, None, resource.spec)
+
+    def _advance_time(self, command: Command) -> None:
+        self._time_ms = max(self._time_ms, command.time_ms)
+        self._table.cluster_id = self._table.cluster_id or command.cluster_id
+        self._change_ids.expire(self._time_ms)
+        self._claims.expire(self._time_ms)
+
+    def _dispatch(self, command: Command) -> _Body:
+        body = command.WhichOneof("body")
+        retention_ms = command.claim_retention_ms
+        if body == "change_set":
+            return self._apply_change_set(command)
+        if body == "claim":
+            return self._claims.claim(command.claim, self._time_ms, retention_ms)
+        if body == "record_outcome":
+            return self._claims.record(
+                command.record_outcome, self._time_ms, retention_ms
+            )
+        return _malformed("the command has no body")
+
+    def _apply_change_set(self, command: Command) -> ChangeResult:
+        change_set = command.change_set
+        key = (change_set.operator_name, change_set.change_id)
+        fingerprint = fingerprint_of(change_set)
+        first = self._change_ids.get(key)
+        if first is not None:
+            return _repeat(first.result, first.fingerprint == fingerprint)
+        evaluation = evaluate(change_set, self._table, self._holders)
+        outcomes = self._accept(evaluation, change_set.operator_name)
+        result = result_of(evaluation, outcomes, self.revision)
+        self._change_ids.remember(
+            key,
+            fingerprint,
+            result.SerializeToString(deterministic=True),
+            self._time_ms + command.change_id_retention_ms,
+        )
+        return result
+
+    def _accept(self, evaluation: Evaluation, owner: str) -> list[ChangeOutcome]:
+        """Carry out an accepted change set under one new revision."""
+        if evaluation.status != ChangeResult.ACCEPTED:
+            return []
+        changes = evaluation.changes
+        if any(self._foresee(change).outcome != "unchanged" for change in changes):
+            self._table.advance(self.revision + 1)
+        return [self._carry_out(change, owner) for change in changes]
+
+    def _carry_out(self, change: ParsedChange, owner: str) -> ChangeOutcome:
+        outcome = self._foresee(change)
+        before = self._table.get(change.key)
+        if outcome.outcome == "unchanged":
+            return outcome
+        if before is not None and before.owner != owner:
+            raise InvariantError(f"{change.key} was changed by {owner}")
+        self._holders.replace(change.key, before and before.spec, change.spec)
+        if change.spec is None:
+            self._table.remove(change.key, self.revision)
+        else:
+            generation = before.generation + 1 if before else 1
+            self._table.put(
+                Resource(change.key, owner, self.revision, generation, change.spec)
+            )
+        outcome.revision = self.revision
+        return outcome
+
+    def _foresee(self, change: ParsedChange) -> ChangeOutcome:
+        before = self._table.get(change.key)
+        return ChangeOutcome(
+            kind=change.key.kind,
+            name=change.key.name,
+            outcome=outcome_word(change, before),
+            revision=before.revision if before else 0,
+        )
+
+    def _notify(self) -> None:
+        for listener in tuple(self._listeners):
+            listener()
+
+
+def _name_order(resource: Resource) -> tuple[str, str]:
+    return resource.key.kind, resource.key.name
+
+
+def _repeat(first_result: bytes, same_changes: bool) -> ChangeResult:
+    if not same_changes:
+        finding = ChangeFinding(
+            path="change_id", message="used for another change before"
+        )
+        return ChangeResult(status=ChangeResult.INVALID, findings=[finding])
+    result = ChangeResult.FromString(first_result)
+    result.repeated = True
+    return result
+
+
+def _malformed(message: str) -> CommandError:
+    return CommandError(code=CommandError.MALFORMED, message=message)
+
+
+def _serialise(body: _Body) -> bytes:
+    if isinstance(body, ChangeResult):
+        result = CommandResult(change=body)
+    elif isinstance(body, ClaimResponse):
+        result = CommandResult(claim=body)
+    elif isinstance(body, RecordOutcomeResponse):
+        result = CommandResult(record_outcome=body)
+    else:
+        result = CommandResult(error=body)
+    return result.SerializeToString(deterministic=True)
--- /dev/null
+++ b/src/galenadrum/_internal/entry/control_client.py
@@ -0,0 +1,164 @@
+"""Calls of control hosts that only the leader can answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
+
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from galenadrum._internal.exceptions import (
+    ControlUnreachableError,
+    OutcomeUnknownError,
+)
+from galenadrum._internal.network.leader_redirect import (
+    is_redirect,
+    leader_address_of,
+)
+from galenadrum._internal.utils.addresses import split_address
+
+logger = logging.getLogger(__name__)
+
+T = TypeVar("T")
+SelectMethod = Callable[[Channel], UnaryUnaryMethod]
+
+_ATTEMPT_TIMEOUT_S = 0.7
+_CONNECT_TIMEOUT_S = 0.4
+_RETRY_DELAY_MIN_S = 0.05
+_RETRY_DELAY_MAX_S = 0.4
+_MAX_CHANNELS = 16
+_FINAL_STATUSES = frozenset(
+    (Status.INVALID_ARGUMENT, Status.RESOURCE_EXHAUSTED, Status.UNIMPLEMENTED)
+)
+
+
+def open_channel(address: str) -> Channel:
+    """Return a channel to ``address``; it connects at its first call."""
+    host, port = split_address(address)
+    return Channel(host, port)
+
+
+class ControlClient:
+    """Finds the leader among the control hosts and calls it.
+
+    Calls are repeated on other members until one gives an answer, so that
+    they must be idempotent.
+
+    Args:
+        addresses: Peer addresses of the control hosts.
+        rng: Draws the first member and the jitter of delays.
+    """
+
+    def __init__(self, addresses: Sequence[str], rng: random.Random) -> None:
+        self._addresses = list(addresses)
+        self._rng = rng
+        self._next_index = rng.randrange(len(self._addresses))
+        self._leader_address: str | None = None
+        self._channels_by_address: dict[str, Channel] = {}
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels_by_address.values():
+            channel.close()
+        self._channels_by_address.clear()
+
+    async def call(self, select: SelectMethod, request: Any, deadline: float) -> Any:
+        """Call the leader and return its answer.
+
+        Args:
+            select: Returns the method of a channel.
+            request: The message.
+            deadline: Loop time in seconds at which to give up.
+
+        Raises:
+            ControlUnreachableError: No leader took the call; it did nothing.
+            OutcomeUnknownError: A leader may have taken the call.
+            GRPCError: The leader refused the call for good; it did nothing.
+        """
+        loop = asyncio.get_running_loop()
+        may_have_run = False
+        attempt = 0
+        while loop.time() < deadline:
+            address = self._choose_address()
+            try:
+                return await self._attempt(address, select, request, deadline)
+            except _NotSentError as error:
+                self._forget(address, error)
+            except GRPCError as error:
+                may_have_run |= self._take_error(address, error)
+            except (OSError, StreamTerminatedError, ProtocolError) as error:
+                may_have_run = True
+                self._forget(address, error)
+            attempt += 1
+            if self._leader_address is None or attempt > len(self._addresses):
+                await self._pause(attempt, deadline)
+        if may_have_run:
+            raise OutcomeUnknownError("a control host may have taken the call")
+        raise ControlUnreachableError("no control host answers as the leader")
+
+    async def _attempt(
+        self, address: str, select: SelectMethod, request: Any, deadline: float
+    ) -> Any:
+        left_s = deadline - asyncio.get_running_loop().time()
+        channel = await self._connect(address, min(left_s, _CONNECT_TIMEOUT_S))
+        timeout_s = max(0.001, min(left_s, _ATTEMPT_TIMEOUT_S))
+        # TimeoutError is an OSError: the connection is taken for silent and the
+        # next attempt opens another.
+        async with asyncio.timeout(timeout_s):
+            return await select(channel)(request, timeout=timeout_s)
+
+    async def _connect(self, address: str, timeout_s: float) -> Channel:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = open_channel(address)
+            while len(self._channels_by_address) >= _MAX_CHANNELS:
+                oldest = next(iter(self._channels_by_address))
+                self._channels_by_address.pop(oldest).close()
+            self._channels_by_address[address] = channel
+        try:
+            async with asyncio.timeout(max(0.001, timeout_s)):
+                await channel.__connect__()
+        except OSError as error:
+            raise _NotSentError from error
+        return channel
+
+    def _choose_address(self) -> str:
+        if self._leader_address is not None:
+            return self._leader_address
+        self._next_index = (self._next_index + 1) % len(self._addresses)
+        return self._addresses[self._next_index]
+
+    def _take_error(self, address: str, error: GRPCError) -> bool:
+        """Learn from a status; return whether the call may have run."""
+        if error.status in _FINAL_STATUSES:
+            raise error
+        if is_redirect(error):
+            leader_address = leader_address_of(error)
+            self._leader_address = leader_address if leader_address != address else None
+            return False
+        self._forget(address, error)
+        return True
+
+    def _forget(self, address: str, error: Exception) -> None:
+        logger.debug("call of control host %s failed: %r", address, error)
+        if self._leader_address == address:
+            self._leader_address = None
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def _pause(self, attempt: int, deadline: float) -> None:
+        delay_s = min(_RETRY_DELAY_MIN_S * 2 ** min(attempt, 8), _RETRY_DELAY_MAX_S)
+        left_s = deadline - asyncio.get_running_loop().time()
+        await asyncio.sleep(
+            max(0.0, min(delay_s * self._rng.uniform(0.5, 1.0), left_s))
+        )
+
+
+class _NotSentError(Exception):
+    """Raised when no connection was made, so that nothing was sent."""
--- /dev/null
+++ b/src/galenadrum/_internal/entry/declarations.py
@@ -0,0 +1,259 @@
+"""The declared resources that an entry host serves from."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum
+
+from galenadrum._internal.declarations.records import key_of, resource_of
+from galenadrum._internal.declarations.table import (
+    MAX_DELETIONS,
+    ResourceTable,
+    change_order,
+)
+from galenadrum._internal.exceptions import CheckFailedError, InvariantError
+from galenadrum._internal.models.resources import (
+    Kind,
+    ModelSpec,
+    OrganisationSpec,
+    PipelineSpec,
+    PolicySpec,
+    Resource,
+    ResourceKey,
+    Spec,
+    StageSpec,
+)
+from galenadrum._internal.protocol.declarations_pb2 import WatchEvent
+
+MAX_PARTS = 256
+
+
+class IgnoredReason(StrEnum):
+    """Why an event changed nothing."""
+
+    HEARTBEAT = "heartbeat"
+    OLDER = "older"
+    GAP = "gap"
+    OTHER_CLUSTER = "other_cluster"
+    INCOMPLETE = "incomplete"
+    UNREADABLE = "unreadable"
+
+
+@dataclass(frozen=True, slots=True)
+class Ignored:
+    """An event that changed nothing."""
+
+    reason: IgnoredReason
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """An event after which the host serves from a newer revision.
+
+    Attributes:
+        changed: Keys of the resources that were added or replaced.
+        deleted: Keys of the resources that were removed.
+    """
+
+    revision: int
+    snapshot: bool
+    changed: frozenset[ResourceKey]
+    deleted: frozenset[ResourceKey]
+
+
+class DeclarationsView:
+    """Resources as received from control hosts or from a relay.
+
+    The revision never falls: events from a source that is behind, doubled
+    events and events out of order are ignored and counted.
+
+    Attributes:
+        ignored_by_reason: Number of events that changed nothing.
+    """
+
+    def __init__(self, max_deletions: int = MAX_DELETIONS) -> None:
+        self._table = ResourceTable(max_deletions)
+        self._parts: list[WatchEvent] = []
+        self._spec_by_name: dict[Kind, dict[str, Spec]] = {kind: {} for kind in Kind}
+        self._organisation_by_digest: dict[str, str] = {}
+        self.ignored_by_reason: Counter[IgnoredReason] = Counter()
+
+    @property
+    def revision(self) -> int:
+        """The revision that the host serves from; 0 when it has none."""
+        return self._table.revision
+
+    @property
+    def cluster_id(self) -> str:
+        """The cluster that the resources came from; empty when it has none."""
+        return self._table.cluster_id
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether there is anything to serve from."""
+        return self.revision > 0
+
+    @property
+    def stages_by_name(self) -> dict[str, StageSpec]:
+        """The declared stages; not to be changed."""
+        return self._spec_by_name[Kind.STAGE]
+
+    @property
+    def pipelines_by_name(self) -> dict[str, PipelineSpec]:
+        """The declared pipelines; not to be changed."""
+        return self._spec_by_name[Kind.PIPELINE]
+
+    @property
+    def organisations_by_name(self) -> dict[str, OrganisationSpec]:
+        """The declared organisations; not to be changed."""
+        return self._spec_by_name[Kind.ORGANISATION]
+
+    @property
+    def models_by_name(self) -> dict[str, ModelSpec]:
+        """The declared models; not to be changed."""
+        return self._spec_by_name[Kind.MODEL]
+
+    @property
+    def policy(self) -> PolicySpec:
+        """The declared policy, or the default one."""
+        policies = self._spec_by_name[Kind.POLICY]
+        return next(iter(policies.values()), PolicySpec())
+
+    def organisation_by_key_digest(
+        self, digest: str
+    ) -> tuple[str, OrganisationSpec] | None:
+        """Return the name and specification of the organisation with a key."""
+        name = self._organisation_by_digest.get(digest)
+        return None if name is None else (name, self.organisations_by_name[name])
+
+    def pipeline_by_name(self, name: str) -> PipelineSpec | None:
+        """Return a pipeline, if it is declared."""
+        return self.pipelines_by_name.get(name)
+
+    def stage_by_name(self, name: str) -> StageSpec | None:
+        """Return a stage, if it is declared."""
+        return self.stages_by_name.get(name)
+
+    def events_after(self, revision: int) -> WatchEvent:
+        """Return all that happened after ``revision``, for relaying."""
+        return self._table.events_after(revision)
+
+    def discard_parts(self) -> None:
+        """Forget the parts of an event whose stream ended."""
+        self._parts.clear()
+
+    def apply_event(self, event: WatchEvent) -> Applied | Ignored:
+        """Take an event, or one part of it, from any source."""
+        result = self._apply(event)
+        if isinstance(result, Ignored):
+            self.ignored_by_reason[result.reason] += 1
+        return result
+
+    def _apply(self, event: WatchEvent) -> Applied | Ignored:
+        whole = self._assemble(event)
+        if whole is None:
+            return Ignored(IgnoredReason.INCOMPLETE)
+        reason = self._find_reason_to_ignore(whole)
+        if reason is not None:
+            return Ignored(reason)
+        try:
+            resources = [resource_of(record) for record in whole.changed]
+            deleted = [key_of(row.kind, row.name) for row in whole.deleted]
+        except CheckFailedError:
+            return Ignored(IgnoredReason.UNREADABLE)
+        if any(resource.revision > whole.revision for resource in resources):
+            return Ignored(IgnoredReason.UNREADABLE)
+        before = self.revision
+        applied = self._take(whole, resources, deleted)
+        if self.revision <= before:
+            raise InvariantError(f"revision {self.revision} after {before}")
+        return applied
+
+    def _assemble(self, event: WatchEvent) -> WatchEvent | None:
+        """Return the whole event once its last part came, else None."""
+        if event.part == 0:
+            self._parts.clear()
+            if not event.more:
+                return event
+        elif not self._continues(event):
+            self._parts.clear()
+            return None
+        self._parts.append(event)
+        if event.more:
+            return None
+        whole = WatchEvent()
+        for part in self._parts:
+            whole.MergeFrom(part)
+        self._parts.clear()
+        return whole
+
+    def _continues(self, event: WatchEvent) -> bool:
+        if event.part != len(self._parts) or event.part >= MAX_PARTS:
+            return False
+        last = self._parts[-1]
+        return (
+            last.cluster_id == event.cluster_id
+            and last.from_revision == event.from_revision
+            and last.revision == event.revision
+            and last.snapshot == event.snapshot
+        )
+
+    def _find_reason_to_ignore(self, event: WatchEvent) -> IgnoredReason | None:
+        if self.cluster_id and event.cluster_id not in ("", self.cluster_id):
+            return IgnoredReason.OTHER_CLUSTER
+        if event.revision < self.revision:
+            return IgnoredReason.OLDER
+        if event.revision == self.revision:
+            return IgnoredReason.HEARTBEAT
+        if not event.cluster_id:
+            return IgnoredReason.UNREADABLE
+        if not event.snapshot and event.from_revision > self.revision:
+            return IgnoredReason.GAP
+        return None
+
+    def _take(
+        self, event: WatchEvent, resources: list[Resource], deleted: list[ResourceKey]
+    ) -> Applied:
+        self._table.cluster_id = event.cluster_id
+        if event.snapshot:
+            return self._take_snapshot(event, resources)
+        # An event may begin before the own revision: what it repeats is skipped.
+        newer = [item for item in resources if item.revision > self.revision]
+        self._table.advance(event.revision)
+        for resource in sorted(newer, key=change_order):
+            self._remove_from_lookups(resource.key)
+            self._table.put(resource)
+            self._add_to_lookups(resource)
+        for key in deleted:
+            self._remove_from_lookups(key)
+            # Remembered even if it was never here: a watcher that follows this
+            # host may have it from elsewhere.
+            self._table.remove(key, event.revision)
+        changed = frozenset(resource.key for resource in newer)
+        return Applied(event.revision, False, changed, frozenset(deleted))
+
+    def _take_snapshot(self, event: WatchEvent, resources: list[Resource]) -> Applied:
+        before = {resource.key for resource in self._table}
+        self._table.replace(resources, event.revision, event.revision)
+        for specs in self._spec_by_name.values():
+            specs.clear()
+        self._organisation_by_digest.clear()
+        for resource in self._table:
+            self._add_to_lookups(resource)
+        keys = frozenset(resource.key for resource in self._table)
+        return Applied(event.revision, True, keys, frozenset(before - keys))
+
+    def _add_to_lookups(self, resource: Resource) -> None:
+        kind, name = resource.key.kind, resource.key.name
+        self._spec_by_name[kind][name] = resource.spec
+        if isinstance(resource.spec, OrganisationSpec):
+            for digest in resource.spec.key_sha256:
+                self._organisation_by_digest[digest] = name
+
+    def _remove_from_lookups(self, key: ResourceKey) -> None:
+        before = self._spec_by_name[key.kind].pop(key.name, None)
+        if isinstance(before, OrganisationSpec):
+            for digest in before.key_sha256:
+                if self._organisation_by_digest.get(digest) == key.name:
+                    del self._organisation_by_digest[digest]
--- /dev/null
+++ b/tests/lib/control_commands.py
@@ -0,0 +1,90 @@
+"""Short ways to write commands of the replicated state."""
+
+import json
+
+from galenadrum._internal.control.state.machine import ControlState
+from galenadrum._internal.protocol.claims_pb2 import ClaimRequest, RecordOutcomeRequest
+from galenadrum._internal.protocol.commands_pb2 import (
+    Change,
+    ChangeSet,
+    Command,
+    CommandResult,
+)
+
+RETENTION_MS = 60_000
+PUT = Change.PUT
+DELETE = Change.DELETE
+DIGESTS = tuple(f"{number:064x}" for number in range(8))
+STAGE = {"expected_service_ms": 5}
+
+
+def put(kind, name, spec, base_revision=None):
+    encoded = json.dumps(spec).encode()
+    return Change(
+        action=PUT, kind=kind, name=name, spec_json=encoded, base_revision=base_revision
+    )
+
+
+def delete(kind, name, base_revision=None):
+    return Change(action=DELETE, kind=kind, name=name, base_revision=base_revision)
+
+
+def change_set(operator, change_id, *changes):
+    return ChangeSet(operator_name=operator, change_id=change_id, changes=changes)
+
+
+def claim(request_id, key="key", fingerprint=b"f" * 32, deadline_ms=1_000):
+    return ClaimRequest(
+        organisation="suva",
+        idempotency_key=key,
+        fingerprint=fingerprint,
+        request_id=request_id,
+        host_id="e1",
+        deadline_in_ms=deadline_ms,
+    )
+
+
+def outcome(request_id, state, answer=b"", key="key"):
+    return RecordOutcomeRequest(
+        organisation="suva",
+        idempotency_key=key,
+        request_id=request_id,
+        state=state,
+        outcome=answer,
+    )
+
+
+def encode(body, time_ms=0):
+    fields = {
+        ChangeSet: "change_set",
+        ClaimRequest: "claim",
+        RecordOutcomeRequest: "record_outcome",
+    }
+    return Command(
+        time_ms=time_ms,
+        cluster_id="cluster",
+        change_id_retention_ms=RETENTION_MS,
+        claim_retention_ms=RETENTION_MS,
+        **{fields[type(body)]: body},
+    ).SerializeToString()
+
+
+class Replica:
+    """A state that numbers its commands by itself."""
+
+    def __init__(self, **limits):
+        self.state = ControlState(**limits)
+
+    def send(self, body, time_ms=0):
+        index = self.state.applied_index + 1
+        result = CommandResult.FromString(
+            self.state.apply(index, encode(body, time_ms))
+        )
+        return getattr(result, result.WhichOneof("body"))
+
+    def restored(self):
+        """Return another replica made from a snapshot of this one."""
+        other = Replica()
+        other.state.restore(self.state.snapshot())
+        assert other.state.snapshot() == self.state.snapshot()
+        return other
