--- /dev/null
+++ b/src/galenadrum/_internal/routing/queues.py
@@ -0,0 +1,189 @@
+"""Bounded queues of stage calls, fair between organisations by weighted cost.
+
+Each organisation has a usage: the cost it was served lately, divided by its
+weight, fading with time. Organisations within a window of the least usage
+count as equal and are served by priority and then by what is due first; those
+above the window wait until the others have caught up.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from galenadrum._internal.exceptions import InvariantError
+from galenadrum._internal.models.requests import StageCall
+
+_USAGE_HALF_LIFE_S = 5.0
+_IDLE_HALF_LIVES = 10
+_MAX_USAGES = 10_000
+
+CallKey = tuple[str, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedCall:
+    """A call that waits for a server.
+
+    Attributes:
+        cost_s: Expected service time in seconds.
+        give_up_at: Loop time after which the deadline can't be met.
+        queued_at: Loop time at which it was submitted.
+    """
+
+    call: StageCall
+    cost_s: float
+    give_up_at: float
+    queued_at: float
+
+
+class Usage:
+    """Weighted cost served to each organisation, fading with time."""
+
+    def __init__(self) -> None:
+        self._served_by_organisation: dict[str, tuple[float, float]] = {}
+
+    def value(self, organisation: str, now: float) -> float:
+        """Return the recent weighted cost of an organisation in seconds."""
+        served, at = self._served_by_organisation.get(organisation, (0.0, now))
+        return served * math.exp2((at - now) / _USAGE_HALF_LIFE_S)
+
+    def charge(
+        self, organisation: str, cost_s: float, weight: float, now: float
+    ) -> None:
+        """Count service to an organisation; called for each dispatch."""
+        served = self.value(organisation, now) + cost_s / weight
+        self._served_by_organisation[organisation] = (served, now)
+        if len(self._served_by_organisation) > _MAX_USAGES:
+            self._drop_idle(now)
+
+    def _drop_idle(self, now: float) -> None:
+        idle = [
+            name
+            for name, (_, at) in self._served_by_organisation.items()
+            if now - at > _IDLE_HALF_LIVES * _USAGE_HALF_LIFE_S
+        ]
+        for name in idle:
+            del self._served_by_organisation[name]
+
+
+class FairQueue:
+    """The calls of one stage that wait on this entry host.
+
+    Args:
+        max_calls: Bound on the number of calls.
+        by_deadline: Whether what is due first goes first; otherwise what
+            came first.
+    """
+
+    def __init__(self, max_calls: int, by_deadline: bool = True) -> None:
+        self._max_calls = max_calls
+        self._by_deadline = by_deadline
+        self._queued_by_key: dict[CallKey, QueuedCall] = {}
+        self._heaps_by_organisation: dict[str, list[tuple[float, int, CallKey]]] = {}
+        self._expiries: list[tuple[float, int, CallKey]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._queued_by_key)
+
+    def __contains__(self, key: CallKey) -> bool:
+        return key in self._queued_by_key
+
+    def __iter__(self) -> Iterator[QueuedCall]:
+        return iter(self._queued_by_key.values())
+
+    def push(self, queued: QueuedCall) -> QueuedCall | None:
+        """Add a call and return the one that has to leave for it, if any."""
+        key = queued.call.key
+        if key in self._queued_by_key:
+            raise InvariantError(f"call {key} was queued twice")
+        self._sequence += 1
+        order = queued.give_up_at if self._by_deadline else queued.queued_at
+        organisation = queued.call.request.organisation
+        heap = self._heaps_by_organisation.setdefault(organisation, [])
+        heapq.heappush(heap, (order, self._sequence, key))
+        heapq.heappush(self._expiries, (queued.give_up_at, self._sequence, key))
+        self._queued_by_key[key] = queued
+        if len(self._queued_by_key) <= self._max_calls:
+            return None
+        return self._pop_largest()
+
+    def peek(
+        self, usage: Usage, window_s: float | None, now: float
+    ) -> QueuedCall | None:
+        """Return the call that should be served next.
+
+        Args:
+            usage: Weighted cost served to the organisations.
+            window_s: Weighted cost within which organisations are equal; None
+                serves all in one order.
+            now: Loop time in seconds.
+        """
+        heads = self._heads()
+        if not heads:
+            return None
+        eligible = list(heads)
+        if window_s is not None and len(heads) > 1:
+            served = {name: usage.value(name, now) for name in heads}
+            limit = min(served.values()) + window_s
+            eligible = [name for name in heads if served[name] <= limit]
+        organisation = min(eligible, key=lambda name: self._rank(heads[name]))
+        return self._queued_by_key[heads[organisation][2]]
+
+    def remove(self, key: CallKey) -> QueuedCall | None:
+        """Remove a call wherever it stands; return it if it was here."""
+        return self._queued_by_key.pop(key, None)
+
+    def pop_expired(self, now: float) -> list[QueuedCall]:
+        """Remove the calls that can't meet their deadline any more."""
+        expired = []
+        while self._expiries and self._expiries[0][0] < now:
+            _, _, key = heapq.heappop(self._expiries)
+            queued = self._queued_by_key.pop(key, None)
+            if queued is not None:
+                expired.append(queued)
+        return expired
+
+    def next_expiry(self) -> float | None:
+        """Return the loop time at which the next call can't be met."""
+        while self._expiries and self._expiries[0][2] not in self._queued_by_key:
+            heapq.heappop(self._expiries)
+        return self._expiries[0][0] if self._expiries else None
+
+    def _rank(self, head: tuple[float, int, CallKey]) -> tuple[int, float, int]:
+        priority = self._queued_by_key[head[2]].call.request.priority
+        return (-priority, head[0], head[1])
+
+    def _heads(self) -> dict[str, tuple[float, int, CallKey]]:
+        heads = {}
+        for organisation, heap in list(self._heaps_by_organisation.items()):
+            while heap and heap[0][2] not in self._queued_by_key:
+                heapq.heappop(heap)
+            if heap:
+                heads[organisation] = heap[0]
+            else:
+                del self._heaps_by_organisation[organisation]
+        return heads
+
+    def _pop_largest(self) -> QueuedCall:
+        """Remove the call due last of the organisation with the most cost."""
+        cost_by_organisation: dict[str, float] = {}
+        for queued in self._queued_by_key.values():
+            request = queued.call.request
+            cost = cost_by_organisation.get(request.organisation, 0.0)
+            cost_by_organisation[request.organisation] = (
+                cost + queued.cost_s / request.weight
+            )
+        largest = max(cost_by_organisation, key=cost_by_organisation.__getitem__)
+        last = max(
+            (
+                queued
+                for queued in self._queued_by_key.values()
+                if queued.call.request.organisation == largest
+            ),
+            key=lambda queued: queued.give_up_at,
+        )
+        return self._queued_by_key.pop(last.call.key)
--- /dev/null
+++ b/src/galenadrum/_internal/routing/spill.py
@@ -0,0 +1,130 @@
+"""Chooses another zone for a call, by the digests of the zones."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from dataclasses import dataclass
+from random import Random
+
+from galenadrum._internal.models.servers import ZoneDigest
+
+_DIGEST_MAX_AGE_S = 3.0
+_FAILURE_STEP = 0.2
+_MAX_FAILURE_SHARE = 0.5
+_FAILURE_FADE_S = 5.0
+_USABLE_SHARE = 0.5
+ZONE_HOP_S = 0.005
+ZONE_SERVER_PREFIX = "zone/"
+
+
+def zone_server_id(zone: str) -> str:
+    """Return the server id under which calls forwarded to a zone are counted."""
+    return ZONE_SERVER_PREFIX + zone
+
+
+@dataclass(slots=True)
+class _ZoneStage:
+    digest: ZoneDigest
+    sent_since: int = 0
+    failure_share: float = 0.0
+    failed_at: float = 0.0
+
+
+class ZoneDigests:
+    """What other zones told of their stages, and what was sent there since."""
+
+    def __init__(self, own_zone: str) -> None:
+        self._own_zone = own_zone
+        self._by_stage: dict[str, dict[str, _ZoneStage]] = {}
+
+    def update(self, digests: tuple[ZoneDigest, ...]) -> None:
+        """Take the latest digests in; older ones than known are skipped."""
+        for digest in digests:
+            if digest.zone == self._own_zone:
+                continue
+            by_zone = self._by_stage.setdefault(digest.stage, {})
+            known = by_zone.get(digest.zone)
+            if known is None:
+                by_zone[digest.zone] = _ZoneStage(digest)
+            elif digest.sent_at > known.digest.sent_at:
+                known.digest = digest
+                known.sent_since = 0
+
+    def fresh(self, stage: str, now: float) -> list[ZoneDigest]:
+        """Return the digests of a stage that are not outdated."""
+        return [entry.digest for entry in self._fresh(stage, now)]
+
+    def best(
+        self, stage: str, service_s: float, now: float, random: Random
+    ) -> tuple[ZoneDigest, float] | None:
+        """Return a zone with free capacity and the expected seconds there.
+
+        Zones are drawn in proportion to what they have free, so that the
+        entry hosts that saw the same digest don't all choose one zone.
+        """
+        entries = [e for e in self._fresh(stage, now) if _free(e, now) >= 1.0]
+        if not entries:
+            return None
+        weights = [_free(entry, now) for entry in entries]
+        entry = random.choices(entries, weights)[0]
+        digest = entry.digest
+        return digest, ZONE_HOP_S + digest.queue_delay_s + service_s
+
+    def has_room(self, stage: str, zone: str, now: float) -> bool:
+        """Return whether one zone has free capacity for a stage."""
+        entry = self._by_stage.get(stage, {}).get(zone)
+        if entry is None or now - entry.digest.sent_at > _DIGEST_MAX_AGE_S:
+            return False
+        return _free(entry, now) >= 1.0
+
+    def free(self, stage: str, now: float) -> float:
+        """Return the calls that other zones can start for this host."""
+        return sum(_free(entry, now) for entry in self._fresh(stage, now))
+
+    def sent(self, stage: str, zone: str) -> None:
+        """Count a call forwarded to a zone."""
+        self._by_stage[stage][zone].sent_since += 1
+
+    def ended(self, stage: str, zone: str, failed: bool, now: float) -> None:
+        """Count the end of a forwarded call."""
+        entry = self._by_stage.get(stage, {}).get(zone)
+        if entry is None:
+            return
+        if failed:
+            entry.failed_at = now
+        entry.failure_share += _FAILURE_STEP * (float(failed) - entry.failure_share)
+
+    def _fresh(self, stage: str, now: float) -> list[_ZoneStage]:
+        return [
+            entry
+            for entry in self._by_stage.get(stage, {}).values()
+            if now - entry.digest.sent_at <= _DIGEST_MAX_AGE_S
+        ]
+
+
+def _free(entry: _ZoneStage, now: float) -> float:
+    """Return the share of a zone's free capacity that this host may use."""
+    fade = math.exp(-max(0.0, now - entry.failed_at) / _FAILURE_FADE_S)
+    if entry.failure_share * fade > _MAX_FAILURE_SHARE:
+        return 0.0
+    return entry.digest.free_capacity * _USABLE_SHARE - entry.sent_since
+
+
+def home_zone(prefix_hashes: tuple[str, ...], capacity_by_zone: dict[str, int]) -> str:
+    """Return the zone that keeps a prefix, by weighted rendezvous hashing.
+
+    The block in the middle of the prefix stands for it: the first blocks may
+    be common to all calls and the last ones unique to one.
+    """
+    middle = prefix_hashes[len(prefix_hashes) // 2]
+    return max(
+        sorted(capacity_by_zone),
+        key=lambda zone: _rendezvous(middle, zone, capacity_by_zone[zone]),
+    )
+
+
+def _rendezvous(block: str, name: str, weight: int) -> float:
+    digest = hashlib.blake2b(f"{block}/{name}".encode(), digest_size=8).digest()
+    uniform = (int.from_bytes(digest, "big") + 1) / (2**64 + 1)
+    return -max(weight, 1) / math.log(uniform)
