Take forwarded calls in as requests of their own; end requests with calls in flight

Cause: execution ends a request while an attempt is still under way, and builds its stage calls itself. Change: Request.forwarded in place of StageCall.forwarded (not used elsewhere yet), Dispatch.due_at, blocks of 256 tokens as in entry/prefixes.py.

--- a/src/galenadrum/_internal/routing/ledger.py
+++ b/src/galenadrum/_internal/routing/ledger.py
@@ -25,16 +25,16 @@
         in_flight: Server by key of the dispatched calls.
         may_have_run: Whether an attempt ended other than as certainly not run.
         has_run: Whether an attempt certainly ran.
-        forwarded: Whether another zone's entry host owns the request.
+        ended: Whether the request ended while a call was still in flight.
     """
 
     request: Request
     cost_by_stage_index: dict[int, float]
-    forwarded: bool
     in_flight: dict[CallKey, str] = field(default_factory=dict)
     queued: set[CallKey] = field(default_factory=set)
     may_have_run: bool = False
     has_run: bool = False
+    ended: bool = False
 
     @property
     def run_state(self) -> RunState:
@@ -74,13 +74,11 @@
             raise InvariantError(f"request {request_id} is not known")
         return record
 
-    def open(
-        self, request: Request, costs: dict[int, float], forwarded: bool = False
-    ) -> RequestRecord:
+    def open(self, request: Request, costs: dict[int, float]) -> RequestRecord:
         """Record a request and add its stages to the backlogs."""
         if request.request_id in self._records_by_id:
             raise InvariantError(f"request {request.request_id} was opened twice")
-        record = RequestRecord(request, costs, forwarded)
+        record = RequestRecord(request, costs)
         self._records_by_id[request.request_id] = record
         for index, cost_s in costs.items():
             backlog = self.backlog(request.stages[index])
@@ -89,6 +87,8 @@
 
     def queue(self, record: RequestRecord, key: CallKey) -> None:
         """Record that a call waits for a server."""
+        if record.ended:
+            raise InvariantError(f"call {key} was submitted after its request ended")
         if key in record.queued or key in record.in_flight:
             raise InvariantError(f"call {key} was submitted twice")
         record.queued.add(key)
@@ -114,22 +114,20 @@
             record.has_run = True
         elif outcome is not Outcome.NOT_RUN:
             record.may_have_run = True
-        self.close_forwarded(record)
-
-    def close_forwarded(self, record: RequestRecord) -> None:
-        """Drop a forwarded request that has nothing left here."""
-        if record.forwarded and not record.in_flight and not record.queued:
-            self.close(record)
+        if record.ended and not record.in_flight:
+            del self._records_by_id[call.request.request_id]
 
     def close(self, record: RequestRecord) -> None:
-        """Drop a request and what it still had in the backlogs."""
-        if record.in_flight or record.queued:
+        """End a request; it is dropped once no call is in flight any more."""
+        if record.queued:
             raise InvariantError(
-                f"request {record.request.request_id} ended with calls open"
+                f"request {record.request.request_id} ended with calls waiting"
             )
         for index in tuple(record.cost_by_stage_index):
             self._drop_cost(record, index)
-        del self._records_by_id[record.request.request_id]
+        record.ended = True
+        if not record.in_flight:
+            del self._records_by_id[record.request.request_id]
 
     def _drop_cost(self, record: RequestRecord, stage_index: int) -> None:
         cost_s = record.cost_by_stage_index.pop(stage_index, None)
--- a/src/galenadrum/_internal/routing/placement.py
+++ b/src/galenadrum/_internal/routing/placement.py
@@ -116,7 +116,7 @@
         return LocalPlacement(best, choice, expected_s(best), len(candidates))
 
     def _may_forward(self, call: StageCall) -> bool:
-        if call.forwarded or not self._mechanisms.spill:
+        if call.request.forwarded or not self._mechanisms.spill:
             return False
         if self._catalog.spec(call.stage).repeatable:
             return True
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -39,7 +39,7 @@
     PolicyCounters,
 )
 from galenadrum._internal.routing.forecast import Forecast
-from galenadrum._internal.routing.ledger import RequestLedger, RequestRecord
+from galenadrum._internal.routing.ledger import RequestLedger
 from galenadrum._internal.routing.mechanisms import Mechanisms
 from galenadrum._internal.routing.objectives import weights_for
 from galenadrum._internal.routing.placement import (
@@ -128,7 +128,7 @@
 
     def submit(self, call: StageCall, now: float) -> tuple[Decision, ...]:
         """Take a stage call in; the decision may come now or later."""
-        record = self._open_call(call, now)
+        record = self._ledger.require(call.request.request_id)
         if call.attempt == 1:
             self._budget(call.stage).deposit()
         self._ledger.queue(record, call.key)
@@ -165,7 +165,6 @@
         if record is not None and call.key in record.queued:
             self._queue(call.stage).remove(call.key)
             self._ledger.dequeue(record, call.key)
-            self._ledger.close_forwarded(record)
         return self._pump(call.stage, now)
 
     def allow_retry(self, call: StageCall, result: AttemptResult, now: float) -> bool:
@@ -178,7 +177,7 @@
         return allowed
 
     def end_request(self, request: Request, now: float) -> None:
-        """Forget an admitted request; none of its calls may be open."""
+        """Forget an admitted request; none of its calls may still wait."""
         record = self._ledger.get(request.request_id)
         if record is not None:
             self._ledger.close(record)
@@ -286,17 +285,6 @@
         cost_s = self._times.mean(stage)
         return self._refusals.retry_after_s(backlog_s, cost_s, slots, now, self._random)
 
-    def _open_call(self, call: StageCall, now: float) -> RequestRecord:
-        record = self._ledger.get(call.request.request_id)
-        if record is not None:
-            return record
-        if not call.forwarded:
-            raise InvariantError(f"request {call.request.request_id} is not admitted")
-        cost_s = self._forecast.service_s(call.request, call.stage, now)
-        return self._ledger.open(
-            call.request, {call.stage_index: cost_s}, forwarded=True
-        )
-
     def _may_repeat(self, call: StageCall, result: AttemptResult) -> bool:
         if result.outcome in (Outcome.COMPLETED, Outcome.CANCELLED):
             return False
@@ -379,6 +367,7 @@
             first_byte_timeout_s=self._first_byte_timeout_s(
                 call, placement.expected_s, now
             ),
+            due_at=self._due_at(call, now),
         )
 
     def _forward(
@@ -395,8 +384,13 @@
                 call, placement.expected_s, now
             ),
             forward_zone=zone,
+            due_at=self._due_at(call, now),
         )
 
+    def _due_at(self, call: StageCall, now: float) -> float:
+        rest_s = self._forecast.remaining_s(call.request, call.stage_index + 1, now)
+        return max(now, call.request.deadline - _GIVE_UP_SHARE * rest_s)
+
     def _first_byte_timeout_s(
         self, call: StageCall, expected_s: float, now: float
     ) -> float:
@@ -425,7 +419,6 @@
         run = record.run_state
         if run is RunState.NOT_RUN and record.in_flight:
             raise InvariantError(f"call {call.key} refused as not run while in flight")
-        self._ledger.close_forwarded(record)
         self.counters.rejected_by_reason[reason.value] += 1
         refusal = Refusal(
             reason=reason,
--- a/src/galenadrum/_internal/routing/prefix_cache.py
+++ b/src/galenadrum/_internal/routing/prefix_cache.py
@@ -12,7 +12,7 @@
 
 from galenadrum._internal.models.servers import CacheEvent
 
-PREFIX_BLOCK_TOKENS = 128
+PREFIX_BLOCK_TOKENS = 256
 _MAX_HINTS = 4096
 _HALF_LIFE_S = 60.0
 _GAP_CONFIDENCE = 0.8
--- a/src/galenadrum/_internal/routing/retry_budget.py
+++ b/src/galenadrum/_internal/routing/retry_budget.py
@@ -11,7 +11,7 @@
 _DEPOSIT = 0.1
 _MAX_BALANCE = 10.0
 _FIRST_BALANCE = 3.0
-MAX_ATTEMPTS = 6
+MAX_ATTEMPTS = 4
 
 
 class RetryBudget:
--- a/tests/lib/policy_driver.py
+++ b/tests/lib/policy_driver.py
@@ -160,8 +160,12 @@
         outcome = self.random.choice([Outcome.COMPLETED] * 6 + list(Outcome))
         service_s = self.random.uniform(0.0, 0.5)
         result = AttemptResult(outcome, service_s, cached_tokens=128)
+        abandoned = self.random.random() < 0.1
+        if abandoned:
+            self.policy.end_request(call.request, self.now)
         self.take(self.policy.finished(call, dispatch.server_id, result, self.now))
-        self.go_on(call, dispatch.server_id, result)
+        if not abandoned:
+            self.go_on(call, dispatch.server_id, result)
 
     def go_on(self, call, server_id, result):
         request = call.request
