--- a/src/galenadrum/_internal/settings/__init__.py
+++ b/src/galenadrum/_internal/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Reading and checking of settings files and declarations."""
+"""Reading and checking of settings files and declaration files."""
--- /dev/null
+++ b/src/galenadrum/_internal/settings/structure.py
@@ -0,0 +1,189 @@
+"""Structuring of settings: each field gets a check by its name and type."""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import logging
+import typing
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import cattrs
+from cattrs.gen import make_dict_structure_fn, override
+
+from galenadrum._internal.declarations import fields
+from galenadrum._internal.models.settings import (
+    CallerLimits,
+    ControlMember,
+    ControlSettings,
+    EntrySettings,
+    LogFormat,
+    ObservabilitySettings,
+    Operator,
+)
+
+_MAX_LIST_ITEMS = 1_024
+_MAX_PATH_CHARACTERS = 4_096
+_MAX_DURATION_MS = 86_400_000
+_MAX_DURATION_S = 31_536_000
+_MAX_SIZE_BYTES = 1_073_741_824
+_MAX_WORKERS = 4_096
+_MAX_PORT = 65_535
+_LOG_LEVELS = tuple(logging.getLevelNamesMapping())
+
+Hook = fields.Hook
+
+
+def format_address(ip: ipaddress.IPv4Address | ipaddress.IPv6Address, port: int) -> str:
+    """Write an address as ``10.0.0.7:9000`` or ``[::1]:9000``."""
+    return f"[{ip}]:{port}" if ip.version == 6 else f"{ip}:{port}"
+
+
+def parse_address(
+    text: str,
+) -> tuple[ipaddress.IPv4Address | ipaddress.IPv6Address, int]:
+    """Split an address into its IP number and port.
+
+    Raises:
+        ValueError: With the text of the finding; names are refused, since a
+            daemon must not depend on a name server.
+    """
+    host, colon, port_text = text.rpartition(":")
+    if not colon:
+        raise ValueError(f'"{text}" has no port; write IP:PORT, as 10.0.0.7:9000')
+    try:
+        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        message = f'"{host}" is not an IP number; names are not looked up'
+        raise ValueError(message) from None
+    if ip.version == 6 and not host.startswith("["):
+        raise ValueError(f"write an IPv6 address in brackets: [{ip}]:{port_text}")
+    if not (port_text.isascii() and port_text.isdecimal()):
+        raise ValueError(f'"{port_text}" is not a port number')
+    if not 1 <= int(port_text) <= _MAX_PORT:
+        raise ValueError(f"port {port_text} is not between 1 and {_MAX_PORT}")
+    return ip, int(port_text)
+
+
+def build_converter(base: Path) -> cattrs.Converter:
+    """Return a converter for settings; unknown keys must be removed before.
+
+    Args:
+        base: Folder that relative paths start from.
+    """
+    converter = cattrs.Converter(detailed_validation=True)
+    for cls in _classes_inner_first():
+        overrides = {
+            name: override(struct_hook=_field_hook(converter, name, expected, base))
+            for name, expected in typing.get_type_hints(cls).items()
+        }
+        hook = make_dict_structure_fn(cls, converter, **overrides)
+        converter.register_structure_hook(cls, _objects_only(hook))
+    return converter
+
+
+def nested_class(expected: Any) -> type | None:
+    """Return the data class behind a field's type or its items' type."""
+    for candidate in (expected, *typing.get_args(expected)):
+        if dataclasses.is_dataclass(candidate):
+            return candidate
+    return None
+
+
+def _classes_inner_first() -> Iterator[type]:
+    yield from (ObservabilitySettings, CallerLimits, Operator, ControlMember)
+    yield from (EntrySettings, ControlSettings)
+
+
+def _objects_only(hook: Callable[[Any, Any], Any]) -> Hook:
+    def structure(value: Any, expected: Any) -> Any:
+        if not isinstance(value, dict):
+            raise TypeError(f"expected an object, found {fields.type_name(value)}")
+        return hook(value, expected)
+
+    return structure
+
+
+def _field_hook(
+    converter: cattrs.Converter, name: str, expected: Any, base: Path
+) -> Hook:
+    if dataclasses.is_dataclass(expected):
+        return converter.get_structure_hook(expected)
+    if nested_class(expected) is not None:
+        return _lists_only(converter.get_structure_hook(expected))
+    return _choose_hook(name, expected, base)
+
+
+def _lists_only(hook: Callable[[Any, Any], Any]) -> Hook:
+    def structure(value: Any, expected: Any) -> Any:
+        if not isinstance(value, list):
+            raise TypeError(f"expected a list, found {fields.type_name(value)}")
+        if len(value) > _MAX_LIST_ITEMS:
+            raise ValueError(f"expected at most {_MAX_LIST_ITEMS} items")
+        return hook(value, expected)
+
+    return structure
+
+
+def _choose_hook(name: str, expected: Any, base: Path) -> Hook:
+    """Choose the check of one field; units and addresses go by the name."""
+    if name in _HOOK_BY_NAME:
+        return _HOOK_BY_NAME[name]
+    if Path in (expected, *typing.get_args(expected)):
+        hook = _path_below(base)
+        return hook if expected is Path else fields.optional(hook)
+    for suffix, hook in _HOOK_BY_SUFFIX.items():
+        if name.endswith(suffix):
+            return hook
+    return _HOOK_BY_TYPE[expected]
+
+
+def _address(value: Any, _: Any) -> str:
+    if not isinstance(value, str):
+        found = fields.type_name(value)
+        raise TypeError(f"expected an address as 10.0.0.7:9000, found {found}")
+    return format_address(*parse_address(value))
+
+
+def _path_below(base: Path) -> Hook:
+    def structure(value: Any, _: Any) -> Path:
+        if not isinstance(value, str):
+            raise TypeError(f"expected a path, found {fields.type_name(value)}")
+        if not 1 <= len(value) <= _MAX_PATH_CHARACTERS or "\0" in value:
+            raise ValueError(f"expected 1 to {_MAX_PATH_CHARACTERS} characters")
+        return base / value
+
+    return structure
+
+
+def _log_level(value: Any, _: Any) -> str:
+    if value not in _LOG_LEVELS:
+        raise ValueError(f"expected one of {', '.join(_LOG_LEVELS)}")
+    return value
+
+
+_HOOK_BY_NAME: dict[str, Hook] = {
+    "log_level": _log_level,
+    "log_format": fields.one_of(LogFormat),
+    "workers": fields.integer_between(1, _MAX_WORKERS),
+}
+_HOOK_BY_SUFFIX: dict[str, Hook] = {
+    "_address": _address,
+    "_addresses": fields.distinct_list(_address, 0, _MAX_LIST_ITEMS),
+    "_sha256": fields.text_matching(
+        "[0-9a-f]{64}",
+        "expected 64 lower-case hex digits; galenadrum digest prints them",
+    ),
+    "_ms": fields.integer_between(1, _MAX_DURATION_MS),
+    "_s": fields.integer_between(1, _MAX_DURATION_S),
+    "_bytes": fields.integer_between(1, _MAX_SIZE_BYTES),
+}
+_HOOK_BY_TYPE: dict[Any, Hook] = {
+    str: fields.name,
+    str | None: fields.optional(fields.name),
+    bool: fields.boolean,
+    int: fields.integer_between(0, 2**63 - 1),
+    float: fields.number_above(0, float(2**63)),
+}
