--- a/src/galenadrum/_internal/observability/__init__.py
+++ b/src/galenadrum/_internal/observability/__init__.py
@@ -1,1 +1,1 @@
-"""Traces, metrics and logs."""
+"""Logs, traces and metrics of the daemons."""
--- /dev/null
+++ b/src/galenadrum/_internal/observability/logs.py
@@ -0,0 +1,222 @@
+"""Logging of the daemons: text on a terminal, JSON lines otherwise.
+
+Records go through a bounded queue to one writer thread, so that a standard
+error that nobody reads can't stop the event loop. What doesn't fit is counted
+and reported.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import json
+import logging
+import queue
+import sys
+import threading
+from collections.abc import Callable, Iterator
+from contextvars import ContextVar
+from datetime import UTC, datetime
+from typing import Any, TextIO
+
+from galenadrum._internal.models.settings import LogFormat, ObservabilitySettings
+
+_QUEUE_MAX_RECORDS = 10_000
+_MESSAGE_MAX_CHARACTERS = 16_384
+_STOP_TIMEOUT_S = 2.0
+
+_request_id: ContextVar[str] = ContextVar("request_id", default="")
+_trace_id: ContextVar[str] = ContextVar("trace_id", default="")
+_TRACEBACKS = logging.Formatter()
+
+
+@contextlib.contextmanager
+def log_context(request_id: str, trace_id: str = "") -> Iterator[None]:
+    """Add the ids of a request to all records logged inside the block.
+
+    The ids follow the asyncio tasks that are created inside the block; a
+    worker thread sets them for itself.
+
+    Args:
+        request_id: Id of the request, as the caller gets it.
+        trace_id: 32 hex digits, or empty.
+    """
+    request_token = _request_id.set(request_id)
+    trace_token = _trace_id.set(trace_id)
+    try:
+        yield
+    finally:
+        _trace_id.reset(trace_token)
+        _request_id.reset(request_token)
+
+
+def configure_logging(
+    settings: ObservabilitySettings, host_id: str, stream: TextIO | None = None
+) -> Callable[[], None]:
+    """Send the records of the whole process to ``stream``.
+
+    Args:
+        settings: Level and format.
+        host_id: Host that the records name.
+        stream: Standard error when left out.
+
+    Returns:
+        A function that writes what is queued and stops the writer; it waits
+        for at most two seconds.
+    """
+    stream = stream or sys.stderr
+    writer = _Writer(stream, _choose_formatter(settings.log_format, host_id, stream))
+    handler = _QueueingHandler(writer)
+    root = logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(handler)
+    root.setLevel(settings.log_level)
+
+    def stop() -> None:
+        root.removeHandler(handler)
+        writer.stop()
+
+    return stop
+
+
+def _choose_formatter(
+    log_format: LogFormat, host_id: str, stream: TextIO
+) -> logging.Formatter:
+    if log_format is LogFormat.AUTO:
+        log_format = LogFormat.TEXT if stream.isatty() else LogFormat.JSON
+    if log_format is LogFormat.TEXT:
+        return _TextFormatter(host_id)
+    return _JsonFormatter(host_id)
+
+
+def _add_context(record: logging.LogRecord) -> None:
+    """Set the ids of the current request, unless ``extra`` gave them."""
+    for name, variable in (("request_id", _request_id), ("trace_id", _trace_id)):
+        if not hasattr(record, name):
+            setattr(record, name, variable.get())
+
+
+class _JsonFormatter(logging.Formatter):
+    """Writes a record as one line of JSON."""
+
+    def __init__(self, host_id: str) -> None:
+        super().__init__()
+        self._host_id = host_id
+
+    def format(self, record: logging.LogRecord) -> str:
+        line: dict[str, Any] = {
+            "time": _format_time(record.created),
+            "level": record.levelname,
+            "logger": record.name,
+            "host_id": self._host_id,
+            "message": record.getMessage()[:_MESSAGE_MAX_CHARACTERS],
+        }
+        for name in ("request_id", "trace_id"):
+            if value := getattr(record, name, ""):
+                line[name] = value
+        if record.exc_text:
+            line["exception"] = record.exc_text
+        return json.dumps(line, ensure_ascii=False)
+
+
+class _TextFormatter(logging.Formatter):
+    """Writes a record for people; control characters are escaped."""
+
+    def __init__(self, host_id: str) -> None:
+        super().__init__()
+        self._host_id = host_id
+
+    def format(self, record: logging.LogRecord) -> str:
+        message = record.getMessage()[:_MESSAGE_MAX_CHARACTERS]
+        parts = [
+            _format_time(record.created),
+            f"{record.levelname:<7}",
+            self._host_id,
+            f"{record.name.removeprefix('galenadrum._internal.')}:",
+            "".join(c if c.isprintable() else repr(c)[1:-1] for c in message),
+        ]
+        for name in ("request_id", "trace_id"):
+            if value := getattr(record, name, ""):
+                parts.append(f"{name}={value}")
+        line = " ".join(parts)
+        return f"{line}\n{record.exc_text}" if record.exc_text else line
+
+
+def _format_time(created: float) -> str:
+    moment = datetime.fromtimestamp(created, UTC)
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+class _QueueingHandler(logging.Handler):
+    """Hands records to the writer without ever waiting for it."""
+
+    def __init__(self, writer: _Writer) -> None:
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            self._writer.put(self._freeze(record))
+        except Exception:
+            self.handleError(record)
+
+    def _freeze(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Render what may change before the writer comes to the record."""
+        frozen = copy.copy(record)
+        frozen.msg = record.getMessage()
+        frozen.args = None
+        if record.exc_info and not record.exc_text:
+            frozen.exc_text = _TRACEBACKS.formatException(record.exc_info)
+        frozen.exc_info = None
+        _add_context(frozen)
+        return frozen
+
+
+class _Writer:
+    """One thread that formats and writes records."""
+
+    def __init__(self, stream: TextIO, formatter: logging.Formatter) -> None:
+        self._stream = stream
+        self._formatter = formatter
+        self._records: queue.Queue[logging.LogRecord | None] = queue.Queue(
+            _QUEUE_MAX_RECORDS
+        )
+        self._lock = threading.Lock()
+        self._dropped = 0
+        self._thread = threading.Thread(target=self._run, name="logs", daemon=True)
+        self._thread.start()
+
+    def put(self, record: logging.LogRecord) -> None:
+        try:
+            self._records.put_nowait(record)
+        except queue.Full:
+            with self._lock:
+                self._dropped += 1
+
+    def stop(self) -> None:
+        with contextlib.suppress(queue.Full):
+            self._records.put(None, timeout=_STOP_TIMEOUT_S)
+            self._thread.join(_STOP_TIMEOUT_S)
+
+    def _run(self) -> None:
+        while (record := self._records.get()) is not None:
+            self._report_dropped()
+            self._write(record)
+        self._report_dropped()
+
+    def _report_dropped(self) -> None:
+        with self._lock:
+            dropped, self._dropped = self._dropped, 0
+        if dropped:
+            message = f"{dropped} log records were dropped: the writer fell behind"
+            level = logging.WARNING
+            self._write(
+                logging.LogRecord(__name__, level, __file__, 0, message, None, None)
+            )
+
+    def _write(self, record: logging.LogRecord) -> None:
+        # A closed or full standard error must not end the daemon.
+        with contextlib.suppress(OSError, ValueError):
+            self._stream.write(self._formatter.format(record) + "\n")
+            self._stream.flush()
--- /dev/null
+++ b/src/galenadrum/_internal/observability/traces.py
@@ -0,0 +1,220 @@
+"""Traces: one span a hop, W3C ``traceparent`` in and out, files of JSON lines.
+
+Spans are queued and written by one thread. Queue, batch and file are bounded:
+when the queue is full the oldest span is dropped, and when the file is full
+it replaces its predecessor.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import random
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from opentelemetry import trace
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.trace import (
+    NonRecordingSpan,
+    Span,
+    SpanContext,
+    SpanKind,
+    Status,
+    StatusCode,
+    TraceFlags,
+)
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from galenadrum._internal.models.settings import ObservabilitySettings
+
+logger = logging.getLogger(__name__)
+
+TRACEPARENT_HEADER = "traceparent"
+ROTATED_SUFFIX = ".1"
+_QUEUE_MAX_SPANS = 8_192
+_BATCH_MAX_SPANS = 512
+_EXPORT_INTERVAL_MS = 1_000
+_FILE_MAX_BYTES = 64 * 1024 * 1024
+_INSTRUMENTATION_NAME = "galenadrum"
+
+Attributes = Mapping[str, str | int | float | bool]
+
+_propagator = TraceContextTextMapPropagator()
+# Ids need no secrecy, and the operating system's generator costs a call each.
+_ids = random.Random()
+# The tracer of the process, set once at its start; None while spans are not
+# recorded.
+_tracer: trace.Tracer | None = None
+
+
+def configure_traces(
+    settings: ObservabilitySettings, host_id: str, file_max_bytes: int = _FILE_MAX_BYTES
+) -> Callable[[], None]:
+    """Record the spans of this process, if the settings name a file.
+
+    Args:
+        settings: Names the file; no other process may write to it.
+        host_id: Host that the spans name.
+        file_max_bytes: Size at which the file is renamed and begun anew.
+
+    Returns:
+        A function that writes the queued spans and stops the recording.
+    """
+    global _tracer
+    if settings.trace_file is None:
+        _tracer = None
+        return _do_nothing
+    exporter = FileSpanExporter(settings.trace_file, host_id, file_max_bytes)
+    provider = TracerProvider(resource=Resource({}), shutdown_on_exit=False)
+    provider.add_span_processor(
+        BatchSpanProcessor(
+            exporter,
+            max_queue_size=_QUEUE_MAX_SPANS,
+            schedule_delay_millis=_EXPORT_INTERVAL_MS,
+            max_export_batch_size=_BATCH_MAX_SPANS,
+        )
+    )
+    _tracer = provider.get_tracer(_INSTRUMENTATION_NAME)
+
+    def stop() -> None:
+        global _tracer
+        _tracer = None
+        provider.shutdown()
+
+    return stop
+
+
+def start_span(
+    name: str,
+    parent_traceparent: str | None = None,
+    attributes: Attributes | None = None,
+    kind: SpanKind = SpanKind.INTERNAL,
+) -> Span:
+    """Start the span of one hop; the caller ends it with ``end_span``.
+
+    Without a trace file the span isn't recorded, but still carries a trace id
+    for logs and for the next hop.
+
+    Args:
+        name: What the hop does, such as ``stage encode``.
+        parent_traceparent: The header of the hop before, or of the parent
+            span in this process; a malformed one begins a new trace.
+        attributes: What tells this hop from others of its name.
+        kind: Whether the hop is a server's or a client's.
+    """
+    context = None
+    parent = None
+    if parent_traceparent:
+        context = _propagator.extract({TRACEPARENT_HEADER: parent_traceparent})
+        parent = trace.get_current_span(context).get_span_context()
+    if _tracer is not None:
+        # An empty context keeps spans of other requests from being parents.
+        context = Context() if context is None else context
+        return _tracer.start_span(name, context, kind, attributes)
+    if parent is not None and parent.is_valid:
+        return NonRecordingSpan(parent)
+    return NonRecordingSpan(_new_context())
+
+
+def end_span(span: Span, error: str | None = None) -> None:
+    """End a span.
+
+    Args:
+        span: A span that wasn't ended yet.
+        error: Why the hop failed; None when it succeeded.
+    """
+    if error is not None:
+        span.set_status(Status(StatusCode.ERROR, error))
+    span.end()
+
+
+def traceparent_of(span: Span) -> str:
+    """Return the header value for the next hop."""
+    context = span.get_span_context()
+    return (
+        f"00-{context.trace_id:032x}-{context.span_id:016x}-{context.trace_flags:02x}"
+    )
+
+
+def trace_id_of(span: Span) -> str:
+    """Return the trace id as 32 hex digits."""
+    return f"{span.get_span_context().trace_id:032x}"
+
+
+def _new_context() -> SpanContext:
+    return SpanContext(
+        trace_id=_ids.getrandbits(128) or 1,
+        span_id=_ids.getrandbits(64) or 1,
+        is_remote=False,
+        trace_flags=TraceFlags(TraceFlags.DEFAULT),
+    )
+
+
+def _do_nothing() -> None:
+    pass
+
+
+class FileSpanExporter(SpanExporter):
+    """Appends spans to a file of JSON lines with one predecessor.
+
+    The two files together take at most twice the given size and one batch.
+    """
+
+    def __init__(self, path: Path, host_id: str, max_bytes: int) -> None:
+        self._path = path
+        self._host_id = host_id
+        self._max_bytes = max_bytes
+        self._failing = False
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Append a batch; a batch that can't be written is dropped."""
+        lines = "".join(self._format(span) for span in spans).encode()
+        try:
+            self._append(lines)
+        except OSError as error:
+            if not self._failing:
+                logger.error("can't write spans to %s: %s", self._path, error)
+            self._failing = True
+            return SpanExportResult.FAILURE
+        self._failing = False
+        return SpanExportResult.SUCCESS
+
+    def _append(self, lines: bytes) -> None:
+        with self._path.open("ab") as file:
+            size = file.tell()
+            if size == 0 or size + len(lines) <= self._max_bytes:
+                file.write(lines)
+                return
+        os.replace(self._path, f"{self._path}{ROTATED_SUFFIX}")
+        with self._path.open("ab") as file:
+            file.write(lines)
+
+    def _format(self, span: ReadableSpan) -> str:
+        context = span.get_span_context()
+        line: dict[str, Any] = {
+            "trace_id": f"{context.trace_id:032x}",
+            "span_id": f"{context.span_id:016x}",
+            "parent_id": f"{span.parent.span_id:016x}" if span.parent else None,
+            "name": span.name,
+            "kind": span.kind.name.lower(),
+            "host_id": self._host_id,
+            "start_ns": span.start_time,
+            "duration_ns": span.end_time - span.start_time,
+        }
+        if span.attributes:
+            line["attributes"] = dict(span.attributes)
+        if span.status.status_code is StatusCode.ERROR:
+            line["error"] = span.status.description or "failed"
+        return json.dumps(line, ensure_ascii=False) + "\n"
