--- /dev/null
+++ b/src/galenadrum/_internal/control/operator_api/calls.py
@@ -0,0 +1,85 @@
+"""Operators' calls as they run on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+
+from galenadrum._internal.control.proposals import Log, Proposer
+from galenadrum._internal.control.state.in_force import (
+    HostStatus,
+    InForce,
+    InForceStatus,
+)
+from galenadrum._internal.control.state.machine import ControlState
+from galenadrum._internal.models.resources import Kind, Resource
+from galenadrum._internal.network.watch_stream import ChangeSignal
+from galenadrum._internal.protocol.commands_pb2 import ChangeResult, ChangeSet
+from galenadrum._internal.protocol.declarations_pb2 import WatchEvent
+
+
+class OperatorCalls:
+    """Reads and changes the state; all methods belong to the loop.
+
+    Args:
+        log: The replicated log.
+        state: The state of this member.
+        in_force: Confirmations of entry hosts.
+        proposer: Proposes changes while this member leads.
+        timeout_s: Limit on each step that needs other members.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        state: ControlState,
+        in_force: InForce,
+        proposer: Proposer,
+        timeout_s: float,
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._in_force = in_force
+        self._proposer = proposer
+        self._timeout_s = timeout_s
+        self._signal = ChangeSignal()
+        state.add_listener(self._signal.set)
+
+    async def check(self, change_set: ChangeSet) -> ChangeResult:
+        """Say what would become of a change."""
+        await self._log.read_barrier(self._timeout_s)
+        return self._state.check(change_set)
+
+    async def change(self, change_set: ChangeSet) -> ChangeResult:
+        """Carry out a change."""
+        result = await self._proposer.propose_change(change_set, self._timeout_s)
+        return result.change
+
+    async def read(
+        self, kind: Kind | None, owner: str | None
+    ) -> tuple[int, tuple[Resource, ...]]:
+        """Return the current revision and resources."""
+        await self._log.read_barrier(self._timeout_s)
+        return self._state.revision, self._state.resources(kind, owner)
+
+    async def hosts(self) -> tuple[HostStatus, ...]:
+        """Return what this member has heard from entry hosts."""
+        return self._in_force.hosts(asyncio.get_running_loop().time())
+
+    async def in_force_by_revision(
+        self, revisions: frozenset[int]
+    ) -> dict[int, InForceStatus]:
+        """Return where each of ``revisions`` is in force."""
+        now = asyncio.get_running_loop().time()
+        return {
+            revision: self._in_force.status(revision, now) for revision in revisions
+        }
+
+    async def next_event(self, revision: int, wait_s: float) -> WatchEvent:
+        """Return what happened after ``revision``, or a heartbeat in time."""
+        if self._state.revision <= revision:
+            await self._signal.wait(wait_s)
+        return self._state.events_after(revision)
+
+    async def status(self) -> tuple[object, int]:
+        """Return this member's view of the log and its revision."""
+        return self._log.status, self._state.revision
--- /dev/null
+++ b/src/galenadrum/_internal/control/operator_api/responses.py
@@ -0,0 +1,115 @@
+"""JSON answers to operators."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from galenadrum._internal.exceptions import GalenadrumError
+from galenadrum._internal.models.findings import Finding
+
+StartResponse = Callable[..., Any]
+
+_JSON_HEADER = ("Content-Type", "application/json")
+
+
+class ErrorCode(StrEnum):
+    """What went wrong with an operator's call; the value is sent."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORISED = "unauthorised"
+    NOT_OWNER = "not_owner"
+    CONFLICT = "conflict"
+    TOO_LARGE = "too_large"
+    INVALID = "invalid"
+    BUSY = "busy"
+    NOT_LEADER = "not_leader"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+_STATUS_BY_CODE = {
+    ErrorCode.BAD_REQUEST: "400 Bad Request",
+    ErrorCode.UNAUTHORISED: "401 Unauthorized",
+    ErrorCode.NOT_OWNER: "403 Forbidden",
+    ErrorCode.CONFLICT: "409 Conflict",
+    ErrorCode.TOO_LARGE: "413 Content Too Large",
+    ErrorCode.INVALID: "422 Unprocessable Content",
+    ErrorCode.BUSY: "503 Service Unavailable",
+    ErrorCode.NOT_LEADER: "503 Service Unavailable",
+    ErrorCode.UNAVAILABLE: "503 Service Unavailable",
+    ErrorCode.UNKNOWN: "503 Service Unavailable",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ApiError:
+    """An answer that says what went wrong.
+
+    Attributes:
+        current: JSON documents of the resources that stand in the way.
+        leader: Address to call in place of this one, when it is known.
+    """
+
+    code: ErrorCode
+    message: str
+    findings: tuple[Finding, ...] = ()
+    current: tuple[dict[str, Any], ...] = field(default=())
+    leader: str | None = None
+
+
+class ApiRefusedError(GalenadrumError):
+    """Raised when an operator's call ends with an error.
+
+    Attributes:
+        error: What to answer.
+    """
+
+    def __init__(self, error: ApiError) -> None:
+        super().__init__(error.message)
+        self.error = error
+
+
+def refuse(
+    code: ErrorCode, message: str, findings: Sequence[Finding] = ()
+) -> ApiRefusedError:
+    """Return the error to raise for a call that can't be served."""
+    return ApiRefusedError(ApiError(code, message, tuple(findings)))
+
+
+def send_json(start_response: StartResponse, document: Any) -> Iterable[bytes]:
+    """Answer with a document."""
+    return _send(start_response, "200 OK", document)
+
+
+def send_error(start_response: StartResponse, error: ApiError) -> Iterable[bytes]:
+    """Answer with an error."""
+    body: dict[str, Any] = {
+        "code": error.code.value,
+        "message": error.message,
+        "findings": [
+            {"path": finding.path, "message": finding.message}
+            for finding in error.findings
+        ],
+        "current": list(error.current),
+    }
+    if error.code is ErrorCode.NOT_LEADER:
+        body["leader"] = error.leader
+    return _send(start_response, _STATUS_BY_CODE[error.code], {"error": body})
+
+
+def start_json_lines(start_response: StartResponse) -> None:
+    """Begin an answer of one JSON document a line."""
+    start_response(
+        "200 OK",
+        [("Content-Type", "application/jsonl"), ("Cache-Control", "no-store")],
+    )
+
+
+def _send(start_response: StartResponse, status: str, document: Any) -> list[bytes]:
+    body = json.dumps(document).encode()
+    start_response(status, [_JSON_HEADER, ("Content-Length", str(len(body)))])
+    return [body]
--- a/src/galenadrum/_internal/control/state/changes.py
+++ b/src/galenadrum/_internal/control/state/changes.py
@@ -27,6 +27,7 @@
 
 MAX_CHANGES = 20_000
 MAX_REPORTED = 1_000
+_TEXT_MAX_CHARACTERS = 300
 _CHANGE_ID_MAX_CHARACTERS = 128
 _REFERENCED_KINDS = frozenset((Kind.STAGE, Kind.PIPELINE, Kind.MODEL))
 
@@ -144,7 +145,7 @@
         revision=revision,
         results=outcomes,
         findings=[
-            ChangeFinding(path=finding.path, message=finding.message)
+            ChangeFinding(path=_clean(finding.path), message=_clean(finding.message))
             for finding in found[:MAX_REPORTED]
         ],
         current=[record_of(item) for item in evaluation.current[:MAX_REPORTED]],
@@ -269,5 +270,11 @@
     ]
 
 
+def _clean(text: str) -> str:
+    """Return text that a message can hold, whatever an operator sent."""
+    cut = text[:_TEXT_MAX_CHARACTERS]
+    return cut.encode("utf-8", "backslashreplace").decode()
+
+
 def _place(position: int, path: str, message: str) -> Finding:
     return Finding("", 0, 0, f"changes[{position}].{path}", message)
--- a/src/galenadrum/_internal/declarations/fields.py
+++ b/src/galenadrum/_internal/declarations/fields.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 from collections.abc import Callable
 from enum import StrEnum
@@ -60,7 +59,7 @@
     def structure(value: Any, _: Any) -> float:
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise TypeError(f"expected a number, found {type_name(value)}")
-        if not math.isfinite(value) or not low < value <= high:
+        if not low < value <= high:
             raise ValueError(f"expected above {low:g} and up to {high:g}")
         return float(value)
 
@@ -75,6 +74,8 @@
             raise TypeError(f"expected a string, found {type_name(value)}")
         if not 1 <= len(value) <= max_characters:
             raise ValueError(f"expected 1 to {max_characters} characters")
+        if not value.isprintable():
+            raise ValueError("not printable")
         return value
 
     return structure
--- a/src/galenadrum/_internal/declarations/records.py
+++ b/src/galenadrum/_internal/declarations/records.py
@@ -15,6 +15,9 @@
 from galenadrum._internal.models.resources import Kind, Resource, ResourceKey, Spec
 from galenadrum._internal.protocol.declarations_pb2 import ResourceRecord
 
+SPEC_MAX_BYTES = 64 * 1024
+_MAX_BRACKETS = 64
+
 
 def encode_spec(spec: Spec) -> bytes:
     """Return the one JSON form of ``spec``: sorted keys, no white space."""
@@ -82,8 +85,16 @@
 
 
 def _parse(spec_json: bytes) -> Any:
+    if len(spec_json) > SPEC_MAX_BYTES:
+        message = f"longer than {SPEC_MAX_BYTES} bytes"
+        raise CheckFailedError((Finding("", 0, 0, "spec", message),))
+    # How deep a document may be parsed depends on the caller's stack; members
+    # must agree on what they refuse, so that depth is bounded well before.
+    if spec_json.count(b"[") + spec_json.count(b"{") > _MAX_BRACKETS:
+        message = f"more than {_MAX_BRACKETS} lists and objects"
+        raise CheckFailedError((Finding("", 0, 0, "spec", message),))
     try:
         return json.loads(spec_json)
-    except (ValueError, RecursionError) as error:
+    except ValueError as error:
         finding = Finding("", 0, 0, "spec", f"not JSON: {error}")
         raise CheckFailedError((finding,)) from None
--- /dev/null
+++ b/tests/lib/fake_log.py
@@ -0,0 +1,44 @@
+"""A replicated log of one member, with failures on demand."""
+
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+from galenadrum._internal.exceptions import NotLeaderError, OutcomeUnknownError
+
+
+@dataclass
+class FakeLog:
+    """Commits at once.
+
+    ``lose_command`` and ``lose_answer`` make the next proposal fail before or
+    after it was applied.
+    """
+
+    state: object
+    is_leader: bool = True
+    leader_address: str | None = "127.0.0.1:1"
+    term: int = 1
+    lose_command: bool = False
+    lose_answer: bool = False
+
+    @property
+    def status(self):
+        member = SimpleNamespace(member_id="c1")
+        return SimpleNamespace(
+            member_id="c1", role="leader", term=1, leader_id="c1", members=(member,)
+        )
+
+    async def propose(self, command, timeout_s):
+        await self.read_barrier(timeout_s)
+        if self.lose_command:
+            self.lose_command = False
+            raise OutcomeUnknownError("the command was lost")
+        result = self.state.apply(self.state.applied_index + 1, command)
+        if self.lose_answer:
+            self.lose_answer = False
+            raise OutcomeUnknownError("the answer was lost")
+        return result
+
+    async def read_barrier(self, timeout_s):
+        if not self.is_leader:
+            raise NotLeaderError(self.leader_address)
--- /dev/null
+++ b/tests/unit/control/test_operator_api.py
@@ -0,0 +1,198 @@
+import hashlib
+import io
+import json
+import random
+
+import pytest
+
+from galenadrum._internal.control.operator_api import build_operator_app
+from galenadrum._internal.control.proposals import Proposer
+from galenadrum._internal.control.state.in_force import InForce
+from galenadrum._internal.control.state.machine import ControlState
+from galenadrum._internal.models.settings import Operator
+from lib.fake_log import FakeLog
+from lib.paused_loop import PausedLoop
+
+STAGE = {"action": "put", "kind": "stage", "name": "encode", "spec": {}}
+
+
+class _Bridge:
+    """Runs each call to its end on a paused loop."""
+
+    def __init__(self):
+        self.loop = PausedLoop()
+
+    def call(self, coroutine, timeout_s):
+        return self.loop.run_until_complete(coroutine)
+
+
+class _Api:
+    def __init__(self):
+        self.bridge = _Bridge()
+        self.state = ControlState()
+        self.log = FakeLog(self.state)
+        self.in_force = InForce()
+        proposer = Proposer(self.log, self.state, random.Random(1))
+        operators = [
+            Operator(name, hashlib.sha256(name.encode()).hexdigest())
+            for name in ("vatu", "tornos")
+        ]
+        self.app = build_operator_app(
+            self.bridge,
+            self.log,
+            self.state,
+            self.in_force,
+            operators,
+            proposer,
+            {"127.0.0.1:1": "127.0.0.1:2"}.get,
+        )
+
+    def open(self, method, path, body=b"", token="vatu"):
+        path, _, query = path.partition("?")
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(body)),
+            "HTTP_AUTHORIZATION": f"Bearer {token}",
+            "wsgi.input": io.BytesIO(body),
+        }
+        statuses = []
+        lines = self.app(environ, lambda status, headers: statuses.append(status))
+        return statuses, lines
+
+    def call(self, method, path, document=None, token="vatu"):
+        body = b"" if document is None else json.dumps(document).encode()
+        statuses, lines = self.open(method, path, body, token)
+        return int(statuses[0].split()[0]), json.loads(b"".join(lines))
+
+    def change(self, change_id, *changes, token="vatu", **fields):
+        body = {"change_id": change_id, "changes": changes, **fields}
+        return self.call("POST", "/v1/changes", body, token)
+
+
+@pytest.fixture
+def api():
+    created = _Api()
+    yield created
+    created.bridge.loop.close()
+
+
+class TestOperatorApi:
+    def test_a_change_is_made_checked_and_read(self, api):
+        assert api.change("a", STAGE, check_only=True)[1]["revision"] == 0
+        status, body = api.change("a", STAGE | {"base_revision": 0})
+        assert (status, body["results"][0]["outcome"]) == (200, "created")
+        status, body = api.call("GET", "/v1/resources?kind=stage&name=encode")
+        assert body["resources"][0]["owner"] == "vatu"
+        assert body["resources"][0]["spec"]["repeatable"] is True
+        assert body["resources"][0]["status"]["in_force"] is False
+
+    @pytest.mark.parametrize("lost", ["lose_command", "lose_answer"])
+    def test_a_change_whose_answer_was_lost_is_sent_again(self, api, lost):
+        setattr(api.log, lost, True)
+        change = STAGE | {"base_revision": 0}
+        status, body = api.change("a", change)
+        assert (status, body["error"]["code"]) == (503, "unknown")
+        for _ in range(2):
+            status, body = api.change("a", change)
+            assert (status, body["revision"], api.state.revision) == (200, 1, 1)
+        assert body["repeated"] is True
+
+    def test_a_conflict_shows_what_stands(self, api):
+        api.change("a", STAGE)
+        status, body = api.change("b", STAGE | {"base_revision": 0})
+        assert (status, body["error"]["code"]) == (409, "conflict")
+        assert body["error"]["current"][0]["revision"] == 1
+
+    def test_the_other_operator_is_refused_and_exports_its_own(self, api):
+        api.change("a", STAGE)
+        assert api.change("b", STAGE, token="tornos")[0] == 403
+        pipeline = {"stages": ["encode"], "deadline_ms": 9}
+        change = STAGE | {"kind": "pipeline", "name": "plan", "spec": pipeline}
+        api.change("c", change, token="tornos")
+        body = api.call("GET", "/v1/export?owner=tornos", token="vatu")[1]
+        assert body == {
+            "resources": [{"kind": "pipeline", "name": "plan", "spec": pipeline}],
+            "references_elsewhere": ["stage/encode"],
+        }
+
+    def test_all_that_is_wrong_with_a_body_comes_together(self, api):
+        status, body = api.change(
+            5,
+            {"action": "move", "kind": "stage", "name": "\ud800", "extra": 1},
+            7,
+            STAGE | {"base_revision": -1},
+        )
+        assert status == 400
+        assert [finding["path"] for finding in body["error"]["findings"]] == [
+            "change_id",
+            "changes[0].extra",
+            "changes[0].name",
+            "changes[0].action",
+            "changes[1]",
+            "changes[2].base_revision",
+        ]
+
+    def test_a_spec_that_is_wrong_is_invalid_with_findings(self, api):
+        status, body = api.change("a", STAGE | {"spec": {"\ud800": 1, "streams": 1}})
+        assert (status, len(body["error"]["findings"])) == (422, 2)
+
+    def test_refuses_strangers_and_bodies_that_cant_be_read(self, api):
+        assert api.call("GET", "/v1/status", token="other")[0] == 401
+        for body in (b"{", b"[]", b"[" * 100_000):
+            statuses, _ = api.open("POST", "/v1/changes", body)
+            assert statuses[0].startswith("400")
+        for query in ("kind=planet", "a=b", "name=a&name=b"):
+            assert api.call("GET", f"/v1/resources?{query}")[0] == 400
+
+    def test_a_member_that_doesnt_lead_names_the_leader(self, api):
+        api.log.is_leader = False
+        for answer in (api.change("a", STAGE), api.call("GET", "/v1/resources")):
+            assert answer[0] == 503
+            assert answer[1]["error"]["leader"] == "127.0.0.1:2"
+        assert api.call("GET", "/v1/status")[1]["members"] == ["c1"]
+
+    def test_a_watch_gives_changes_and_heartbeats(self, api):
+        api.change("a", STAGE)
+        _, lines = api.open("GET", "/v1/watch?from=0")
+        events = map(json.loads, lines)
+        first = next(events)
+        assert first["snapshot"] and first["changed"][0]["name"] == "encode"
+        began = api.bridge.loop.time()
+        assert next(events) == {
+            "from_revision": 1,
+            "revision": 1,
+            "snapshot": False,
+            "changed": [],
+            "deleted": [],
+        }
+        assert api.bridge.loop.time() - began == 5.0
+        api.change("b", {"action": "delete", "kind": "stage", "name": "encode"})
+        assert next(events)["deleted"] == [{"kind": "stage", "name": "encode"}]
+        lines.close()
+
+    def test_watches_are_bounded_and_give_their_places_back(self, api):
+        opened = [api.open("GET", "/v1/watch")[1] for _ in range(16)]
+        assert api.call("GET", "/v1/watch")[0] == 503
+        opened[0].close()
+        opened[0].close()
+        assert api.open("GET", "/v1/watch")[0] == []
+
+    def test_status_tells_where_a_revision_is_in_force(self, api):
+        api.change("a", STAGE)
+        now = api.bridge.loop.time()
+        api.in_force.confirm("e1", "nadi", 1, now)
+        api.in_force.confirm("e2", "ba", 0, now)
+        resource = api.call("GET", "/v1/resources")[1]["resources"][0]
+        assert resource["status"]["missing"] == ["e2"]
+        api.in_force.confirm("e2", "ba", 1, now)
+        resource = api.call("GET", "/v1/resources")[1]["resources"][0]
+        assert resource["status"]["in_force"] is True
+        api.bridge.loop.advance(31)
+        api.in_force.confirm("e1", "nadi", 1, api.bridge.loop.time())
+        api.change("b", STAGE | {"spec": {"streams": True}})
+        status = api.call("GET", "/v1/resources")[1]["resources"][0]["status"]
+        assert (status["missing"], status["silent"]) == (["e1"], ["e2"])
+        hosts = api.call("GET", "/v1/status")[1]["hosts"]
+        assert [host["revision"] for host in hosts] == [1, 1]
