--- a/src/galenadrum/_internal/exceptions.py
+++ b/src/galenadrum/_internal/exceptions.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from galenadrum._internal.models.findings import Finding
+    from galenadrum._internal.models.operator_api import ResourceState
     from galenadrum._internal.models.requests import Refusal
 
 
@@ -67,3 +68,37 @@
 
 class LogDamagedError(StorageError):
     """Raised when the log is damaged before its tail; names the place."""
+
+
+class OperatorApiError(GalenadrumError):
+    """Raised when a control host refuses an operator's call.
+
+    Attributes:
+        code: The code of the refusal, such as ``not_owner``.
+    """
+
+    def __init__(self, code: str, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class ConflictError(OperatorApiError):
+    """Raised when resources changed after the operator read them.
+
+    Attributes:
+        current: The resources as they stand now.
+    """
+
+    def __init__(self, message: str, current: tuple[ResourceState, ...]) -> None:
+        super().__init__("conflict", message)
+        self.current = current
+
+
+class ChangeIdReusedError(GalenadrumError):
+    """Raised when a change id is pending for changes other than these."""
+
+    def __init__(self, change_id: str) -> None:
+        super().__init__(
+            f"change id {change_id} was used for other changes whose outcome is not"
+            " known; use another id, or restore the declarations to resend them"
+        )
