--- /dev/null
+++ b/src/galenadrum/_internal/changes/__init__.py
@@ -0,0 +1,1 @@
+"""Change sets on the operator's side: preparing, comparing, resending."""
--- /dev/null
+++ b/src/galenadrum/_internal/cli/options.py
@@ -0,0 +1,167 @@
+"""Options and arguments that several commands share."""
+
+from __future__ import annotations
+
+import functools
+import os
+import re
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+
+from galenadrum._internal.changes.pending import PendingChanges
+from galenadrum._internal.models.resources import Kind, ResourceKey
+from galenadrum._internal.network.operator_client import ClientTimeouts, OperatorClient
+
+_DEFAULT_TIMEOUT_S = 30.0
+_CHANGE_ID = re.compile(r"[A-Za-z0-9._-]{1,128}")
+_CHANGE_ID_BYTES = 16
+# A token isn't taken as an argument, since arguments show in process lists.
+_TOKEN_VARIABLE = "GALENADRUM_TOKEN"
+
+_CONTROL = click.option(
+    "--control",
+    envvar="GALENADRUM_CONTROL",
+    required=True,
+    metavar="ADDRESS[,ADDRESS...]",
+    help="Operator addresses of control hosts, such as"
+    " http://10.0.0.1:9100,http://10.0.0.2:9100.",
+)
+_TOKEN_FILE = click.option(
+    "--token-file",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    envvar="GALENADRUM_TOKEN_FILE",
+    default=None,
+    help="File that holds the operator's token; else GALENADRUM_TOKEN holds it.",
+)
+_TIMEOUT = click.option(
+    "--timeout-s",
+    type=click.FloatRange(min=0, min_open=True, max=3_600),
+    default=_DEFAULT_TIMEOUT_S,
+    show_default=True,
+    help="Longest time for the whole call, in seconds.",
+)
+
+Function = TypeVar("Function", bound=Callable[..., Any])
+
+
+@dataclass(frozen=True, slots=True)
+class ControlOptions:
+    """How the control hosts are reached.
+
+    Attributes:
+        addresses: Operator addresses of control hosts.
+        token: The operator's token, None when none was given.
+        timeout_s: Longest time for one call over all control hosts.
+    """
+
+    addresses: tuple[str, ...]
+    token: str | None
+    timeout_s: float
+
+    def connect(self) -> OperatorClient:
+        """Return a client; it connects when it is used."""
+        timeouts = ClientTimeouts(call_s=self.timeout_s)
+        return OperatorClient(self.addresses, self.token, timeouts)
+
+
+def control_options(function: Function) -> Function:
+    """Add the options that reach the control hosts.
+
+    The command gets one parameter, ``control``, a ``ControlOptions``.
+    """
+
+    @_CONTROL
+    @_TOKEN_FILE
+    @_TIMEOUT
+    @functools.wraps(function)
+    def wrapper(
+        *args: Any,
+        control: str,
+        token_file: Path | None,
+        timeout_s: float,
+        **kwargs: Any,
+    ) -> Any:
+        addresses = tuple(part.strip() for part in control.split(",") if part.strip())
+        if not addresses:
+            raise click.UsageError("--control names no address")
+        options = ControlOptions(addresses, _read_token(token_file), timeout_s)
+        return function(*args, control=options, **kwargs)
+
+    return wrapper
+
+
+def files_option(function: Function) -> Function:
+    """Add ``-f``, the files and folders of declarations."""
+    return click.option(
+        "-f",
+        "--file",
+        "paths",
+        type=click.Path(exists=True, path_type=Path),
+        multiple=True,
+        required=True,
+        help="Declaration file, or folder of them; may be repeated.",
+    )(function)
+
+
+def change_id_options(function: Function) -> Function:
+    """Add the options that make a change repeatable."""
+    change_id = click.option(
+        "--change-id",
+        default=None,
+        callback=_check_change_id,
+        help="Idempotency key; give the same one to resend a change whose answer"
+        " was lost. Made up when left out.",
+    )
+    state_folder = click.option(
+        "--state-folder",
+        type=click.Path(file_okay=False, path_type=Path),
+        envvar="GALENADRUM_STATE_FOLDER",
+        default=Path("~/.local/state/galenadrum"),
+        show_default=True,
+        help="Where changes are kept until their outcome is known.",
+    )
+    return change_id(state_folder(function))
+
+
+def open_pending_changes(state_folder: Path) -> PendingChanges:
+    """Return the pending changes of a state folder."""
+    return PendingChanges(state_folder.expanduser() / "pending-changes")
+
+
+class ResourceKeyType(click.ParamType):
+    """A resource written as ``KIND/NAME``."""
+
+    name = "KIND/NAME"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> ResourceKey:
+        """Parse the text, or fail with the kinds there are."""
+        if isinstance(value, ResourceKey):
+            return value
+        kind, slash, name = value.partition("/")
+        if not slash or not name or kind not in tuple(Kind):
+            kinds = ", ".join(Kind)
+            self.fail(f"{value!r} is not KIND/NAME with a kind of {kinds}", param, ctx)
+        return ResourceKey(Kind(kind), name)
+
+
+def _check_change_id(_: click.Context, __: click.Parameter, value: str | None) -> str:
+    if value is None:
+        return secrets.token_hex(_CHANGE_ID_BYTES)
+    if not _CHANGE_ID.fullmatch(value):
+        raise click.BadParameter("expected 1 to 128 letters, digits, '.', '_' or '-'")
+    return value
+
+
+def _read_token(token_file: Path | None) -> str | None:
+    if token_file is None:
+        token = os.environ.get(_TOKEN_VARIABLE, "")
+    else:
+        token = token_file.read_text(encoding="utf-8")
+    return token.strip() or None
--- /dev/null
+++ b/src/galenadrum/_internal/cli/output.py
@@ -0,0 +1,89 @@
+"""The one place that writes to the user.
+
+Results go to standard output and everything else to standard error, so that
+results can be piped.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import click
+
+from galenadrum._internal.cli import status_codes
+from galenadrum._internal.exceptions import (
+    ChangeIdReusedError,
+    CheckFailedError,
+    ConflictError,
+    ControlUnreachableError,
+    GalenadrumError,
+    OperatorApiError,
+    OutcomeUnknownError,
+    StorageError,
+)
+
+_COLUMN_GAP = "  "
+
+_CODE_BY_ERROR: tuple[tuple[type[GalenadrumError], int], ...] = (
+    (CheckFailedError, status_codes.FINDINGS),
+    (ConflictError, status_codes.CONFLICT),
+    (OperatorApiError, status_codes.REFUSED),
+    (OutcomeUnknownError, status_codes.OUTCOME_UNKNOWN),
+    (ControlUnreachableError, status_codes.UNREACHABLE),
+    (ChangeIdReusedError, status_codes.USAGE),
+    (StorageError, status_codes.STORAGE),
+)
+
+
+def write_text(text: str) -> None:
+    """Write a result for people."""
+    click.echo(text)
+
+
+def write_json(value: Any) -> None:
+    """Write a result for machines, as one line."""
+    click.echo(json.dumps(value, ensure_ascii=False))
+
+
+def write_table(headers: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Write rows under headers, in columns that are as wide as needed."""
+    table = [list(headers), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[column]) for row in table) for column in range(len(headers))]
+    for row in table:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        click.echo(_COLUMN_GAP.join(cells).rstrip())
+
+
+def write_note(text: str) -> None:
+    """Write what accompanies a result to standard error."""
+    click.echo(text, err=True)
+
+
+def report_error(error: GalenadrumError) -> int:
+    """Write an error to standard error and return its exit code."""
+    if isinstance(error, CheckFailedError):
+        for finding in error.findings:
+            click.echo(str(finding), err=True)
+    else:
+        click.echo(f"error: {error}", err=True)
+    if isinstance(error, ConflictError):
+        for resource in error.current:
+            click.echo(
+                f"  {resource.key} now stands at revision {resource.revision},"
+                f" owner {resource.owner}: {json.dumps(resource.spec)}",
+                err=True,
+            )
+    for kind, code in _CODE_BY_ERROR:
+        if isinstance(error, kind):
+            return code
+    return status_codes.INTERNAL
+
+
+def close_quietly() -> None:
+    """Keep a closed pipe from being reported again at exit."""
+    devnull = os.open(os.devnull, os.O_WRONLY)
+    os.dup2(devnull, sys.stdout.fileno())
--- /dev/null
+++ b/src/galenadrum/_internal/commands/control.py
@@ -0,0 +1,28 @@
+"""The command ``control``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from galenadrum._internal.control.daemon import run_control
+from galenadrum._internal.observability.process import observe_process
+from galenadrum._internal.settings.daemons import read_control_settings
+
+
+@click.command("control")
+@click.argument("settings_file", type=click.Path(path_type=Path))
+def command(settings_file: Path) -> None:
+    r"""Run a control host until it gets SIGTERM.
+
+    It holds a replica of the declared state in its data folder, which must be
+    its own and on a disk that lasts.
+
+    \b
+    Example:
+      galenadrum check control-1.json && galenadrum control control-1.json
+    """
+    settings = read_control_settings(settings_file)
+    with observe_process(settings.observability, settings.member_id):
+        run_control(settings)
--- /dev/null
+++ b/src/galenadrum/_internal/commands/trace.py
@@ -0,0 +1,74 @@
+"""The command ``trace``."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+
+import click
+
+from galenadrum._internal.cli import output, status_codes
+from galenadrum._internal.cli.forms import output_option
+from galenadrum._internal.observability.trace_tree import (
+    group_by_trace,
+    read_spans,
+    render_tree,
+)
+
+_TRACES_SHOWN = 10
+_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.command("trace")
+@click.argument("file", type=_FILE)
+@click.argument("trace_id", required=False)
+@click.option(
+    "--with",
+    "further_files",
+    type=_FILE,
+    multiple=True,
+    help="Trace file of another host; may be repeated.",
+)
+@click.option(
+    "--last",
+    type=click.IntRange(min=1),
+    default=_TRACES_SHOWN,
+    show_default=True,
+    help="Without TRACE_ID, show this many of the latest traces.",
+)
+@output_option
+def command(
+    file: Path,
+    trace_id: str | None,
+    further_files: tuple[Path, ...],
+    last: int,
+    form: str,
+) -> int:
+    r"""Show recorded traces as trees, with the duration of each hop.
+
+    FILE is the trace_file of a host's settings; a trace that crosses hosts is
+    whole when the files of all of them are named. The first number of a line
+    is the start after that of the root, the second the duration. Starts on
+    different hosts are as exact as their clocks agree.
+
+    \b
+    Examples:
+      galenadrum trace /var/lib/galenadrum/traces.jsonl
+      galenadrum trace nadi-1.jsonl 4bf92f3577b34da6a3ce929d0e0e4736 --with ba-1.jsonl
+    """
+    spans = [span for path in (file, *further_files) for span in read_spans(path)]
+    spans_by_trace = group_by_trace(spans)
+    if trace_id is not None:
+        if trace_id not in spans_by_trace:
+            output.write_note(f"error: no span of trace {trace_id} is in the files")
+            return status_codes.FINDINGS
+        spans_by_trace = {trace_id: spans_by_trace[trace_id]}
+    for shown_id in list(spans_by_trace)[-last:]:
+        if form == "json":
+            shown = [dataclasses.asdict(span) for span in spans_by_trace[shown_id]]
+            output.write_json({"trace_id": shown_id, "spans": shown})
+            continue
+        output.write_text(f"trace {shown_id}")
+        for line in render_tree(spans_by_trace[shown_id]):
+            output.write_text(line)
+    return status_codes.SUCCESS
--- /dev/null
+++ b/src/galenadrum/_internal/observability/trace_tree.py
@@ -0,0 +1,121 @@
+"""Recorded spans read back and joined to trees."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from galenadrum._internal.observability.span_files import ROTATED_SUFFIX
+
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+_INDENT = "  "
+
+
+@dataclass(frozen=True, slots=True)
+class SpanRecord:
+    """A span as it stands in a file.
+
+    Attributes:
+        start_ns: Nanoseconds since 1970 on the clock of ``host_id``.
+        error: Why it failed, None when it succeeded.
+    """
+
+    trace_id: str
+    span_id: str
+    parent_id: str | None
+    name: str
+    host_id: str
+    start_ns: int
+    duration_ns: int
+    attributes: dict[str, Any]
+    error: str | None
+
+
+def read_spans(path: Path) -> Iterator[SpanRecord]:
+    """Yield the spans of a file and of its predecessor.
+
+    Lines that are no spans, such as one that is being written, are left out.
+
+    Raises:
+        OSError: The file can't be read.
+    """
+    for part in (path.with_name(path.name + ROTATED_SUFFIX), path):
+        if part != path and not part.exists():
+            continue
+        with part.open(encoding="utf-8", errors="replace") as file:
+            for line in file:
+                span = _parse_span(line)
+                if span is not None:
+                    yield span
+
+
+def group_by_trace(spans: Iterable[SpanRecord]) -> dict[str, list[SpanRecord]]:
+    """Return the spans by trace id, the traces in the order of their starts."""
+    spans_by_trace: dict[str, list[SpanRecord]] = {}
+    for span in spans:
+        spans_by_trace.setdefault(span.trace_id, []).append(span)
+    return dict(
+        sorted(
+            spans_by_trace.items(), key=lambda item: min(s.start_ns for s in item[1])
+        )
+    )
+
+
+def render_tree(spans: Iterable[SpanRecord]) -> list[str]:
+    """Return one line for each span of a trace, children below their parents.
+
+    A span whose parent is in none of the files, such as that of a caller, is
+    shown as a root.
+    """
+    span_by_id = {span.span_id: span for span in spans}
+    children: dict[str | None, list[SpanRecord]] = {}
+    for span in span_by_id.values():
+        parent_id = span.parent_id if span.parent_id in span_by_id else None
+        children.setdefault(parent_id, []).append(span)
+    lines: list[str] = []
+    pending = [(span, 0, span) for span in _latest_first(children.get(None, []))]
+    while pending:
+        span, depth, root = pending.pop()
+        lines.append(_render_span(span, depth, root))
+        below = _latest_first(children.pop(span.span_id, []))
+        pending += [(child, depth + 1, root) for child in below]
+    return lines
+
+
+def _latest_first(spans: list[SpanRecord]) -> list[SpanRecord]:
+    return sorted(spans, key=lambda span: span.start_ns, reverse=True)
+
+
+def _render_span(span: SpanRecord, depth: int, root: SpanRecord) -> str:
+    offset_ms = (span.start_ns - root.start_ns) / _NANOSECONDS_PER_MILLISECOND
+    duration_ms = span.duration_ns / _NANOSECONDS_PER_MILLISECOND
+    parts = [
+        f"{offset_ms:+10.3f} ms {duration_ms:10.3f} ms  ",
+        _INDENT * depth,
+        f"{span.name} on {span.host_id}",
+    ]
+    parts += [f" {name}={value}" for name, value in span.attributes.items()]
+    if span.error is not None:
+        parts.append(f" FAILED: {span.error}")
+    return "".join(parts)
+
+
+def _parse_span(line: str) -> SpanRecord | None:
+    try:
+        body = json.loads(line)
+        return SpanRecord(
+            trace_id=str(body["trace_id"]),
+            span_id=str(body["span_id"]),
+            parent_id=body["parent_id"],
+            name=str(body["name"]),
+            host_id=str(body["host_id"]),
+            start_ns=int(body["start_ns"]),
+            duration_ns=int(body["duration_ns"]),
+            attributes=dict(body.get("attributes") or {}),
+            error=body.get("error"),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/src/galenadrum/_internal/settings/reader.py
+++ b/src/galenadrum/_internal/settings/reader.py
@@ -96,13 +96,17 @@
 
 
 def format_path(path: DocumentPath) -> str:
-    """Write a path as ``stages[2].name``; the whole document is ``$``."""
+    """Write a path as ``stages[2].name``; the whole document is ``$``.
+
+    An empty key is written as two quotation marks.
+    """
     text = ""
     for part in path:
         if isinstance(part, int):
             text += f"[{part}]"
         else:
-            text += f".{part}" if text else part
+            written = part or '""'
+            text += f".{written}" if text else written
     return text or "$"
 
 
--- /dev/null
+++ b/tests/lib/operators_api.py
@@ -0,0 +1,129 @@
+"""A small control host for tests of operators' commands."""
+
+import contextlib
+import json
+import threading
+from urllib.parse import parse_qs
+
+from cheroot import wsgi
+
+
+class OperatorsApi:
+    """Holds resources; ``behave`` may answer or fail in its place."""
+
+    def __init__(self, token=None):
+        self.token = token
+        self.revision = 0
+        self.resources = {}
+        self.outcomes = {}
+        self.calls = []
+        self.sent = []
+        self.behave = lambda call, body: None
+        self.lines = lambda revision: iter(())
+        self.lock = threading.Lock()
+
+    @property
+    def change_ids(self):
+        return [body["change_id"] for body in self.sent]
+
+    def __call__(self, environ, start_response):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(length)) if length else None
+        call = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        self.calls.append(call)
+        if call == "GET /v1/watch":
+            start_response("200 OK", [("Content-Type", "application/jsonl")])
+            return self.lines(int(query["from"]))
+        with self.lock:
+            status, answer = self._answer(call, body, query, environ)
+        data = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+        start_response(f"{status} X", [("Content-Length", str(len(data)))])
+        return [data]
+
+    def _answer(self, call, body, query, environ):
+        bearer = environ.get("HTTP_AUTHORIZATION")
+        if self.token and bearer != f"Bearer {self.token}":
+            return 401, {"error": {"code": "unauthorised", "message": "wrong token"}}
+        if call == "POST /v1/changes":
+            self.sent.append(body)
+        return self.behave(call, body) or self.serve(call, body, query)
+
+    def serve(self, call, body, query):
+        if call == "POST /v1/changes":
+            return self.change(body)
+        if call == "GET /v1/status":
+            hosts = [
+                {"host_id": "e1", "zone": "nadi", "revision": self.revision, "age_s": 1}
+            ]
+            view = {"member_id": "c1", "role": "leader", "term": 3, "leader": "c1"}
+            return 200, {**view, "revision": self.revision, "hosts": hosts}
+        wanted = {k: query[k] for k in ("kind", "name", "owner") if k in query}
+        found = [
+            resource
+            for resource in self.resources.values()
+            if all(resource[k] == v for k, v in wanted.items())
+        ]
+        if call == "GET /v1/export":
+            found = [{k: r[k] for k in ("kind", "name", "spec")} for r in found]
+        return 200, {"revision": self.revision, "resources": found}
+
+    def change(self, body):
+        if body["change_id"] in self.outcomes:
+            return 200, {**self.outcomes[body["change_id"]], "repeated": True}
+        current = [self.resources.get((c["kind"], c["name"])) for c in body["changes"]]
+        pairs = list(zip(body["changes"], current, strict=True))
+        stale = [
+            now
+            for change, now in pairs
+            if change["base_revision"] != (now["revision"] if now else 0)
+        ]
+        if stale:
+            error = {"code": "conflict", "message": "changed meanwhile"}
+            return 409, {"error": {**error, "current": [now for now in stale if now]}}
+        results = [self._foresee(change, now) for change, now in pairs]
+        answer = {"revision": self.revision + 1, "results": results, "repeated": False}
+        if not body["check_only"]:
+            self.revision += 1
+            self.outcomes[body["change_id"]] = answer
+            for change in body["changes"]:
+                self._carry_out(change)
+        return 200, answer
+
+    def _foresee(self, change, now):
+        outcome = "changed" if now else "created"
+        if change["action"] == "delete":
+            outcome = "deleted"
+        elif now and now["spec"] == change["spec"]:
+            outcome = "unchanged"
+        key = {"kind": change["kind"], "name": change["name"]}
+        return {**key, "outcome": outcome, "revision": self.revision + 1}
+
+    def _carry_out(self, change):
+        key = (change["kind"], change["name"])
+        if change["action"] == "delete":
+            del self.resources[key]
+            return
+        self.resources[key] = {
+            "kind": key[0],
+            "name": key[1],
+            "spec": change["spec"],
+            "owner": "vatu",
+            "revision": self.revision,
+            "generation": 1,
+            "status": {"in_force": False, "live_hosts": 2, "missing_hosts": ["e2"]},
+        }
+
+
+@contextlib.contextmanager
+def serving(app):
+    """Serve ``app`` on a free loopback port; yield its address."""
+    server = wsgi.Server(("127.0.0.1", 0), app, numthreads=4, timeout=5)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        yield f"http://127.0.0.1:{server.bind_addr[1]}"
+    finally:
+        server.stop()
+        thread.join()
