--- a/src/galenadrum/_internal/exceptions.py
+++ b/src/galenadrum/_internal/exceptions.py
@@ -102,3 +102,15 @@
             f"change id {change_id} was used for other changes whose outcome is not"
             " known; use another id, or restore the declarations to resend them"
         )
+
+
+class LogBusyError(GalenadrumError):
+    """Raised when a change certainly was not accepted: too many are waiting."""
+
+
+class MembershipError(GalenadrumError):
+    """Raised when a change to the members of the log is not possible."""
+
+
+class MemberRefusedError(GalenadrumError):
+    """Raised when the cluster doesn't accept this member as it was started."""
--- a/src/galenadrum/_internal/settings/rules.py
+++ b/src/galenadrum/_internal/settings/rules.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import ipaddress
 from collections.abc import Callable, Iterator
 from typing import Any
 
 from galenadrum._internal.models.findings import Finding
 from galenadrum._internal.models.settings import ControlSettings
 from galenadrum._internal.settings.reader import Document, DocumentPath, format_path
-from galenadrum._internal.settings.structure import format_address, parse_address
+from galenadrum._internal.utils.addresses import format_address, parse_address
 
 MAX_CONTROL_MEMBERS = 7
 _MIN_HEARTBEATS_IN_ELECTION_TIMEOUT = 3
@@ -34,7 +33,7 @@
     if address is None:
         return
     ip, _ = parse_address(address)
-    if ipaddress.ip_address(ip).is_unspecified:
+    if ip.is_unspecified:
         message = f"{ip} is no address that other hosts can connect to"
         yield document.find_at_value(("peer_address",), message)
 
