Start the daemons and serve a request through separate processes

Cause: the probe of a watch waited for the server to end its stream, since leaving the stream's block waits for its trailers; 2 s a source were lost at each start. Change: the stream is cancelled first.

--- /dev/null
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -0,0 +1,99 @@
+"""The control host's process: its parts, their tasks and its shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from galenadrum._internal.control.claims_service import ClaimsService
+from galenadrum._internal.control.declarations_service import DeclarationsService
+from galenadrum._internal.control.operator_api import build_operator_app
+from galenadrum._internal.control.proposals import Proposer
+from galenadrum._internal.control.replication.driver import ReplicatedLog
+from galenadrum._internal.control.state.in_force import InForce
+from galenadrum._internal.control.state.machine import ControlState
+from galenadrum._internal.models.settings import CallerLimits, ControlSettings
+from galenadrum._internal.network.bridge import LoopBridge
+from galenadrum._internal.network.grpc_server import GrpcServer
+from galenadrum._internal.network.http_server import HttpServer
+from galenadrum._internal.supervision.daemons import run_daemon
+from galenadrum._internal.supervision.supervisor import Supervisor
+
+logger = logging.getLogger(__name__)
+
+_OPERATOR_LIMITS = CallerLimits(workers=32)
+
+
+class ControlDaemon:
+    """One control host; construct it on the running loop."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        rng = random.Random()
+        self.state = ControlState()
+        self.log = ReplicatedLog(settings, self.state, rng)
+        self.in_force = InForce()
+        proposer = Proposer(self.log, self.state, rng, settings.change_id_retention_s)
+        declarations = DeclarationsService(self.log, self.state, self.in_force)
+        claims = ClaimsService(proposer)
+        handlers = [*self.log.services(), declarations, claims]
+        self._peers = GrpcServer(settings.peer_address, handlers)
+        self.operators = HttpServer(
+            settings.operator_address,
+            build_operator_app(
+                LoopBridge(asyncio.get_running_loop()),
+                self.log,
+                self.state,
+                self.in_force,
+                settings.operators,
+                proposer,
+            ),
+            _OPERATOR_LIMITS,
+            f"{settings.member_id}-operators",
+        )
+        self._supervisor = Supervisor(settings.member_id, rng)
+        self._supervisor.add("peers", self._peers.run)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Read the data folder, listen and take part.
+
+        Raises:
+            StorageError: The data folder can't be used.
+            OSError: An address can't be listened on.
+        """
+        await self.log.start()
+        self._task = asyncio.create_task(self._supervisor.run())
+        self.operators.start()
+        logger.info("control host %s started", self._settings.member_id)
+
+    async def wait_failed(self) -> None:
+        """Wait until this member can't go on, and raise why."""
+        log_failed = asyncio.create_task(self.log.wait_failed())
+        tasks = {log_failed, self._task}
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+
+    async def drain(self) -> None:
+        """Do nothing: what was proposed is committed by the other members."""
+
+    async def stop(self) -> None:
+        """Stop taking part and end all tasks."""
+        await asyncio.to_thread(self.operators.stop)
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.log.stop()
+
+
+def run_control(settings: ControlSettings) -> None:
+    """Run a control host until a stop signal arrives.
+
+    Raises:
+        StorageError: The data folder can't be used.
+        OSError: An address can't be listened on.
+        MemberRefusedError: The cluster doesn't accept this member.
+    """
+    run_daemon(lambda: ControlDaemon(settings))
--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -198,7 +198,7 @@
             "role": str(log_status.role),
             "term": log_status.term,
             "leader": log_status.leader_id or None,
-            "members": [member.member_id for member in log_status.members],
+            "members": [item.member.member_id for item in log_status.members],
             "revision": revision,
             "hosts": [host_document(host) for host in hosts],
         }
--- a/src/galenadrum/_internal/entry/announcements_app.py
+++ b/src/galenadrum/_internal/entry/announcements_app.py
@@ -10,13 +10,15 @@
     send_json,
     send_refusal,
 )
-from galenadrum._internal.entry.backends import BackendDirectory
 from galenadrum._internal.entry.caller_requests import read_body
 from galenadrum._internal.exceptions import CheckFailedError, RequestRefusedError
 from galenadrum._internal.membership.announcement_codec import (
     MAX_BODY_BYTES,
     parse_announcement,
 )
+from galenadrum._internal.membership.verdicts import Verdict
+from galenadrum._internal.membership.zone_service import ZoneService
+from galenadrum._internal.models.servers import Announcement
 from galenadrum._internal.network.bridge import LoopBridge
 
 ANNOUNCEMENTS_PATH = "/v1/announcements"
@@ -27,9 +29,9 @@
 class AnnouncementsApp:
     """Answers ``POST /v1/announcements``."""
 
-    def __init__(self, bridge: LoopBridge, directory: BackendDirectory) -> None:
+    def __init__(self, bridge: LoopBridge, zone: ZoneService) -> None:
         self._bridge = bridge
-        self._directory = directory
+        self._zone = zone
 
     def answer(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -43,7 +45,7 @@
             return send_json(start_response, 422, _findings(error))
         peer_ip = environ.get("REMOTE_ADDR")
         verdict = self._bridge.call(
-            self._directory.announce(announcement, peer_ip), _LOOP_TIMEOUT_S
+            self._announce(announcement, peer_ip), _LOOP_TIMEOUT_S
         )
         if verdict.rejection is not None:
             rejection = verdict.rejection
@@ -52,6 +54,11 @@
         accepted = {"accepted": True, "renew_after_s": verdict.renew_after_s}
         return send_json(start_response, 200, accepted)
 
+    async def _announce(
+        self, announcement: Announcement, peer_ip: str | None
+    ) -> Verdict:
+        return self._zone.announce(announcement, peer_ip)
+
 
 def _findings(error: CheckFailedError) -> dict[str, Any]:
     findings = [
--- a/src/galenadrum/_internal/entry/answers.py
+++ b/src/galenadrum/_internal/entry/answers.py
@@ -30,6 +30,8 @@
     RefusalReason.IN_PROGRESS: 409,
     RefusalReason.OUTCOME_UNKNOWN: 409,
     RefusalReason.ALREADY_RUN: 409,
+    RefusalReason.OUTCOME_UNKNOWN: 409,
+    RefusalReason.ALREADY_RUN: 409,
 }
 
 _PHRASE_BY_STATUS = {
--- a/src/galenadrum/_internal/entry/caller_app.py
+++ b/src/galenadrum/_internal/entry/caller_app.py
@@ -14,7 +14,7 @@
 import json
 import socket
 import time
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -27,6 +27,10 @@
 )
 from galenadrum._internal.entry.caller_requests import parse_caller_request
 from galenadrum._internal.entry.request_service import Opened, RequestService
+from galenadrum._internal.entry.request_telemetry import (
+    RequestSpan,
+    RequestTelemetry,
+)
 from galenadrum._internal.exceptions import RequestRefusedError
 from galenadrum._internal.models.callers import CallerRequest, RecordedAnswer
 from galenadrum._internal.models.requests import (
@@ -47,45 +51,53 @@
     StageReply,
     has_left,
 )
+from galenadrum._internal.observability.traces import traceparent_of
 
 T = TypeVar("T")
 
 PIPELINES_PREFIX = "/v1/pipelines/"
 
 _CALLER_CHECK_INTERVAL_S = 0.25
-_NO_REQUEST_ID = ""
 
 
 @dataclass(slots=True)
-class _CallerStream:
-    """An event stream to a caller, opened by its first part."""
+class _CallerExchange:
+    """One caller's connection; an event stream opens with its first part."""
 
     start_response: StartResponse
-    request_id: str
+    socket: socket.socket | None
+    span: RequestSpan
+    request_id: str = ""
     digest: Any = field(default_factory=hashlib.sha256)
-    write: Any = None
+    write: Callable[[bytes], object] | None = None
 
     def send_delta(self, delta: str) -> None:
         """Pass a part of the output on; raises OSError when the caller left."""
-        self._open()
         self.digest.update(delta.encode())
-        self.write(encode_event({"delta": delta}))
+        self._send_event({"delta": delta})
+
+    def send_whole(self, output: Any) -> None:
+        """End a stream that holds the whole output with its digest.
 
-    def send_done(self) -> None:
-        """End a whole stream with its digest."""
-        self._open()
+        The last stage may not stream; its output is then sent as one part.
+        """
+        if self.write is None:
+            self.send_delta(output if isinstance(output, str) else json.dumps(output))
         done = {"request_id": self.request_id, "digest": self.digest.hexdigest()}
-        self.write(encode_event(done, "done"))
+        self._send_event(done, "done")
 
-    def send_refusal(self, refusal: Refusal) -> None:
-        """End a stream that was cut short with the refusal."""
-        body = refusal_body(refusal, self.request_id)
-        self.write(encode_event(body, "error"))
+    def refuse(self, refusal: Refusal) -> Iterable[bytes]:
+        """Answer with a refusal, or end the stream with it."""
+        if self.write is None:
+            return send_refusal(self.start_response, refusal, self.request_id)
+        self._send_event(refusal_body(refusal, self.request_id), "error")
+        return ()
 
-    def _open(self) -> None:
+    def _send_event(self, data: dict[str, Any], name: str | None = None) -> None:
         if self.write is None:
             headers = [("Content-Type", EVENT_STREAM), ("Cache-Control", "no-store")]
             self.write = self.start_response("200 OK", headers)
+        self.write(encode_event(data, name))
 
 
 class CallerApp:
@@ -96,6 +108,7 @@
         service: The requests in flight; used on the loop only.
         client: Calls of backend servers.
         limits: Limits on what a caller may send.
+        telemetry: Spans and metrics.
     """
 
     def __init__(
@@ -104,96 +117,95 @@
         service: RequestService,
         client: StageClient,
         limits: CallerLimits,
+        telemetry: RequestTelemetry,
     ) -> None:
         self._bridge = bridge
         self._service = service
         self._client = client
         self._limits = limits
+        self._telemetry = telemetry
 
     def answer(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one caller, as WSGI asks for."""
         pipeline = environ["PATH_INFO"].removeprefix(PIPELINES_PREFIX)
-        caller_socket = environ.get(SOCKET_KEY)
-        try:
-            caller_request = parse_caller_request(environ, pipeline, self._limits)
-            opened = self._open(caller_request, caller_socket)
-        except RequestRefusedError as error:
-            return send_refusal(start_response, error.refusal, _NO_REQUEST_ID)
+        with self._telemetry.request(pipeline, environ.get("HTTP_TRACEPARENT")) as span:
+            exchange = _CallerExchange(start_response, environ.get(SOCKET_KEY), span)
+            try:
+                caller_request = parse_caller_request(environ, pipeline, self._limits)
+                return self._answer(caller_request, exchange)
+            except RequestRefusedError as error:
+                span.refusal = error.refusal
+                return exchange.refuse(error.refusal)
+
+    def _answer(
+        self, caller_request: CallerRequest, exchange: _CallerExchange
+    ) -> Iterable[bytes]:
+        opened = self._wait(self._service.open(caller_request), exchange.socket)
+        exchange.span.identify(opened.request)
         if opened.recorded is not None:
             recorded = opened.recorded
-            return send_bytes(start_response, recorded.status, recorded.body)
-        return self._run(opened, caller_request, caller_socket, start_response)
-
-    def _open(
-        self, caller_request: CallerRequest, caller_socket: socket.socket | None
-    ) -> Opened:
-        return self._wait(self._service.open(caller_request), caller_socket)
+            return send_bytes(exchange.start_response, recorded.status, recorded.body)
+        exchange.request_id = opened.request.request_id
+        output = self._run(opened, caller_request, exchange)
+        answer = _record(exchange.request_id, output)
+        self._wait(self._service.close(opened.request, answer), None)
+        if caller_request.stream:
+            exchange.send_whole(output)
+            return ()
+        return send_bytes(exchange.start_response, answer.status, answer.body)
 
     def _run(
-        self,
-        opened: Opened,
-        caller_request: CallerRequest,
-        caller_socket: socket.socket | None,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        request_id = opened.request.request_id
-        stream = _CallerStream(start_response, request_id)
+        self, opened: Opened, caller_request: CallerRequest, exchange: _CallerExchange
+    ) -> Any:
         try:
-            output = self._run_stages(opened, caller_request, caller_socket, stream)
-        except RequestRefusedError as error:
-            if stream.write is not None:
-                stream.send_refusal(error.refusal)
-                return ()
-            return send_refusal(start_response, error.refusal, request_id)
+            return self._run_stages(opened, caller_request, exchange)
+        except RequestRefusedError:
+            raise
         except BaseException:
             self._bridge.post(
                 self._service.abandon, opened.request, RefusalReason.DEADLINE
             )
             raise
-        answer = _record(request_id, output)
-        self._wait(self._service.close(opened.request, answer), None)
-        if caller_request.stream:
-            stream.send_done()
-            return ()
-        return send_bytes(start_response, answer.status, answer.body)
 
     def _run_stages(
-        self,
-        opened: Opened,
-        caller_request: CallerRequest,
-        caller_socket: socket.socket | None,
-        stream: _CallerStream,
+        self, opened: Opened, caller_request: CallerRequest, exchange: _CallerExchange
     ) -> Any:
-        request = opened.request
         dispatch = opened.dispatch
         stage_input = caller_request.input
-        last_index = len(request.stages) - 1
+        last_index = len(opened.request.stages) - 1
         while dispatch is not None:
-            call = dispatch.call
-            wants_stream = caller_request.stream and call.stage_index == last_index
-            reply = self._client.call(
-                dispatch,
-                _payload(stage_input, caller_request, opened),
-                caller_request.traceparent,
-                _limits(dispatch, opened, caller_socket),
-                stream.send_delta if wants_stream else None,
-            )
+            is_last = dispatch.call.stage_index == last_index
+            on_delta = None
+            if caller_request.stream and is_last:
+                on_delta = exchange.send_delta
+            reply = self._call(dispatch, opened, stage_input, exchange, on_delta)
             if reply.result.outcome is Outcome.COMPLETED:
                 stage_input = reply.output
-            result = _final_if_streamed(reply, stream)
-            dispatch = self._next(dispatch, result, caller_socket)
+            result = _final_if_streamed(reply, exchange)
+            step = self._service.attempt_finished(dispatch, result)
+            dispatch = self._wait(step, exchange.socket)
         return stage_input
 
-    def _next(
+    def _call(
         self,
         dispatch: Dispatch,
-        result: AttemptResult,
-        caller_socket: socket.socket | None,
-    ) -> Dispatch | None:
-        step = self._service.attempt_finished(dispatch, result)
-        return self._wait(step, caller_socket)
+        opened: Opened,
+        stage_input: Any,
+        exchange: _CallerExchange,
+        on_delta: Callable[[str], None] | None,
+    ) -> StageReply:
+        span = self._telemetry.start_attempt(dispatch, exchange.span)
+        reply = self._client.call(
+            dispatch,
+            _payload(stage_input, opened),
+            traceparent_of(span),
+            _limits(dispatch, opened, exchange.socket),
+            on_delta,
+        )
+        self._telemetry.finish_attempt(span, dispatch, reply)
+        return reply
 
     def _wait(
         self, step: Coroutine[Any, Any, T], caller_socket: socket.socket | None
@@ -207,6 +219,8 @@
             try:
                 return future.result(_CALLER_CHECK_INTERVAL_S)
             except concurrent.futures.TimeoutError:
+                if future.done():
+                    raise
                 if caller_socket is not None and has_left(caller_socket):
                     future.cancel()
                     raise ConnectionResetError(
@@ -216,13 +230,13 @@
                 raise RequestRefusedError(_shutdown_refusal()) from None
 
 
-def _final_if_streamed(reply: StageReply, stream: _CallerStream) -> AttemptResult:
+def _final_if_streamed(reply: StageReply, exchange: _CallerExchange) -> AttemptResult:
     """Make a failure final once the caller holds a part of the output.
 
     A second attempt would give the caller the beginning of the stream again.
     """
     result = reply.result
-    if stream.write is None or result.outcome is Outcome.COMPLETED:
+    if exchange.write is None or result.outcome is Outcome.COMPLETED:
         return result
     return AttemptResult(
         Outcome.CANCELLED,
@@ -232,9 +246,7 @@
     )
 
 
-def _payload(
-    stage_input: Any, caller_request: CallerRequest, opened: Opened
-) -> dict[str, Any]:
+def _payload(stage_input: Any, opened: Opened) -> dict[str, Any]:
     parameters = {
         "max_output_tokens": opened.request.output_tokens,
         "prefix_hashes": list(opened.request.prefix_hashes),
--- /dev/null
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -0,0 +1,223 @@
+"""The entry host's process: its parts, their tasks and its shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from galenadrum._internal.entry.announcements_app import (
+    ANNOUNCEMENTS_PATH,
+    AnnouncementsApp,
+)
+from galenadrum._internal.entry.backends import BackendDirectory
+from galenadrum._internal.entry.caller_app import PIPELINES_PREFIX, CallerApp
+from galenadrum._internal.entry.claims_client import build_claims_client
+from galenadrum._internal.entry.control_client import ControlClient
+from galenadrum._internal.entry.declarations import Applied, DeclarationsView
+from galenadrum._internal.entry.declarations_follower import (
+    DeclarationsFollower,
+    build_send_confirmation,
+    choose_sources,
+    open_watch,
+)
+from galenadrum._internal.entry.declarations_relay import DeclarationsRelay
+from galenadrum._internal.entry.execution import PipelineExecutor
+from galenadrum._internal.entry.platform_app import EntryStatus, build_platform_app
+from galenadrum._internal.entry.request_service import RequestService
+from galenadrum._internal.entry.request_telemetry import RequestTelemetry
+from galenadrum._internal.membership.zone_service import ZoneService
+from galenadrum._internal.models.settings import CallerLimits, EntrySettings
+from galenadrum._internal.network.bridge import LoopBridge
+from galenadrum._internal.network.grpc_server import GrpcServer
+from galenadrum._internal.network.http_server import HttpServer
+from galenadrum._internal.network.stage_client import ConnectionPool, StageClient
+from galenadrum._internal.network.wsgi_routes import Handler, build_routes
+from galenadrum._internal.observability.metrics import Metrics
+from galenadrum._internal.routing.policy import Policy
+from galenadrum._internal.supervision.daemons import run_daemon
+from galenadrum._internal.supervision.supervisor import Supervisor
+
+logger = logging.getLogger(__name__)
+
+# Workers that stay free to refuse, and to take announcements.
+_SPARE_WORKER_SHARE = 8
+_PLATFORM_WORKERS = 4
+# The balancer needs this long to see that the host is not ready.
+_BALANCER_GRACE_S = 1.0
+_DRAIN_POLL_S = 0.05
+_CLAIMS_DRAIN_S = 2.0
+_STATUS_TIMEOUT_S = 2.0
+
+
+class EntryDaemon:
+    """One entry host; construct it on the running loop."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._bridge = LoopBridge(self._loop)
+        self._rng = random.Random()
+        self.metrics = Metrics()
+        self.view = DeclarationsView()
+        self.policy = Policy(settings.zone, random.Random(self._rng.random()))
+        self.executor = PipelineExecutor(self.policy)
+        self._control = ControlClient(settings.control_addresses, self._rng)
+        self.claims = build_claims_client(settings.host_id, self._control)
+        workers = settings.callers.workers
+        max_in_flight = max(1, workers - workers // _SPARE_WORKER_SHARE)
+        self.service = RequestService(
+            self.executor, self.view, self.claims, max_in_flight
+        )
+        self.directory = BackendDirectory(
+            self.policy, self.executor, self.service.carry_out
+        )
+        self.zone = ZoneService(
+            settings,
+            self._rng,
+            self._refresh_backends,
+            self.directory.local_loads,
+        )
+        self.follower = self._build_follower()
+        self._pool = ConnectionPool()
+        self.client = StageClient(self._pool)
+        self.callers = HttpServer(
+            settings.caller_address,
+            self._build_caller_routes(),
+            settings.callers,
+            f"{settings.host_id}-callers",
+        )
+        self.platform = HttpServer(
+            settings.operator_address,
+            build_platform_app(self._read_status, self.metrics.render_text),
+            CallerLimits(workers=_PLATFORM_WORKERS),
+            f"{settings.host_id}-platform",
+        )
+        self._supervisor = self._build_supervisor()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen and start all tasks.
+
+        Raises:
+            OSError: An address can't be listened on.
+        """
+        self.platform.start()
+        self.callers.start()
+        self._task = asyncio.create_task(self._supervisor.run())
+        logger.info(
+            "entry host %s serves callers on %s",
+            self._settings.host_id,
+            self.callers.address,
+        )
+
+    async def wait_failed(self) -> None:
+        """Wait until a task failed for good, and raise its error."""
+        await asyncio.shield(self._task)
+
+    async def drain(self) -> None:
+        """Leave the balancer's list, then finish what is in flight."""
+        self.service.leaving = True
+        self.zone.set_leaving()
+        await asyncio.sleep(_BALANCER_GRACE_S)
+        self.service.draining = True
+        until = self._loop.time() + self._settings.drain_timeout_ms / 1_000
+        while self.service.in_flight and self._loop.time() < until:
+            await asyncio.sleep(_DRAIN_POLL_S)
+        if self.service.in_flight:
+            logger.warning("%d requests were cut off", self.service.in_flight)
+        await self.claims.drain(_CLAIMS_DRAIN_S)
+
+    async def stop(self) -> None:
+        """Stop listening and end all tasks."""
+        await asyncio.to_thread(self.callers.stop)
+        await asyncio.to_thread(self.platform.stop)
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._control.close()
+        self._pool.close()
+
+    def _build_follower(self) -> DeclarationsFollower:
+        settings = self._settings
+        sources = choose_sources(
+            settings.peer_address,
+            settings.zone_peer_addresses,
+            settings.control_addresses,
+            self._rng,
+        )
+        return DeclarationsFollower(
+            settings.host_id,
+            settings.zone,
+            self.view,
+            sources,
+            settings.zone_peer_addresses,
+            open_watch,
+            build_send_confirmation(self._control),
+            self._take_declarations,
+            self._rng,
+        )
+
+    def _build_caller_routes(self) -> Handler:
+        callers = CallerApp(
+            self._bridge,
+            self.service,
+            self.client,
+            self._settings.callers,
+            RequestTelemetry(self.metrics, self.policy.explain),
+        )
+        announcements = AnnouncementsApp(self._bridge, self.zone)
+        return build_routes(
+            {("POST", ANNOUNCEMENTS_PATH): announcements.answer},
+            {("POST", PIPELINES_PREFIX): callers.answer},
+        )
+
+    def _build_supervisor(self) -> Supervisor:
+        relay = DeclarationsRelay(self.view, self.follower)
+        peers = GrpcServer(self._settings.peer_address, [relay, self.zone])
+        supervisor = Supervisor(self._settings.host_id, self._rng)
+        supervisor.add("peers", peers.run)
+        supervisor.add_supervisor(self.zone.supervisor("membership"))
+        supervisor.add("declarations", self.follower.run)
+        supervisor.add("backends", lambda: self.directory.run(self.zone))
+        supervisor.add("requests", self.service.run_ticks)
+        return supervisor
+
+    def _refresh_backends(self) -> None:
+        self.directory.refresh(self.zone)
+
+    def _take_declarations(self, applied: Applied) -> None:
+        self.policy.update_declarations(
+            self.view.stages_by_name,
+            self.view.organisations_by_name,
+            self.view.policy,
+            self._loop.time(),
+        )
+        self.zone.set_revision(applied.revision)
+        logger.info("serving from revision %d", applied.revision)
+
+    def _read_status(self) -> EntryStatus:
+        return self._bridge.call(self._status(), _STATUS_TIMEOUT_S)
+
+    async def _status(self) -> EntryStatus:
+        reason = self.service.not_ready_reason
+        servers = self.zone.servers()
+        return EntryStatus(
+            host_id=self._settings.host_id,
+            zone=self._settings.zone,
+            ready=not reason,
+            reason=reason,
+            revision=self.view.revision,
+            in_flight=self.service.in_flight,
+            server_ids=tuple(server.server_id for server in servers),
+        )
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run an entry host until a stop signal arrives.
+
+    Raises:
+        OSError: An address can't be listened on.
+        ChildFailedError: A task failed too often.
+    """
+    run_daemon(lambda: EntryDaemon(settings))
--- a/src/galenadrum/_internal/entry/declarations_follower.py
+++ b/src/galenadrum/_internal/entry/declarations_follower.py
@@ -323,6 +323,9 @@
         async with DeclarationsStub(channel).Watch.open() as stream:
             await stream.send_message(request, end=True)
             yield aiter(stream)
+            # Without this the end of the block would wait for the server to
+            # end a stream that it keeps for good.
+            await stream.cancel()
     finally:
         channel.close()
 
--- a/src/galenadrum/_internal/entry/request_service.py
+++ b/src/galenadrum/_internal/entry/request_service.py
@@ -11,9 +11,11 @@
 import logging
 import uuid
 from dataclasses import dataclass
-from typing import Any, NoReturn, Protocol
+from typing import Any, NoReturn
 
 from galenadrum._internal.entry.answers import refusal_body, refusal_status
+from galenadrum._internal.entry.claims_client import ClaimsClient
+from galenadrum._internal.entry.declarations import DeclarationsView
 from galenadrum._internal.entry.execution import (
     Action,
     Complete,
@@ -35,7 +37,6 @@
 from galenadrum._internal.models.resources import (
     OrganisationSpec,
     PipelineSpec,
-    StageSpec,
 )
 
 logger = logging.getLogger(__name__)
@@ -48,39 +49,6 @@
 _DEADLINE_MARGIN_S = 0.05
 
 
-class DeclarationsLookup(Protocol):
-    """The declared state that this entry host serves from."""
-
-    revision: int
-
-    def organisation_by_key_digest(
-        self, digest: str
-    ) -> tuple[str, OrganisationSpec] | None: ...
-
-    def pipeline_by_name(self, name: str) -> PipelineSpec | None: ...
-
-    def stage_by_name(self, name: str) -> StageSpec | None: ...
-
-
-class ClaimKeeper(Protocol):
-    """Claims of requests that may not be repeated."""
-
-    async def acquire(
-        self, request: Request, fingerprint: bytes
-    ) -> RecordedAnswer | None:
-        """Return None when granted, or the recorded answer.
-
-        Raises:
-            RequestRefusedError: The claim was refused.
-        """
-
-    async def record(self, request: Request, answer: RecordedAnswer) -> None: ...
-
-    def record_unknown(self, request: Request) -> None: ...
-
-    def release(self, request: Request) -> None: ...
-
-
 @dataclass(frozen=True, slots=True)
 class Opened:
     """A request that was taken on.
@@ -101,28 +69,42 @@
 
     Args:
         executor: The pure execution of pipelines.
-        lookup: Declared state.
+        view: Declared state.
         claims: Claims of requests that may not be repeated.
         max_in_flight: Requests in flight beyond which new ones are refused.
+
+    Attributes:
+        leaving: Whether the balancer is told to send no more callers.
+        draining: Whether new requests are refused.
     """
 
     def __init__(
         self,
         executor: PipelineExecutor,
-        lookup: DeclarationsLookup,
-        claims: ClaimKeeper,
+        view: DeclarationsView,
+        claims: ClaimsClient,
         max_in_flight: int,
     ) -> None:
         self._executor = executor
-        self._lookup = lookup
+        self._view = view
         self._claims = claims
         self._max_in_flight = max_in_flight
         self._open_by_id: dict[str, Request] = {}
         self._claimed_ids: set[str] = set()
         self._steps_by_id: dict[str, asyncio.Future[Dispatch | None]] = {}
         self._wakeup = asyncio.Event()
+        self.leaving = False
         self.draining = False
 
+    @property
+    def not_ready_reason(self) -> str:
+        """Why the balancer should send no callers here; empty when it may."""
+        if self.leaving or self.draining:
+            return "shutting down"
+        if not self._view.is_ready:
+            return "no declarations yet"
+        return ""
+
     @property
     def in_flight(self) -> int:
         """Number of requests that have no final answer yet."""
@@ -211,7 +193,7 @@
         return request, unrepeatable
 
     def _check_open(self, caller_request: CallerRequest) -> None:
-        if self._lookup.revision == 0:
+        if not self._view.is_ready:
             _refuse(
                 RefusalReason.NOT_READY,
                 "this entry host has no declarations yet",
@@ -232,13 +214,13 @@
 
     def _authenticate(self, key: str) -> tuple[str, OrganisationSpec]:
         digest = hashlib.sha256(key.encode()).hexdigest()
-        found = self._lookup.organisation_by_key_digest(digest)
+        found = self._view.organisation_by_key_digest(digest)
         if found is None:
             _refuse(RefusalReason.UNAUTHORISED, "no organisation has this key")
         return found
 
     def _find_pipeline(self, name: str, organisation: OrganisationSpec) -> PipelineSpec:
-        pipeline = self._lookup.pipeline_by_name(name)
+        pipeline = self._view.pipeline_by_name(name)
         allowed = not organisation.pipelines or name in organisation.pipelines
         if pipeline is None or not allowed:
             _refuse(RefusalReason.UNKNOWN_PIPELINE, f"no pipeline is named {name!r}")
@@ -247,7 +229,7 @@
     def _unrepeatable_stages(self, pipeline: PipelineSpec) -> frozenset[str]:
         names = set()
         for stage in pipeline.stages:
-            spec = self._lookup.stage_by_name(stage)
+            spec = self._view.stage_by_name(stage)
             if spec is not None and not spec.repeatable:
                 names.add(stage)
         return frozenset(names)
--- a/src/galenadrum/_internal/membership/zone_service.py
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -228,7 +228,7 @@
     def _digest(self) -> PeerDigest:
         return PeerDigest(
             zone=self._settings.zone,
-            entry_address=self._settings.peer_address,
+            entry_address=self._settings.caller_address,
             serial=self._rng.getrandbits(64),
             age_s=0.0,
             stages=coarsen(self._local_loads()),
--- a/src/galenadrum/_internal/network/stage_client.py
+++ b/src/galenadrum/_internal/network/stage_client.py
@@ -315,12 +315,12 @@
 
 
 def has_left(caller_socket: socket.socket) -> bool:
-    """Return whether the caller closed its connection."""
-    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-    try:
-        return caller_socket.recv(1, flags) == b""
-    except BlockingIOError:
+    """Return whether the caller closed its connection; never waits."""
+    # A socket with a timeout waits in recv whatever flags it is given.
+    if not _is_readable(caller_socket):
         return False
+    try:
+        return caller_socket.recv(1, socket.MSG_PEEK) == b""
     except OSError:
         return True
 
--- /dev/null
+++ b/src/galenadrum/_internal/supervision/daemons.py
@@ -0,0 +1,51 @@
+"""Runs a daemon from its start to a stop signal or its first fatal error."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from galenadrum._internal.utils.stop_signals import stop_event
+
+
+class Daemon(Protocol):
+    """A process of the system; it is built on the running loop."""
+
+    async def start(self) -> None:
+        """Listen and start all tasks."""
+
+    async def wait_failed(self) -> None:
+        """Wait until the daemon can't go on, and raise why."""
+
+    async def drain(self) -> None:
+        """Finish what is in flight."""
+
+    async def stop(self) -> None:
+        """Stop listening and end all tasks."""
+
+
+def run_daemon(build: Callable[[], Daemon]) -> None:
+    """Run a daemon until SIGTERM or SIGINT arrives, then shut it down.
+
+    Raises:
+        Exception: What made the daemon unable to go on.
+    """
+    asyncio.run(_run_until_signal(build))
+
+
+async def _run_until_signal(build: Callable[[], Daemon]) -> None:
+    stop = stop_event()
+    daemon = build()
+    await daemon.start()
+    failed = asyncio.create_task(daemon.wait_failed())
+    stopped = asyncio.create_task(stop.wait())
+    try:
+        await asyncio.wait({failed, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        if failed.done():
+            failed.result()
+        await daemon.drain()
+    finally:
+        stopped.cancel()
+        failed.cancel()
+        await daemon.stop()
--- a/tests/functional/test_stage_client.py
+++ b/tests/functional/test_stage_client.py
@@ -134,6 +134,13 @@
             reply = call(address, client, first_byte_s=0.05)
             assert reply.result.outcome is Outcome.UNKNOWN
 
+    def test_a_caller_that_says_nothing_is_not_taken_for_gone(self):
+        ours, theirs = socket.socketpair()
+        ours.settimeout(0.01)
+        with ours, theirs, backend(streams=True) as server:
+            reply = call(server.address, caller=ours)
+        assert reply.result.outcome is Outcome.COMPLETED
+
     def test_ends_at_once_when_the_caller_leaves(self):
         ours, theirs = socket.socketpair()
         theirs.close()
--- /dev/null
+++ b/tests/functional/test_whole_path.py
@@ -0,0 +1,112 @@
+import hashlib
+import json
+
+import pytest
+
+from galenadrum._internal.network.stage_client import parse_event
+from lib.deployment import STAGES, Deployment, expected_output, standard_changes
+
+REQUESTS = 200
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    deployment = Deployment(tmp_path_factory.mktemp("deployment"))
+    try:
+        deployment.start_controls(1)
+        deployment.apply(standard_changes(), "first")
+        entries = deployment.start_entries(2)
+        for number in range(2):
+            for stage in STAGES:
+                deployment.start_backend(f"{stage}-{number}", [stage], entries)
+        deployment.start_backend("charge-0", ["charge"], entries)
+        deployment.wait_ready(entries, servers=9)
+        yield deployment
+    finally:
+        deployment.close()
+
+
+def refusal_of(response):
+    return response.json()["error"]
+
+
+class TestWholePath:
+    def test_each_of_many_concurrent_callers_gets_its_own_answer(self, deployment):
+        inputs = [f"note {number} " + "x" * number for number in range(REQUESTS)]
+        entries = list(deployment.callers)
+        responses = deployment.call_many(entries, "plan", inputs, 200)
+        for stage_input, response in zip(inputs, responses, strict=True):
+            assert response.status == 200, response.data
+            assert response.json()["output"] == expected_output(stage_input)
+
+    def test_a_stream_holds_the_whole_answer(self, deployment):
+        response = deployment.call("zone-1-entry-1", "plan", "a b c d", stream=True)
+        assert response.headers["Content-Type"] == "text/event-stream"
+        *parts, end = response.data.strip().split(b"\n\n")
+        output = "".join(parse_event(part)[1]["delta"] for part in parts)
+        name, done = parse_event(end)
+        assert output == expected_output("a b c d")
+        assert name == "done"
+        assert done["digest"] == hashlib.sha256(output.encode()).hexdigest()
+
+    def test_the_same_idempotency_key_runs_once_on_any_entry_host(self, deployment):
+        headers = {"Idempotency-Key": "seat-7"}
+        first = deployment.call("zone-1-entry-1", "book", "seat", headers=headers)
+        second = deployment.call("zone-1-entry-2", "book", "seat", headers=headers)
+        assert first.status == 200
+        assert second.json() == first.json()
+        assert deployment.runs("charge-0")[first.json()["request_id"]] == 1
+        other = deployment.call("zone-1-entry-2", "book", "other", headers=headers)
+        assert other.status == 422
+        assert refusal_of(other)["code"] == "idempotency_key_reused"
+
+    @pytest.mark.parametrize(
+        ("pipeline", "options", "status", "code"),
+        [
+            ("plan", {"key": "wrong"}, 401, "unauthorised"),
+            ("none", {}, 404, "unknown_pipeline"),
+            ("book", {}, 400, "idempotency_key_required"),
+            ("plan", {"unknown": 1}, 400, "bad_request"),
+            *(
+                (
+                    "plan",
+                    {"headers": {"Galenadrum-Deadline-Ms": deadline}},
+                    400,
+                    "bad_request",
+                )
+                for deadline in ("0", "-1", "soon", "nan", "inf")
+            ),
+        ],
+    )
+    def test_a_wrong_request_is_refused_as_not_run(
+        self, deployment, pipeline, options, status, code
+    ):
+        response = deployment.call("zone-1-entry-1", pipeline, "x", **options)
+        assert response.status == status
+        assert refusal_of(response)["code"] == code
+        assert refusal_of(response)["run"] == "not_run"
+
+    @pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"input": NaN}', b"\xff"])
+    def test_a_malformed_body_is_refused(self, deployment, body):
+        url = f"http://{deployment.callers['zone-1-entry-1']}/v1/pipelines/plan"
+        response = deployment.pool.request("POST", url, body=body)
+        assert response.status == 400
+        assert refusal_of(response)["code"] == "bad_request"
+
+    def test_a_body_that_is_too_large_is_refused(self, deployment):
+        url = f"http://{deployment.callers['zone-1-entry-1']}/v1/pipelines/plan"
+        response = deployment.pool.request("POST", url, body=bytes(5 * 1024 * 1024))
+        assert response.status == 413
+
+    def test_spans_of_all_hops_share_the_callers_trace(self, deployment):
+        trace_id = "0af7651916cd43dd8448eb211c80319c"
+        headers = {"traceparent": f"00-{trace_id}-b7ad6b7169203331-01"}
+        deployment.call("zone-1-entry-2", "plan", "x", headers=headers)
+        assert deployment.processes["zone-1-entry-2"].stop() == 0
+        lines = (deployment.folder / "zone-1-entry-2.traces").read_text().splitlines()
+        spans = [
+            span for span in map(json.loads, lines) if span["trace_id"] == trace_id
+        ]
+        names = [span["name"] for span in spans]
+        assert "pipeline plan" in names
+        assert [f"stage {stage}" for stage in STAGES] == names[:4]
--- /dev/null
+++ b/tests/lib/deployment.py
@@ -0,0 +1,202 @@
+"""A whole deployment of separate processes on loopback, for functional tests."""
+
+import hashlib
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+import urllib3
+
+from lib.processes import Process, free_address, get_json, wait_until, write_settings
+
+TOKEN = "operator-token"
+KEY = "caller-key"
+STAGES = ("encode", "retrieve", "rerank", "generate")
+
+
+def digest_of(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def put(kind, name, spec, base_revision=None):
+    change = {"action": "put", "kind": kind, "name": name, "spec": spec}
+    if base_revision is not None:
+        change["base_revision"] = base_revision
+    return change
+
+
+def standard_changes(deadline_ms=20_000):
+    """Four stages, a stage that may not be repeated, and their pipelines."""
+    return [
+        put("organisation", "office", {"key_sha256": [digest_of(KEY)]}),
+        *(put("stage", name, {"streams": name == "generate"}) for name in STAGES),
+        put("stage", "charge", {"repeatable": False}),
+        put("pipeline", "plan", {"stages": list(STAGES), "deadline_ms": deadline_ms}),
+        put("pipeline", "book", {"stages": ["charge"], "deadline_ms": deadline_ms}),
+    ]
+
+
+class Deployment:
+    """Starts processes and keeps what is needed to talk to them."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.processes = {}
+        self.control_settings = {}
+        self.entry_settings = {}
+        self.operators = {}
+        self.callers = {}
+        self.platforms = {}
+        self.backends = {}
+        self.pool = urllib3.PoolManager(retries=False, maxsize=300, timeout=60)
+
+    def close(self):
+        for process in self.processes.values():
+            process.kill()
+
+    def start_process(self, name, arguments):
+        process = Process(name, arguments, self.folder)
+        self.processes[name] = process
+        return process
+
+    def start_controls(self, count=1, **extra):
+        names = [f"control-{number}" for number in range(1, count + 1)]
+        peers = {name: free_address() for name in names}
+        members = [
+            {"member_id": name, "peer_address": address}
+            for name, address in peers.items()
+        ]
+        for name in names:
+            self.operators[name] = free_address()
+            settings = {
+                "role": "control",
+                "member_id": name,
+                "zone": "zone-1",
+                "data_folder": str(self.folder / name),
+                "operator_address": self.operators[name],
+                "peer_address": peers[name],
+                "members": members,
+                "operators": [{"name": "venture", "token_sha256": digest_of(TOKEN)}],
+                **extra,
+            }
+            self.control_settings[name] = settings
+            self.start_control(name)
+        self.wait_leader()
+
+    def start_control(self, name):
+        path = write_settings(self.folder, name, self.control_settings[name])
+        return self.start_process(name, ["galenadrum", "control", str(path)])
+
+    def start_entries(self, count=1, zone="zone-1", **extra):
+        names = [f"{zone}-entry-{number}" for number in range(1, count + 1)]
+        peers = {name: free_address() for name in names}
+        controls = [s["peer_address"] for s in self.control_settings.values()]
+        for name in names:
+            self.callers[name] = free_address()
+            self.platforms[name] = free_address()
+            others = [address for other, address in peers.items() if other != name]
+            self.entry_settings[name] = {
+                "role": "entry",
+                "host_id": name,
+                "zone": zone,
+                "caller_address": self.callers[name],
+                "operator_address": self.platforms[name],
+                "peer_address": peers[name],
+                "control_addresses": controls,
+                "zone_peer_addresses": others,
+                "observability": {"trace_file": f"{name}.traces"},
+                **extra,
+            }
+            self.start_entry(name)
+        return names
+
+    def start_entry(self, name):
+        path = write_settings(self.folder, name, self.entry_settings[name])
+        return self.start_process(name, ["galenadrum", "entry", str(path)])
+
+    def start_backend(self, name, stages, entries, zone="zone-1", **options):
+        arguments = ["galenadrum._internal.demo.backend_server"]
+        arguments += ["--server-id", name, "--zone", zone]
+        for stage in stages:
+            arguments += ["--stage", stage]
+        if "generate" in stages:
+            arguments += ["--streamed", "generate"]
+        for entry in entries:
+            arguments += ["--entry", self.callers[entry]]
+        for option, value in options.items():
+            arguments += [f"--{option.replace('_', '-')}", str(value)]
+        process = self.start_process(name, arguments)
+        self.backends[name] = process.popen.stdout.readline().decode().strip()
+        return process
+
+    def wait_leader(self):
+        wait_until(lambda: self.find_leader() is not None, "a leader")
+
+    def find_leader(self):
+        for name, address in self.operators.items():
+            if self.processes[name].popen.poll() is not None:
+                continue
+            try:
+                _, status = self.operate("GET", "/v1/status", address=address)
+            except urllib3.exceptions.HTTPError:
+                continue
+            if status.get("role") == "leader":
+                return name
+        return None
+
+    def operate(self, method, path, body=None, address=None):
+        address = address or self.operators[self.find_leader()]
+        response = self.pool.request(
+            method,
+            f"http://{address}{path}",
+            json=body,
+            headers={"Authorization": f"Bearer {TOKEN}"},
+            timeout=5,
+        )
+        return response.status, response.json()
+
+    def apply(self, changes, change_id):
+        body = {"change_id": change_id, "changes": changes}
+        status, answer = self.operate("POST", "/v1/changes", body)
+        assert status == 200, answer
+        return answer["revision"]
+
+    def wait_ready(self, names, servers=0):
+        for name in names:
+            wait_until(lambda name=name: self.is_ready(name, servers), f"{name} ready")
+
+    def is_ready(self, name, servers):
+        status, body = get_json(f"http://{self.platforms[name]}/v1/status")
+        return status == 200 and body["ready"] and len(body["server_ids"]) >= servers
+
+    def revision_of(self, name):
+        return get_json(f"http://{self.platforms[name]}/v1/status")[1]["revision"]
+
+    def call(self, entry, pipeline, stage_input, **options):
+        headers = {"Authorization": f"Bearer {options.pop('key', KEY)}"}
+        headers |= options.pop("headers", {})
+        return self.pool.request(
+            "POST",
+            f"http://{self.callers[entry]}/v1/pipelines/{pipeline}",
+            body=json.dumps({"input": stage_input, **options}),
+            headers=headers,
+        )
+
+    def call_many(self, entries, pipeline, inputs, concurrency):
+        with ThreadPoolExecutor(concurrency) as executor:
+            futures = [
+                executor.submit(
+                    self.call, entries[number % len(entries)], pipeline, stage_input
+                )
+                for number, stage_input in enumerate(inputs)
+            ]
+            return [future.result() for future in futures]
+
+    def runs(self, backend):
+        return get_json(f"http://{self.backends[backend]}/v1/runs")[1]
+
+
+def expected_output(stage_input, stages=STAGES):
+    output = stage_input
+    for stage in stages:
+        output = f"{stage}({output})"
+    return output
