--- a/src/galenadrum/_internal/settings/rules.py
+++ b/src/galenadrum/_internal/settings/rules.py
@@ -78,6 +78,19 @@
         yield from _check_listed(document)
 
 
+def check_replaced_member(document: Document) -> Iterator[Finding]:
+    """Find a replacement that joins nothing, or keeps the lost member's id."""
+    replaces = document.value.get("replaces")
+    if not isinstance(replaces, str):
+        return
+    if not document.value.get("join_addresses"):
+        message = "set join_addresses, so that it joins the running cluster"
+        yield document.find_at_value(("replaces",), message)
+    if replaces == document.value.get("member_id"):
+        message = "a host whose disk was lost comes back under a new member_id"
+        yield document.find_at_value(("replaces",), message)
+
+
 def check_operators(document: Document) -> Iterator[Finding]:
     """Find operators that can't be told apart, or none at all."""
     paths = _item_paths(document, "operators")
@@ -120,6 +133,7 @@
     check_peer_address,
     check_members,
     check_own_membership,
+    check_replaced_member,
     check_operators,
     check_election_timeout,
 )
--- a/tests/unit/settings/test_check.py
+++ b/tests/unit/settings/test_check.py
@@ -1,15 +1,19 @@
+import hashlib
 import json
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from galenadrum._internal.declarations.references import digests_of
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.settings.check import check_files
 from galenadrum._internal.settings.daemons import (
     read_control_settings,
     read_entry_settings,
 )
+from galenadrum._internal.settings.declarations import read_declarations
 
 DIGEST = "ab" * 32
 CALLER = "127.0.0.1:8000"
@@ -102,6 +106,7 @@
     (put("members", 0, "member_id", value="c9"), "member_id", "not among"),
     (put("members", 2, "peer_address", value=C2), "members[2].peer_address", "[1]"),
     (put("election_timeout_ms", value=300), "election_timeout_ms", "3 heartbeats"),
+    (put("replaces", value="c3"), "replaces", "join_addresses"),
     (put("operators", value=[]), "operators", "one"),
     (put("change_id_retention", value=5), "change_id_retention", "seconds"),
     (put("data_folder", value=7), "data_folder", "expected a path"),
@@ -173,6 +178,22 @@
         assert f"already declared at {tmp_path / 'a.json'}:1" in finding.message
 
 
+class TestExamples:
+    @pytest.mark.parametrize("operator", ["vatu", "tornos"])
+    def test_have_no_findings_and_hold_every_demo_key(self, operator):
+        folder = Path(__file__).parents[3] / "examples" / operator
+        assert check_files([folder]) == ()
+        declared = read_declarations([folder])
+        digests = {
+            digest: declaration.key.name
+            for declaration in declared.declarations
+            for digest in digests_of(declaration.spec)
+        }
+        assert len(digests) == 5
+        for digest, name in digests.items():
+            assert digest == hashlib.sha256(f"demo-key-{name}".encode()).hexdigest()
+
+
 class TestDaemonSettings:
     def test_paths_start_from_the_folder_of_the_file(self, tmp_path):
         entry, control = tmp_path / "entry.json", tmp_path / "control.json"
