Build one file to ship from the packages of the environment

Cause: hosts take one file, and a process may start no other. Change: a make target stages the run-time packages and packs them with shiv; nothing is downloaded.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,14 @@
 	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -I src \
 		--python_out=src --grpclib_python_out=src $(PROTOS)
 
+binary: $(STAMP)
+	$(BIN)/python tools/stage_packages.py build/binary
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/binary --compressed --reproducible \
+		--python '/usr/bin/env python3' \
+		--entry-point galenadrum._internal.cli.main:main \
+		--output-file dist/galenadrum
+
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
