--- a/tests/lib/fake_log.py
+++ b/tests/lib/fake_log.py
@@ -23,7 +23,7 @@
 
     @property
     def status(self):
-        member = SimpleNamespace(member_id="c1")
+        member = SimpleNamespace(member=SimpleNamespace(member_id="c1"))
         return SimpleNamespace(
             member_id="c1", role="leader", term=1, leader_id="c1", members=(member,)
         )
--- a/tests/lib/log_cluster.py
+++ b/tests/lib/log_cluster.py
@@ -70,7 +70,7 @@
         self.folder = folder
         socks_by_id = {name: bind_free_port() for name in names}
         self.founders = tuple(
-            ControlMember(name, "127.0.0.1:%d" % sock.getsockname()[1])
+            ControlMember(name, f"127.0.0.1:{sock.getsockname()[1]}")
             for name, sock in socks_by_id.items()
         )
         self.members_by_id = {
@@ -96,7 +96,7 @@
 
     def add_joining(self, name, replaces=""):
         sock = bind_free_port()
-        member = ControlMember(name, "127.0.0.1:%d" % sock.getsockname()[1])
+        member = ControlMember(name, f"127.0.0.1:{sock.getsockname()[1]}")
         settings = self.settings(
             member,
             members=(),
