--- a/src/galenadrum/_internal/observability/trace_tree.py
+++ b/src/galenadrum/_internal/observability/trace_tree.py
@@ -47,7 +47,7 @@
             continue
         with part.open(encoding="utf-8", errors="replace") as file:
             for line in file:
-                span = _parse_span(line)
+                span = parse_span(line)
                 if span is not None:
                     yield span
 
@@ -103,7 +103,8 @@
     return "".join(parts)
 
 
-def _parse_span(line: str) -> SpanRecord | None:
+def parse_span(line: str) -> SpanRecord | None:
+    """Read one line, or return None when it is no span."""
     try:
         body = json.loads(line)
         return SpanRecord(
--- /dev/null
+++ b/tests/unit/observability/test_traces.py
@@ -0,0 +1,107 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenadrum._internal.models.settings import ObservabilitySettings
+from galenadrum._internal.observability.trace_tree import (
+    group_by_trace,
+    parse_span,
+    read_spans,
+    render_tree,
+)
+from galenadrum._internal.observability.traces import (
+    configure_traces,
+    end_span,
+    start_span,
+    trace_id_of,
+    traceparent_of,
+)
+
+CALLER = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+
+@pytest.fixture
+def trace_file(tmp_path):
+    return tmp_path / "traces.jsonl"
+
+
+class TestSpans:
+    def test_hops_join_to_a_tree_under_the_callers_span(self, trace_file):
+        stop = configure_traces(ObservabilitySettings(trace_file=trace_file), "nadi-1")
+        request = start_span("request", CALLER, {"pipeline": "plan"})
+        for stage in ("encode", "generate"):
+            span = start_span(f"stage {stage}", traceparent_of(request))
+            end_span(span, None if stage == "encode" else "truncated stream")
+        end_span(request)
+        other = start_span("request", "00-malformed")
+        end_span(other)
+        stop()
+        spans_by_trace = group_by_trace(read_spans(trace_file))
+        assert list(spans_by_trace) == [CALLER.split("-")[1], trace_id_of(other)]
+        root, first, second = render_tree(spans_by_trace[CALLER.split("-")[1]])
+        assert "ms  request on nadi-1 pipeline=plan" in root
+        assert "ms    stage encode" in first
+        assert second.endswith("stage generate on nadi-1 FAILED: truncated stream")
+
+    def test_without_a_file_the_trace_id_still_goes_on(self):
+        configure_traces(ObservabilitySettings(), "nadi-1")
+        assert traceparent_of(start_span("request", CALLER)) == CALLER
+        first, second = start_span("request"), start_span("request")
+        assert trace_id_of(first) != trace_id_of(second)
+        inner = start_span("stage", traceparent_of(first))
+        assert trace_id_of(inner) == trace_id_of(first)
+
+    def test_the_file_and_its_predecessor_stay_within_their_bound(self, trace_file):
+        settings = ObservabilitySettings(trace_file=trace_file)
+        for _ in range(8):
+            # Each run writes one batch of less than 5,000 bytes.
+            stop = configure_traces(settings, "nadi-1", file_max_bytes=8_000)
+            for _ in range(10):
+                end_span(start_span("request"))
+            stop()
+        sizes = [path.stat().st_size for path in trace_file.parent.iterdir()]
+        assert len(sizes) == 2
+        assert max(sizes) <= 8_000
+        # The newest spans are those that are kept.
+        kept = sum(1 for _ in read_spans(trace_file))
+        assert kept >= 10
+
+    def test_a_file_that_cannot_be_written_stops_nobody(self, tmp_path, caplog):
+        settings = ObservabilitySettings(trace_file=tmp_path / "none" / "t.jsonl")
+        stop = configure_traces(settings, "nadi-1")
+        end_span(start_span("request"))
+        stop()
+        assert "can't write spans" in caplog.text
+
+
+class TestTraceTree:
+    @given(st.lists(st.integers(0, 12), max_size=12), st.randoms())
+    def test_every_span_stands_once_below_its_parent(self, parents, random):
+        lines = [
+            {
+                "trace_id": "t",
+                "span_id": str(number + 1),
+                "parent_id": str(parent) if parent <= number else None,
+                "name": f"n{number + 1}",
+                "host_id": "h",
+                "start_ns": random.randrange(1000),
+                "duration_ns": 1,
+            }
+            for number, parent in enumerate(parents)
+        ]
+        spans = [parse_span(json.dumps(line)) for line in lines]
+        random.shuffle(spans)
+        tree = render_tree(spans)
+        depth_by_name, path = {}, []
+        for line in tree:
+            text = line.split("ms")[-1][2:]
+            depth = (len(text) - len(text.lstrip())) // 2
+            name = text.split()[0]
+            depth_by_name[name] = depth
+            path[depth:] = [name]
+            record = next(s for s in spans if s.name == name)
+            if depth:
+                assert path[depth - 1] == f"n{record.parent_id}"
+        assert len(tree) == len(spans) == len(depth_by_name)
