Sample traces, and read long trace files in bounded memory

Change: trace_percent in the settings (a caller's sampled flag goes first); one JSON encoder a process; trace keeps at most 10,000 traces at once.

--- a/src/galenadrum/_internal/commands/trace.py
+++ b/src/galenadrum/_internal/commands/trace.py
@@ -56,13 +56,15 @@
       galenadrum trace /var/lib/galenadrum/traces.jsonl
       galenadrum trace nadi-1.jsonl 4bf92f3577b34da6a3ce929d0e0e4736 --with ba-1.jsonl
     """
-    spans = [span for path in (file, *further_files) for span in read_spans(path)]
-    spans_by_trace = group_by_trace(spans)
-    if trace_id is not None:
-        if trace_id not in spans_by_trace:
-            output.write_note(f"error: no span of trace {trace_id} is in the files")
-            return status_codes.FINDINGS
-        spans_by_trace = {trace_id: spans_by_trace[trace_id]}
+    spans_by_trace = group_by_trace(
+        span
+        for path in (file, *further_files)
+        for span in read_spans(path)
+        if trace_id in (None, span.trace_id)
+    )
+    if trace_id is not None and not spans_by_trace:
+        output.write_note(f"error: no span of trace {trace_id} is in the files")
+        return status_codes.FINDINGS
     for shown_id in list(spans_by_trace)[-last:]:
         if form == "json":
             shown = [dataclasses.asdict(span) for span in spans_by_trace[shown_id]]
--- a/src/galenadrum/_internal/models/settings.py
+++ b/src/galenadrum/_internal/models/settings.py
@@ -21,11 +21,14 @@
 
     Attributes:
         trace_file: File of JSON lines that spans are appended to, or None.
+        trace_percent: Share of the traces begun here that are recorded; a
+            caller's own choice, in its traceparent, goes first.
     """
 
     log_level: str = "INFO"
     log_format: LogFormat = LogFormat.AUTO
     trace_file: Path | None = None
+    trace_percent: int = 100
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/observability/logs.py
+++ b/src/galenadrum/_internal/observability/logs.py
@@ -27,6 +27,8 @@
 
 _request_id: ContextVar[str] = ContextVar("request_id", default="")
 _trace_id: ContextVar[str] = ContextVar("trace_id", default="")
+# Built once: json.dumps builds an encoder for each call that names options.
+_encode = json.JSONEncoder(ensure_ascii=False).encode
 _TRACEBACKS = logging.Formatter()
 
 
@@ -117,7 +119,7 @@
                 line[name] = value
         if record.exc_text:
             line["exception"] = record.exc_text
-        return json.dumps(line, ensure_ascii=False)
+        return _encode(line)
 
 
 class _TextFormatter(logging.Formatter):
--- a/src/galenadrum/_internal/observability/span_exporter.py
+++ b/src/galenadrum/_internal/observability/span_exporter.py
@@ -17,6 +17,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Built once: json.dumps builds an encoder for each call that names options.
+_encode = json.JSONEncoder(ensure_ascii=False).encode
+
 
 class FileSpanExporter(SpanExporter):
     """Appends spans to a file of JSON lines with one predecessor.
@@ -69,4 +72,4 @@
             line["attributes"] = dict(span.attributes)
         if span.status.status_code is StatusCode.ERROR:
             line["error"] = span.status.description or "failed"
-        return json.dumps(line, ensure_ascii=False) + "\n"
+        return f"{_encode(line)}\n"
--- a/src/galenadrum/_internal/observability/trace_tree.py
+++ b/src/galenadrum/_internal/observability/trace_tree.py
@@ -12,6 +12,7 @@
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 _INDENT = "  "
+_MAX_TRACES = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,16 +53,26 @@
                     yield span
 
 
-def group_by_trace(spans: Iterable[SpanRecord]) -> dict[str, list[SpanRecord]]:
-    """Return the spans by trace id, the traces in the order of their starts."""
+def group_by_trace(
+    spans: Iterable[SpanRecord], max_traces: int = _MAX_TRACES
+) -> dict[str, list[SpanRecord]]:
+    """Return the spans by trace id, the traces in the order of their starts.
+
+    Args:
+        spans: As they stand in files, roughly in the order of their ends.
+        max_traces: Traces to keep at once; those that got no span for the
+            longest time go first.
+    """
     spans_by_trace: dict[str, list[SpanRecord]] = {}
     for span in spans:
-        spans_by_trace.setdefault(span.trace_id, []).append(span)
-    return dict(
-        sorted(
-            spans_by_trace.items(), key=lambda item: min(s.start_ns for s in item[1])
-        )
-    )
+        # Taken out and put back, so that the dict is in the order of use.
+        trace = spans_by_trace.pop(span.trace_id, [])
+        trace.append(span)
+        spans_by_trace[span.trace_id] = trace
+        if len(spans_by_trace) > max_traces:
+            del spans_by_trace[next(iter(spans_by_trace))]
+    starts = {key: min(s.start_ns for s in t) for key, t in spans_by_trace.items()}
+    return {key: spans_by_trace[key] for key in sorted(starts, key=starts.__getitem__)}
 
 
 def render_tree(spans: Iterable[SpanRecord]) -> list[str]:
--- a/src/galenadrum/_internal/observability/traces.py
+++ b/src/galenadrum/_internal/observability/traces.py
@@ -15,6 +15,7 @@
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import BatchSpanProcessor
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
 from opentelemetry.trace import (
     NonRecordingSpan,
     Span,
@@ -66,7 +67,8 @@
         _tracer = None
         return _do_nothing
     exporter = FileSpanExporter(settings.trace_file, host_id, file_max_bytes)
-    provider = TracerProvider(resource=Resource({}), shutdown_on_exit=False)
+    sampler = ParentBased(TraceIdRatioBased(settings.trace_percent / 100))
+    provider = TracerProvider(sampler, Resource({}), shutdown_on_exit=False)
     provider.add_span_processor(
         BatchSpanProcessor(
             exporter,
--- a/src/galenadrum/_internal/settings/structure.py
+++ b/src/galenadrum/_internal/settings/structure.py
@@ -149,6 +149,7 @@
     ),
     "_ms": fields.integer_between(1, _MAX_DURATION_MS),
     "_s": fields.integer_between(1, _MAX_DURATION_S),
+    "_percent": fields.integer_between(0, 100),
     "_bytes": fields.integer_between(1, _MAX_SIZE_BYTES),
 }
 _HOOK_BY_TYPE: dict[Any, Hook] = {
--- a/tests/unit/observability/test_traces.py
+++ b/tests/unit/observability/test_traces.py
@@ -53,6 +53,17 @@
         inner = start_span("stage", traceparent_of(first))
         assert trace_id_of(inner) == trace_id_of(first)
 
+    @pytest.mark.parametrize(("percent", "recorded"), [(0, 1), (100, 2)])
+    def test_a_caller_chooses_before_the_declared_share(
+        self, trace_file, percent, recorded
+    ):
+        settings = ObservabilitySettings(trace_file=trace_file, trace_percent=percent)
+        stop = configure_traces(settings, "nadi-1")
+        for parent in (CALLER, None, CALLER.removesuffix("01") + "00"):
+            end_span(start_span("request", parent))
+        stop()
+        assert len(list(read_spans(trace_file))) == recorded
+
     def test_the_file_and_its_predecessor_stay_within_their_bound(self, trace_file):
         settings = ObservabilitySettings(trace_file=trace_file)
         for _ in range(8):
