--- a/src/galenadrum/_internal/cli/changes.py
+++ b/src/galenadrum/_internal/cli/changes.py
@@ -5,16 +5,27 @@
 import contextlib
 import re
 from collections.abc import Iterator
+from typing import Any
 
+from galenadrum._internal.changes.sending import send_change_set
 from galenadrum._internal.cli import output
-from galenadrum._internal.exceptions import CheckFailedError, OutcomeUnknownError
+from galenadrum._internal.cli.options import ChangeOptions, open_pending_changes
+from galenadrum._internal.exceptions import (
+    CheckFailedError,
+    OperatorApiError,
+    OutcomeUnknownError,
+)
 from galenadrum._internal.models.findings import Finding
-from galenadrum._internal.models.operator_api import ChangeSetOutcome, ResourceState
-from galenadrum._internal.models.resources import Kind, ResourceKey
+from galenadrum._internal.models.operator_api import (
+    ChangeSet,
+    ChangeSetOutcome,
+    ResourceState,
+)
+from galenadrum._internal.models.resources import ResourceKey
 from galenadrum._internal.network.operator_client import OperatorClient
 from galenadrum._internal.settings.declarations import DeclarationSet
 
-_PATH_OF_RESOURCE = re.compile(r"(?P<kind>[a-z]+)/(?P<name>\S+): (?P<path>.*)", re.S)
+_PATH_IN_CHANGE_SET = re.compile(r"changes\[(?P<index>[0-9]+)\](?:\.(?P<path>.*))?")
 
 
 def read_current(client: OperatorClient) -> dict[ResourceKey, ResourceState]:
@@ -23,22 +34,62 @@
     return {resource.key: resource for resource in resources}
 
 
+def submit_and_report(
+    client: OperatorClient,
+    change_set: ChangeSet,
+    options: ChangeOptions,
+    declared: DeclarationSet | None = None,
+) -> None:
+    """Send a change set and write what became of it.
+
+    Args:
+        client: Where to send it.
+        change_set: What to send.
+        options: How to send it and how to write the outcome.
+        declared: The files that it was made from, if any.
+
+    Raises:
+        GalenadrumError: It was not accepted, or nobody knows.
+    """
+    change_id = change_set.change_id
+    with _place_findings(change_set, declared), _explain_unknown_outcome(change_id):
+        if options.dry_run:
+            outcome = client.submit(change_set, check_only=True)
+        else:
+            output.write_note(f"change id {change_id}")
+            pending = open_pending_changes(options.state_folder)
+            outcome = send_change_set(client, pending, change_set)
+    if options.form == "json":
+        output.write_json(_outcome_to_json(outcome, change_id, options.dry_run))
+    else:
+        _write_outcome(outcome, options.dry_run)
+
+
 @contextlib.contextmanager
-def place_findings(declared: DeclarationSet) -> Iterator[None]:
-    """Give findings of a control host their place in the files.
+def _place_findings(
+    change_set: ChangeSet, declared: DeclarationSet | None = None
+) -> Iterator[None]:
+    """Give the findings of a control host the place they come from.
+
+    Args:
+        change_set: What was sent; the findings' paths start in it.
+        declared: The files that it was made from, if any.
 
     Raises:
         CheckFailedError: As raised in the block, with the places.
+        OperatorApiError: As raised in the block, with the places.
     """
     try:
         yield
     except CheckFailedError as error:
-        findings = [_place(finding, declared) for finding in error.findings]
-        raise CheckFailedError(tuple(sorted(findings))) from error
+        raise CheckFailedError(_place_all(error, change_set, declared)) from error
+    except OperatorApiError as error:
+        error.findings = _place_all(error, change_set, declared)
+        raise
 
 
 @contextlib.contextmanager
-def explain_unknown_outcome(change_id: str) -> Iterator[None]:
+def _explain_unknown_outcome(change_id: str) -> Iterator[None]:
     """Say how to learn the outcome of a change whose answer was lost.
 
     Raises:
@@ -51,30 +102,28 @@
         raise OutcomeUnknownError(message) from error
 
 
-def write_change_set_outcome(
-    outcome: ChangeSetOutcome, change_id: str, form: str, dry_run: bool
-) -> None:
-    """Write what became of each resource, and the revision."""
-    if form == "json":
-        results = [
-            {
-                "kind": result.key.kind,
-                "name": result.key.name,
-                "outcome": result.outcome,
-                "revision": result.revision,
-            }
-            for result in outcome.results
-        ]
-        output.write_json(
-            {
-                "change_id": change_id,
-                "dry_run": dry_run,
-                "revision": outcome.revision,
-                "repeated": outcome.repeated,
-                "results": results,
-            }
-        )
-        return
+def _outcome_to_json(
+    outcome: ChangeSetOutcome, change_id: str, dry_run: bool
+) -> dict[str, Any]:
+    results = [
+        {
+            "kind": result.key.kind,
+            "name": result.key.name,
+            "outcome": result.outcome,
+            "revision": result.revision,
+        }
+        for result in outcome.results
+    ]
+    return {
+        "change_id": change_id,
+        "dry_run": dry_run,
+        "revision": outcome.revision,
+        "repeated": outcome.repeated,
+        "results": results,
+    }
+
+
+def _write_outcome(outcome: ChangeSetOutcome, dry_run: bool) -> None:
     for result in outcome.results:
         output.write_text(f"{result.key} {result.outcome}")
     note = " (outcome of an earlier call)" if outcome.repeated else ""
@@ -82,9 +131,22 @@
     output.write_text(f"{prefix} {outcome.revision}{note}")
 
 
-def _place(finding: Finding, declared: DeclarationSet) -> Finding:
-    match = _PATH_OF_RESOURCE.fullmatch(finding.path)
-    if finding.file or match is None or match["kind"] not in tuple(Kind):
+def _place_all(
+    error: CheckFailedError | OperatorApiError,
+    change_set: ChangeSet,
+    declared: DeclarationSet | None,
+) -> tuple[Finding, ...]:
+    placed = (_place(finding, change_set, declared) for finding in error.findings)
+    return tuple(sorted(placed))
+
+
+def _place(
+    finding: Finding, change_set: ChangeSet, declared: DeclarationSet | None
+) -> Finding:
+    match = _PATH_IN_CHANGE_SET.fullmatch(finding.path)
+    if match is None or int(match["index"]) >= len(change_set.changes):
         return finding
-    key = ResourceKey(Kind(match["kind"]), match["name"])
-    return declared.find(key, match["path"], finding.message)
+    key = change_set.changes[int(match["index"])].key
+    if declared is None:
+        return Finding("", 0, 0, str(key), finding.message)
+    return declared.find(key, match["path"] or "name", finding.message)
--- a/src/galenadrum/_internal/cli/options.py
+++ b/src/galenadrum/_internal/cli/options.py
@@ -14,11 +14,12 @@
 import click
 
 from galenadrum._internal.changes.pending import PendingChanges
+from galenadrum._internal.cli.forms import output_option
 from galenadrum._internal.models.resources import Kind, ResourceKey
 from galenadrum._internal.network.operator_client import ClientTimeouts, OperatorClient
 
 _DEFAULT_TIMEOUT_S = 30.0
-_CHANGE_ID = re.compile(r"[A-Za-z0-9._-]{1,128}")
+_CHANGE_ID_FORM = re.compile(r"[A-Za-z0-9._-]{1,128}")
 _CHANGE_ID_BYTES = 16
 # A token isn't taken as an argument, since arguments show in process lists.
 _TOKEN_VARIABLE = "GALENADRUM_TOKEN"
@@ -46,6 +47,34 @@
     help="Longest time for the whole call, in seconds.",
 )
 
+
+def _check_change_id(_: click.Context, __: click.Parameter, value: str | None) -> str:
+    if value is None:
+        return secrets.token_hex(_CHANGE_ID_BYTES)
+    if not _CHANGE_ID_FORM.fullmatch(value):
+        raise click.BadParameter("expected 1 to 128 letters, digits, '.', '_' or '-'")
+    return value
+
+
+_DRY_RUN = click.option(
+    "--dry-run", is_flag=True, help="Only ask whether it would be accepted."
+)
+_CHANGE_ID = click.option(
+    "--change-id",
+    default=None,
+    callback=_check_change_id,
+    help="Idempotency key; give the same one to resend a change whose answer was"
+    " lost. Made up when left out.",
+)
+_STATE_FOLDER = click.option(
+    "--state-folder",
+    type=click.Path(file_okay=False, path_type=Path),
+    envvar="GALENADRUM_STATE_FOLDER",
+    default=Path("~/.local/state/galenadrum"),
+    show_default=True,
+    help="Where changes are kept until their outcome is known.",
+)
+
 Function = TypeVar("Function", bound=Callable[..., Any])
 
 
@@ -108,24 +137,46 @@
     )(function)
 
 
-def change_id_options(function: Function) -> Function:
-    """Add the options that make a change repeatable."""
-    change_id = click.option(
-        "--change-id",
-        default=None,
-        callback=_check_change_id,
-        help="Idempotency key; give the same one to resend a change whose answer"
-        " was lost. Made up when left out.",
-    )
-    state_folder = click.option(
-        "--state-folder",
-        type=click.Path(file_okay=False, path_type=Path),
-        envvar="GALENADRUM_STATE_FOLDER",
-        default=Path("~/.local/state/galenadrum"),
-        show_default=True,
-        help="Where changes are kept until their outcome is known.",
-    )
-    return change_id(state_folder(function))
+@dataclass(frozen=True, slots=True)
+class ChangeOptions:
+    """How a change set is sent and its outcome written.
+
+    Attributes:
+        change_id: Idempotency key of the change set.
+        state_folder: Where it is kept until its outcome is known.
+        dry_run: Whether only to ask if it would be accepted.
+        form: ``text`` or ``json``.
+    """
+
+    change_id: str
+    state_folder: Path
+    dry_run: bool
+    form: str
+
+
+def change_options(function: Function) -> Function:
+    """Add the options of commands that change resources.
+
+    The command gets one parameter, ``options``, a ``ChangeOptions``.
+    """
+
+    @_DRY_RUN
+    @_CHANGE_ID
+    @_STATE_FOLDER
+    @output_option
+    @functools.wraps(function)
+    def wrapper(
+        *args: Any,
+        change_id: str,
+        state_folder: Path,
+        dry_run: bool,
+        form: str,
+        **kwargs: Any,
+    ) -> Any:
+        options = ChangeOptions(change_id, state_folder, dry_run, form)
+        return function(*args, options=options, **kwargs)
+
+    return wrapper
 
 
 def open_pending_changes(state_folder: Path) -> PendingChanges:
@@ -151,14 +202,6 @@
         return ResourceKey(Kind(kind), name)
 
 
-def _check_change_id(_: click.Context, __: click.Parameter, value: str | None) -> str:
-    if value is None:
-        return secrets.token_hex(_CHANGE_ID_BYTES)
-    if not _CHANGE_ID.fullmatch(value):
-        raise click.BadParameter("expected 1 to 128 letters, digits, '.', '_' or '-'")
-    return value
-
-
 def _read_token(token_file: Path | None) -> str | None:
     if token_file is None:
         token = os.environ.get(_TOKEN_VARIABLE, "")
--- a/src/galenadrum/_internal/cli/output.py
+++ b/src/galenadrum/_internal/cli/output.py
@@ -25,6 +25,7 @@
     OutcomeUnknownError,
     StorageError,
 )
+from galenadrum._internal.models.findings import Finding
 
 _COLUMN_GAP = "  "
 
@@ -65,17 +66,15 @@
 
 def report_error(error: GalenadrumError) -> int:
     """Write an error to standard error and return its exit code."""
-    if isinstance(error, CheckFailedError):
-        for finding in error.findings:
-            click.echo(str(finding), err=True)
-    else:
-        click.echo(f"error: {error}", err=True)
+    if not isinstance(error, CheckFailedError):
+        write_note(f"error: {error}")
+    for finding in getattr(error, "findings", ()):
+        write_note(_format_finding(finding))
     if isinstance(error, ConflictError):
         for resource in error.current:
-            click.echo(
-                f"  {resource.key} now stands at revision {resource.revision},"
-                f" owner {resource.owner}: {json.dumps(resource.spec)}",
-                err=True,
+            write_note(
+                f"{resource.key} now stands at revision {resource.revision},"
+                f" owner {resource.owner}: {json.dumps(resource.spec)}"
             )
     for kind, code in _CODE_BY_ERROR:
         if isinstance(error, kind):
@@ -83,6 +82,10 @@
     return status_codes.INTERNAL
 
 
+def _format_finding(finding: Finding) -> str:
+    return str(finding) if finding.file else f"{finding.path}: {finding.message}"
+
+
 def close_quietly() -> None:
     """Keep a closed pipe from being reported again at exit."""
     devnull = os.open(os.devnull, os.O_WRONLY)
--- a/src/galenadrum/_internal/cli/resources.py
+++ b/src/galenadrum/_internal/cli/resources.py
@@ -30,19 +30,21 @@
         status: As the control host reports it.
     """
     live_count = status.get("live_hosts")
-    missing = status.get("missing_hosts")
-    silent = status.get("silent_hosts") or []
-    if not isinstance(live_count, int) or not isinstance(missing, list):
+    missing_count = status.get("missing_count")
+    if not isinstance(live_count, int) or not isinstance(missing_count, int):
         return _UNKNOWN
-    text = f"{live_count - len(missing)}/{live_count}"
-    if missing:
-        text += f", not on {_name_some(missing)}"
-    if silent:
-        text += f", unheard of {_name_some(silent)}"
+    text = f"{live_count - missing_count}/{live_count}"
+    if missing_count:
+        text += f", not on {_name_some(status.get('missing'), missing_count)}"
+    silent_count = status.get("silent_count")
+    if silent_count:
+        text += f", unheard of {_name_some(status.get('silent'), silent_count)}"
     return text
 
 
-def _name_some(hosts: list[Any]) -> str:
-    named = " ".join(str(host) for host in hosts[:_NAMED_HOSTS_MAX])
-    more = len(hosts) - _NAMED_HOSTS_MAX
-    return f"{named} and {more} more" if more > 0 else named
+def _name_some(hosts: Any, count: int) -> str:
+    named = [str(host) for host in hosts or ()][:_NAMED_HOSTS_MAX]
+    more = count - len(named)
+    if more:
+        named.append(f"and {more} more")
+    return " ".join(named)
--- a/src/galenadrum/_internal/commands/apply.py
+++ b/src/galenadrum/_internal/commands/apply.py
@@ -7,38 +7,23 @@
 import click
 
 from galenadrum._internal.changes.preparing import prepare_puts
-from galenadrum._internal.changes.sending import send_change_set
-from galenadrum._internal.cli import output
-from galenadrum._internal.cli.changes import (
-    explain_unknown_outcome,
-    place_findings,
-    read_current,
-    write_change_set_outcome,
-)
-from galenadrum._internal.cli.forms import output_option
+from galenadrum._internal.cli.changes import read_current, submit_and_report
 from galenadrum._internal.cli.options import (
+    ChangeOptions,
     ControlOptions,
-    change_id_options,
+    change_options,
     control_options,
     files_option,
-    open_pending_changes,
 )
 from galenadrum._internal.settings.declarations import read_declarations
 
 
 @click.command("apply")
 @files_option
-@click.option("--dry-run", is_flag=True, help="Only ask whether it would be accepted.")
-@change_id_options
+@change_options
 @control_options
-@output_option
 def command(
-    paths: tuple[Path, ...],
-    dry_run: bool,
-    change_id: str,
-    state_folder: Path,
-    control: ControlOptions,
-    form: str,
+    paths: tuple[Path, ...], options: ChangeOptions, control: ControlOptions
 ) -> None:
     r"""Put declarations in place, all of them together or none.
 
@@ -60,13 +45,5 @@
     declared = read_declarations(paths)
     client = control.connect()
     current = read_current(client)
-    change_set = prepare_puts(change_id, declared.declarations, current)
-    with place_findings(declared):
-        if dry_run:
-            outcome = client.submit(change_set, check_only=True)
-        else:
-            output.write_note(f"change id {change_id}")
-            with explain_unknown_outcome(change_id):
-                pending = open_pending_changes(state_folder)
-                outcome = send_change_set(client, pending, change_set)
-    write_change_set_outcome(outcome, change_id, form, dry_run)
+    change_set = prepare_puts(options.change_id, declared.declarations, current)
+    submit_and_report(client, change_set, options, declared)
--- a/src/galenadrum/_internal/commands/import_.py
+++ b/src/galenadrum/_internal/commands/import_.py
@@ -7,19 +7,12 @@
 import click
 
 from galenadrum._internal.changes.preparing import prepare_puts
-from galenadrum._internal.changes.sending import send_change_set
-from galenadrum._internal.cli import output
-from galenadrum._internal.cli.changes import (
-    explain_unknown_outcome,
-    place_findings,
-    write_change_set_outcome,
-)
-from galenadrum._internal.cli.forms import output_option
+from galenadrum._internal.cli.changes import submit_and_report
 from galenadrum._internal.cli.options import (
+    ChangeOptions,
     ControlOptions,
-    change_id_options,
+    change_options,
     control_options,
-    open_pending_changes,
 )
 from galenadrum._internal.settings.declarations import read_declarations
 
@@ -32,15 +25,10 @@
     required=True,
     type=click.Path(exists=True, path_type=Path),
 )
-@change_id_options
+@change_options
 @control_options
-@output_option
 def command(
-    paths: tuple[Path, ...],
-    change_id: str,
-    state_folder: Path,
-    control: ControlOptions,
-    form: str,
+    paths: tuple[Path, ...], options: ChangeOptions, control: ControlOptions
 ) -> None:
     r"""Create exported declarations elsewhere, all of them or none.
 
@@ -53,9 +41,5 @@
       galenadrum import vatu.json --control http://10.9.0.1:9100
     """
     declared = read_declarations(paths)
-    change_set = prepare_puts(change_id, declared.declarations, current_by_key={})
-    output.write_note(f"change id {change_id}")
-    with place_findings(declared), explain_unknown_outcome(change_id):
-        pending = open_pending_changes(state_folder)
-        outcome = send_change_set(control.connect(), pending, change_set)
-    write_change_set_outcome(outcome, change_id, form, dry_run=False)
+    change_set = prepare_puts(options.change_id, declared.declarations, {})
+    submit_and_report(control.connect(), change_set, options, declared)
--- a/src/galenadrum/_internal/exceptions.py
+++ b/src/galenadrum/_internal/exceptions.py
@@ -75,11 +75,15 @@
 
     Attributes:
         code: The code of the refusal, such as ``not_owner``.
+        findings: What the control host found, with paths inside the call.
     """
 
-    def __init__(self, code: str, message: str) -> None:
+    def __init__(
+        self, code: str, message: str, findings: tuple[Finding, ...] = ()
+    ) -> None:
         super().__init__(message)
         self.code = code
+        self.findings = findings
 
 
 class ConflictError(OperatorApiError):
@@ -89,8 +93,13 @@
         current: The resources as they stand now.
     """
 
-    def __init__(self, message: str, current: tuple[ResourceState, ...]) -> None:
-        super().__init__("conflict", message)
+    def __init__(
+        self,
+        message: str,
+        current: tuple[ResourceState, ...],
+        findings: tuple[Finding, ...] = (),
+    ) -> None:
+        super().__init__("conflict", message, findings)
         self.current = current
 
 
--- a/src/galenadrum/_internal/network/operator_client.py
+++ b/src/galenadrum/_internal/network/operator_client.py
@@ -49,6 +49,7 @@
 _CALL_TIMEOUT_S = 30.0
 _FIRST_DELAY_S = 0.1
 _MAX_DELAY_S = 2.0
+_CODES_NOT_ACCEPTED = frozenset({"not_leader", "busy"})
 _ANSWER_MAX_BYTES = 256 * 1024 * 1024
 _READ_BYTES = 64 * 1024
 
@@ -63,7 +64,7 @@
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
 )
-_CODES_TO_RETRY = frozenset({"not_leader", "unknown", "unavailable"})
+_CODES_TO_RETRY = frozenset({"not_leader", "unknown", "unavailable", "busy"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,8 +320,8 @@
         if answer.code not in _CODES_TO_RETRY:
             _raise_refusal(answer)
         self._remember_leader(answer)
-        not_leader = answer.code == "not_leader"
-        return _Attempt(problem=answer.code, may_be_accepted=not not_leader)
+        refused = answer.code in _CODES_NOT_ACCEPTED
+        return _Attempt(problem=answer.code, may_be_accepted=not refused)
 
     def _send(
         self, address: str, method: str, path: str, body: bytes | None
@@ -419,13 +420,14 @@
 
 def _raise_refusal(answer: _Answer) -> None:
     message = str(answer.error.get("message", f"HTTP status {answer.status}"))
-    if answer.code == "invalid":
-        raise CheckFailedError(decode_findings(answer.error))
+    findings = decode_findings(answer.error)
+    if answer.code == "invalid" and findings:
+        raise CheckFailedError(findings)
     if answer.code == "conflict":
         current = answer.error.get("current") or []
         resources = tuple(_decode(decode_resource, item) for item in current)
-        raise ConflictError(message, resources)
-    raise OperatorApiError(answer.code, message)
+        raise ConflictError(message, resources, findings)
+    raise OperatorApiError(answer.code, message, findings)
 
 
 def _give_up_error(
--- a/src/galenadrum/_internal/observability/logs.py
+++ b/src/galenadrum/_internal/observability/logs.py
@@ -24,6 +24,8 @@
 _QUEUE_MAX_RECORDS = 10_000
 _MESSAGE_MAX_CHARACTERS = 16_384
 _STOP_TIMEOUT_S = 2.0
+# They log each call at INFO.
+_CHATTY_LOGGERS = ("grpclib", "urllib3")
 
 _request_id: ContextVar[str] = ContextVar("request_id", default="")
 _trace_id: ContextVar[str] = ContextVar("trace_id", default="")
@@ -74,6 +76,9 @@
         root.removeHandler(old)
     root.addHandler(handler)
     root.setLevel(settings.log_level)
+    if not root.isEnabledFor(logging.DEBUG):
+        for name in _CHATTY_LOGGERS:
+            logging.getLogger(name).setLevel(logging.WARNING)
 
     def stop() -> None:
         root.removeHandler(handler)
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -131,7 +131,7 @@
         assert "pipeline/plan now stands at revision 9, owner tornos" in err
 
     def test_findings_of_the_control_host_get_their_place(self, run, declared, api):
-        finding = {"path": "pipeline/plan: spec.stages[0]", "message": "not declared"}
+        finding = {"path": "changes[1].spec.stages[0]", "message": "not declared"}
         error = {"code": "invalid", "message": "", "findings": [finding]}
         api.behave = lambda call, body: (
             (422, {"error": error}) if call == "POST /v1/changes" else None
--- a/tests/lib/operators_api.py
+++ b/tests/lib/operators_api.py
@@ -111,7 +111,7 @@
             "owner": "vatu",
             "revision": self.revision,
             "generation": 1,
-            "status": {"in_force": False, "live_hosts": 2, "missing_hosts": ["e2"]},
+            "status": {"live_hosts": 2, "missing_count": 1, "missing": ["e2"]},
         }
 
 
