--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -86,6 +86,58 @@
         path = write_settings(self.folder, name, self.control_settings[name])
         return self.start_process(name, ["galenadrum", "control", str(path)])
 
+    def replace_control(self, old_name, new_name):
+        """Start a member with an empty disk in place of one whose disk is lost."""
+        settings = dict(self.control_settings.pop(old_name))
+        self.operators.pop(old_name)
+        self.operators[new_name] = free_address()
+        others = [s["peer_address"] for s in self.control_settings.values()]
+        settings |= {
+            "member_id": new_name,
+            "data_folder": str(self.folder / new_name),
+            "operator_address": self.operators[new_name],
+            "peer_address": free_address(),
+            "members": [],
+            "join_addresses": others,
+            "replaces": old_name,
+        }
+        self.control_settings[new_name] = settings
+        self.start_control(new_name)
+
+    def members(self):
+        """Return the ids of the log's members as the leader knows them."""
+        leader = self.find_leader()
+        if leader is None:
+            return []
+        _, status = self.operate("GET", "/v1/status", address=self.operators[leader])
+        return status["members"]
+
+    def declared(self, name):
+        """Return the deadline that a pipeline has at the leader."""
+        path = f"/v1/resources?kind=pipeline&name={name}"
+        _, answer = self.operate("GET", path)
+        resources = answer["resources"]
+        return resources[0]["spec"]["deadline_ms"] if resources else None
+
+    def submit(self, changes, change_id):
+        """Send a change to members in turn until one accepts or refuses it."""
+        body = {"change_id": change_id, "changes": changes}
+        answers = []
+
+        def try_each():
+            for address in list(self.operators.values()):
+                try:
+                    status, answer = self.operate("POST", "/v1/changes", body, address)
+                except urllib3.exceptions.HTTPError:
+                    continue
+                if status != 503:
+                    answers.append((status, answer))
+                    return True
+            return False
+
+        wait_until(try_each, f"an answer to {change_id}")
+        return answers[0]
+
     def start_entries(self, count=1, zone="zone-1", **extra):
         names = [f"{zone}-entry-{number}" for number in range(1, count + 1)]
         peers = {name: free_address() for name in names}
