--- /dev/null
+++ b/benchmarks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The policy under load and faults, on a paused clock, against baselines."""
--- a/src/galenadrum/_internal/routing/queues.py
+++ b/src/galenadrum/_internal/routing/queues.py
@@ -140,7 +140,7 @@
     def pop_expired(self, now: float) -> list[QueuedCall]:
         """Remove the calls that can't meet their deadline any more."""
         expired = []
-        while self._expiries and self._expiries[0][0] < now:
+        while self._expiries and self._expiries[0][0] <= now:
             _, _, key = heapq.heappop(self._expiries)
             queued = self._queued_by_key.pop(key, None)
             if queued is not None:
