--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -23,15 +23,24 @@
 )
 from galenadrum._internal.entry.declarations_relay import DeclarationsRelay
 from galenadrum._internal.entry.execution import PipelineExecutor
+from galenadrum._internal.entry.forwarded_stages_app import (
+    ForwardedStagesApp,
+    peer_ips,
+)
 from galenadrum._internal.entry.platform_app import EntryStatus, build_platform_app
 from galenadrum._internal.entry.request_service import RequestService
 from galenadrum._internal.entry.request_telemetry import RequestTelemetry
+from galenadrum._internal.entry.stage_runner import StageRunner
 from galenadrum._internal.membership.zone_service import ZoneService
 from galenadrum._internal.models.settings import CallerLimits, EntrySettings
 from galenadrum._internal.network.bridge import LoopBridge
 from galenadrum._internal.network.grpc_server import GrpcServer
 from galenadrum._internal.network.http_server import HttpServer
-from galenadrum._internal.network.stage_client import ConnectionPool, StageClient
+from galenadrum._internal.network.stage_client import (
+    STAGES_PREFIX,
+    ConnectionPool,
+    StageClient,
+)
 from galenadrum._internal.network.wsgi_routes import Handler, build_routes
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.routing.policy import Policy
@@ -159,17 +168,24 @@
         )
 
     def _build_caller_routes(self) -> Handler:
-        callers = CallerApp(
-            self._bridge,
+        limits = self._settings.callers
+        telemetry = RequestTelemetry(self.metrics, self.policy.explain)
+        runner = StageRunner(self._bridge, self.service, self.client, telemetry)
+        callers = CallerApp(self.service, runner, limits, telemetry)
+        announcements = AnnouncementsApp(self._bridge, self.zone)
+        forwarded = ForwardedStagesApp(
             self.service,
-            self.client,
-            self._settings.callers,
-            RequestTelemetry(self.metrics, self.policy.explain),
+            runner,
+            limits,
+            telemetry,
+            peer_ips(self._settings.other_zone_addresses),
         )
-        announcements = AnnouncementsApp(self._bridge, self.zone)
         return build_routes(
             {("POST", ANNOUNCEMENTS_PATH): announcements.answer},
-            {("POST", PIPELINES_PREFIX): callers.answer},
+            {
+                ("POST", PIPELINES_PREFIX): callers.answer,
+                ("POST", STAGES_PREFIX): forwarded.answer,
+            },
         )
 
     def _build_supervisor(self) -> Supervisor:
--- /dev/null
+++ b/src/galenadrum/_internal/entry/forwarded_stages_app.py
@@ -0,0 +1,265 @@
+"""Stage calls that entry hosts of other zones hand over.
+
+The calling entry host speaks to this one as to a backend server, so that its
+checks of replies, deadlines and silence hold on this hop too.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import math
+import time
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from galenadrum._internal.entry.answers import (
+    StartResponse,
+    encode_event,
+    refusal_body,
+    refusal_headers,
+    send_json,
+    send_refusal,
+)
+from galenadrum._internal.entry.caller_requests import (
+    parse_json_object,
+    read_body,
+    refuse_bad_request,
+)
+from galenadrum._internal.entry.prefixes import estimate_tokens
+from galenadrum._internal.entry.request_service import RequestService
+from galenadrum._internal.entry.request_telemetry import RequestTelemetry
+from galenadrum._internal.entry.stage_runner import RunContext, StageRunner
+from galenadrum._internal.exceptions import RequestRefusedError
+from galenadrum._internal.models.requests import (
+    Refusal,
+    RefusalReason,
+    Request,
+    RunState,
+)
+from galenadrum._internal.models.settings import CallerLimits
+from galenadrum._internal.network.http_server import SOCKET_KEY
+from galenadrum._internal.network.stage_client import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    EVENT_STREAM,
+    ONCE_HEADER,
+    ORGANISATION_HEADER,
+    PRIORITY_HEADER,
+    REQUEST_ID_HEADER,
+    RUN_HEADER,
+    STAGE_HEADER,
+    STAGES_PREFIX,
+    WEIGHT_HEADER,
+)
+from galenadrum._internal.utils.addresses import split_address
+
+_BODY_MEMBERS = frozenset({"input", "parameters"})
+_MAX_DEADLINE_MS = 3_600_000
+_MAX_NAME_LENGTH = 256
+_MAX_PREFIX_HASHES = 64
+_TRUE = "true"
+_STATUS_BY_RUN = {
+    RunState.NOT_RUN: 503,
+    RunState.RUN: 500,
+    RunState.UNKNOWN: 502,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedCall:
+    """A stage call that was handed over.
+
+    Attributes:
+        echo: Headers that the reply repeats.
+        once: Whether the stage may be sent only once.
+    """
+
+    request: Request
+    input: Any
+    echo: tuple[tuple[str, str], ...]
+    once: bool
+
+
+@dataclass(slots=True)
+class _StreamedReply:
+    """A reply that becomes an event stream with its first part."""
+
+    start_response: StartResponse
+    echo: tuple[tuple[str, str], ...]
+    digest: Any = field(default_factory=hashlib.sha256)
+    write: Callable[[bytes], object] | None = None
+
+    def send_delta(self, delta: str) -> None:
+        """Pass a part of the output on."""
+        if self.write is None:
+            headers = [("Content-Type", EVENT_STREAM), *self.echo]
+            self.write = self.start_response("200 OK", headers)
+        self.digest.update(delta.encode())
+        self.write(encode_event({"delta": delta}))
+
+    def finish(self, output: Any) -> Iterable[bytes]:
+        """End the reply with the whole output."""
+        if self.write is None:
+            return send_json(self.start_response, 200, {"output": output}, self.echo)
+        self.write(encode_event({"digest": self.digest.hexdigest()}, "done"))
+        return ()
+
+    def refuse(self, refusal: Refusal) -> Iterable[bytes]:
+        """Say what became of the call; a stream just ends without its digest."""
+        if self.write is not None:
+            return ()
+        headers = [
+            *self.echo,
+            (RUN_HEADER, str(refusal.run)),
+            *refusal_headers(refusal),
+        ]
+        status = _STATUS_BY_RUN[refusal.run]
+        return send_json(
+            self.start_response, status, refusal_body(refusal, ""), headers
+        )
+
+
+class ForwardedStagesApp:
+    """Answers ``POST /v1/stages/STAGE`` for entry hosts of other zones.
+
+    Args:
+        service: The requests in flight; used on the loop only.
+        runner: Takes requests through their stages.
+        limits: Limits on what may be sent.
+        telemetry: Spans and metrics.
+        allowed_ips: IP numbers of entry hosts that may hand calls over.
+    """
+
+    def __init__(
+        self,
+        service: RequestService,
+        runner: StageRunner,
+        limits: CallerLimits,
+        telemetry: RequestTelemetry,
+        allowed_ips: frozenset[str],
+    ) -> None:
+        self._service = service
+        self._runner = runner
+        self._limits = limits
+        self._telemetry = telemetry
+        self._allowed_ips = allowed_ips
+
+    def answer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one entry host, as WSGI asks for."""
+        try:
+            self._check_sender(environ)
+            call = parse_forwarded_call(environ, self._limits)
+        except RequestRefusedError as error:
+            return send_refusal(start_response, error.refusal, "")
+        traceparent = environ.get("HTTP_TRACEPARENT")
+        with self._telemetry.request(call.request.pipeline, traceparent) as span:
+            reply = _StreamedReply(start_response, call.echo)
+            socket = environ.get(SOCKET_KEY)
+            context = RunContext(None if call.once else socket, span, reply.send_delta)
+            try:
+                return reply.finish(self._run(call, context))
+            except RequestRefusedError as error:
+                span.refusal = error.refusal
+                return reply.refuse(error.refusal)
+
+    def _run(self, call: ForwardedCall, context: RunContext) -> Any:
+        unrepeatable = frozenset(call.request.stages if call.once else ())
+        step = self._service.open_forwarded(call.request, unrepeatable)
+        opened = self._runner.wait(step, context.caller_socket)
+        context.span.identify(call.request)
+        output = self._runner.run(opened, call.input, context)
+        self._runner.wait(self._service.close(call.request, None), None)
+        return output
+
+    def _check_sender(self, environ: dict[str, Any]) -> None:
+        if environ.get("REMOTE_ADDR") not in self._allowed_ips:
+            raise RequestRefusedError(
+                Refusal(
+                    RefusalReason.UNAUTHORISED,
+                    RunState.NOT_RUN,
+                    "only entry hosts of other zones may hand stage calls over",
+                )
+            )
+
+
+def peer_ips(addresses: Sequence[str]) -> frozenset[str]:
+    """Return the IP numbers of peer addresses."""
+    return frozenset(split_address(address)[0] for address in addresses)
+
+
+def parse_forwarded_call(
+    environ: dict[str, Any], limits: CallerLimits
+) -> ForwardedCall:
+    """Return the stage call in a WSGI environment.
+
+    Raises:
+        RequestRefusedError: It is malformed, too large or too slow.
+    """
+    now = time.monotonic()
+    request_id = _read_name(environ, REQUEST_ID_HEADER)
+    stage = _read_name(environ, STAGE_HEADER)
+    attempt = _read_name(environ, ATTEMPT_HEADER)
+    if environ["PATH_INFO"] != STAGES_PREFIX + stage:
+        refuse_bad_request(f"{STAGE_HEADER} names another stage than the path")
+    deadline_ms = _read_number(environ, DEADLINE_HEADER, 1, _MAX_DEADLINE_MS)
+    body = parse_json_object(read_body(environ, limits.max_body_bytes), _BODY_MEMBERS)
+    if "input" not in body:
+        refuse_bad_request("the body has no member 'input'")
+    parameters = _read_parameters(body)
+    request = Request(
+        # Each attempt of the calling host is a request of its own here.
+        request_id=f"{request_id}.{stage}.{attempt}",
+        organisation=_read_name(environ, ORGANISATION_HEADER),
+        pipeline=stage,
+        stages=(stage,),
+        deadline=now + deadline_ms / 1_000,
+        arrived=now,
+        priority=int(_read_number(environ, PRIORITY_HEADER, 0, 9)),
+        weight=_read_number(environ, WEIGHT_HEADER, 1e-6, 1e6),
+        input_tokens=estimate_tokens(json.dumps(body["input"])),
+        output_tokens=parameters[0],
+        prefix_hashes=parameters[1],
+        forwarded=True,
+    )
+    names = (REQUEST_ID_HEADER, STAGE_HEADER, ATTEMPT_HEADER)
+    echo = tuple(zip(names, (request_id, stage, attempt), strict=True))
+    once = _read_name(environ, ONCE_HEADER) == _TRUE
+    return ForwardedCall(request, body["input"], echo, once)
+
+
+def _read_name(environ: dict[str, Any], header: str) -> str:
+    value = environ.get("HTTP_" + header.upper().replace("-", "_"), "")
+    if not value or len(value) > _MAX_NAME_LENGTH:
+        refuse_bad_request(f"header {header} is missing or too long")
+    return value
+
+
+def _read_number(
+    environ: dict[str, Any], header: str, lowest: float, highest: float
+) -> float:
+    text = _read_name(environ, header)
+    try:
+        value = float(text)
+    except ValueError:
+        refuse_bad_request(f"header {header} is not a number")
+    if not math.isfinite(value) or not lowest <= value <= highest:
+        refuse_bad_request(f"header {header} must be from {lowest:g} to {highest:g}")
+    return value
+
+
+def _read_parameters(body: dict[str, Any]) -> tuple[int, tuple[str, ...]]:
+    parameters = body.get("parameters", {})
+    if not isinstance(parameters, dict):
+        refuse_bad_request("member 'parameters' must be an object")
+    tokens = parameters.get("max_output_tokens", 0)
+    hashes = parameters.get("prefix_hashes", [])
+    if not isinstance(tokens, int) or isinstance(tokens, bool) or tokens < 0:
+        refuse_bad_request("member 'max_output_tokens' must be a whole number")
+    is_list = isinstance(hashes, list) and len(hashes) <= _MAX_PREFIX_HASHES
+    if not is_list or not all(isinstance(item, str) for item in hashes):
+        refuse_bad_request("member 'prefix_hashes' must be a short list of strings")
+    return tokens, tuple(hashes)
--- a/src/galenadrum/_internal/entry/request_service.py
+++ b/src/galenadrum/_internal/entry/request_service.py
@@ -24,6 +24,7 @@
     SendCall,
 )
 from galenadrum._internal.entry.prefixes import estimate_tokens, prefix_hashes
+from galenadrum._internal.entry.request_telemetry import claim_span
 from galenadrum._internal.exceptions import RequestRefusedError
 from galenadrum._internal.models.callers import CallerRequest, RecordedAnswer
 from galenadrum._internal.models.requests import (
@@ -110,20 +111,41 @@
         """Number of requests that have no final answer yet."""
         return len(self._open_by_id)
 
-    async def open(self, caller_request: CallerRequest) -> Opened:
+    async def open(self, caller_request: CallerRequest, traceparent: str) -> Opened:
         """Take a request on and wait for its first stage call.
 
         Raises:
             RequestRefusedError: The final answer is a refusal.
         """
-        now = self._now()
         request, unrepeatable = self._resolve(caller_request)
-        refusal = self._executor.admit(request, now)
-        if refusal is not None:
-            raise RequestRefusedError(refusal)
-        self._open_by_id[request.request_id] = request
+        self._admit(request)
+        try:
+            if unrepeatable:
+                with claim_span(request, traceparent):
+                    recorded = await self._acquire(caller_request, request)
+                if recorded is not None:
+                    self._forget(request)
+                    return Opened(request, unrepeatable, None, recorded)
+                self._claimed_ids.add(request.request_id)
+            return await self._begin(request, unrepeatable)
+        except BaseException:
+            self._open_by_id.pop(request.request_id, None)
+            raise
+
+    async def open_forwarded(
+        self, request: Request, unrepeatable: frozenset[str]
+    ) -> Opened:
+        """Take over a stage call of another zone's entry host.
+
+        That host holds the claim of a request that may not be repeated.
+
+        Raises:
+            RequestRefusedError: The final answer is a refusal.
+        """
+        self._check_open()
+        self._admit(request)
         try:
-            return await self._start(caller_request, request, unrepeatable)
+            return await self._begin(request, unrepeatable)
         except BaseException:
             self._open_by_id.pop(request.request_id, None)
             raise
@@ -180,7 +202,7 @@
             self.carry_out(self._executor.tick(self._now()))
 
     def _resolve(self, caller_request: CallerRequest) -> tuple[Request, frozenset[str]]:
-        self._check_open(caller_request)
+        self._check_open()
         name, organisation = self._authenticate(caller_request.key)
         pipeline = self._find_pipeline(caller_request.pipeline, organisation)
         unrepeatable = self._unrepeatable_stages(pipeline)
@@ -192,7 +214,7 @@
         request = _build_request(caller_request, name, organisation, pipeline)
         return request, unrepeatable
 
-    def _check_open(self, caller_request: CallerRequest) -> None:
+    def _check_open(self) -> None:
         if not self._view.is_ready:
             _refuse(
                 RefusalReason.NOT_READY,
@@ -234,19 +256,17 @@
                 names.add(stage)
         return frozenset(names)
 
-    async def _start(
-        self,
-        caller_request: CallerRequest,
-        request: Request,
-        unrepeatable: frozenset[str],
-    ) -> Opened:
-        if unrepeatable:
-            recorded = await self._acquire(caller_request, request)
-            if recorded is not None:
-                self._executor.cancel_admission(request, self._now())
-                self._open_by_id.pop(request.request_id)
-                return Opened(request, unrepeatable, None, recorded)
-            self._claimed_ids.add(request.request_id)
+    def _admit(self, request: Request) -> None:
+        refusal = self._executor.admit(request, self._now())
+        if refusal is not None:
+            raise RequestRefusedError(refusal)
+        self._open_by_id[request.request_id] = request
+
+    def _forget(self, request: Request) -> None:
+        self._executor.cancel_admission(request, self._now())
+        self._open_by_id.pop(request.request_id, None)
+
+    async def _begin(self, request: Request, unrepeatable: frozenset[str]) -> Opened:
         actions = self._executor.begin(
             request, unrepeatable, self._now(), claimed=bool(unrepeatable)
         )
@@ -259,7 +279,7 @@
         try:
             return await self._claims.acquire(request, _fingerprint(caller_request))
         except BaseException:
-            self._executor.cancel_admission(request, self._now())
+            self._forget(request)
             raise
 
     async def _step(
--- a/src/galenadrum/_internal/entry/request_telemetry.py
+++ b/src/galenadrum/_internal/entry/request_telemetry.py
@@ -123,3 +123,20 @@
             pipeline=call.request.pipeline,
             stage=call.stage,
         )
+
+
+@contextmanager
+def claim_span(request: Request, parent_traceparent: str) -> Iterator[None]:
+    """Record the hop to control that claims a request."""
+    span = start_span(
+        "claim",
+        parent_traceparent,
+        {"request_id": request.request_id, "organisation": request.organisation},
+        SpanKind.CLIENT,
+    )
+    try:
+        yield
+    except BaseException as error:
+        end_span(span, f"{type(error).__name__}: {error}")
+        raise
+    end_span(span)
--- a/src/galenadrum/_internal/network/stage_client.py
+++ b/src/galenadrum/_internal/network/stage_client.py
@@ -33,6 +33,11 @@
 PRIORITY_HEADER = "Galenadrum-Priority"
 RUN_HEADER = "Galenadrum-Run"
 NOT_RUN = "not_run"
+UNKNOWN = "unknown"
+ORGANISATION_HEADER = "Galenadrum-Organisation"
+WEIGHT_HEADER = "Galenadrum-Weight"
+ONCE_HEADER = "Galenadrum-Once"
+STAGES_PREFIX = "/v1/stages/"
 EVENT_STREAM = "text/event-stream"
 
 _CONNECT_TIMEOUT_S = 0.5
@@ -67,12 +72,15 @@
         first_byte_timeout_s: Silence after which the connection is suspect.
         fresh_connection: Whether a pooled connection must not be used.
         caller_socket: The caller's socket, whose end cancels the attempt.
+        once: Whether an entry host that takes the call over must send it at
+            most once.
     """
 
     deadline: float
     first_byte_timeout_s: float
     fresh_connection: bool = False
     caller_socket: socket.socket | None = None
+    once: bool = False
 
 
 class _AttemptError(Exception):
@@ -270,11 +278,13 @@
     headers[DEADLINE_HEADER] = str(int(left_s * 1_000))
     headers[PRIORITY_HEADER] = str(dispatch.call.request.priority)
     headers["Content-Type"] = "application/json"
+    if dispatch.forward_zone is not None:
+        headers.update(_forward_headers(dispatch, exchange.limits))
     if traceparent:
         headers["traceparent"] = traceparent
     exchange.connection.sock.settimeout(left_s)
     exchange.sent = True
-    path = f"/v1/stages/{dispatch.call.stage}"
+    path = STAGES_PREFIX + dispatch.call.stage
     exchange.connection.request("POST", path, body, headers, preload_content=False)
     _wait_first_byte(exchange)
     response = exchange.connection.getresponse()
@@ -282,6 +292,15 @@
     return response
 
 
+def _forward_headers(dispatch: Dispatch, limits: AttemptLimits) -> dict[str, str]:
+    request = dispatch.call.request
+    return {
+        ORGANISATION_HEADER: request.organisation,
+        WEIGHT_HEADER: str(request.weight),
+        ONCE_HEADER: "true" if limits.once else "false",
+    }
+
+
 def _wait_first_byte(exchange: _Exchange) -> None:
     limits = exchange.limits
     silent_until = time.monotonic() + limits.first_byte_timeout_s
@@ -338,8 +357,11 @@
         return
     retry_after_s = _retry_after(response)
     outcome = Outcome.FAILED
-    if response.headers.get(RUN_HEADER) == NOT_RUN:
+    run = response.headers.get(RUN_HEADER)
+    if run == NOT_RUN:
         outcome = Outcome.NOT_RUN
+    elif run == UNKNOWN:
+        outcome = Outcome.UNKNOWN
     detail = f"server answered {response.status}"
     raise _AttemptError(outcome, detail, retry_after_s)
 
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -139,13 +139,22 @@
         return answers[0]
 
     def start_entries(self, count=1, zone="zone-1", **extra):
-        names = [f"{zone}-entry-{number}" for number in range(1, count + 1)]
-        peers = {name: free_address() for name in names}
+        return self.start_zones({zone: count}, **extra)
+
+    def start_zones(self, count_by_zone, **extra):
+        """Start the entry hosts of zones that know each other."""
+        zones = {
+            f"{zone}-entry-{number}": zone
+            for zone, count in count_by_zone.items()
+            for number in range(1, count + 1)
+        }
+        peers = {name: free_address() for name in zones}
         controls = [s["peer_address"] for s in self.control_settings.values()]
-        for name in names:
+        for name, zone in zones.items():
             self.callers[name] = free_address()
             self.platforms[name] = free_address()
-            others = [address for other, address in peers.items() if other != name]
+            same = [peers[n] for n in zones if zones[n] == zone and n != name]
+            other = [peers[n] for n in zones if zones[n] != zone]
             self.entry_settings[name] = {
                 "role": "entry",
                 "host_id": name,
@@ -154,12 +163,13 @@
                 "operator_address": self.platforms[name],
                 "peer_address": peers[name],
                 "control_addresses": controls,
-                "zone_peer_addresses": others,
+                "zone_peer_addresses": same,
+                "other_zone_addresses": other,
                 "observability": {"trace_file": f"{name}.traces"},
                 **extra,
             }
             self.start_entry(name)
-        return names
+        return list(zones)
 
     def start_entry(self, name):
         path = write_settings(self.folder, name, self.entry_settings[name])
