--- a/src/galenadrum/_internal/cli/main.py
+++ b/src/galenadrum/_internal/cli/main.py
@@ -60,7 +60,7 @@
       4  conflict: a resource changed after it was read
       5  refused: token, owner or form
       6  unknown whether the change was accepted; resend its change id
-      7  the data folder can't be used
+      7  a file, data folder or address of this host can't be used
      70  a fault in the program
     """
 
@@ -79,6 +79,9 @@
     except BrokenPipeError:
         output.close_quietly()
         return status_codes.SUCCESS
+    except OSError as error:
+        output.write_note(f"error: {error}")
+        return status_codes.HOST
     except Exception:
         logger.exception("a fault in galenadrum")
         return status_codes.INTERNAL
--- a/src/galenadrum/_internal/cli/output.py
+++ b/src/galenadrum/_internal/cli/output.py
@@ -21,6 +21,7 @@
     ConflictError,
     ControlUnreachableError,
     GalenadrumError,
+    MemberRefusedError,
     OperatorApiError,
     OutcomeUnknownError,
     StorageError,
@@ -36,7 +37,8 @@
     (OutcomeUnknownError, status_codes.OUTCOME_UNKNOWN),
     (ControlUnreachableError, status_codes.UNREACHABLE),
     (ChangeIdReusedError, status_codes.USAGE),
-    (StorageError, status_codes.STORAGE),
+    (MemberRefusedError, status_codes.REFUSED),
+    (StorageError, status_codes.HOST),
 )
 
 
--- a/src/galenadrum/_internal/cli/status_codes.py
+++ b/src/galenadrum/_internal/cli/status_codes.py
@@ -13,8 +13,8 @@
 REFUSED = 5
 # The change may or may not be accepted; resend it under its change id.
 OUTCOME_UNKNOWN = 6
-# A daemon can't use its data folder.
-STORAGE = 7
+# A file, data folder or address of this host can't be used.
+HOST = 7
 # A fault in the program.
 INTERNAL = 70
 # Ended by the user's interrupt.
--- a/src/galenadrum/_internal/network/operator_client.py
+++ b/src/galenadrum/_internal/network/operator_client.py
@@ -45,7 +45,9 @@
 logger = logging.getLogger(__name__)
 
 _CONNECT_TIMEOUT_S = 2.0
-_ANSWER_TIMEOUT_S = 10.0
+# A control host may take 10 s to know the outcome of a change.
+_CHANGE_TIMEOUT_S = 12.0
+_READ_TIMEOUT_S = 4.0
 _CALL_TIMEOUT_S = 30.0
 _FIRST_DELAY_S = 0.1
 _MAX_DELAY_S = 2.0
@@ -73,14 +75,16 @@
 
     Attributes:
         connect_s: For one connection.
-        answer_s: For the answer of one control host.
+        change_s: For the answer of one control host to a change.
+        read_s: For the answer of one control host to any other call.
         call_s: For a whole call, over all control hosts.
         watch_silence_s: For the next line of a watch.
         watch_unreachable_s: For a lost watch to be taken up again.
     """
 
     connect_s: float = _CONNECT_TIMEOUT_S
-    answer_s: float = _ANSWER_TIMEOUT_S
+    change_s: float = _CHANGE_TIMEOUT_S
+    read_s: float = _READ_TIMEOUT_S
     call_s: float = _CALL_TIMEOUT_S
     watch_silence_s: float = WATCH_SILENCE_TIMEOUT_S
     watch_unreachable_s: float = _WATCH_UNREACHABLE_TIMEOUT_S
@@ -273,7 +277,8 @@
         )
         try:
             if response.status != _HTTP_OK:
-                answer = _Answer(response.status, _parse(self._read_all(response)))
+                data = self._read_all(response, self._timeouts.read_s)
+                answer = _Answer(response.status, _parse(data))
                 self._remember_leader(answer)
                 if answer.code not in _CODES_TO_RETRY:
                     _raise_refusal(answer)
@@ -326,10 +331,12 @@
     def _send(
         self, address: str, method: str, path: str, body: bytes | None
     ) -> _Answer:
-        timeout_s = self._timeouts.answer_s
+        timeouts = self._timeouts
+        timeout_s = timeouts.read_s if body is None else timeouts.change_s
         response = self._open(address, method, path, body, timeout_s)
         try:
-            return _Answer(response.status, _parse(self._read_all(response)))
+            data = self._read_all(response, timeout_s)
+            return _Answer(response.status, _parse(data))
         finally:
             response.release_conn()
 
@@ -349,9 +356,9 @@
             timeout=urllib3.Timeout(connect=self._timeouts.connect_s, read=read_s),
         )
 
-    def _read_all(self, response: urllib3.BaseHTTPResponse) -> bytes:
+    def _read_all(self, response: urllib3.BaseHTTPResponse, timeout_s: float) -> bytes:
         """Read a whole answer; a slow one ends like a silent one."""
-        give_up = self._clock() + self._timeouts.answer_s
+        give_up = self._clock() + timeout_s
         data = bytearray()
         while part := response.read1(_READ_BYTES):
             data += part
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -202,6 +202,24 @@
         monkeypatch.setenv("GALENADRUM_CONTROL", "127.0.0.1:1")
         assert run("get", "--timeout-s", "0.01")[0] == status_codes.UNREACHABLE
 
+    def test_an_address_in_use_is_told_without_a_traceback(self, run, tmp_path):
+        with serving(OperatorsApi()) as address:
+            taken = address.removeprefix("http://")
+            settings = {
+                "role": "entry",
+                "host_id": "e1",
+                "zone": "nadi",
+                "caller_address": taken,
+                "operator_address": "127.0.0.1:1",
+                "peer_address": "127.0.0.1:2",
+                "control_addresses": ["127.0.0.1:3"],
+            }
+            path = tmp_path / "entry.json"
+            path.write_text(json.dumps(settings))
+            code, _, err = run("entry", path)
+        assert code == status_codes.HOST
+        assert "Traceback" not in err
+
     def test_digest_is_that_of_the_key(self, run, monkeypatch):
         key = io.TextIOWrapper(io.BytesIO(b"demo-key-x\n"))
         monkeypatch.setattr("sys.stdin", key)
