--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 	$(BIN)/ruff format --check src tests benchmarks
 	$(BIN)/ruff check src tests benchmarks
 
+bench: $(STAMP)
+	PYTHONPATH=src $(BIN)/python -m benchmarks.policy
+
 protocol: $(STAMP)
 	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -I src \
 		--python_out=src --grpclib_python_out=src $(PROTOS)
--- a/src/galenadrum/_internal/routing/placement.py
+++ b/src/galenadrum/_internal/routing/placement.py
@@ -13,6 +13,7 @@
 from galenadrum._internal.routing.mechanisms import Mechanisms
 from galenadrum._internal.routing.objectives import Weights
 from galenadrum._internal.routing.pool import ServerPool
+from galenadrum._internal.routing.queues import QueuedCall
 from galenadrum._internal.routing.scoring import (
     Candidate,
     choose,
@@ -84,26 +85,29 @@
         self._mechanisms = mechanisms
         self._random = random
 
-    def place(self, call: StageCall, weights: Weights, now: float) -> Placement | None:
+    def place(
+        self, queued: QueuedCall, weights: Weights, now: float
+    ) -> Placement | None:
         """Return where to send a call now, or None when it has to wait."""
-        home = self._home_placement(call, weights, now)
+        call = queued.call
+        home = self._home_placement(queued, weights, now)
         if home is not None:
             return home
-        local = self._local_placement(call, weights, now)
+        local = self._local_placement(queued, weights, now)
         if not self._may_forward(call):
             return local
         if local is None or self._should_leave(call, local, now):
-            return self._spill_placement(call, local, now) or local
+            return self._spill_placement(queued, local, now) or local
         return local
 
     def _local_placement(
-        self, call: StageCall, weights: Weights, now: float
+        self, queued: QueuedCall, weights: Weights, now: float
     ) -> LocalPlacement | None:
+        call = queued.call
         size = self._catalog.size(call.request, call.stage)
         uses_prefix = self._catalog.uses_model(call.stage)
         candidates = self._pool.candidates(call, size, uses_prefix, now)
-        rest_s = self._forecast.remaining_s(call.request, call.stage_index + 1, now)
-        slack_s = call.request.deadline - now - rest_s
+        slack_s = call.request.deadline - now - queued.rest_s
         feasible = [c for c in candidates if c.probe or expected_s(c) <= slack_s]
         best = choose(feasible, weights, self._random)
         if best is None:
@@ -130,9 +134,10 @@
         return capacity.failure_share > _LOCAL_FAILURE_SHARE
 
     def _spill_placement(
-        self, call: StageCall, local: LocalPlacement | None, now: float
+        self, queued: QueuedCall, local: LocalPlacement | None, now: float
     ) -> ForwardPlacement | None:
-        service_s = self._forecast.service_s(call.request, call.stage, now)
+        call = queued.call
+        service_s = queued.cost_s
         found = self._digests.best(call.stage, service_s, now, self._random)
         if found is None:
             return None
@@ -146,8 +151,7 @@
             gain_s = wait_s + service_s - remote_s
             if gain_s < _SPILL_GAIN_S + _SPILL_GAIN_SHARE * service_s:
                 return None
-        rest_s = self._forecast.remaining_s(call.request, call.stage_index + 1, now)
-        if now + remote_s + rest_s > call.request.deadline:
+        if now + remote_s + queued.rest_s > call.request.deadline:
             return None
         return ForwardPlacement(digest, Choice.SPILL, remote_s)
 
@@ -156,9 +160,10 @@
         return digest.failure_share + _FAILURE_GAIN < own
 
     def _home_placement(
-        self, call: StageCall, weights: Weights, now: float
+        self, queued: QueuedCall, weights: Weights, now: float
     ) -> ForwardPlacement | None:
         """Return the zone that keeps a long prefix, if it should take the call."""
+        call = queued.call
         if not (self._mechanisms.home_zones and self._may_forward(call)):
             return None
         prefix = call.request.prefix_hashes
@@ -173,8 +178,7 @@
             return None
         if zone_server_id(digest.zone) in call.tried_server_ids:
             return None
-        service_s = self._forecast.service_s(call.request, call.stage, now)
-        expected = ZONE_HOP_S + digest.queue_delay_s + service_s
+        expected = ZONE_HOP_S + digest.queue_delay_s + queued.cost_s
         return ForwardPlacement(digest, Choice.HOME_ZONE, expected)
 
     def _home_digest(self, call: StageCall, now: float) -> ZoneDigest | None:
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -137,7 +137,7 @@
         give_up_at = call.request.deadline
         if self._mechanisms.give_up:
             give_up_at -= _GIVE_UP_SHARE * (service_s + rest_s)
-        queued = QueuedCall(call, service_s, give_up_at, now)
+        queued = QueuedCall(call, service_s, rest_s, give_up_at, now)
         evicted = self._queue(call.stage).push(queued)
         decisions = []
         if evicted is not None:
@@ -327,9 +327,7 @@
         ]
         while len(queue):
             queued = queue.peek(self._usage(stage), self._fair_window_s(stage), now)
-            placement = self._placer.place(
-                queued.call, weights_for(self._objective), now
-            )
+            placement = self._placer.place(queued, weights_for(self._objective), now)
             if placement is None:
                 break
             queue.remove(queued.call.key)
@@ -348,9 +346,9 @@
         request = call.request
         record = self._ledger.require(request.request_id)
         if isinstance(placement, ForwardPlacement):
-            dispatch = self._forward(call, placement, now)
+            dispatch = self._forward(queued, placement, now)
         else:
-            dispatch = self._send(call, placement, now)
+            dispatch = self._send(queued, placement, now)
         self._ledger.dispatch(record, call, dispatch.server_id)
         self._usage(call.stage).charge(
             request.organisation, queued.cost_s, request.weight, now
@@ -358,7 +356,10 @@
         self._explain(queued, placement, dispatch, now)
         return dispatch
 
-    def _send(self, call: StageCall, placement: LocalPlacement, now: float) -> Dispatch:
+    def _send(
+        self, queued: QueuedCall, placement: LocalPlacement, now: float
+    ) -> Dispatch:
+        call = queued.call
         address = self._pool.start(call, placement.candidate, now)
         return Dispatch(
             call=call,
@@ -367,12 +368,13 @@
             first_byte_timeout_s=self._first_byte_timeout_s(
                 call, placement.expected_s, now
             ),
-            due_at=self._due_at(call, now),
+            due_at=_due_at(queued, now),
         )
 
     def _forward(
-        self, call: StageCall, placement: ForwardPlacement, now: float
+        self, queued: QueuedCall, placement: ForwardPlacement, now: float
     ) -> Dispatch:
+        call = queued.call
         zone = placement.digest.zone
         self._digests.sent(call.stage, zone)
         self.counters.forwarded_by_zone[zone] += 1
@@ -384,13 +386,9 @@
                 call, placement.expected_s, now
             ),
             forward_zone=zone,
-            due_at=self._due_at(call, now),
+            due_at=_due_at(queued, now),
         )
 
-    def _due_at(self, call: StageCall, now: float) -> float:
-        rest_s = self._forecast.remaining_s(call.request, call.stage_index + 1, now)
-        return max(now, call.request.deadline - _GIVE_UP_SHARE * rest_s)
-
     def _first_byte_timeout_s(
         self, call: StageCall, expected_s: float, now: float
     ) -> float:
@@ -466,6 +464,11 @@
         return self._budgets_by_stage.setdefault(stage, RetryBudget())
 
 
+def _due_at(queued: QueuedCall, now: float) -> float:
+    deadline = queued.call.request.deadline
+    return max(now, deadline - _GIVE_UP_SHARE * queued.rest_s)
+
+
 _MESSAGES_BY_REASON: dict[RefusalReason, str] = {
     RefusalReason.NO_SERVER: "no backend server of a stage is known",
     RefusalReason.DEADLINE: "the deadline can't be met",
--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -80,6 +80,7 @@
         self._records_by_id: dict[str, ServerRecord] = {}
         self._ids_by_stage: dict[str, list[str]] = {}
         self._started = False
+        self._capacity_by_stage: dict[str, tuple[float, StageCapacity]] = {}
 
     def update(self, announcements: Iterable[Announcement], now: float) -> None:
         """Take in the servers that stand announced; others are gone."""
@@ -108,22 +109,12 @@
 
     def capacity(self, stage: str, now: float) -> StageCapacity:
         """Return what the zone's servers can take for a stage."""
-        records = self._usable(stage)
-        if not records:
-            return StageCapacity(0, 0.0, 0.0, 0.0, 1.0, 0.0)
-        slownesses = [self._times.slowness(i, now) for i, _ in records]
-        least = min(slownesses)
-        slots = free = total_limit = failures = 0.0
-        for (_, record), slowness in zip(records, slownesses, strict=True):
-            limit = record.limit.value(now)
-            others = self._others(record, now)
-            slots += max(1.0, limit - others) * least / slowness
-            free += max(0.0, limit - others - len(record.load.in_flight))
-            total_limit += limit
-            failures += record.health.failure_share
-        return StageCapacity(
-            len(records), slots, free, total_limit, least, failures / len(records)
-        )
+        known = self._capacity_by_stage.get(stage)
+        if known is not None and known[0] == now:
+            return known[1]
+        capacity = self._work_out_capacity(stage, now)
+        self._capacity_by_stage[stage] = (now, capacity)
+        return capacity
 
     def candidates(
         self, call: StageCall, size: CallSize, uses_prefix: bool, now: float
@@ -159,6 +150,7 @@
         if call.stage not in record.announcement.stages:
             raise InvariantError(f"{candidate.server_id} does not serve {call.stage}")
         record.load.start(call.key, now)
+        self._capacity_by_stage.clear()
         if candidate.probe:
             record.health.probing = True
             record.probe_key = call.key
@@ -192,6 +184,7 @@
                 call.stage, size, server_id, result.service_s, now
             )
         self._judge(call, server_id, record, failed, ratio, now)
+        self._capacity_by_stage.clear()
         self._drop_if_unused(server_id, record)
         return record.announcement.stages
 
@@ -204,6 +197,24 @@
         ]
         return min(times, default=None)
 
+    def _work_out_capacity(self, stage: str, now: float) -> StageCapacity:
+        records = self._usable(stage)
+        if not records:
+            return StageCapacity(0, 0.0, 0.0, 0.0, 1.0, 0.0)
+        slownesses = [self._times.slowness(i, now) for i, _ in records]
+        least = min(slownesses)
+        slots = free = total_limit = failures = 0.0
+        for (_, record), slowness in zip(records, slownesses, strict=True):
+            limit = record.limit.value(now)
+            others = self._others(record, now)
+            slots += max(1.0, limit - others) * least / slowness
+            free += max(0.0, limit - others - len(record.load.in_flight))
+            total_limit += limit
+            failures += record.health.failure_share
+        return StageCapacity(
+            len(records), slots, free, total_limit, least, failures / len(records)
+        )
+
     def _learn_time(
         self,
         stage: str,
@@ -291,6 +302,7 @@
 
     def _index_stages(self) -> None:
         self._ids_by_stage = {}
+        self._capacity_by_stage.clear()
         for server_id, record in self._records_by_id.items():
             if record.serving:
                 for stage in record.announcement.stages:
--- a/src/galenadrum/_internal/routing/queues.py
+++ b/src/galenadrum/_internal/routing/queues.py
@@ -29,12 +29,14 @@
 
     Attributes:
         cost_s: Expected service time in seconds.
+        rest_s: Expected service time of the stages after it, in seconds.
         give_up_at: Loop time after which the deadline can't be met.
         queued_at: Loop time at which it was submitted.
     """
 
     call: StageCall
     cost_s: float
+    rest_s: float
     give_up_at: float
     queued_at: float
 
