--- a/benchmarks/policy/__main__.py
+++ b/benchmarks/policy/__main__.py
@@ -76,6 +76,7 @@
         choices=[field.name for field in fields(Mechanisms)],
         help="turn a mechanism of the chosen policy off",
     )
+    parser.add_argument("--counters", action="store_true", help="print counters")
     parser.add_argument("--no-json", action="store_true", help="print tables only")
     return parser.parse_args(arguments)
 
@@ -99,6 +100,9 @@
     rows = make_rows(results)
     targets = check_targets(rows)
     print(format_rows(rows))
+    if options.counters:
+        for row in rows:
+            print(row.site, row.scenario, row.policy, row.counters)
     print(format_targets(targets))
     if not options.no_json:
         print(to_json(rows, targets, vars(options)))
--- a/benchmarks/policy/bound.py
+++ b/benchmarks/policy/bound.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from benchmarks.policy.scenarios import FAULT_START_S, Scenario
+from benchmarks.policy.scenarios import Scenario
 from benchmarks.policy.servers import BLOCK_TOKENS, work_of_engine_call
 from benchmarks.policy.sites import ENGINE_STAGE, Site
 from benchmarks.policy.workload import Arrival
@@ -18,17 +18,15 @@
 _GRID_S = 2.0
 
 
-def attainable(
-    site: Site, scenario: Scenario, arrivals: list[Arrival], measured_from: float
-) -> float:
+def attainable(site: Site, scenario: Scenario, arrivals: list[Arrival]) -> float:
     """Return the largest share of requests that could be attained."""
-    measured = [a for a in arrivals if a.request.arrived >= measured_from]
+    measured = [a for a in arrivals if a.request.arrived >= site.warm_up_s]
     if not measured:
         return 1.0
     dropped = 0
     for stage, capacity in _capacities(site).items():
-        jobs = _jobs(site, stage, measured)
-        lost_from = FAULT_START_S if scenario.slow_engine > 1.0 else None
+        jobs = _jobs(site, stage, arrivals)
+        lost_from = site.fault_start_s if scenario.slow_engine > 1.0 else None
         lost = 1.0 - 1.0 / scenario.slow_engine if stage == ENGINE_STAGE else 0.0
         dropped = max(dropped, _most_dropped(jobs, capacity, lost, lost_from))
     return 1.0 - dropped / len(measured)
@@ -43,7 +41,10 @@
 def _jobs(
     site: Site, stage: str, arrivals: list[Arrival]
 ) -> list[tuple[float, float, float]]:
-    """Return arrival, deadline and work of each call to a stage."""
+    """Return arrival, deadline and work of each measured call to a stage.
+
+    Prefixes of the warm-up count as cached.
+    """
     jobs = []
     seen: set[str] = set()
     for arrival in arrivals:
@@ -58,7 +59,8 @@
             work = work_of_engine_call(site.engine, prefill, arrival.output_tokens)
         else:
             work = arrival.work_by_stage[stage]
-        jobs.append((request.arrived, request.deadline, work))
+        if request.arrived >= site.warm_up_s:
+            jobs.append((request.arrived, request.deadline, work))
     return jobs
 
 
--- a/benchmarks/policy/report.py
+++ b/benchmarks/policy/report.py
@@ -10,7 +10,7 @@
 from benchmarks.policy.scenarios import (
     BOUND_SHARE_TARGET,
     BURST_S,
-    FAULT_START_S,
+    FAULT_DELAY_S,
     PREFILL_SHARE_TARGET,
     RECOVERY_TARGET_S,
     SMALL_ORGANISATION_LOSS_TARGET,
@@ -22,7 +22,7 @@
 _RECOVERED_LOSS = 0.05
 _BASELINES = (PolicyName.ROUND_ROBIN.value, PolicyName.TWO_CHOICES.value)
 _CHOSEN = PolicyName.CHOSEN.value
-_BURST_END_S = int(FAULT_START_S + BURST_S)
+_BURST_END_S = int(BURST_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +137,7 @@
 
 def _recovery_s(group: list[RunResult]) -> float:
     """Return the seconds after the burst until no second is worse than before."""
-    before = _share_in(group, range(int(FAULT_START_S)))
+    before = _share_in(group, range(-int(FAULT_DELAY_S), 0))
     last = max(second for r in group for second in r.offered_by_second)
     recovered = last
     for second in range(last, _BURST_END_S - 1, -1):
--- a/benchmarks/policy/results.py
+++ b/benchmarks/policy/results.py
@@ -20,8 +20,8 @@
         prefill_tokens: Prompt tokens that engines computed.
         output_tokens: Tokens that engines generated.
         attainable: Share that full knowledge could reach at most.
-        offered_by_second: Requests by second of arrival.
-        attained_by_second: Attained requests by second of arrival.
+        offered_by_second: Requests by second of arrival, from the fault on.
+        attained_by_second: Attained requests by second of arrival, from the fault on.
         offered_by_organisation: Requests by organisation.
         attained_by_organisation: Attained requests by organisation.
         counters: Totals of the policy's counters over all hosts.
--- a/benchmarks/policy/scenarios.py
+++ b/benchmarks/policy/scenarios.py
@@ -10,19 +10,18 @@
 RECOVERY_TARGET_S = 5.0
 BASELINE_TOLERANCE = 0.0
 
-WARM_UP_S = 4.0
-FAULT_START_S = 10.0
-FAULT_END_S = 22.0
+FAULT_DELAY_S = 6.0
+FAULT_S = 12.0
 BURST_S = 20.0
 
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """One kind of load and fault.
+    """One kind of load and fault; the fault starts 6 s after the warm-up.
 
     Attributes:
         load: Offered load as a share of capacity.
-        length_s: Length of the arrivals.
+        length_s: Length of the arrivals after the warm-up.
         burst: Factor on the load for 20 s from the start of the fault.
         slow_engine: Factor on one engine's times from the start of the fault.
         failing_service: Share of one service's calls that fail from then on.
@@ -37,7 +36,7 @@
 
     name: str
     load: float = 0.6
-    length_s: float = 30.0
+    length_s: float = 24.0
     burst: float = 1.0
     slow_engine: float = 1.0
     failing_service: float = 0.0
@@ -52,15 +51,15 @@
 SCENARIOS = (
     Scenario("steady-60"),
     Scenario("steady-90", load=0.9),
-    Scenario("burst", burst=3.0, length_s=42.0),
-    Scenario("burst-return", burst=3.0, length_s=42.0, callers_return=True),
+    Scenario("burst", burst=3.0, length_s=36.0),
+    Scenario("burst-return", burst=3.0, length_s=36.0, callers_return=True),
     Scenario("slow-engine", slow_engine=5.0),
     Scenario("failing-service", failing_service=0.5),
-    Scenario("zone-cut", cut_zone=True, length_s=32.0),
+    Scenario("zone-cut", cut_zone=True, length_s=26.0),
     Scenario("late-reports", load=0.9, report_age_s=5.0),
     Scenario("greedy", greedy=10.0),
     Scenario("lost-events", load=0.9, lost_cache_events=0.5),
-    Scenario("restarts", restarts=True, length_s=40.0),
+    Scenario("restarts", restarts=True, length_s=34.0),
 )
 
 SCENARIOS_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
--- a/benchmarks/policy/simulation.py
+++ b/benchmarks/policy/simulation.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from enum import StrEnum
+from math import floor
 from random import Random
 from typing import Any
 
@@ -15,16 +16,14 @@
 from benchmarks.policy.policy_host import PolicyHost
 from benchmarks.policy.results import RunResult
 from benchmarks.policy.scenarios import (
-    FAULT_END_S,
-    FAULT_START_S,
-    WARM_UP_S,
+    FAULT_S,
     Scenario,
 )
-from benchmarks.policy.servers import Engine, PlainServer, Server
+from benchmarks.policy.servers import Engine, PlainServer, Server, Usage
 from benchmarks.policy.simple_host import SimpleHost
 from benchmarks.policy.sites import ENGINE_STAGE, Site
 from benchmarks.policy.workload import Arrival, make_arrivals
-from galenadrum._internal.models.requests import Refusal, RefusalReason
+from galenadrum._internal.models.requests import Refusal, RefusalReason, Request
 from galenadrum._internal.models.servers import (
     Announcement,
     CacheEvent,
@@ -135,7 +134,8 @@
         """Run to the end and return what was seen."""
         arrivals = make_arrivals(self._site, self._scenario, self._seed)
         self._schedule(arrivals)
-        self._clock.run_until(self._scenario.length_s + _SETTLE_S)
+        end = self._site.warm_up_s + self._scenario.length_s
+        self._clock.run_until(end + _SETTLE_S)
         self._collect()
         return self._result
 
@@ -197,30 +197,32 @@
         self._clock.at(0.01, self._exchange_digests)
         for arrival in arrivals:
             self._clock.at(arrival.request.arrived, self._arrive, arrival, 0)
+        self._clock.at(self._site.warm_up_s, self._forget_warm_up)
         self._schedule_faults()
 
     def _schedule_faults(self) -> None:
         scenario = self._scenario
+        start = self._site.fault_start_s
         engines = [s for s in self._sources if s.server.stage == ENGINE_STAGE]
         if scenario.slow_engine > 1.0:
             server = self._random.choice(engines).server
-            self._clock.at(FAULT_START_S, self._slow_down, server)
+            self._clock.at(start, self._slow_down, server)
         if scenario.failing_service:
             stage = self._random.choice(self._site.services[:3]).stage
-            self._clock.at(FAULT_START_S, self._make_fail, stage)
+            self._clock.at(start, self._make_fail, stage)
         if scenario.cut_zone:
             zone = self._random.choice(self._site.zones)
-            self._clock.at(FAULT_START_S, self._network.cut, zone)
-            self._clock.at(FAULT_END_S, self._network.heal)
+            self._clock.at(start, self._network.cut, zone)
+            self._clock.at(start + FAULT_S, self._network.heal)
         if scenario.restarts:
             self._schedule_restarts()
 
     def _schedule_restarts(self) -> None:
         sources = list(self._sources)
         self._random.shuffle(sources)
-        interval_s = (self._scenario.length_s - FAULT_START_S) / len(sources)
+        interval_s = (self._scenario.length_s - _DRAIN_S - _DOWN_S) / len(sources)
         for index, source in enumerate(sources):
-            leave_at = WARM_UP_S + index * interval_s
+            leave_at = self._site.warm_up_s + index * interval_s
             self._clock.at(leave_at, self._leave, source)
             self._clock.at(leave_at + _DRAIN_S, source.server.stop)
             self._clock.at(leave_at + _DRAIN_S + _DOWN_S, self._come_back, source)
@@ -319,22 +321,22 @@
     def _note_offered(self, arrival: Arrival) -> None:
         result = self._result
         request = arrival.request
-        if request.arrived < WARM_UP_S:
+        if request.arrived < self._site.warm_up_s:
             return
         result.offered += 1
-        _add(result.offered_by_second, int(request.arrived))
+        _add(result.offered_by_second, self._second(request))
         _add(result.offered_by_organisation, request.organisation)
 
     def _note_end(self, arrival: Arrival, refusal: Refusal | None) -> None:
         result = self._result
         request = arrival.request
         now = self._clock.now
-        if request.arrived < WARM_UP_S:
+        if request.arrived < self._site.warm_up_s:
             return
         if refusal is None and now <= request.deadline:
             result.attained += 1
             result.latencies_s.append(now - request.arrived)
-            _add(result.attained_by_second, int(request.arrived))
+            _add(result.attained_by_second, self._second(request))
             _add(result.attained_by_organisation, request.organisation)
         elif refusal is None or now >= request.deadline:
             result.late += 1
@@ -346,6 +348,14 @@
                 reason += f" {refusal.message}"
             _add(result.counters, f"refused:{reason}/{refusal.run.value}")
 
+    def _second(self, request: Request) -> int:
+        """Return the whole seconds from the fault to a request's arrival."""
+        return floor(request.arrived - self._site.fault_start_s)
+
+    def _forget_warm_up(self) -> None:
+        for server in self._servers_by_id.values():
+            server.usage = Usage()
+
     def _collect(self) -> None:
         result = self._result
         for server in self._servers_by_id.values():
@@ -361,7 +371,7 @@
 def bound_of(site: Site, scenario: Scenario, seed: int) -> float:
     """Return the share of a run's requests that could be attained at most."""
     arrivals = make_arrivals(site, scenario, seed)
-    return attainable(site, scenario, arrivals, WARM_UP_S)
+    return attainable(site, scenario, arrivals)
 
 
 def _add_counters(result: RunResult, host: PolicyHost) -> None:
--- a/benchmarks/policy/sites.py
+++ b/benchmarks/policy/sites.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from benchmarks.policy.scenarios import FAULT_DELAY_S
 from benchmarks.policy.servers import EngineSize, work_of_engine_call
 from galenadrum._internal.models.resources import Objective, StageSpec
 
@@ -57,7 +58,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Site:
-    """One deployment."""
+    """One deployment.
+
+    Attributes:
+        notes: Number of long prefixes.
+        warm_up_s: Seconds before anything is measured, which fill the caches.
+    """
 
     name: str
     objective: Objective
@@ -68,6 +74,12 @@
     pipelines: tuple[PipelineLoad, ...]
     organisations: tuple[Organisation, ...]
     notes: int
+    warm_up_s: float
+
+    @property
+    def fault_start_s(self) -> float:
+        """Seconds from the start of a run to the start of the fault."""
+        return self.warm_up_s + FAULT_DELAY_S
 
     @property
     def zones(self) -> tuple[str, ...]:
@@ -143,6 +155,7 @@
     ),
     organisations=_ORGANISATIONS,
     notes=1,
+    warm_up_s=4.0,
 )
 
 TORNOS = Site(
@@ -191,6 +204,7 @@
     ),
     organisations=_ORGANISATIONS,
     notes=60,
+    warm_up_s=40.0,
 )
 
 SITES_BY_NAME = {site.name: site for site in (VATU, TORNOS)}
--- a/benchmarks/policy/workload.py
+++ b/benchmarks/policy/workload.py
@@ -7,7 +7,6 @@
 
 from benchmarks.policy.scenarios import (
     BURST_S,
-    FAULT_START_S,
     GREEDY_ORGANISATION,
     Scenario,
 )
@@ -47,7 +46,7 @@
     peak = max(scenario.burst, 1.0 + _greedy_extra(site, scenario))
     while True:
         now += random.expovariate(base_rps * peak)
-        if now >= scenario.length_s:
+        if now >= site.warm_up_s + scenario.length_s:
             return arrivals
         factor = _load_factor(site, scenario, now)
         if random.random() < factor / peak:
@@ -61,10 +60,10 @@
 
 
 def _load_factor(site: Site, scenario: Scenario, now: float) -> float:
-    if now < FAULT_START_S:
+    if now < site.fault_start_s:
         return 1.0
     factor = 1.0 + _greedy_extra(site, scenario)
-    if now < FAULT_START_S + BURST_S:
+    if now < site.fault_start_s + BURST_S:
         factor *= scenario.burst
     return factor
 
@@ -73,7 +72,7 @@
     site: Site, scenario: Scenario, now: float, index: int, random: Random
 ) -> Arrival:
     load = random.choices(site.pipelines, [p.share for p in site.pipelines])[0]
-    greedy = scenario.greedy if now >= FAULT_START_S else 1.0
+    greedy = scenario.greedy if now >= site.fault_start_s else 1.0
     weights = [
         o.share * (greedy if o.name == GREEDY_ORGANISATION else 1.0)
         for o in site.organisations
