--- a/src/galenadrum/_internal/membership/hosts.py
+++ b/src/galenadrum/_internal/membership/hosts.py
@@ -183,7 +183,10 @@
         host_id = self._id_by_ref.get(beat.ref)
         if host_id is None:
             return None
-        record = replace(self._entries_by_id[host_id].record, beat=beat.beat)
+        record = self._entries_by_id[host_id].record
+        if record.beat >= beat.beat and host_id != self._host_id:
+            return False
+        record = replace(record, beat=beat.beat)
         return self.merge(PeerHost(record, beat.age_s), now) is not None
 
     def expire(self, now: float) -> tuple[str, ...]:
--- a/src/galenadrum/_internal/membership/registry.py
+++ b/src/galenadrum/_internal/membership/registry.py
@@ -37,6 +37,10 @@
 _SEQUENCE_SLACK = 1_000
 _SEQUENCES_PER_S = 1_000
 
+_ALREADY_KNOWN = Rejection(RejectReason.REPLAYED, "already known")
+_LEASE_ENDED = Rejection(RejectReason.EXPIRED, "the lease has ended")
+_GONE = Rejection(RejectReason.GONE, "the server is gone")
+
 
 @dataclass(frozen=True, slots=True)
 class _Tombstone:
@@ -108,7 +112,7 @@
             rejection = self._check_claims(announcement)
         if rejection is not None:
             return Verdict(announcement.server_id, rejection=rejection)
-        return self._store(announcement, now)
+        return self._store(announcement, content_ref(announcement), now)
 
     def merge(
         self, peer_entries: Iterable[PeerEntry], now: float
@@ -123,12 +127,15 @@
         if server_id is None:
             return None
         entry = self._entries_by_id[server_id]
+        if renewal.sequence <= entry.announcement.sequence:
+            return Verdict(server_id, rejection=_ALREADY_KNOWN)
+        heard_at = now - max(0.0, renewal.age_s)
+        if heard_at + _lease_s(entry.announcement) <= now:
+            return Verdict(server_id, rejection=_LEASE_ENDED)
         announcement = replace(
             entry.announcement, sequence=renewal.sequence, load=renewal.load
         )
-        if announcement.sequence <= entry.announcement.sequence:
-            return _reject(announcement, RejectReason.REPLAYED, "already known")
-        return self._merge_entry(PeerEntry(announcement, renewal.age_s), now)
+        return self._store(announcement, renewal.ref, heard_at)
 
     def merge_cache_events(self, cache_events: PeerCacheEvents) -> PeerCacheEvents:
         """Take cache events that a peer passed on; return those that are new."""
@@ -268,13 +275,14 @@
         if rejection is not None:
             return Verdict(announcement.server_id, rejection=rejection)
         known, _ = self._last_known(announcement.server_id)
-        rank = rank_of(announcement, content_ref(announcement))
+        ref = content_ref(announcement)
+        rank = rank_of(announcement, ref)
         if known is not None and known >= rank:
             is_gone = announcement.server_id in self._tombstones_by_id
-            reason = RejectReason.GONE if is_gone else RejectReason.REPLAYED
-            return _reject(announcement, reason, "already known")
+            rejection = _GONE if is_gone else _ALREADY_KNOWN
+            return Verdict(announcement.server_id, rejection=rejection)
         if _lease_s(announcement) <= peer_entry.age_s:
-            return _reject(announcement, RejectReason.EXPIRED, "the lease has ended")
+            return Verdict(announcement.server_id, rejection=_LEASE_ENDED)
         if not self._displace_holder(announcement, now):
             return _reject(announcement, RejectReason.ADDRESS_TAKEN, "address taken")
         if (
@@ -282,7 +290,7 @@
             and len(self._entries_by_id) >= _MAX_SERVERS
         ):
             return _reject(announcement, RejectReason.TABLE_FULL, "table is full")
-        return self._store(announcement, now - max(0.0, peer_entry.age_s))
+        return self._store(announcement, ref, now - max(0.0, peer_entry.age_s))
 
     def _displace_holder(self, announcement: Announcement, now: float) -> bool:
         """Decide between two servers that hosts accepted for one address.
@@ -303,12 +311,11 @@
         self._bury(holder, now)
         return True
 
-    def _store(self, announcement: Announcement, heard_at: float) -> Verdict:
+    def _store(self, announcement: Announcement, ref: int, heard_at: float) -> Verdict:
         server_id = announcement.server_id
         previous = self._entries_by_id.get(server_id)
         events = announcement.cache_events
-        bare = replace(announcement, cache_events=())
-        ref = content_ref(bare)
+        bare = replace(announcement, cache_events=()) if events else announcement
         entry = ServerEntry(bare, ref, heard_at, heard_at + _lease_s(bare))
         if previous is not None and previous.rank >= entry.rank:
             raise InvariantError(f"{server_id}: an announcement went back")
--- a/src/galenadrum/_internal/membership/topology.py
+++ b/src/galenadrum/_internal/membership/topology.py
@@ -1,23 +1,20 @@
 """Chooses which hosts of a zone an entry host dials.
 
-The hosts, ordered by address, form a ring. Each dials the hosts at a few fixed
-offsets, such as 1, 3 and 9 of 28: every host then has six links, any two hosts
-are at most three or four links apart, and no two losses can cut the zone in two.
+The hosts, ordered by address, form a ring. Each dials its next host and the one
+at a fixed offset near the square root of their number, such as 1 and 6 of 28:
+every host then has four links, any two hosts are at most four links apart, and
+no three losses can cut the zone in two.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable
 
-_DIALS = 3
-
 
 def dial_offsets(host_count: int) -> tuple[int, ...]:
     """Return the offsets in a ring of ``host_count`` hosts, without repeats."""
-    base = 2
-    while base**_DIALS < host_count:
-        base += 1
-    offsets = (base**power for power in range(_DIALS))
+    offsets = (1, max(2, math.ceil(math.sqrt(host_count))))
     return tuple(offset for offset in offsets if offset < host_count)
 
 
--- a/tests/unit/membership/test_exchange.py
+++ b/tests/unit/membership/test_exchange.py
@@ -50,3 +50,16 @@
                 zone.settle()
         assert sum(zone.counts.values()) >= _STEPS
         print(host_count, dict(zone.counts))
+
+
+class TestSpread:
+    def test_joins_and_leaves_reach_28_hosts_within_a_second(self):
+        zone = FakeZone(28, seed=1)
+        for expected in (28, 0):
+            if expected:
+                zone.start_server()
+            else:
+                zone.stop_server()
+            zone.advance(1.0)
+            holders = [h for h in zone.hosts.values() if zone.offered(h)]
+            assert len(holders) == expected
--- /dev/null
+++ b/tests/unit/membership/test_zone_driver.py
@@ -0,0 +1,156 @@
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+from galenadrum._internal.membership.links import SILENCE_LIMIT_S
+from galenadrum._internal.membership.topology import dial_offsets, order_targets
+from galenadrum._internal.membership.zone_service import ZoneService
+from galenadrum._internal.models.servers import Announcement
+from galenadrum._internal.models.settings import EntrySettings
+from galenadrum._internal.network.peer_link import LinkLostError
+from galenadrum._internal.protocol import zone_pb2
+from lib.paused_loop import run_paused
+
+_ADDRESSES = tuple(f"10.0.0.{i}:70" for i in range(1, 9))
+_SERVER = Announcement("s", 1, 1, "10.1.0.1:90", "nadi", ("encode",), 4, ttl_s=60.0)
+
+
+class _Stream:
+    """One end of a connection in memory; what a silent one is sent is lost."""
+
+    def __init__(self):
+        self.inbox = asyncio.Queue()
+        self.other = None
+        self.is_silent = self.is_blocked = False
+
+    async def send(self, message):
+        if self.is_blocked:
+            await asyncio.Event().wait()
+        if not self.is_silent:
+            self.other.inbox.put_nowait(message)
+
+    async def receive(self):
+        return await self.inbox.get()
+
+    def close(self):
+        if not self.is_silent:
+            self.other.inbox.put_nowait(None)
+
+
+class _Network:
+    """Hosts that dial each other; those that are down refuse connections."""
+
+    def __init__(self, count):
+        self.streams = []
+        self.dials = []
+        self.down = set()
+        self.services = {}
+        self.tasks = []
+        for address in _ADDRESSES[:count]:
+            peers = tuple(a for a in _ADDRESSES[:count] if a != address)
+            settings = EntrySettings(
+                address, "nadi", "", "", address, (), zone_peer_addresses=peers
+            )
+            service = ZoneService(
+                settings, random.Random(address), open_link=self.open_link
+            )
+            self.services[address] = service
+            self.tasks.append(asyncio.create_task(service.supervisor().run()))
+
+    @asynccontextmanager
+    async def open_link(self, address):
+        self.dials.append(address)
+        await asyncio.sleep(0.001)
+        if address in self.down:
+            raise LinkLostError("refused")
+        near, far = _Stream(), _Stream()
+        near.other, far.other = far, near
+        self.streams += [near, far]
+        task = asyncio.create_task(self.services[address].driver.run_link(far))
+        self.tasks.append(task)
+        yield near
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.wait(self.tasks)
+
+    def holders(self):
+        return [s for s in self.services.values() if s.servers()]
+
+
+def _run(count, scenario):
+    async def run():
+        network = _Network(count)
+        await asyncio.sleep(2)
+        await scenario(network)
+        await network.stop()
+
+    run_paused(run())
+
+
+class TestLinks:
+    def test_silent_and_blocked_links_are_replaced_on_new_connections(self):
+        async def scenario(network):
+            for attribute in ("is_silent", "is_blocked"):
+                for stream in network.streams:
+                    setattr(stream, attribute, True)
+                before = len(network.streams)
+                await asyncio.sleep(SILENCE_LIMIT_S + 0.2)
+                assert len(network.streams) == before + 4
+                for service in network.services.values():
+                    assert service.driver.link_count == 2
+            network.services[_ADDRESSES[0]].announce(_SERVER)
+            await asyncio.sleep(0.1)
+            assert len(network.holders()) == 2
+
+        _run(2, scenario)
+
+    def test_a_malformed_message_costs_only_its_link(self):
+        async def scenario(network):
+            broken = zone_pb2.ZoneMessage(
+                host_beats=zone_pb2.HostBeats(refs=[1], beats=[1, 2])
+            )
+            network.streams[0].inbox.put_nowait(broken)
+            await asyncio.sleep(1)
+            network.services[_ADDRESSES[0]].announce(_SERVER)
+            await asyncio.sleep(0.2)
+            assert len(network.holders()) == 3
+
+        _run(3, scenario)
+
+    def test_dead_hosts_are_replaced_and_dialled_ever_more_rarely(self):
+        async def scenario(network):
+            dead = _ADDRESSES[1:4]
+            network.down.update(dead)
+            for stream in network.streams:
+                stream.close()
+            await asyncio.sleep(10)
+            network.dials.clear()
+            await asyncio.sleep(60)
+            attempts = [address for address in network.dials if address in dead]
+            assert 0 < len(attempts) < 8 * 3 * 60 / 4
+            network.services[_ADDRESSES[0]].announce(_SERVER)
+            await asyncio.sleep(0.5)
+            live = set(_ADDRESSES) - set(dead)
+            holders = {s.hosts.own.host_id for s in network.holders()}
+            assert live <= holders
+
+        _run(8, scenario)
+
+
+class TestTopology:
+    def test_any_two_of_up_to_29_hosts_are_at_most_four_links_apart(self):
+        for count in range(2, 30):
+            ring = [f"10.0.0.{i:03}:70" for i in range(count)]
+            neighbours = {address: set() for address in ring}
+            for address in ring:
+                for slot in range(len(dial_offsets(count))):
+                    target = order_targets(address, ring, slot)[0]
+                    neighbours[address].add(target)
+                    neighbours[target].add(address)
+            reached = {ring[0]}
+            for _ in range(4):
+                reached |= {peer for address in reached for peer in neighbours[address]}
+            assert len(reached) == count
+            assert max(map(len, neighbours.values())) <= 4
