--- a/src/galenadrum/_internal/settings/rules.py
+++ b/src/galenadrum/_internal/settings/rules.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import ipaddress
 from collections.abc import Callable, Iterator
 from typing import Any
 
 from galenadrum._internal.models.findings import Finding
 from galenadrum._internal.models.settings import ControlSettings
 from galenadrum._internal.settings.reader import Document, DocumentPath, format_path
-from galenadrum._internal.settings.structure import format_address, parse_address
+from galenadrum._internal.utils.addresses import format_address, parse_address
 
 MAX_CONTROL_MEMBERS = 7
 _MIN_HEARTBEATS_IN_ELECTION_TIMEOUT = 3
@@ -34,7 +33,7 @@
     if address is None:
         return
     ip, _ = parse_address(address)
-    if ipaddress.ip_address(ip).is_unspecified:
+    if ip.is_unspecified:
         message = f"{ip} is no address that other hosts can connect to"
         yield document.find_at_value(("peer_address",), message)
 
@@ -79,6 +78,19 @@
         yield from _check_listed(document)
 
 
+def check_replaced_member(document: Document) -> Iterator[Finding]:
+    """Find a replacement that joins nothing, or keeps the lost member's id."""
+    replaces = document.value.get("replaces")
+    if not isinstance(replaces, str):
+        return
+    if not document.value.get("join_addresses"):
+        message = "set join_addresses, so that it joins the running cluster"
+        yield document.find_at_value(("replaces",), message)
+    if replaces == document.value.get("member_id"):
+        message = "a host whose disk was lost comes back under a new member_id"
+        yield document.find_at_value(("replaces",), message)
+
+
 def check_operators(document: Document) -> Iterator[Finding]:
     """Find operators that can't be told apart, or none at all."""
     paths = _item_paths(document, "operators")
@@ -121,6 +133,7 @@
     check_peer_address,
     check_members,
     check_own_membership,
+    check_replaced_member,
     check_operators,
     check_election_timeout,
 )
--- a/src/galenadrum/_internal/settings/structure.py
+++ b/src/galenadrum/_internal/settings/structure.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import ipaddress
 import logging
 import typing
 from collections.abc import Callable, Iterator
@@ -23,6 +22,7 @@
     ObservabilitySettings,
     Operator,
 )
+from galenadrum._internal.utils.addresses import format_address, parse_address
 
 _MAX_LIST_ITEMS = 1_024
 _MAX_PATH_CHARACTERS = 4_096
@@ -30,43 +30,11 @@
 _MAX_DURATION_S = 31_536_000
 _MAX_SIZE_BYTES = 1_073_741_824
 _MAX_WORKERS = 4_096
-_MAX_PORT = 65_535
 _LOG_LEVELS = tuple(logging.getLevelNamesMapping())
 
 Hook = fields.Hook
 
 
-def format_address(ip: ipaddress.IPv4Address | ipaddress.IPv6Address, port: int) -> str:
-    """Write an address as ``10.0.0.7:9000`` or ``[::1]:9000``."""
-    return f"[{ip}]:{port}" if ip.version == 6 else f"{ip}:{port}"
-
-
-def parse_address(
-    text: str,
-) -> tuple[ipaddress.IPv4Address | ipaddress.IPv6Address, int]:
-    """Split an address into its IP number and port.
-
-    Raises:
-        ValueError: With the text of the finding; names are refused, since a
-            daemon must not depend on a name server.
-    """
-    host, colon, port_text = text.rpartition(":")
-    if not colon:
-        raise ValueError(f'"{text}" has no port; write IP:PORT, as 10.0.0.7:9000')
-    try:
-        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        message = f'"{host}" is not an IP number; names are not looked up'
-        raise ValueError(message) from None
-    if ip.version == 6 and not host.startswith("["):
-        raise ValueError(f"write an IPv6 address in brackets: [{ip}]:{port_text}")
-    if not (port_text.isascii() and port_text.isdecimal()):
-        raise ValueError(f'"{port_text}" is not a port number')
-    if not 1 <= int(port_text) <= _MAX_PORT:
-        raise ValueError(f"port {port_text} is not between 1 and {_MAX_PORT}")
-    return ip, int(port_text)
-
-
 def build_converter(base: Path) -> cattrs.Converter:
     """Return a converter for settings; unknown keys must be removed before.
 
@@ -144,7 +112,10 @@
     if not isinstance(value, str):
         found = fields.type_name(value)
         raise TypeError(f"expected an address as 10.0.0.7:9000, found {found}")
-    return format_address(*parse_address(value))
+    ip, port = parse_address(value)
+    if port == 0:
+        raise ValueError("port 0 is no port that others could connect to")
+    return format_address(ip, port)
 
 
 def _path_below(base: Path) -> Hook:
@@ -178,6 +149,7 @@
     ),
     "_ms": fields.integer_between(1, _MAX_DURATION_MS),
     "_s": fields.integer_between(1, _MAX_DURATION_S),
+    "_percent": fields.integer_between(0, 100),
     "_bytes": fields.integer_between(1, _MAX_SIZE_BYTES),
 }
 _HOOK_BY_TYPE: dict[Any, Hook] = {
