Prove digests between zones; warn of wrong zones and doubled host ids

Cause: digests had no test of their own; a host in the wrong zone was logged as an ordinary end of a link. Conclusion: a digest reaches both hosts of another zone over grpclib.

--- a/src/galenadrum/_internal/membership/exchange.py
+++ b/src/galenadrum/_internal/membership/exchange.py
@@ -194,7 +194,13 @@
     def _close(self, link: Link, reason: CloseReason) -> None:
         self._links_by_id.pop(link.link_id, None)
         self._closing.append(CloseLink(link.link_id, reason))
-        logger.info("closing the link to host %s: %s", link.peer_host_id, reason)
+        is_fault = reason in (CloseReason.WRONG_ZONE, CloseReason.OWN_HOST)
+        logger.log(
+            logging.WARNING if is_fault else logging.INFO,
+            "closing the link to host %s: %s",
+            link.peer_host_id,
+            reason,
+        )
 
     def _check_silence(self, link: Link, now: float) -> None:
         if now - link.heard_at >= SILENCE_LIMIT_S:
--- a/src/galenadrum/_internal/membership/hosts.py
+++ b/src/galenadrum/_internal/membership/hosts.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import hashlib
+import logging
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from galenadrum._internal.exceptions import InvariantError
 
+logger = logging.getLogger(__name__)
+
 _BEAT_INTERVAL_S = 2.0
 _REFUTE_INTERVAL_S = 0.25
 _HOST_TTL_S = 7.0
@@ -98,6 +101,7 @@
         self._entries_by_id: dict[str, HostEntry] = {}
         self._id_by_ref: dict[int, str] = {}
         self._refuted_beat = 0
+        self._has_warned = False
         self._digest = 0
         self._put(HostRecord(host_id, peer_address, beat=1), now)
 
@@ -163,6 +167,13 @@
         """
         record = peer_host.record
         if record.host_id == self._host_id:
+            if record.peer_address != self.own.peer_address and not self._has_warned:
+                self._has_warned = True
+                logger.warning(
+                    "host id %s was also used at %s",
+                    record.host_id,
+                    record.peer_address,
+                )
             # A record from before this host's restart; the next beat beats it.
             self._refuted_beat = max(self._refuted_beat, record.beat)
             return None
--- a/tests/functional/test_zone_links.py
+++ b/tests/functional/test_zone_links.py
@@ -6,6 +6,8 @@
 
 from grpclib.server import Server
 
+from galenadrum._internal.membership import zone_service
+from galenadrum._internal.membership.digests import StageLoad
 from galenadrum._internal.membership.zone_service import ZoneService
 from galenadrum._internal.models.servers import Announcement, ServerState
 from galenadrum._internal.models.settings import EntrySettings
@@ -18,18 +20,21 @@
 
 
 @asynccontextmanager
-async def _running_host(host_id, listener, zone_peers):
+async def _running_host(
+    host_id, listener, zone_peers, zone="nadi", other_zones=(), loads=()
+):
     peer_address = f"127.0.0.1:{listener.getsockname()[1]}"
     settings = EntrySettings(
         host_id=host_id,
-        zone="nadi",
-        caller_address="127.0.0.1:1",
+        zone=zone,
+        caller_address=f"127.0.0.1:{len(host_id)}",
         operator_address="127.0.0.1:2",
         peer_address=peer_address,
         control_addresses=(),
         zone_peer_addresses=zone_peers,
+        other_zone_addresses=other_zones,
     )
-    service = ZoneService(settings, random.Random(1))
+    service = ZoneService(settings, random.Random(1), local_loads=lambda: loads)
     server = Server([service])
     await server.start(sock=listener)
     task = asyncio.create_task(service.supervisor().run())
@@ -47,6 +52,14 @@
             await asyncio.sleep(0.01)
 
 
+def _run(scenario):
+    async def run():
+        async with AsyncExitStack() as stack:
+            await scenario(stack)
+
+    asyncio.run(run())
+
+
 class TestSilentConnections:
     def test_links_are_replaced_and_the_leave_arrives(self):
         async def scenario(stack):
@@ -73,8 +86,28 @@
             await _until(lambda: first.driver.link_count == 2)
             await _until(lambda: second.driver.link_count == 2)
 
-        async def run():
-            async with AsyncExitStack() as stack:
-                await scenario(stack)
+        _run(scenario)
+
+
+class TestDigests:
+    def test_a_zone_learns_what_another_could_take_over(self, monkeypatch):
+        monkeypatch.setattr(zone_service, "DIGEST_INTERVAL_S", 0.1)
+        load = StageLoad("encode", 8, 0.25, 16)
+
+        async def scenario(stack):
+            sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+            nadi1, nadi2, ba = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
+            hosts = [
+                _running_host("n1", sockets[0], (nadi2,), other_zones=(ba,)),
+                _running_host("n2", sockets[1], (nadi1,), other_zones=(ba,)),
+                _running_host("b1", sockets[2], (), zone="ba", loads=(load,)),
+            ]
+            services = [await stack.enter_async_context(host) for host in hosts]
+            for service in services[:2]:
+                await _until(service.digests_by_stage)
+                (digest,) = service.digests_by_stage()["encode"]
+                assert (digest.zone, digest.entry_address) == ("ba", "127.0.0.1:2")
+                assert digest.free_capacity == 8
+            assert services[2].digests.zones() == ("nadi",)
 
-        asyncio.run(run())
+        _run(scenario)
