--- a/src/galenadrum/_internal/entry/request_service.py
+++ b/src/galenadrum/_internal/entry/request_service.py
@@ -290,11 +290,13 @@
         self._steps_by_id[request_id] = step
         self.carry_out(actions)
         try:
-            async with asyncio.timeout_at(request.deadline + _DEADLINE_MARGIN_S):
-                return await step
-        except TimeoutError:
-            self.abandon(request, RefusalReason.DEADLINE)
-            return await step
+            # Waits without cancelling: the step still takes the refusal that
+            # giving the request up brings.
+            until = request.deadline + _DEADLINE_MARGIN_S
+            await asyncio.wait({step}, timeout=max(0.0, until - self._now()))
+            if not step.done():
+                self.abandon(request, RefusalReason.DEADLINE)
+            return step.result()
         except asyncio.CancelledError:
             step.cancel()
             self.abandon(request, RefusalReason.DEADLINE)
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -57,6 +57,8 @@
 _MAX_QUEUED_CALLS = 512
 _FAIR_WINDOW_CALLS = 4.0
 _REPUMP_INTERVAL_S = 0.05
+# A server that was restarted is often back within this time.
+_NO_SERVER_GRACE_S = 1.0
 _TRIAL_INTERVAL_S = 1.0
 _GIVE_UP_SHARE = 0.9
 _SPARE_UTILISATION = 0.75
@@ -110,6 +112,7 @@
         self._queues_by_stage: dict[str, FairQueue] = {}
         self._usage_by_stage: dict[str, Usage] = {}
         self._budgets_by_stage: dict[str, RetryBudget] = {}
+        self._unserved_since_by_stage: dict[str, float] = {}
         self._refusals = RefusalRate()
         self._last_trial_at = -_TRIAL_INTERVAL_S
 
@@ -325,6 +328,7 @@
             self._reject(queued.call, RefusalReason.DEADLINE, now)
             for queued in queue.pop_expired(now)
         ]
+        decisions.extend(self._reject_unserved(stage, now))
         while len(queue):
             queued = queue.peek(self._usage(stage), self._fair_window_s(stage), now)
             placement = self._placer.place(queued, weights_for(self._objective), now)
@@ -334,6 +338,21 @@
             decisions.append(self._dispatch(queued, placement, now))
         return tuple(decisions)
 
+    def _reject_unserved(self, stage: str, now: float) -> list[Decision]:
+        """Give up on calls that no server has been there for, for a while."""
+        queue = self._queue(stage)
+        is_served = self._pool.serves(stage) or self._digests.fresh(stage, now)
+        if is_served or not len(queue):
+            self._unserved_since_by_stage.pop(stage, None)
+            return []
+        since = self._unserved_since_by_stage.setdefault(stage, now)
+        if now - since < _NO_SERVER_GRACE_S:
+            return []
+        calls = [queued.call for queued in queue]
+        for call in calls:
+            queue.remove(call.key)
+        return [self._reject(call, RefusalReason.NO_SERVER, now) for call in calls]
+
     def _fair_window_s(self, stage: str) -> float | None:
         if not self._mechanisms.fairness:
             return None
--- a/tests/unit/routing/test_policy.py
+++ b/tests/unit/routing/test_policy.py
@@ -184,3 +184,27 @@
             policy.end_request(request, now + 0.005)
         assert policy.counters.ejected_by_server == {"s0": 1}
         assert 4 <= sent["s0"] < 20
+
+
+class TestLostServers:
+    def test_a_call_whose_last_server_is_gone_is_rejected_soon(self):
+        policy = make_policy([announcement("s1")])
+        call = first_call(make_request("r", stages=ENCODE))
+        assert policy.admit(call.request, 0.0) is None
+        policy.update_servers([], 0.0)
+        assert policy.submit(call, 0.0) == ()
+        decisions = [d for step in range(40) for d in policy.tick(0.05 * step)]
+        [rejection] = decisions
+        assert isinstance(rejection, Reject)
+        assert rejection.refusal.reason is RefusalReason.NO_SERVER
+        assert rejection.refusal.retry_after_s > 0
+
+    def test_a_call_waits_for_a_server_that_is_back_in_a_moment(self):
+        policy = make_policy([announcement("s1")])
+        call = first_call(make_request("r", stages=ENCODE))
+        policy.admit(call.request, 0.0)
+        policy.update_servers([], 0.0)
+        policy.submit(call, 0.0)
+        assert policy.tick(0.3) == ()
+        [decision] = policy.update_servers([announcement("s1")], 0.5)
+        assert isinstance(decision, Dispatch)
--- /dev/null
+++ b/tests/unit/test_request_service.py
@@ -0,0 +1,111 @@
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from galenadrum._internal.entry.execution import PipelineExecutor
+from galenadrum._internal.entry.request_service import RequestService
+from galenadrum._internal.exceptions import RequestRefusedError
+from galenadrum._internal.models.callers import CallerRequest
+from galenadrum._internal.models.requests import RefusalReason, RunState
+from galenadrum._internal.models.resources import (
+    OrganisationSpec,
+    PipelineSpec,
+    StageSpec,
+)
+from lib.paused_loop import run_paused
+
+DEADLINE_MS = 3_000
+TRACEPARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+
+class SilentPolicy:
+    """Takes calls in and never decides on them."""
+
+    def __init__(self):
+        self.ended = 0
+        self.withdrawn = 0
+
+    def admit(self, request, now):
+        return None
+
+    def submit(self, call, now):
+        return ()
+
+    def withdraw(self, call, now):
+        self.withdrawn += 1
+        return ()
+
+    def end_request(self, request, now):
+        self.ended += 1
+
+
+def build_service(policy):
+    view = SimpleNamespace(
+        is_ready=True,
+        organisation_by_key_digest=lambda digest: (
+            "office",
+            OrganisationSpec((digest,)),
+        ),
+        pipeline_by_name=lambda name: PipelineSpec(("encode",), DEADLINE_MS),
+        stage_by_name=lambda name: StageSpec(),
+    )
+    return RequestService(PipelineExecutor(policy), view, None, max_in_flight=2)
+
+
+def caller_request():
+    now = asyncio.get_running_loop().time()
+    return CallerRequest("key", "plan", "x", '"x"', arrived=now)
+
+
+class TestRequestService:
+    def test_a_request_that_no_one_decides_on_is_refused_at_its_deadline(self):
+        policy = SilentPolicy()
+
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            service = build_service(policy)
+            started = loop.time()
+            with pytest.raises(RequestRefusedError) as caught:
+                await service.open(caller_request(), TRACEPARENT)
+            assert loop.time() - started == pytest.approx(DEADLINE_MS / 1_000, abs=0.1)
+            return caught.value.refusal, service.in_flight
+
+        refusal, in_flight = run_paused(scenario())
+        assert refusal.reason is RefusalReason.DEADLINE
+        assert refusal.run is RunState.NOT_RUN
+        assert in_flight == 0
+        assert (policy.withdrawn, policy.ended) == (1, 1)
+
+    def test_a_caller_who_leaves_takes_the_waiting_call_back(self):
+        policy = SilentPolicy()
+
+        async def scenario():
+            service = build_service(policy)
+            opening = asyncio.create_task(service.open(caller_request(), TRACEPARENT))
+            await asyncio.sleep(0.1)
+            opening.cancel()
+            await asyncio.wait({opening})
+            return service.in_flight
+
+        assert run_paused(scenario()) == 0
+        assert (policy.withdrawn, policy.ended) == (1, 1)
+
+    def test_requests_beyond_the_bound_are_refused_at_once(self):
+        async def scenario():
+            service = build_service(SilentPolicy())
+            waiting = [
+                asyncio.create_task(service.open(caller_request(), TRACEPARENT))
+                for _ in range(2)
+            ]
+            await asyncio.sleep(0)
+            with pytest.raises(RequestRefusedError) as caught:
+                await service.open(caller_request(), TRACEPARENT)
+            for task in waiting:
+                task.cancel()
+            await asyncio.wait(waiting)
+            return caught.value.refusal
+
+        refusal = run_paused(scenario())
+        assert refusal.reason is RefusalReason.OVERLOADED
+        assert refusal.retry_after_s > 0
