--- a/src/galenadrum/_internal/demo/backend_server.py
+++ b/src/galenadrum/_internal/demo/backend_server.py
@@ -44,6 +44,8 @@
 
     Attributes:
         entry_addresses: Entry hosts to announce to; one of them is enough.
+        listen: IP number and port; port 0 takes a free one.
+        advertise: Address to announce; empty for the own one.
         service_ms: Time that each call takes.
         ttl_s: Seconds for which an announcement stands.
         truncate_every: Cuts each n-th stream short, or 0.
@@ -58,6 +60,7 @@
     streamed_stages: frozenset[str]
     entry_addresses: tuple[str, ...]
     listen: str = "127.0.0.1:0"
+    advertise: str = ""
     capacity: int = 16
     service_ms: float = 5.0
     ttl_s: float = 3.0
@@ -131,7 +134,7 @@
             "server_id": options.server_id,
             "incarnation": self._incarnation,
             "sequence": self._sequence,
-            "address": self.address,
+            "address": options.advertise or self.address,
             "zone": options.zone,
             "stages": list(options.stages),
             "capacity": options.capacity,
@@ -255,6 +258,7 @@
 @click.option("--streamed", multiple=True)
 @click.option("--entry", "entries", multiple=True, required=True)
 @click.option("--listen", default="127.0.0.1:0")
+@click.option("--advertise", default="")
 @click.option("--capacity", default=16)
 @click.option("--service-ms", default=5.0)
 @click.option("--ttl-s", default=3.0)
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -150,6 +150,7 @@
         }
         peers = {name: free_address() for name in zones}
         controls = [s["peer_address"] for s in self.control_settings.values()]
+        extra.setdefault("control_addresses", controls)
         for name, zone in zones.items():
             self.callers[name] = free_address()
             self.platforms[name] = free_address()
@@ -162,7 +163,6 @@
                 "caller_address": self.callers[name],
                 "operator_address": self.platforms[name],
                 "peer_address": peers[name],
-                "control_addresses": controls,
                 "zone_peer_addresses": same,
                 "other_zone_addresses": other,
                 "observability": {"trace_file": f"{name}.traces"},
