Count forwarded calls while they are away; forward to full zones when alone

Change: forwarded calls count against a digest only while they are away; without a server in the own zone the least loaded other zone takes the call even when full; a retry of what did not run costs a quarter of a retry.

--- a/src/galenadrum/_internal/routing/placement.py
+++ b/src/galenadrum/_internal/routing/placement.py
@@ -138,15 +138,20 @@
     ) -> ForwardPlacement | None:
         call = queued.call
         service_s = queued.cost_s
-        found = self._digests.best(call.stage, service_s, now, self._random)
-        if found is None:
-            return None
-        digest, remote_s = found
-        if zone_server_id(digest.zone) in call.tried_server_ids:
+        serves = self._pool.serves(call.stage)
+        digest = self._digests.best(
+            call.stage,
+            call.tried_server_ids,
+            now,
+            self._random,
+            even_full=not serves,
+        )
+        if digest is None:
             return None
+        remote_s = ZONE_HOP_S + digest.queue_delay_s + service_s
         if local is not None and not self._fails_less(call, digest, now):
             return None
-        if local is None and self._pool.serves(call.stage):
+        if local is None and serves:
             wait_s = self._forecast.queue_delay_s(call.stage, now)
             gain_s = wait_s + service_s - remote_s
             if gain_s < _SPILL_GAIN_S + _SPILL_GAIN_SHARE * service_s:
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -153,7 +153,7 @@
         self._ledger.end_call(call, server_id, result.outcome)
         if forward_zone is not None:
             failed = result.outcome not in (Outcome.COMPLETED, Outcome.CANCELLED)
-            self._digests.ended(call.stage, forward_zone, failed, now)
+            self._digests.ended(call.stage, forward_zone, call.key, failed, now)
             return ()
         size = self._size_run(call, result)
         stages = self._pool.end(call, server_id, size, result, now)
@@ -169,7 +169,9 @@
 
     def allow_retry(self, call: StageCall, result: AttemptResult, now: float) -> bool:
         """Return whether a failed call may be submitted once more."""
-        allowed = self._may_repeat(call, result) and self._pays_to_retry(call, now)
+        allowed = self._may_repeat(call, result) and self._pays_to_retry(
+            call, result, now
+        )
         if allowed:
             self.counters.retries_allowed += 1
         else:
@@ -293,7 +295,9 @@
         repeatable = self._catalog.spec(call.stage).repeatable
         return repeatable or result.outcome is Outcome.NOT_RUN
 
-    def _pays_to_retry(self, call: StageCall, now: float) -> bool:
+    def _pays_to_retry(
+        self, call: StageCall, result: AttemptResult, now: float
+    ) -> bool:
         left_s = call.request.deadline - now
         if self._forecast.remaining_s(call.request, call.stage_index, now) > left_s:
             return False
@@ -301,7 +305,8 @@
             return True
         if self._mechanisms.spare_retries and self._has_spare(call.stage, now):
             return True
-        return self._budget(call.stage).withdraw()
+        certain = result.outcome is Outcome.NOT_RUN
+        return self._budget(call.stage).withdraw(did_run=not certain)
 
     def _has_spare(self, stage: str, now: float) -> bool:
         if len(self._queue(stage)):
@@ -376,7 +381,7 @@
     ) -> Dispatch:
         call = queued.call
         zone = placement.digest.zone
-        self._digests.sent(call.stage, zone)
+        self._digests.sent(call.stage, zone, call.key, now)
         self.counters.forwarded_by_zone[zone] += 1
         return Dispatch(
             call=call,
--- a/src/galenadrum/_internal/routing/retry_budget.py
+++ b/src/galenadrum/_internal/routing/retry_budget.py
@@ -11,6 +11,7 @@
 _DEPOSIT = 0.1
 _MAX_BALANCE = 10.0
 _FIRST_BALANCE = 3.0
+_COST_NOT_RUN = 0.25
 MAX_ATTEMPTS = 4
 
 
@@ -29,9 +30,13 @@
         """Count a first attempt."""
         self._balance = min(_MAX_BALANCE, self._balance + _DEPOSIT)
 
-    def withdraw(self) -> bool:
-        """Take one retry out if there is one; return whether there was."""
-        if self._balance < 1.0:
+    def withdraw(self, did_run: bool) -> bool:
+        """Take one retry out if there is one; return whether there was.
+
+        A call that certainly did not run cost no work and so costs less here.
+        """
+        cost = 1.0 if did_run else _COST_NOT_RUN
+        if self._balance < cost:
             return False
-        self._balance -= 1.0
+        self._balance -= cost
         return True
--- a/src/galenadrum/_internal/routing/spill.py
+++ b/src/galenadrum/_internal/routing/spill.py
@@ -4,10 +4,11 @@
 
 import hashlib
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from galenadrum._internal.models.servers import ZoneDigest
+from galenadrum._internal.routing.counters import CallKey
 
 _DIGEST_MAX_AGE_S = 3.0
 _FAILURE_STEP = 0.2
@@ -25,8 +26,14 @@
 
 @dataclass(slots=True)
 class _ZoneStage:
+    """One stage of another zone.
+
+    Attributes:
+        sent_at_by_key: When the calls that are there now were forwarded.
+    """
+
     digest: ZoneDigest
-    sent_since: int = 0
+    sent_at_by_key: dict[CallKey, float] = field(default_factory=dict)
     failure_share: float = 0.0
     failed_at: float = 0.0
 
@@ -49,27 +56,45 @@
                 by_zone[digest.zone] = _ZoneStage(digest)
             elif digest.sent_at > known.digest.sent_at:
                 known.digest = digest
-                known.sent_since = 0
 
     def fresh(self, stage: str, now: float) -> list[ZoneDigest]:
         """Return the digests of a stage that are not outdated."""
         return [entry.digest for entry in self._fresh(stage, now)]
 
     def best(
-        self, stage: str, service_s: float, now: float, random: Random
-    ) -> tuple[ZoneDigest, float] | None:
-        """Return a zone with free capacity and the expected seconds there.
+        self,
+        stage: str,
+        tried_server_ids: frozenset[str],
+        now: float,
+        random: Random,
+        *,
+        even_full: bool,
+    ) -> ZoneDigest | None:
+        """Return a zone that should take a call.
 
         Zones are drawn in proportion to what they have free, so that the
         entry hosts that saw the same digest don't all choose one zone.
+
+        Args:
+            stage: The stage of the call.
+            tried_server_ids: Zones among them are left out.
+            now: Loop time in seconds.
+            random: Source of the draw.
+            even_full: Whether a zone without free capacity will do; the one
+                with the least queue delay is taken then.
         """
-        entries = [e for e in self._fresh(stage, now) if _free(e, now) >= 1.0]
-        if not entries:
+        entries = [
+            entry
+            for entry in self._fresh(stage, now)
+            if zone_server_id(entry.digest.zone) not in tried_server_ids
+        ]
+        roomy = [entry for entry in entries if _free(entry, now) >= 1.0]
+        if roomy:
+            weights = [_free(entry, now) for entry in roomy]
+            return random.choices(roomy, weights)[0].digest
+        if not (even_full and entries):
             return None
-        weights = [_free(entry, now) for entry in entries]
-        entry = random.choices(entries, weights)[0]
-        digest = entry.digest
-        return digest, ZONE_HOP_S + digest.queue_delay_s + service_s
+        return min(entries, key=lambda e: _full_delay_s(e, random)).digest
 
     def has_room(self, stage: str, zone: str, now: float) -> bool:
         """Return whether one zone has free capacity for a stage."""
@@ -82,15 +107,16 @@
         """Return the calls that other zones can start for this host."""
         return sum(_free(entry, now) for entry in self._fresh(stage, now))
 
-    def sent(self, stage: str, zone: str) -> None:
+    def sent(self, stage: str, zone: str, key: CallKey, now: float) -> None:
         """Count a call forwarded to a zone."""
-        self._by_stage[stage][zone].sent_since += 1
+        self._by_stage[stage][zone].sent_at_by_key[key] = now
 
-    def ended(self, stage: str, zone: str, failed: bool, now: float) -> None:
+    def ended(
+        self, stage: str, zone: str, key: CallKey, failed: bool, now: float
+    ) -> None:
         """Count the end of a forwarded call."""
-        entry = self._by_stage.get(stage, {}).get(zone)
-        if entry is None:
-            return
+        entry = self._by_stage[stage][zone]
+        del entry.sent_at_by_key[key]
         if failed:
             entry.failed_at = now
         entry.failure_share += _FAILURE_STEP * (float(failed) - entry.failure_share)
@@ -108,7 +134,18 @@
     fade = math.exp(-max(0.0, now - entry.failed_at) / _FAILURE_FADE_S)
     if entry.failure_share * fade > _MAX_FAILURE_SHARE:
         return 0.0
-    return entry.digest.free_capacity * _USABLE_SHARE - entry.sent_since
+    sent_since = sum(
+        sent_at >= entry.digest.sent_at for sent_at in entry.sent_at_by_key.values()
+    )
+    return entry.digest.free_capacity * _USABLE_SHARE - sent_since
+
+
+def _full_delay_s(entry: _ZoneStage, random: Random) -> float:
+    """Return the queue delay of a zone, with noise against common choices."""
+    digest = entry.digest
+    queued = len(entry.sent_at_by_key) / max(1, digest.capacity)
+    noise_s = random.uniform(0.0, 0.2 * max(digest.service_s, 0.01))
+    return digest.queue_delay_s + queued * digest.service_s + noise_s
 
 
 def home_zone(prefix_hashes: tuple[str, ...], capacity_by_zone: dict[str, int]) -> str:
