Let calls queue on a server where reports are older than calls are long

Ruled out: admission. Change: an allowance above the limit, up to half of it, that grows with the age of the report over the service time.

--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -21,6 +21,8 @@
 
 _GOOD_PROBE_RATIO = 2.5
 _ROUNDING_CALLS = 0.5
+_MAX_ALLOWANCE_SHARE = 0.5
+_UNKNOWN_SHARE = 0.25
 
 
 @dataclass(slots=True)
@@ -127,7 +129,7 @@
         candidates = []
         for server_id in sample(ids, self._random):
             record = self._records_by_id[server_id]
-            if self._has_room(record, now):
+            if self._has_room(record, call.stage, now):
                 candidates.append(
                     self._candidate(call, size, uses_prefix, server_id, now)
                 )
@@ -318,12 +320,27 @@
     def _others(self, record: ServerRecord, now: float) -> float:
         return record.load.others(now) if self._mechanisms.reports else 0.0
 
-    def _has_room(self, record: ServerRecord, now: float) -> bool:
+    def _has_room(self, record: ServerRecord, stage: str, now: float) -> bool:
         own = len(record.load.in_flight)
         if own == 0:
             return True
         total = own + self._others(record, now)
-        return total + 1.0 <= record.limit.value(now) + _ROUNDING_CALLS
+        limit = record.limit.value(now)
+        allowed = limit + self._queue_allowance(record, stage, limit, now)
+        return total + 1.0 <= allowed
+
+    def _queue_allowance(
+        self, record: ServerRecord, stage: str, limit: float, now: float
+    ) -> float:
+        """Return the calls that may queue on a server.
+
+        The older the report is in comparison with the service time, the less
+        is known of the calls of other hosts, and slots would stay idle while
+        calls wait here.
+        """
+        service_s = self._times.mean(stage)
+        unknown = min(1.0, _UNKNOWN_SHARE * record.load.age_s(now) / service_s)
+        return _ROUNDING_CALLS + _MAX_ALLOWANCE_SHARE * unknown * limit
 
     def _probe_candidates(
         self, call: StageCall, size: CallSize, now: float
--- a/src/galenadrum/_internal/routing/server_loads.py
+++ b/src/galenadrum/_internal/routing/server_loads.py
@@ -71,6 +71,10 @@
         weight = math.exp(-max(0.0, now - self._reported_at) / _FADE_S)
         return weight * self._others_fresh + (1.0 - weight) * self._others_mean
 
+    def age_s(self, now: float) -> float:
+        """Return the age of the latest load report in seconds."""
+        return 0.0 if self._reported_at is None else max(0.0, now - self._reported_at)
+
     def total(self, now: float) -> float:
         """Return the estimated number of calls on the server."""
         return len(self.in_flight) + self.others(now)
