--- a/src/galenadrum/_internal/models/requests.py
+++ b/src/galenadrum/_internal/models/requests.py
@@ -33,6 +33,8 @@
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ALREADY_RUN = "already_run"
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,8 @@
             prefix last; empty when nothing can be reused.
         idempotency_key: The caller's key, for requests that may not be
             repeated.
+        forwarded: Whether an entry host of another zone handed over this one
+            stage of a request; it is not forwarded again.
     """
 
     request_id: str
@@ -79,6 +83,7 @@
     output_tokens: int = 0
     prefix_hashes: tuple[str, ...] = ()
     idempotency_key: str | None = None
+    forwarded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,12 +146,19 @@
     Attributes:
         address: IP number and port of the server.
         first_byte_timeout_s: Silence after which the connection is suspect.
+        forward_zone: The zone whose entry host at ``address`` takes the call
+            over, or None when ``address`` is a backend server's. The
+            ``server_id`` is then ``zone/NAME``.
+        due_at: Loop time at which the call should be complete, so that the
+            stages after it can meet the request's deadline.
     """
 
     call: StageCall
     server_id: str
     address: str
     first_byte_timeout_s: float
+    forward_zone: str | None = None
+    due_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
