--- a/src/galenadrum/_internal/control/replication/peers.py
+++ b/src/galenadrum/_internal/control/replication/peers.py
@@ -27,7 +27,6 @@
 
 _MAX_QUEUED_MESSAGES = 64
 _MIN_RECONNECT_DELAY_S = 0.05
-_MAX_RECONNECT_DELAY_S = 1.0
 _IDLE_CLOSE_S = 10.0
 
 STREAM_ERRORS = (
@@ -78,7 +77,7 @@
         address: IP number and port.
         deliver: Called with each answer.
         silence_s: Time without any answer after which the connection is
-            replaced.
+            replaced, and the longest wait between two connections.
         rng: Spreads reconnects.
     """
 
@@ -123,7 +122,7 @@
             finally:
                 self._exchange.cancel()
             delay_s = _MIN_RECONNECT_DELAY_S if self._answered else delay_s * 2
-            delay_s = min(delay_s, _MAX_RECONNECT_DELAY_S)
+            delay_s = min(delay_s, self._silence_s)
             await asyncio.sleep(delay_s * (0.5 + self._rng.random() / 2))
             self._outbox.clear()
 
