--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -10,10 +10,12 @@
 from dataclasses import dataclass
 
 from galenadrum._internal.control.replication import (
+    append_sender,
     election,
     follower,
     leader,
     membership,
+    rounds,
 )
 from galenadrum._internal.control.replication.entries import Snapshot, StoredState
 from galenadrum._internal.control.replication.membership import Member, Membership
@@ -196,7 +198,7 @@
         if state.role is Role.LEADER:
             if not state.leader.progress_by_id:
                 return None
-            return min(state.leader.next_round_at, leader.step_down_at(state))
+            return min(state.leader.next_round_at, rounds.step_down_at(state))
         if not state.membership.is_voter(state.member_id):
             return None
         return state.election_deadline
@@ -241,7 +243,7 @@
             LogBusyError: When too many reads wait.
         """
         self._require_lead(now)
-        leader.add_read(self._state, token)
+        rounds.add_read(self._state, token)
 
     def _require_lead(self, now: float) -> None:
         self._expire_lease(now)
@@ -253,7 +255,7 @@
         self._expire_lease(now)
         if self._state.role is not Role.LEADER:
             return None
-        until = leader.lease_until(self._state)
+        until = rounds.lease_until(self._state)
         return until if until is not None and until > now else None
 
     def leader_address(self) -> str | None:
@@ -263,7 +265,7 @@
 
     def _expire_lease(self, now: float) -> None:
         state = self._state
-        if state.role is Role.LEADER and now >= leader.step_down_at(state):
+        if state.role is Role.LEADER and now >= rounds.step_down_at(state):
             state.become_follower(state.term, now)
 
     def persisted(self, sequence: int, now: float) -> None:
@@ -310,8 +312,8 @@
         self._expire_lease(now)
         if state.role is Role.LEADER:
             leader.step_membership(state, now)
-            leader.advance_reads(state, now)
-            leader.send_appends(state)
+            rounds.advance_reads(state, now)
+            append_sender.send_appends(state)
         if state.has_unsaved():
             state.outbox.append(self._persist())
         self._apply_committed()
@@ -376,7 +378,7 @@
             commit_index=state.commit_index,
             applied_index=state.applied_index,
             snapshot_index=state.snapshot.index if state.snapshot else 0,
-            lease_until=leader.lease_until(state) if leads else None,
+            lease_until=rounds.lease_until(state) if leads else None,
             members=tuple(self._progress_of(m) for m in state.membership.members),
         )
 
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -14,7 +14,7 @@
 from galenadrum._internal.control.replication.disk import Disk, FolderDisk
 from galenadrum._internal.control.replication.entries import Entry, EntryKind
 from galenadrum._internal.control.replication.membership import Member, Membership
-from galenadrum._internal.control.replication.peers import InboundStream, PeerLink
+from galenadrum._internal.control.replication.peer_set import PeerSet
 from galenadrum._internal.control.replication.persistence import PersistenceWriter
 from galenadrum._internal.control.replication.service import ReplicationService
 from galenadrum._internal.control.replication.state import ReplicaOptions
@@ -106,8 +106,8 @@
         self._writer: PersistenceWriter | None = None
         self._failure: asyncio.Future[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._links_by_id: dict[str, tuple[PeerLink, asyncio.Task[None]]] = {}
-        self._inbound_by_id: dict[str, InboundStream] = {}
+        silence_s = self._options.election_timeout_s * _SILENCE_SHARE
+        self._peers = PeerSet(self._receive, silence_s, rng)
         self._proposals = WaitingProposals()
         self._reads = WaitingReads()
         self._applied_index = 0
@@ -117,7 +117,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._next_founding_log = 0.0
         self._service = ReplicationService(
-            self._receive_inbound, self._inbound_closed, self._answer_join
+            self._peers.receive_inbound, self._peers.inbound_closed, self._answer_join
         )
 
     def services(self) -> list[ReplicationService]:
@@ -163,11 +163,11 @@
         if self._core is None:
             return
         self._halt()
-        tasks = [*self._tasks, *(task for _, task in self._links_by_id.values())]
-        for task in self._tasks:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self._links_by_id.clear()
+        await self._peers.close()
         await self._loop.run_in_executor(None, self._writer.close)
         self._storage.close()
 
@@ -334,15 +334,6 @@
         self._schedule_pump()
         return response
 
-    def _receive_inbound(self, message: m.Message, inbound: InboundStream) -> None:
-        self._inbound_by_id[message.sender_id] = inbound
-        self._receive(message)
-
-    def _inbound_closed(self, inbound: InboundStream) -> None:
-        for member_id, known in list(self._inbound_by_id.items()):
-            if known is inbound:
-                del self._inbound_by_id[member_id]
-
     def _receive(self, message: m.Message) -> None:
         if not self._is_running():
             return
@@ -411,7 +402,7 @@
     def _carry_out(self, action: m.Action) -> None:
         match action:
             case m.Send(message, address):
-                self._send(message, address)
+                self._peers.send(message, address)
             case m.Persist():
                 self._writer.add(action)
             case m.Apply(entries):
@@ -429,34 +420,14 @@
             case m.Refused(reason):
                 self._fail(MemberRefusedError(reason))
 
-    def _send(self, message: m.Message, address: str) -> None:
-        member_id = message.recipient_id
-        if not isinstance(message.body, m.REQUEST_BODIES):
-            inbound = self._inbound_by_id.get(member_id)
-            if inbound is not None:
-                inbound.send(message)
-            return
-        if address:
-            self._link(member_id, address).send(message)
-
-    def _link(self, member_id: str, address: str) -> PeerLink:
-        known = self._links_by_id.get(member_id)
-        if known is not None and known[0].address == address:
-            return known[0]
-        if known is not None:
-            known[1].cancel()
-        silence_s = self._options.election_timeout_s * _SILENCE_SHARE
-        link = PeerLink(address, self._receive, silence_s, self._rng)
-        self._links_by_id[member_id] = (link, asyncio.create_task(link.run()))
-        return link
-
     def _apply(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             result = b""
             if entry.kind is EntryKind.COMMAND:
                 result = self._machine.apply(entry.index, entry.data)
             elif entry.kind is EntryKind.MEMBERSHIP:
-                self._close_links_to_former_members()
+                members = self._core.membership.members
+                self._peers.keep_only({member.member_id for member in members})
             self._applied_index = entry.index
             self._bytes_since_snapshot += len(entry.data) + _ENTRY_OVERHEAD_BYTES
             self._proposals.applied(entry.index, entry.term, result)
@@ -466,11 +437,6 @@
         if self._bytes_since_snapshot > max(_SNAPSHOT_MIN_BYTES, self._snapshot_bytes):
             self._take_snapshot()
 
-    def _close_links_to_former_members(self) -> None:
-        for member_id in list(self._links_by_id):
-            if self._core.membership.get(member_id) is None:
-                self._links_by_id.pop(member_id)[1].cancel()
-
     def _take_snapshot(self) -> None:
         data = self._machine.snapshot()
         self._core.snapshot_taken(self._applied_index, data)
@@ -502,8 +468,7 @@
                 self._failure.exception()
             else:
                 self._failure.cancel()
-        for _, task in self._links_by_id.values():
-            task.cancel()
+        self._peers.cancel()
         self._proposals.close()
         self._reads.close()
         if self._on_leadership is not None and self._core.is_leader:
--- a/src/galenadrum/_internal/control/replication/leader.py
+++ b/src/galenadrum/_internal/control/replication/leader.py
@@ -1,20 +1,16 @@
-"""What a leader does: rounds of heartbeats, appends, commitment, its lease."""
+"""What a leader does: proposals, commitment, changes of members."""
 
 from __future__ import annotations
 
 from galenadrum._internal.control.replication import (
     codec,
     membership,
+    rounds,
     snapshot_sender,
 )
 from galenadrum._internal.control.replication.entries import Entry, EntryKind
 from galenadrum._internal.control.replication.membership import Membership
-from galenadrum._internal.control.replication.messages import (
-    AppendRequest,
-    LeadershipChanged,
-    Message,
-    ReadReady,
-)
+from galenadrum._internal.control.replication.messages import Message
 from galenadrum._internal.control.replication.state import (
     LeaderState,
     Progress,
@@ -50,56 +46,16 @@
     else:
         append(state, EntryKind.TERM_START, b"")
     _follow_membership(state)
-    start_round(state, now)
+    rounds.start_round(state, now)
 
 
 def tick(state: ReplicaState, now: float) -> None:
     """Step down without a quorum in the lease; else keep the rounds going."""
-    if now >= step_down_at(state):
+    if now >= rounds.step_down_at(state):
         state.become_follower(state.term, now)
         return
     if now >= state.leader.next_round_at:
-        start_round(state, now)
-
-
-def step_down_at(state: ReplicaState) -> float:
-    """Return the loop time at which leadership ends without more answers."""
-    if _is_alone(state):
-        return float("inf")
-    started = state.leader.quorum_round_started
-    since = state.leader.since if started is None else started
-    return since + state.options.lease_s
-
-
-def lease_until(state: ReplicaState) -> float | None:
-    """Return the loop time until which no other leader can exist.
-
-    None before a quorum has answered a round and an entry of the term is
-    committed.
-    """
-    leader = state.leader
-    if state.commit_index < leader.first_index:
-        return None
-    if _is_alone(state):
-        return float("inf")
-    if leader.quorum_round_started is None:
-        return None
-    return leader.quorum_round_started + state.options.lease_s
-
-
-def _is_alone(state: ReplicaState) -> bool:
-    return state.membership.voter_ids() == {state.member_id}
-
-
-def start_round(state: ReplicaState, now: float) -> None:
-    """Ask every member to answer; a quorum of answers extends the lease."""
-    leader = state.leader
-    leader.round += 1
-    leader.round_started_by_round[leader.round] = now
-    leader.next_round_at = now + state.options.heartbeat_s
-    for progress in leader.progress_by_id.values():
-        progress.heartbeat_due = True
-        progress.probe_sent = False
+        rounds.start_round(state, now)
 
 
 def append(state: ReplicaState, kind: EntryKind, data: bytes) -> int:
@@ -188,7 +144,7 @@
 
 def handle_append_response(state: ReplicaState, message: Message, now: float) -> None:
     """Learn what a member has synced."""
-    progress = note_answer(state, message, now)
+    progress = rounds.note_answer(state, message, now)
     if progress is None:
         return
     body = message.body
@@ -211,31 +167,11 @@
 
 def handle_snapshot_response(state: ReplicaState, message: Message, now: float) -> None:
     """Go on with a snapshot after the bytes that were received."""
-    progress = note_answer(state, message, now)
+    progress = rounds.note_answer(state, message, now)
     if progress is not None:
         snapshot_sender.note_received(progress, message.body)
 
 
-def note_answer(state: ReplicaState, message: Message, now: float) -> Progress | None:
-    """Count an answer for its round and return the sender's progress."""
-    if state.role is not Role.LEADER or message.term != state.term:
-        return None
-    progress = state.leader.progress_by_id.get(message.sender_id)
-    if progress is None:
-        return None
-    if progress.disk_id != message.sender_disk_id:
-        # A learner that lost its folder before it was recorded starts over.
-        progress.disk_id = message.sender_disk_id
-        progress.match_index = 0
-    if message.body.round > state.leader.round:
-        raise InvariantError(f"answer to round {message.body.round} before it began")
-    progress.answered_at = now
-    if message.body.round > progress.acked_round:
-        progress.acked_round = message.body.round
-        _advance_quorum_round(state)
-    return progress
-
-
 def _note_match(
     state: ReplicaState, member_id: str, progress: Progress, match_index: int
 ) -> None:
@@ -255,36 +191,6 @@
     progress.mode = SendMode.STREAM
 
 
-def _advance_quorum_round(state: ReplicaState) -> None:
-    leader = state.leader
-    acked = {
-        member_id: progress.acked_round
-        for member_id, progress in leader.progress_by_id.items()
-    }
-    acked[state.member_id] = leader.round
-    quorum_round = _quorum_value(state, acked)
-    if quorum_round <= leader.quorum_round:
-        return
-    leader.quorum_round = quorum_round
-    leader.quorum_round_started = leader.round_started_by_round[quorum_round]
-    for old in [r for r in leader.round_started_by_round if r < quorum_round]:
-        del leader.round_started_by_round[old]
-    _announce_lease(state)
-
-
-def _announce_lease(state: ReplicaState) -> None:
-    until = lease_until(state)
-    if until is not None:
-        state.outbox.append(LeadershipChanged(state.term, until))
-
-
-def _quorum_value(state: ReplicaState, value_by_id: dict[str, int]) -> int:
-    """Return the largest value that a quorum of voters has reached."""
-    voters = state.membership.voter_ids()
-    values = sorted((value_by_id.get(v, 0) for v in voters), reverse=True)
-    return values[state.membership.quorum_size() - 1]
-
-
 def advance_commit(state: ReplicaState, now: float) -> None:
     """Commit what a quorum of voters has synced, in the own term."""
     leader = state.leader
@@ -293,7 +199,7 @@
         for member_id, progress in leader.progress_by_id.items()
     }
     synced[state.member_id] = state.log.stable_index
-    index = _quorum_value(state, synced)
+    index = rounds.quorum_value(state, synced)
     if index <= state.commit_index or state.log.term_at(index) != state.term:
         return
     opened = state.commit_index < leader.first_index
@@ -301,7 +207,7 @@
     while leader.uncommitted and leader.uncommitted[0][0] <= index:
         leader.uncommitted_bytes -= leader.uncommitted.popleft()[1]
     if opened:
-        _announce_lease(state)
+        rounds.announce_lease(state)
     committed = state.log.membership_at(index)
     if committed == state.membership and not committed.is_voter(state.member_id):
         state.become_follower(state.term, now)
@@ -320,91 +226,3 @@
     if changed is not None and _has_answering_quorum(state, changed, now):
         append_membership(state, changed)
         _follow_membership(state)
-
-
-def add_read(state: ReplicaState, token: int) -> None:
-    """Queue a read for the next round.
-
-    Raises:
-        LogBusyError: When too many reads wait.
-    """
-    leader = state.leader
-    if len(leader.waiting_reads) >= state.options.max_waiting_reads:
-        raise LogBusyError(f"{len(leader.waiting_reads)} reads are waiting")
-    leader.waiting_reads.append(token)
-
-
-def advance_reads(state: ReplicaState, now: float) -> None:
-    """Confirm reads by a round that began after they were asked for."""
-    leader = state.leader
-    if state.commit_index < leader.first_index:
-        return
-    if _is_alone(state):
-        _finish_reads(state, leader.confirming_reads)
-        _finish_reads(state, leader.waiting_reads)
-        return
-    if leader.confirming_reads and leader.quorum_round >= leader.reads_round:
-        _finish_reads(state, leader.confirming_reads)
-    if leader.waiting_reads and not leader.confirming_reads:
-        leader.confirming_reads, leader.waiting_reads = leader.waiting_reads, []
-        start_round(state, now)
-        leader.reads_round = leader.round
-
-
-def _finish_reads(state: ReplicaState, tokens: list[int]) -> None:
-    for token in tokens:
-        state.outbox.append(ReadReady(token, state.commit_index))
-    tokens.clear()
-
-
-def send_appends(state: ReplicaState) -> None:
-    """Send each member what it lacks, within the limits, and heartbeats."""
-    for member_id, progress in state.leader.progress_by_id.items():
-        if progress.mode is SendMode.SNAPSHOT:
-            snapshot_sender.send_chunk(state, member_id, progress)
-            continue
-        _send_appends_to(state, member_id, progress)
-
-
-def _send_appends_to(state: ReplicaState, member_id: str, progress: Progress) -> None:
-    if state.log.term_at(progress.next_index - 1) is None:
-        snapshot_sender.begin(state, progress)
-        snapshot_sender.send_chunk(state, member_id, progress)
-        return
-    while _may_send_entries(state, progress):
-        _send_append(state, member_id, progress, with_entries=True)
-    if progress.heartbeat_due:
-        _send_append(state, member_id, progress, with_entries=False)
-
-
-def _may_send_entries(state: ReplicaState, progress: Progress) -> bool:
-    if progress.next_index > state.log.last_index:
-        return False
-    if progress.mode is SendMode.PROBE:
-        return not progress.probe_sent
-    return len(progress.in_flight) < state.options.max_in_flight
-
-
-def _send_append(
-    state: ReplicaState, member_id: str, progress: Progress, with_entries: bool
-) -> None:
-    previous_index = progress.next_index - 1
-    entries = ()
-    if with_entries:
-        entries = state.log.slice(
-            progress.next_index,
-            state.options.max_append_entries,
-            state.options.max_append_bytes,
-        )
-        progress.next_index = entries[-1].index + 1
-        progress.in_flight.append(entries[-1].index)
-    progress.probe_sent = True
-    progress.heartbeat_due = False
-    request = AppendRequest(
-        previous_index,
-        state.log.term_at(previous_index),
-        entries,
-        state.commit_index,
-        state.leader.round,
-    )
-    state.send(member_id, request)
--- /dev/null
+++ b/src/galenadrum/_internal/control/replication/rounds.py
@@ -0,0 +1,142 @@
+"""A leader's heartbeat rounds, and what they establish: lease and reads."""
+
+from __future__ import annotations
+
+from galenadrum._internal.control.replication.messages import (
+    LeadershipChanged,
+    Message,
+    ReadReady,
+)
+from galenadrum._internal.control.replication.state import (
+    Progress,
+    ReplicaState,
+    Role,
+)
+from galenadrum._internal.exceptions import InvariantError, LogBusyError
+
+
+def step_down_at(state: ReplicaState) -> float:
+    """Return the loop time at which leadership ends without more answers."""
+    if is_alone(state):
+        return float("inf")
+    started = state.leader.quorum_round_started
+    since = state.leader.since if started is None else started
+    return since + state.options.lease_s
+
+
+def lease_until(state: ReplicaState) -> float | None:
+    """Return the loop time until which no other leader can exist.
+
+    None before a quorum has answered a round and an entry of the term is
+    committed.
+    """
+    leader = state.leader
+    if state.commit_index < leader.first_index:
+        return None
+    if is_alone(state):
+        return float("inf")
+    if leader.quorum_round_started is None:
+        return None
+    return leader.quorum_round_started + state.options.lease_s
+
+
+def is_alone(state: ReplicaState) -> bool:
+    """Return whether this member is the only voter."""
+    return state.membership.voter_ids() == {state.member_id}
+
+
+def start_round(state: ReplicaState, now: float) -> None:
+    """Ask every member to answer; a quorum of answers extends the lease."""
+    leader = state.leader
+    leader.round += 1
+    leader.round_started_by_round[leader.round] = now
+    leader.next_round_at = now + state.options.heartbeat_s
+    for progress in leader.progress_by_id.values():
+        progress.heartbeat_due = True
+        progress.probe_sent = False
+
+
+def note_answer(state: ReplicaState, message: Message, now: float) -> Progress | None:
+    """Count an answer for its round and return the sender's progress."""
+    if state.role is not Role.LEADER or message.term != state.term:
+        return None
+    progress = state.leader.progress_by_id.get(message.sender_id)
+    if progress is None:
+        return None
+    if progress.disk_id != message.sender_disk_id:
+        # A learner that lost its folder before it was recorded starts over.
+        progress.disk_id = message.sender_disk_id
+        progress.match_index = 0
+    if message.body.round > state.leader.round:
+        raise InvariantError(f"answer to round {message.body.round} before it began")
+    progress.answered_at = now
+    if message.body.round > progress.acked_round:
+        progress.acked_round = message.body.round
+        _advance_quorum_round(state)
+    return progress
+
+
+def _advance_quorum_round(state: ReplicaState) -> None:
+    leader = state.leader
+    acked = {
+        member_id: progress.acked_round
+        for member_id, progress in leader.progress_by_id.items()
+    }
+    acked[state.member_id] = leader.round
+    quorum_round = quorum_value(state, acked)
+    if quorum_round <= leader.quorum_round:
+        return
+    leader.quorum_round = quorum_round
+    leader.quorum_round_started = leader.round_started_by_round[quorum_round]
+    for old in [r for r in leader.round_started_by_round if r < quorum_round]:
+        del leader.round_started_by_round[old]
+    announce_lease(state)
+
+
+def announce_lease(state: ReplicaState) -> None:
+    """Tell the driver how long the lease lasts, if there is one."""
+    until = lease_until(state)
+    if until is not None:
+        state.outbox.append(LeadershipChanged(state.term, until))
+
+
+def quorum_value(state: ReplicaState, value_by_id: dict[str, int]) -> int:
+    """Return the largest value that a quorum of voters has reached."""
+    voters = state.membership.voter_ids()
+    values = sorted((value_by_id.get(v, 0) for v in voters), reverse=True)
+    return values[state.membership.quorum_size() - 1]
+
+
+def add_read(state: ReplicaState, token: int) -> None:
+    """Queue a read for the next round.
+
+    Raises:
+        LogBusyError: When too many reads wait.
+    """
+    leader = state.leader
+    if len(leader.waiting_reads) >= state.options.max_waiting_reads:
+        raise LogBusyError(f"{len(leader.waiting_reads)} reads are waiting")
+    leader.waiting_reads.append(token)
+
+
+def advance_reads(state: ReplicaState, now: float) -> None:
+    """Confirm reads by a round that began after they were asked for."""
+    leader = state.leader
+    if state.commit_index < leader.first_index:
+        return
+    if is_alone(state):
+        _finish_reads(state, leader.confirming_reads)
+        _finish_reads(state, leader.waiting_reads)
+        return
+    if leader.confirming_reads and leader.quorum_round >= leader.reads_round:
+        _finish_reads(state, leader.confirming_reads)
+    if leader.waiting_reads and not leader.confirming_reads:
+        leader.confirming_reads, leader.waiting_reads = leader.waiting_reads, []
+        start_round(state, now)
+        leader.reads_round = leader.round
+
+
+def _finish_reads(state: ReplicaState, tokens: list[int]) -> None:
+    for token in tokens:
+        state.outbox.append(ReadReady(token, state.commit_index))
+    tokens.clear()
--- a/tests/unit/control/replication/test_simulation.py
+++ b/tests/unit/control/replication/test_simulation.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from galenadrum._internal.control.replication import election, leader
+from galenadrum._internal.control.replication import election, rounds
 from galenadrum._internal.control.replication.membership import Membership
 from galenadrum._internal.control.replication.state import ReplicaState
 from galenadrum._internal.exceptions import InvariantError, LogDamagedError
@@ -142,9 +142,9 @@
 
     def test_when_reads_are_served_without_asking_a_quorum(self, monkeypatch):
         def serve_at_once(state, now):
-            leader._finish_reads(state, state.leader.waiting_reads)
+            rounds._finish_reads(state, state.leader.waiting_reads)
 
-        monkeypatch.setattr(leader, "advance_reads", serve_at_once)
+        monkeypatch.setattr(rounds, "advance_reads", serve_at_once)
         self.assert_noticed(range(10))
 
     def test_when_votes_go_to_members_that_lack_entries(self, monkeypatch):
