Measure the log with three and five members and two heartbeats

Cause: a control host has 2 % of a core and 6 KB/s for control. Change: options of the benchmark, resident memory; status ends a lease that has passed first; a silent stream is logged once.

--- a/benchmarks/replicated_log.py
+++ b/benchmarks/replicated_log.py
@@ -1,6 +1,6 @@
 """Costs of the replicated log, against a bare synced append.
 
-Starts three members as processes on 127.0.0.1 and measures them idle and under
+Starts members as processes on 127.0.0.1 and measures them idle and under
 proposals; then one member in this process for restart time and log size.
 Prints a table and, as its last line, one JSON object. Run it as
 ``PYTHONPATH=src:tests python benchmarks/replicated_log.py``.
@@ -23,7 +23,6 @@
 from galenadrum._internal.models.settings import ControlMember, ControlSettings
 from lib.log_cluster import ListMachine, address_of, bind_free_port
 
-_MEMBER_IDS = ("a", "b", "c")
 _COMMAND_BYTES = 300
 _TCP_IP_HEADER_BYTES = 52
 _RESTART_COUNTS = (500, 5_000, 50_000)
@@ -33,8 +32,7 @@
 class MemberProcess:
     """A member in a process of its own."""
 
-    def __init__(self, member_id: str, members: dict[str, str], folder: Path) -> None:
-        settings = {"member_id": member_id, "members": members, "folder": str(folder)}
+    def __init__(self, settings: dict[str, object]) -> None:
         self._process = subprocess.Popen(
             [sys.executable, "-m", "lib.log_member", json.dumps(settings)],
             stdin=subprocess.PIPE,
@@ -55,13 +53,25 @@
         self._process.wait(_READY_TIMEOUT_S)
 
 
-def start_cluster(folder: Path) -> list[MemberProcess]:
-    """Start three members and return them with the leader first."""
-    socks = [bind_free_port() for _ in _MEMBER_IDS]
-    members = {i: address_of(sock) for i, sock in zip(_MEMBER_IDS, socks, strict=True)}
+def start_cluster(
+    folder: Path, members_count: int, heartbeat_ms: int
+) -> list[MemberProcess]:
+    """Start the members and return them with the leader first."""
+    socks = [bind_free_port() for _ in range(members_count)]
+    members = {f"member-{n}": address_of(sock) for n, sock in enumerate(socks)}
     for sock in socks:
         sock.close()
-    processes = [MemberProcess(i, members, folder / i) for i in _MEMBER_IDS]
+    processes = [
+        MemberProcess(
+            {
+                "member_id": member_id,
+                "members": members,
+                "folder": str(folder / member_id),
+                "heartbeat_ms": heartbeat_ms,
+            }
+        )
+        for member_id in members
+    ]
     deadline = time.monotonic() + _READY_TIMEOUT_S
     while time.monotonic() < deadline:
         for process in processes:
@@ -93,6 +103,7 @@
         "sent_bytes_per_s": used["sent_bytes"] / elapsed_s,
         "bytes_per_s_with_headers": (payload + headers) / elapsed_s,
         "sends_per_s": used["sends"] / elapsed_s,
+        "resident_mib": process.ask("usage")["resident_mib"],
     }
 
 
@@ -164,12 +175,14 @@
     }
 
 
-def measure(seconds: float, count: int) -> dict[str, object]:
+def measure(
+    seconds: float, count: int, members_count: int, heartbeat_ms: int
+) -> dict[str, object]:
     """Run everything and return the figures."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         bare = measure_bare_appends(folder)
-        processes = start_cluster(folder)
+        processes = start_cluster(folder, members_count, heartbeat_ms)
         leader, follower = processes[0], processes[1]
         figures: dict[str, object] = {
             "bare_appends_per_s": bare,
@@ -194,8 +207,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=20, help="of idleness")
     parser.add_argument("--count", type=int, default=5_000, help="of proposals")
-    options = parser.parse_args()
-    figures = measure(options.seconds, options.count)
+    parser.add_argument("--members", type=int, default=3)
+    parser.add_argument("--heartbeat-ms", type=int, default=150)
+    given = parser.parse_args()
+    figures = measure(given.seconds, given.count, given.members, given.heartbeat_ms)
     for name, value in figures.items():
         rows = value.items() if isinstance(value, dict) else [("", value)]
         for key, number in rows:
--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -141,7 +141,7 @@
         state = self._state
         if state.refusal or message.recipient_id != state.member_id:
             return
-        self._expire_lease(now)
+        self.expire_lease(now)
         if isinstance(message.body, MemberRefusal):
             self._refuse(message.body.reason)
             return
@@ -246,13 +246,19 @@
         rounds.add_read(self._state, token)
 
     def _require_lead(self, now: float) -> None:
-        self._expire_lease(now)
+        self.expire_lease(now)
         if self._state.role is not Role.LEADER:
             raise NotLeaderError(self.leader_address())
 
+    def expire_lease(self, now: float) -> None:
+        """Step down if the lease has passed; other events do so by themselves."""
+        state = self._state
+        if state.role is Role.LEADER and now >= rounds.step_down_at(state):
+            state.become_follower(state.term, now)
+
     def lease_until(self, now: float) -> float | None:
         """Return until when no other leader can exist; None if not the leader."""
-        self._expire_lease(now)
+        self.expire_lease(now)
         if self._state.role is not Role.LEADER:
             return None
         until = rounds.lease_until(self._state)
@@ -263,17 +269,12 @@
         member = self._state.membership.get(self._state.leader_id)
         return member.address if member else None
 
-    def _expire_lease(self, now: float) -> None:
-        state = self._state
-        if state.role is Role.LEADER and now >= rounds.step_down_at(state):
-            state.become_follower(state.term, now)
-
     def persisted(self, sequence: int, now: float) -> None:
         """Note that the `Persist` actions up to ``sequence`` are synced."""
         state = self._state
         if not state.synced_sequence < sequence <= state.sequence:
             raise InvariantError(f"sequence {sequence} can't be synced now")
-        self._expire_lease(now)
+        self.expire_lease(now)
         state.synced_sequence = sequence
         state.log.synced(sequence)
         while state.term_by_sequence and state.term_by_sequence[0][0] <= sequence:
@@ -309,7 +310,7 @@
     def collect(self, now: float) -> tuple[Action, ...]:
         """Return the actions that the events so far call for, in order."""
         state = self._state
-        self._expire_lease(now)
+        self.expire_lease(now)
         if state.role is Role.LEADER:
             leader.step_membership(state, now)
             rounds.advance_reads(state, now)
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -275,7 +275,7 @@
     @property
     def leader_address(self) -> str | None:
         """Peer address of the leader, when it is known."""
-        return self._core.leader_address() if self._is_running() else None
+        return self._current_core().leader_address() if self._is_running() else None
 
     @property
     def term(self) -> int:
@@ -285,7 +285,7 @@
     @property
     def status(self) -> ReplicaStatus:
         """This member's view of the log."""
-        return self._core.status()
+        return self._current_core().status()
 
     @property
     def applied_index(self) -> int:
@@ -300,6 +300,11 @@
     def _is_running(self) -> bool:
         return self._core is not None and not self._failure.done()
 
+    def _current_core(self) -> ReplicaCore:
+        # A leader that was frozen must not show itself as one first.
+        self._core.expire_lease(self._loop.time())
+        return self._core
+
     def _running_core(self) -> ReplicaCore:
         if not self._is_running():
             raise NotLeaderError(None)
--- a/src/galenadrum/_internal/control/replication/peers.py
+++ b/src/galenadrum/_internal/control/replication/peers.py
@@ -104,7 +104,9 @@
         if self._unanswered_since is None:
             self._unanswered_since = now
         elif now - self._unanswered_since > self._silence_s and self._exchange:
-            logger.info("the stream to %s is silent; reconnecting", self.address)
+            # Each stream to a member that is cut off is silent: say it once.
+            level = logging.INFO if self._answered else logging.DEBUG
+            logger.log(level, "the stream to %s is silent", self.address)
             self._exchange.cancel()
         self._outbox.add(message)
 
--- a/tests/lib/log_member.py
+++ b/tests/lib/log_member.py
@@ -13,6 +13,7 @@
 import hashlib
 import json
 import random
+import resource
 import socket
 import sys
 import time
@@ -97,6 +98,7 @@
             "sent_bytes": CountingSocket.sent_bytes,
             "received_bytes": CountingSocket.received_bytes,
             "sends": CountingSocket.sends,
+            "resident_mib": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
         }
 
 
