--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -57,6 +57,8 @@
 _MAX_QUEUED_CALLS = 512
 _FAIR_WINDOW_CALLS = 4.0
 _REPUMP_INTERVAL_S = 0.05
+# A server that was restarted is often back within this time.
+_NO_SERVER_GRACE_S = 1.0
 _TRIAL_INTERVAL_S = 1.0
 _GIVE_UP_SHARE = 0.9
 _SPARE_UTILISATION = 0.75
@@ -110,6 +112,7 @@
         self._queues_by_stage: dict[str, FairQueue] = {}
         self._usage_by_stage: dict[str, Usage] = {}
         self._budgets_by_stage: dict[str, RetryBudget] = {}
+        self._unserved_since_by_stage: dict[str, float] = {}
         self._refusals = RefusalRate()
         self._last_trial_at = -_TRIAL_INTERVAL_S
 
@@ -137,7 +140,7 @@
         give_up_at = call.request.deadline
         if self._mechanisms.give_up:
             give_up_at -= _GIVE_UP_SHARE * (service_s + rest_s)
-        queued = QueuedCall(call, service_s, give_up_at, now)
+        queued = QueuedCall(call, service_s, rest_s, give_up_at, now)
         evicted = self._queue(call.stage).push(queued)
         decisions = []
         if evicted is not None:
@@ -153,7 +156,7 @@
         self._ledger.end_call(call, server_id, result.outcome)
         if forward_zone is not None:
             failed = result.outcome not in (Outcome.COMPLETED, Outcome.CANCELLED)
-            self._digests.ended(call.stage, forward_zone, failed, now)
+            self._digests.ended(call.stage, forward_zone, call.key, failed, now)
             return ()
         size = self._size_run(call, result)
         stages = self._pool.end(call, server_id, size, result, now)
@@ -169,7 +172,9 @@
 
     def allow_retry(self, call: StageCall, result: AttemptResult, now: float) -> bool:
         """Return whether a failed call may be submitted once more."""
-        allowed = self._may_repeat(call, result) and self._pays_to_retry(call, now)
+        allowed = self._may_repeat(call, result) and self._pays_to_retry(
+            call, result, now
+        )
         if allowed:
             self.counters.retries_allowed += 1
         else:
@@ -293,7 +298,9 @@
         repeatable = self._catalog.spec(call.stage).repeatable
         return repeatable or result.outcome is Outcome.NOT_RUN
 
-    def _pays_to_retry(self, call: StageCall, now: float) -> bool:
+    def _pays_to_retry(
+        self, call: StageCall, result: AttemptResult, now: float
+    ) -> bool:
         left_s = call.request.deadline - now
         if self._forecast.remaining_s(call.request, call.stage_index, now) > left_s:
             return False
@@ -301,7 +308,8 @@
             return True
         if self._mechanisms.spare_retries and self._has_spare(call.stage, now):
             return True
-        return self._budget(call.stage).withdraw()
+        certain = result.outcome is Outcome.NOT_RUN
+        return self._budget(call.stage).withdraw(did_run=not certain)
 
     def _has_spare(self, stage: str, now: float) -> bool:
         if len(self._queue(stage)):
@@ -325,17 +333,31 @@
             self._reject(queued.call, RefusalReason.DEADLINE, now)
             for queued in queue.pop_expired(now)
         ]
+        decisions.extend(self._reject_unserved(stage, now))
         while len(queue):
             queued = queue.peek(self._usage(stage), self._fair_window_s(stage), now)
-            placement = self._placer.place(
-                queued.call, weights_for(self._objective), now
-            )
+            placement = self._placer.place(queued, weights_for(self._objective), now)
             if placement is None:
                 break
             queue.remove(queued.call.key)
             decisions.append(self._dispatch(queued, placement, now))
         return tuple(decisions)
 
+    def _reject_unserved(self, stage: str, now: float) -> list[Decision]:
+        """Give up on calls that no server has been there for, for a while."""
+        queue = self._queue(stage)
+        is_served = self._pool.serves(stage) or self._digests.fresh(stage, now)
+        if is_served or not len(queue):
+            self._unserved_since_by_stage.pop(stage, None)
+            return []
+        since = self._unserved_since_by_stage.setdefault(stage, now)
+        if now - since < _NO_SERVER_GRACE_S:
+            return []
+        calls = [queued.call for queued in queue]
+        for call in calls:
+            queue.remove(call.key)
+        return [self._reject(call, RefusalReason.NO_SERVER, now) for call in calls]
+
     def _fair_window_s(self, stage: str) -> float | None:
         if not self._mechanisms.fairness:
             return None
@@ -348,9 +370,9 @@
         request = call.request
         record = self._ledger.require(request.request_id)
         if isinstance(placement, ForwardPlacement):
-            dispatch = self._forward(call, placement, now)
+            dispatch = self._forward(queued, placement, now)
         else:
-            dispatch = self._send(call, placement, now)
+            dispatch = self._send(queued, placement, now)
         self._ledger.dispatch(record, call, dispatch.server_id)
         self._usage(call.stage).charge(
             request.organisation, queued.cost_s, request.weight, now
@@ -358,7 +380,10 @@
         self._explain(queued, placement, dispatch, now)
         return dispatch
 
-    def _send(self, call: StageCall, placement: LocalPlacement, now: float) -> Dispatch:
+    def _send(
+        self, queued: QueuedCall, placement: LocalPlacement, now: float
+    ) -> Dispatch:
+        call = queued.call
         address = self._pool.start(call, placement.candidate, now)
         return Dispatch(
             call=call,
@@ -367,14 +392,15 @@
             first_byte_timeout_s=self._first_byte_timeout_s(
                 call, placement.expected_s, now
             ),
-            due_at=self._due_at(call, now),
+            due_at=_due_at(queued, now),
         )
 
     def _forward(
-        self, call: StageCall, placement: ForwardPlacement, now: float
+        self, queued: QueuedCall, placement: ForwardPlacement, now: float
     ) -> Dispatch:
+        call = queued.call
         zone = placement.digest.zone
-        self._digests.sent(call.stage, zone)
+        self._digests.sent(call.stage, zone, call.key, now)
         self.counters.forwarded_by_zone[zone] += 1
         return Dispatch(
             call=call,
@@ -384,13 +410,9 @@
                 call, placement.expected_s, now
             ),
             forward_zone=zone,
-            due_at=self._due_at(call, now),
+            due_at=_due_at(queued, now),
         )
 
-    def _due_at(self, call: StageCall, now: float) -> float:
-        rest_s = self._forecast.remaining_s(call.request, call.stage_index + 1, now)
-        return max(now, call.request.deadline - _GIVE_UP_SHARE * rest_s)
-
     def _first_byte_timeout_s(
         self, call: StageCall, expected_s: float, now: float
     ) -> float:
@@ -466,6 +488,11 @@
         return self._budgets_by_stage.setdefault(stage, RetryBudget())
 
 
+def _due_at(queued: QueuedCall, now: float) -> float:
+    deadline = queued.call.request.deadline
+    return max(now, deadline - _GIVE_UP_SHARE * queued.rest_s)
+
+
 _MESSAGES_BY_REASON: dict[RefusalReason, str] = {
     RefusalReason.NO_SERVER: "no backend server of a stage is known",
     RefusalReason.DEADLINE: "the deadline can't be met",
--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -21,6 +21,8 @@
 
 _GOOD_PROBE_RATIO = 2.5
 _ROUNDING_CALLS = 0.5
+_MAX_ALLOWANCE_SHARE = 0.5
+_UNKNOWN_SHARE = 0.25
 
 
 @dataclass(slots=True)
@@ -80,6 +82,7 @@
         self._records_by_id: dict[str, ServerRecord] = {}
         self._ids_by_stage: dict[str, list[str]] = {}
         self._started = False
+        self._capacity_by_stage: dict[str, tuple[float, StageCapacity]] = {}
 
     def update(self, announcements: Iterable[Announcement], now: float) -> None:
         """Take in the servers that stand announced; others are gone."""
@@ -108,22 +111,12 @@
 
     def capacity(self, stage: str, now: float) -> StageCapacity:
         """Return what the zone's servers can take for a stage."""
-        records = self._usable(stage)
-        if not records:
-            return StageCapacity(0, 0.0, 0.0, 0.0, 1.0, 0.0)
-        slownesses = [self._times.slowness(i, now) for i, _ in records]
-        least = min(slownesses)
-        slots = free = total_limit = failures = 0.0
-        for (_, record), slowness in zip(records, slownesses, strict=True):
-            limit = record.limit.value(now)
-            others = self._others(record, now)
-            slots += max(1.0, limit - others) * least / slowness
-            free += max(0.0, limit - others - len(record.load.in_flight))
-            total_limit += limit
-            failures += record.health.failure_share
-        return StageCapacity(
-            len(records), slots, free, total_limit, least, failures / len(records)
-        )
+        known = self._capacity_by_stage.get(stage)
+        if known is not None and known[0] == now:
+            return known[1]
+        capacity = self._work_out_capacity(stage, now)
+        self._capacity_by_stage[stage] = (now, capacity)
+        return capacity
 
     def candidates(
         self, call: StageCall, size: CallSize, uses_prefix: bool, now: float
@@ -136,7 +129,7 @@
         candidates = []
         for server_id in sample(ids, self._random):
             record = self._records_by_id[server_id]
-            if self._has_room(record, now):
+            if self._has_room(record, call.stage, now):
                 candidates.append(
                     self._candidate(call, size, uses_prefix, server_id, now)
                 )
@@ -159,6 +152,7 @@
         if call.stage not in record.announcement.stages:
             raise InvariantError(f"{candidate.server_id} does not serve {call.stage}")
         record.load.start(call.key, now)
+        self._capacity_by_stage.clear()
         if candidate.probe:
             record.health.probing = True
             record.probe_key = call.key
@@ -192,6 +186,7 @@
                 call.stage, size, server_id, result.service_s, now
             )
         self._judge(call, server_id, record, failed, ratio, now)
+        self._capacity_by_stage.clear()
         self._drop_if_unused(server_id, record)
         return record.announcement.stages
 
@@ -204,6 +199,24 @@
         ]
         return min(times, default=None)
 
+    def _work_out_capacity(self, stage: str, now: float) -> StageCapacity:
+        records = self._usable(stage)
+        if not records:
+            return StageCapacity(0, 0.0, 0.0, 0.0, 1.0, 0.0)
+        slownesses = [self._times.slowness(i, now) for i, _ in records]
+        least = min(slownesses)
+        slots = free = total_limit = failures = 0.0
+        for (_, record), slowness in zip(records, slownesses, strict=True):
+            limit = record.limit.value(now)
+            others = self._others(record, now)
+            slots += max(1.0, limit - others) * least / slowness
+            free += max(0.0, limit - others - len(record.load.in_flight))
+            total_limit += limit
+            failures += record.health.failure_share
+        return StageCapacity(
+            len(records), slots, free, total_limit, least, failures / len(records)
+        )
+
     def _learn_time(
         self,
         stage: str,
@@ -291,6 +304,7 @@
 
     def _index_stages(self) -> None:
         self._ids_by_stage = {}
+        self._capacity_by_stage.clear()
         for server_id, record in self._records_by_id.items():
             if record.serving:
                 for stage in record.announcement.stages:
@@ -306,12 +320,27 @@
     def _others(self, record: ServerRecord, now: float) -> float:
         return record.load.others(now) if self._mechanisms.reports else 0.0
 
-    def _has_room(self, record: ServerRecord, now: float) -> bool:
+    def _has_room(self, record: ServerRecord, stage: str, now: float) -> bool:
         own = len(record.load.in_flight)
         if own == 0:
             return True
         total = own + self._others(record, now)
-        return total + 1.0 <= record.limit.value(now) + _ROUNDING_CALLS
+        limit = record.limit.value(now)
+        allowed = limit + self._queue_allowance(record, stage, limit, now)
+        return total + 1.0 <= allowed
+
+    def _queue_allowance(
+        self, record: ServerRecord, stage: str, limit: float, now: float
+    ) -> float:
+        """Return the calls that may queue on a server.
+
+        The older the report is in comparison with the service time, the less
+        is known of the calls of other hosts, and slots would stay idle while
+        calls wait here.
+        """
+        service_s = self._times.mean(stage)
+        unknown = min(1.0, _UNKNOWN_SHARE * record.load.age_s(now) / service_s)
+        return _ROUNDING_CALLS + _MAX_ALLOWANCE_SHARE * unknown * limit
 
     def _probe_candidates(
         self, call: StageCall, size: CallSize, now: float
