Drop what waited in the sockets of a host that stood still

Change: a link over which the first message comes after its silence limit is closed instead of read. Conclusion: a host that continues after a stop offers nothing that is gone.

--- a/src/galenadrum/_internal/membership/exchange.py
+++ b/src/galenadrum/_internal/membership/exchange.py
@@ -125,6 +125,11 @@
         link = self._links_by_id.get(link_id)
         if link is None:
             return
+        if now - link.heard_at >= SILENCE_LIMIT_S:
+            # This process stood still: what waited in its sockets carries ages
+            # that are too low by that time.
+            self._close(link, CloseReason.SILENT)
+            return
         link.heard_at = now
         if message.hello is not None and not self._accept_hello(link, message.hello):
             return
