Prove that views converge and never revert

Cause: seven of 17 rules broken on purpose went unnoticed. Change: hypothesis machine and seeded runs over control and three views that follow each other, with late, doubled and reordered events. Not found: taking again what an event repeats, and overwriting a recorded 'unknown'.

--- /dev/null
+++ b/tests/unit/entry/test_declarations.py
@@ -0,0 +1,190 @@
+"""Views that are fed by control and by each other over a faulty network."""
+
+import os
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from galenadrum._internal.declarations.table import split_event
+from galenadrum._internal.entry.declarations import (
+    Applied,
+    DeclarationsView,
+    Ignored,
+    IgnoredReason,
+)
+from galenadrum._internal.protocol.commands_pb2 import ChangeResult
+from galenadrum._internal.protocol.declarations_pb2 import WatchEvent
+from lib.control_commands import DIGESTS, Replica, change_set, delete, put
+
+EXAMPLES = int(os.environ.get("GALENADRUM_EXAMPLES", "60"))
+_MAX_DELETIONS = 2
+_SMALL_PART_BYTES = 120
+_VIEWS = st.integers(0, 2)
+
+
+class DeclarationsMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.control = Replica(max_deletions=_MAX_DELETIONS)
+        self.views = [DeclarationsView(_MAX_DELETIONS) for _ in range(3)]
+        self.shown = [0, 0, 0]
+        self.network = []
+        self.specs_by_revision = {0: {}}
+
+    @rule(
+        digests_by_name=st.dictionaries(
+            st.sampled_from("abcd"),
+            st.sampled_from(DIGESTS[:5]) | st.none(),
+            min_size=1,
+            max_size=3,
+        )
+    )
+    def change(self, digests_by_name):
+        changes = [
+            put("organisation", name, {"key_sha256": [digest]})
+            if digest
+            else delete("organisation", name)
+            for name, digest in digests_by_name.items()
+        ]
+        identity = str(self.control.state.change_id_count)
+        self.control.send(change_set("vatu", identity, *changes))
+        self.specs_by_revision[self.control.state.revision] = {
+            item.key.name: item.spec for item in self.control.state.resources()
+        }
+
+    @rule(
+        provider=st.integers(0, 3),
+        after=st.integers(0, 3) | st.none(),
+        size_bytes=st.sampled_from([_SMALL_PART_BYTES, 10_000]),
+    )
+    def emit(self, provider, after, size_bytes):
+        """Have control or a view answer a watch; parts go their own ways."""
+        source = [self.control.state, *self.views][provider]
+        revision = 0 if after is None else [self.control.state, *self.views][after]
+        event = source.events_after(revision if after is None else revision.revision)
+        self.network += split_event(event, size_bytes)
+        del self.network[:-30]
+
+    @rule(receiver=_VIEWS, data=st.data())
+    def deliver(self, receiver, data):
+        """Deliver any message, late, again or never."""
+        if self.network:
+            index = data.draw(st.integers(0, len(self.network) - 1))
+            self.take(receiver, self.network[index])
+
+    @rule(receiver=_VIEWS)
+    def deliver_all(self, receiver):
+        for message in self.network:
+            self.take(receiver, message)
+
+    @rule(receiver=_VIEWS, provider=st.integers(0, 3))
+    def follow(self, receiver, provider):
+        """Follow a source over a connection that loses nothing."""
+        source = [self.control.state, *self.views][provider]
+        event = source.events_after(self.views[receiver].revision)
+        for part in split_event(event, _SMALL_PART_BYTES):
+            self.take(receiver, part)
+        assert self.views[receiver].revision >= source.revision
+
+    @rule(receiver=_VIEWS)
+    def restart(self, receiver):
+        self.views[receiver] = DeclarationsView(_MAX_DELETIONS)
+        self.shown[receiver] = 0
+
+    def take(self, receiver, message):
+        view = self.views[receiver]
+        before = view.revision
+        result = view.apply_event(message)
+        assert (view.revision > before) == isinstance(result, Applied)
+
+    @invariant()
+    def no_view_reverts(self):
+        for index, view in enumerate(self.views):
+            assert view.revision >= self.shown[index]
+            self.shown[index] = view.revision
+
+    @invariant()
+    def each_view_holds_what_stood_at_its_revision(self):
+        for view in self.views:
+            specs = self.specs_by_revision[view.revision]
+            assert view.organisations_by_name == specs
+            for name, spec in specs.items():
+                digest = spec.key_sha256[0]
+                assert view.organisation_by_key_digest(digest) == (name, spec)
+            found = [view.organisation_by_key_digest(digest) for digest in DIGESTS]
+            assert len(specs) == sum(item is not None for item in found)
+
+
+DeclarationsMachine.TestCase.settings = settings(
+    max_examples=EXAMPLES, stateful_step_count=50
+)
+TestDeclarationsMachine = DeclarationsMachine.TestCase
+
+
+class TestFollowingEachOther:
+    @pytest.mark.parametrize("seed", range(60))
+    def test_views_hold_what_stood_whomever_they_follow(self, seed):
+        rng = random.Random(seed)
+        machine = DeclarationsMachine()
+        for _ in range(150):
+            names = rng.sample("abcd", rng.randint(1, 2))
+            digests = [None, DIGESTS["abcd".index(names[0])]]
+            step = rng.random()
+            if step < 0.4:
+                machine.change({names[0]: rng.choice(digests)})
+            elif step < 0.5:
+                machine.emit(rng.randrange(4), rng.randrange(4), 10_000)
+            elif step < 0.6:
+                machine.deliver_all(rng.randrange(3))
+            elif step < 0.98:
+                provider, receiver = rng.randrange(4), rng.randrange(3)
+                ahead = [machine.control.state, *machine.views][provider]
+                if ahead.revision >= machine.views[receiver].revision:
+                    machine.follow(receiver, provider)
+            else:
+                machine.restart(rng.randrange(3))
+            machine.no_view_reverts()
+            machine.each_view_holds_what_stood_at_its_revision()
+
+
+class TestDeclarationsView:
+    def _event(self, revision, **fields):
+        return WatchEvent(revision=revision, cluster_id="cluster", **fields)
+
+    def test_events_of_another_cluster_are_ignored(self):
+        view = DeclarationsView()
+        view.apply_event(self._event(3, snapshot=True))
+        other = WatchEvent(revision=9, cluster_id="other", snapshot=True)
+        assert view.apply_event(other) == Ignored(IgnoredReason.OTHER_CLUSTER)
+        assert view.revision == 3
+
+    def test_what_cant_be_understood_leaves_the_view_as_it_was(self):
+        view = DeclarationsView()
+        event = self._event(3, snapshot=True)
+        event.changed.add(kind="stage", name="a", spec_json=b'{"later": 1}', revision=3)
+        assert view.apply_event(event) == Ignored(IgnoredReason.UNREADABLE)
+        assert not view.is_ready
+
+    def test_catches_up_after_500_changes_by_deltas_and_by_snapshot(self):
+        control = Replica()
+        early, new = DeclarationsView(), DeclarationsView()
+        for number in range(501):
+            name = f"s{number % 40}"
+            spec = {"expected_service_ms": number + 1}
+            result = control.send(
+                change_set("vatu", str(number), put("stage", name, spec))
+            )
+            assert result.status == ChangeResult.ACCEPTED
+            if number == 0:
+                early.apply_event(control.state.events_after(0))
+        delta = control.restored().state.events_after(early.revision)
+        assert not delta.snapshot
+        snapshot = control.state.events_after(new.revision)
+        assert snapshot.snapshot
+        for view, event in ((early, delta), (new, snapshot)):
+            assert view.apply_event(event).revision == 501
+        assert early.stages_by_name == new.stages_by_name
+        assert len(new.stages_by_name) == 40
