End a daemon that could not start

Cause: a daemon whose second listener failed kept the threads of its first one and never ended; seen as a process that held a port for eight minutes and broke a test of another run. Change: what was started is stopped when the start fails. Conclusion: the test that met it picks free addresses too.

--- a/src/galenadrum/_internal/network/http_server.py
+++ b/src/galenadrum/_internal/network/http_server.py
@@ -202,5 +202,7 @@
 
     def stop(self) -> None:
         """Stop listening and wait for the workers, for a bounded time."""
+        if self._thread.ident is None:
+            return
         self._server.stop()
         self._thread.join(_SHUTDOWN_TIMEOUT_S)
--- a/src/galenadrum/_internal/supervision/daemons.py
+++ b/src/galenadrum/_internal/supervision/daemons.py
@@ -37,15 +37,23 @@
 async def _run_until_signal(build: Callable[[], Daemon]) -> None:
     stop = stop_event()
     daemon = build()
-    await daemon.start()
+    try:
+        await daemon.start()
+        await _wait_for_end(daemon, stop)
+        await daemon.drain()
+    finally:
+        # Also after a start that failed halfway: what listens would otherwise
+        # keep the process alive.
+        await daemon.stop()
+
+
+async def _wait_for_end(daemon: Daemon, stop: asyncio.Event) -> None:
     failed = asyncio.create_task(daemon.wait_failed())
     stopped = asyncio.create_task(stop.wait())
     try:
         await asyncio.wait({failed, stopped}, return_when=asyncio.FIRST_COMPLETED)
         if failed.done():
             failed.result()
-        await daemon.drain()
     finally:
         stopped.cancel()
         failed.cancel()
-        await daemon.stop()
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -13,6 +13,7 @@
     OperatorClient,
 )
 from lib.operators_api import OperatorsApi, serving
+from lib.processes import free_address
 
 STAGE = {"kind": "stage", "name": "encode", "spec": {}}
 PIPELINE = {
@@ -210,9 +211,9 @@
                 "host_id": "e1",
                 "zone": "nadi",
                 "caller_address": taken,
-                "operator_address": "127.0.0.1:1",
-                "peer_address": "127.0.0.1:2",
-                "control_addresses": ["127.0.0.1:3"],
+                "operator_address": free_address(),
+                "peer_address": free_address(),
+                "control_addresses": [free_address()],
             }
             path = tmp_path / "entry.json"
             path.write_text(json.dumps(settings))
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,5 +1,6 @@
 import hashlib
 import json
+import socket
 
 import pytest
 
@@ -30,6 +31,20 @@
     return response.json()["error"]
 
 
+class TestStart:
+    def test_a_daemon_whose_address_is_taken_ends_by_itself(self, tmp_path):
+        deployment = Deployment(tmp_path)
+        try:
+            with socket.create_server(("127.0.0.1", 0)) as taken:
+                address = f"127.0.0.1:{taken.getsockname()[1]}"
+                deployment.control_settings["none"] = {"peer_address": address}
+                [name] = deployment.start_entries(1, caller_address=address)
+                code = deployment.processes[name].popen.wait(60)
+                assert code not in (None, 0)
+        finally:
+            deployment.close()
+
+
 class TestWholePath:
     def test_each_of_many_concurrent_callers_gets_its_own_answer(self, deployment):
         inputs = [f"note {number} " + "x" * number for number in range(REQUESTS)]
