Bound each attempt by the time left for the call; bound pending changes

Change: an attempt gets at most the time left, and reads wait 4 s for a host; the folder of pending changes keeps the newest 1,000; one form for change ids.

--- a/src/galenadrum/_internal/changes/pending.py
+++ b/src/galenadrum/_internal/changes/pending.py
@@ -22,8 +22,9 @@
 
 logger = logging.getLogger(__name__)
 
-_PLAIN_ID = re.compile(r"[A-Za-z0-9._-]{1,128}")
+CHANGE_ID_FORM = re.compile(r"[A-Za-z0-9._-]{1,128}")
 _FOLDER_MODE = 0o700
+_MAX_PENDING = 1_000
 
 
 class PendingChanges:
@@ -60,6 +61,7 @@
                 file.flush()
                 os.fsync(file.fileno())
             os.replace(partial, path)
+            self._remove_oldest()
         except OSError as error:
             logger.warning("can't keep the change for a resend: %s", error)
 
@@ -70,7 +72,13 @@
         except OSError as error:
             logger.warning("can't remove the pending change: %s", error)
 
+    def _remove_oldest(self) -> None:
+        """Keep the folder small; control hosts forget old change ids as well."""
+        paths = sorted(self._folder.glob("*.json"), key=lambda p: p.stat().st_mtime)
+        for path in paths[:-_MAX_PENDING]:
+            path.unlink(missing_ok=True)
+
     def _path(self, change_id: str) -> Path:
-        if not _PLAIN_ID.fullmatch(change_id):
+        if not CHANGE_ID_FORM.fullmatch(change_id):
             raise ValueError("a change id has 1 to 128 letters, digits, '.', '_', '-'")
         return self._folder / f"{change_id}.json"
--- a/src/galenadrum/_internal/cli/options.py
+++ b/src/galenadrum/_internal/cli/options.py
@@ -4,7 +4,6 @@
 
 import functools
 import os
-import re
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,13 +12,12 @@
 
 import click
 
-from galenadrum._internal.changes.pending import PendingChanges
+from galenadrum._internal.changes.pending import CHANGE_ID_FORM, PendingChanges
 from galenadrum._internal.cli.forms import output_option
 from galenadrum._internal.models.resources import Kind, ResourceKey
 from galenadrum._internal.network.operator_client import ClientTimeouts, OperatorClient
 
 _DEFAULT_TIMEOUT_S = 30.0
-_CHANGE_ID_FORM = re.compile(r"[A-Za-z0-9._-]{1,128}")
 _CHANGE_ID_BYTES = 16
 # A token isn't taken as an argument, since arguments show in process lists.
 _TOKEN_VARIABLE = "GALENADRUM_TOKEN"
@@ -51,7 +49,7 @@
 def _check_change_id(_: click.Context, __: click.Parameter, value: str | None) -> str:
     if value is None:
         return secrets.token_hex(_CHANGE_ID_BYTES)
-    if not _CHANGE_ID_FORM.fullmatch(value):
+    if not CHANGE_ID_FORM.fullmatch(value):
         raise click.BadParameter("expected 1 to 128 letters, digits, '.', '_' or '-'")
     return value
 
--- a/src/galenadrum/_internal/network/operator_client.py
+++ b/src/galenadrum/_internal/network/operator_client.py
@@ -49,6 +49,8 @@
 _CHANGE_TIMEOUT_S = 12.0
 _READ_TIMEOUT_S = 4.0
 _CALL_TIMEOUT_S = 30.0
+# The last attempt gets this long even when the time for the call is over.
+_LEAST_ATTEMPT_S = 1.0
 _FIRST_DELAY_S = 0.1
 _MAX_DELAY_S = 2.0
 _CODES_NOT_ACCEPTED = frozenset({"not_leader", "busy"})
@@ -220,7 +222,8 @@
         statuses: dict[str, dict[str, Any] | None] = {}
         for address in self._addresses:
             try:
-                answer = self._send(address, "GET", "/v1/status", None)
+                read_s = self._timeouts.read_s
+                answer = self._send(address, "GET", "/v1/status", None, read_s)
             except (urllib3.exceptions.HTTPError, MalformedAnswerError) as error:
                 logger.info("%s doesn't answer: %s", address, error)
                 statuses[address] = None
@@ -300,21 +303,29 @@
         may_be_accepted = False
         while True:
             for address in self._candidates():
-                attempt = self._attempt(address, method, path, body)
+                attempt = self._attempt(address, method, path, body, give_up)
                 if attempt.answer is not None:
                     return attempt.answer
                 attempts_by_address[address] = attempt
-                may_be_accepted |= attempt.may_be_accepted
-            if self._clock() >= give_up:
-                raise _give_up_error(attempts_by_address, changes and may_be_accepted)
+                may_be_accepted |= changes and attempt.may_be_accepted
+                if self._clock() >= give_up:
+                    raise _give_up_error(attempts_by_address, may_be_accepted)
             self._sleep(next(delays))
 
     def _attempt(
-        self, address: str, method: str, path: str, body: bytes | None
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        give_up: float,
     ) -> _Attempt:
         """Ask one control host; raise what another would refuse as well."""
+        timeouts = self._timeouts
+        timeout_s = timeouts.read_s if body is None else timeouts.change_s
+        left_s = max(give_up - self._clock(), _LEAST_ATTEMPT_S)
         try:
-            answer = self._send(address, method, path, body)
+            answer = self._send(address, method, path, body, min(timeout_s, left_s))
         except _NEVER_SENT_ERRORS as error:
             return _Attempt(problem=str(error))
         except (urllib3.exceptions.HTTPError, MalformedAnswerError) as error:
@@ -329,10 +340,13 @@
         return _Attempt(problem=answer.code, may_be_accepted=not refused)
 
     def _send(
-        self, address: str, method: str, path: str, body: bytes | None
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
     ) -> _Answer:
-        timeouts = self._timeouts
-        timeout_s = timeouts.read_s if body is None else timeouts.change_s
         response = self._open(address, method, path, body, timeout_s)
         try:
             data = self._read_all(response, timeout_s)
