Admit small requests before large ones while a queue stands

Cause: in an overload each size was refused alike, while the share of requests answered counts each once. Change: the work ahead counts as longer for a request above the stage's mean cost and as shorter for one below, within bounds.

--- a/src/galenadrum/_internal/routing/forecast.py
+++ b/src/galenadrum/_internal/routing/forecast.py
@@ -14,6 +14,9 @@
 from galenadrum._internal.routing.service_times import CallSize, ServiceTimes
 from galenadrum._internal.routing.spill import ZONE_HOP_S, ZoneDigests
 
+_MIN_SIZE_FACTOR = 0.3
+_MAX_SIZE_FACTOR = 4.0
+
 
 class Forecast:
     """Expected times of requests, from all that the policy has learned."""
@@ -54,19 +57,30 @@
         )
 
     def outlooks(
-        self, request: Request, costs: dict[int, float], now: float, loaded: bool = True
+        self,
+        request: Request,
+        costs: dict[int, float],
+        size_exponent: float,
+        now: float,
+        loaded: bool = True,
     ) -> list[StageOutlook]:
         """Return what a new request meets at each of its stages."""
         return [
-            self._outlook(request, stage, costs[index], now, loaded)
+            self._outlook(request, stage, costs[index], size_exponent, now, loaded)
             for index, stage in enumerate(request.stages)
         ]
 
     def completion_s(
-        self, request: Request, costs: dict[int, float], now: float, loaded: bool = True
+        self,
+        request: Request,
+        costs: dict[int, float],
+        size_exponent: float,
+        now: float,
+        loaded: bool = True,
     ) -> float:
         """Return the expected seconds until a new request completes."""
-        return expected_completion_s(self.outlooks(request, costs, now, loaded))
+        outlooks = self.outlooks(request, costs, size_exponent, now, loaded)
+        return expected_completion_s(outlooks)
 
     def queue_delay_s(self, stage: str, now: float) -> float:
         """Return the expected wait of a new call in this zone, in seconds."""
@@ -76,7 +90,13 @@
         return first_s + backlog_s / max(capacity.slots, 0.1)
 
     def _outlook(
-        self, request: Request, stage: str, cost_s: float, now: float, loaded: bool
+        self,
+        request: Request,
+        stage: str,
+        cost_s: float,
+        size_exponent: float,
+        now: float,
+        loaded: bool,
     ) -> StageOutlook:
         capacity = self._pool.capacity(stage, now)
         slots = capacity.slots
@@ -87,11 +107,18 @@
         ahead_s = self._ledger.backlog(stage).ahead_of(
             request.organisation, request.weight, self._mechanisms.fairness
         )
+        if self._mechanisms.small_first:
+            ahead_s *= self._size_factor(stage, cost_s, size_exponent)
         first_s = self._first_free_s(stage, capacity)
         if self._mechanisms.spill and self._digests.free(stage, now) >= 1.0:
             first_s = min(first_s, ZONE_HOP_S)
         return StageOutlook(cost_s, ahead_s, slots, first_s)
 
+    def _size_factor(self, stage: str, cost_s: float, exponent: float) -> float:
+        """Return by how much the queue counts as longer for a large request."""
+        ratio = cost_s / self._times.mean(stage)
+        return min(_MAX_SIZE_FACTOR, max(_MIN_SIZE_FACTOR, ratio**exponent))
+
     def _first_free_s(self, stage: str, capacity: StageCapacity) -> float:
         if capacity.free >= 1.0 or not capacity.servers:
             return 0.0
--- a/src/galenadrum/_internal/routing/mechanisms.py
+++ b/src/galenadrum/_internal/routing/mechanisms.py
@@ -23,6 +23,7 @@
         ejection: Leave out servers that do worse than their peers.
         speeds: Learn how fast each server is compared with its peers.
         retry_budget: Bound retries by a share of recent traffic.
+        small_first: Admit what costs little before what costs much.
         spare_retries: Allow retries beyond the budget while capacity is idle.
     """
 
@@ -40,3 +41,4 @@
     speeds: bool = True
     retry_budget: bool = True
     spare_retries: bool = True
+    small_first: bool = True
--- a/src/galenadrum/_internal/routing/objectives.py
+++ b/src/galenadrum/_internal/routing/objectives.py
@@ -17,20 +17,24 @@
         admission_margin: Expected time is multiplied by this before it is
             compared with the deadline.
         home_wait_s: Extra queue delay accepted in a prefix's home zone.
+        size_exponent: How strongly a request that costs more than the mean
+            counts the queue before it as longer, and one that costs less as
+            shorter; 0 admits all sizes alike.
     """
 
     prefill: float
     load: float
     admission_margin: float
     home_wait_s: float
+    size_exponent: float
 
 
 _WEIGHTS_BY_OBJECTIVE = {
     Objective.ATTAINMENT: Weights(
-        prefill=1.0, load=0.5, admission_margin=1.05, home_wait_s=0.1
+        prefill=1.0, load=0.5, admission_margin=1.05, home_wait_s=0.1, size_exponent=1.5
     ),
     Objective.COST: Weights(
-        prefill=2.0, load=0.5, admission_margin=1.1, home_wait_s=0.3
+        prefill=2.0, load=0.5, admission_margin=1.1, home_wait_s=0.3, size_exponent=1.5
     ),
 }
 
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -243,11 +243,16 @@
     ) -> RefusalReason | None:
         if not self._mechanisms.admission:
             return None
-        margin = weights_for(self._objective).admission_margin
+        weights = weights_for(self._objective)
+        margin = weights.admission_margin
+        exponent = weights.size_exponent
         left_s = request.deadline - now
-        if margin * self._forecast.completion_s(request, costs, now) <= left_s:
+        loaded_s = self._forecast.completion_s(request, costs, exponent, now)
+        if margin * loaded_s <= left_s:
             return None
-        unloaded_s = self._forecast.completion_s(request, costs, now, loaded=False)
+        unloaded_s = self._forecast.completion_s(
+            request, costs, exponent, now, loaded=False
+        )
         if margin * unloaded_s > left_s:
             return None if self._allow_trial(left_s, now) else RefusalReason.DEADLINE
         if self._over_share(request):
