--- a/src/galenadrum/_internal/routing/forecast.py
+++ b/src/galenadrum/_internal/routing/forecast.py
@@ -89,6 +89,11 @@
         first_s = self._first_free_s(stage, capacity)
         return first_s + backlog_s / max(capacity.slots, 0.1)
 
+    def size_factor(self, stage: str, cost_s: float, exponent: float) -> float:
+        """Return by how much the queue counts as longer for a large request."""
+        ratio = cost_s / self._times.mean(stage)
+        return min(_MAX_SIZE_FACTOR, max(_MIN_SIZE_FACTOR, ratio**exponent))
+
     def _outlook(
         self,
         request: Request,
@@ -108,17 +113,12 @@
             request.organisation, request.weight, self._mechanisms.fairness
         )
         if self._mechanisms.small_first:
-            ahead_s *= self._size_factor(stage, cost_s, size_exponent)
+            ahead_s *= self.size_factor(stage, cost_s, size_exponent)
         first_s = self._first_free_s(stage, capacity)
         if self._mechanisms.spill and self._digests.free(stage, now) >= 1.0:
             first_s = min(first_s, ZONE_HOP_S)
         return StageOutlook(cost_s, ahead_s, slots, first_s)
 
-    def _size_factor(self, stage: str, cost_s: float, exponent: float) -> float:
-        """Return by how much the queue counts as longer for a large request."""
-        ratio = cost_s / self._times.mean(stage)
-        return min(_MAX_SIZE_FACTOR, max(_MIN_SIZE_FACTOR, ratio**exponent))
-
     def _first_free_s(self, stage: str, capacity: StageCapacity) -> float:
         if capacity.free >= 1.0 or not capacity.servers:
             return 0.0
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -137,7 +137,14 @@
         give_up_at = call.request.deadline
         if self._mechanisms.give_up:
             give_up_at -= _GIVE_UP_SHARE * (service_s + rest_s)
-        queued = QueuedCall(call, service_s, rest_s, give_up_at, now)
+        queued = QueuedCall(
+            call,
+            service_s,
+            rest_s,
+            give_up_at,
+            now,
+            self._order(call, service_s, give_up_at, now),
+        )
         evicted = self._queue(call.stage).push(queued)
         decisions = []
         if evicted is not None:
@@ -292,6 +299,22 @@
         cost_s = self._times.mean(stage)
         return self._refusals.retry_after_s(backlog_s, cost_s, slots, now, self._random)
 
+    def _order(
+        self, call: StageCall, service_s: float, give_up_at: float, now: float
+    ) -> float:
+        """Return the place of a call in its queue: what is due first goes first.
+
+        A call that was admitted past the work of larger ones counts as due
+        sooner, or it would wait behind them after all.
+        """
+        if not self._mechanisms.deadline_order:
+            return now
+        if not self._mechanisms.small_first:
+            return give_up_at
+        exponent = weights_for(self._objective).size_exponent
+        factor = self._forecast.size_factor(call.stage, service_s, exponent)
+        return now + (give_up_at - now) * factor
+
     def _may_repeat(self, call: StageCall, result: AttemptResult) -> bool:
         if result.outcome in (Outcome.COMPLETED, Outcome.CANCELLED):
             return False
@@ -463,7 +486,7 @@
     def _queue(self, stage: str) -> FairQueue:
         queue = self._queues_by_stage.get(stage)
         if queue is None:
-            queue = FairQueue(_MAX_QUEUED_CALLS, self._mechanisms.deadline_order)
+            queue = FairQueue(_MAX_QUEUED_CALLS)
             self._queues_by_stage[stage] = queue
         return queue
 
--- a/src/galenadrum/_internal/routing/queues.py
+++ b/src/galenadrum/_internal/routing/queues.py
@@ -2,8 +2,8 @@
 
 Each organisation has a usage: the cost it was served lately, divided by its
 weight, fading with time. Organisations within a window of the least usage
-count as equal and are served by priority and then by what is due first; those
-above the window wait until the others have caught up.
+count as equal and are served by priority and then in the order that the calls
+carry; those above the window wait until the others have caught up.
 """
 
 from __future__ import annotations
@@ -32,6 +32,7 @@
         rest_s: Expected service time of the stages after it, in seconds.
         give_up_at: Loop time after which the deadline can't be met.
         queued_at: Loop time at which it was submitted.
+        order: Calls of an organisation are served in ascending order of it.
     """
 
     call: StageCall
@@ -39,6 +40,7 @@
     rest_s: float
     give_up_at: float
     queued_at: float
+    order: float
 
 
 class Usage:
@@ -76,13 +78,10 @@
 
     Args:
         max_calls: Bound on the number of calls.
-        by_deadline: Whether what is due first goes first; otherwise what
-            came first.
     """
 
-    def __init__(self, max_calls: int, by_deadline: bool = True) -> None:
+    def __init__(self, max_calls: int) -> None:
         self._max_calls = max_calls
-        self._by_deadline = by_deadline
         self._queued_by_key: dict[CallKey, QueuedCall] = {}
         self._heaps_by_organisation: dict[str, list[tuple[float, int, CallKey]]] = {}
         self._expiries: list[tuple[float, int, CallKey]] = []
@@ -103,10 +102,9 @@
         if key in self._queued_by_key:
             raise InvariantError(f"call {key} was queued twice")
         self._sequence += 1
-        order = queued.give_up_at if self._by_deadline else queued.queued_at
         organisation = queued.call.request.organisation
         heap = self._heaps_by_organisation.setdefault(organisation, [])
-        heapq.heappush(heap, (order, self._sequence, key))
+        heapq.heappush(heap, (queued.order, self._sequence, key))
         heapq.heappush(self._expiries, (queued.give_up_at, self._sequence, key))
         self._queued_by_key[key] = queued
         if len(self._queued_by_key) <= self._max_calls:
