Give forwarded calls back at once when the zone has no server left

Change: a forwarded request is judged by the own zone only, and is rejected as not run when the last server goes.

--- a/src/galenadrum/_internal/routing/forecast.py
+++ b/src/galenadrum/_internal/routing/forecast.py
@@ -104,9 +104,10 @@
         loaded: bool,
     ) -> StageOutlook:
         capacity = self._pool.capacity(stage, now)
-        slots = capacity.slots
-        if self._mechanisms.spill:
-            slots += self._digests.free(stage, now)
+        elsewhere = 0.0
+        if self._mechanisms.spill and not request.forwarded:
+            elsewhere = self._digests.free(stage, now)
+        slots = capacity.slots + elsewhere
         if not loaded:
             return StageOutlook(cost_s, 0.0, slots, 0.0)
         ahead_s = self._ledger.backlog(stage).ahead_of(
@@ -115,7 +116,7 @@
         if self._mechanisms.small_first:
             ahead_s *= self.size_factor(stage, cost_s, size_exponent)
         first_s = self._first_free_s(stage, capacity)
-        if self._mechanisms.spill and self._digests.free(stage, now) >= 1.0:
+        if elsewhere >= 1.0:
             first_s = min(first_s, ZONE_HOP_S)
         return StageOutlook(cost_s, ahead_s, slots, first_s)
 
@@ -134,7 +135,7 @@
             size = CallSize(prefill, size.output_tokens)
         expected_s = self._times.expected(stage, size)
         local_s = expected_s * capacity.slowness
-        if not self._mechanisms.spill:
+        if not self._mechanisms.spill or request.forwarded:
             return local_s
         mean_s = self._times.mean(stage)
         others_s = [
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -115,9 +115,8 @@
 
     def admit(self, request: Request, now: float) -> Refusal | None:
         """Admit a request, or return why it is refused; it then did not run."""
-        for stage in request.stages:
-            if not self._pool.serves(stage) and not self._digests.fresh(stage, now):
-                return self._refuse(request, RefusalReason.NO_SERVER, now)
+        if not all(self._may_serve(request, stage, now) for stage in request.stages):
+            return self._refuse(request, RefusalReason.NO_SERVER, now)
         costs = self._forecast.costs(request, now)
         reason = self._refusal_reason(request, costs, now)
         if reason is not None:
@@ -245,6 +244,11 @@
         """Return why a call was dispatched as it was, for its span."""
         return self._explanations.get(call.key)
 
+    def _may_serve(self, request: Request, stage: str, now: float) -> bool:
+        if self._pool.serves(stage):
+            return True
+        return not request.forwarded and bool(self._digests.fresh(stage, now))
+
     def _refusal_reason(
         self, request: Request, costs: dict[int, float], now: float
     ) -> RefusalReason | None:
@@ -358,6 +362,8 @@
             self._reject(queued.call, RefusalReason.DEADLINE, now)
             for queued in queue.pop_expired(now)
         ]
+        if not self._pool.serves(stage):
+            decisions.extend(self._return_forwarded(queue, now))
         while len(queue):
             queued = queue.peek(self._usage(stage), self._fair_window_s(stage), now)
             placement = self._placer.place(queued, weights_for(self._objective), now)
@@ -367,6 +373,13 @@
             decisions.append(self._dispatch(queued, placement, now))
         return tuple(decisions)
 
+    def _return_forwarded(self, queue: FairQueue, now: float) -> list[Decision]:
+        """Reject calls of other zones while none of this zone's servers is left."""
+        forwarded = [q.call for q in queue if q.call.request.forwarded]
+        for call in forwarded:
+            queue.remove(call.key)
+        return [self._reject(call, RefusalReason.NO_SERVER, now) for call in forwarded]
+
     def _fair_window_s(self, stage: str) -> float | None:
         if not self._mechanisms.fairness:
             return None
