Take calls in flight for too long as a sign of a slow server; no margin

Change: the oldest calls in flight bound a server's slowness from below once they take twice their expected time; attainment admits without a margin.

--- a/src/galenadrum/_internal/routing/mechanisms.py
+++ b/src/galenadrum/_internal/routing/mechanisms.py
@@ -22,6 +22,7 @@
         spill: Forward calls that the own zone can't complete in time.
         ejection: Leave out servers that do worse than their peers.
         speeds: Learn how fast each server is compared with its peers.
+        stalls: Take calls in flight for too long as a sign of slowness.
         retry_budget: Bound retries by a share of recent traffic.
         small_first: Admit what costs little before what costs much.
         spare_retries: Allow retries beyond the budget while capacity is idle.
@@ -39,6 +40,7 @@
     spill: bool = True
     ejection: bool = True
     speeds: bool = True
+    stalls: bool = True
     retry_budget: bool = True
     spare_retries: bool = True
     small_first: bool = True
--- a/src/galenadrum/_internal/routing/objectives.py
+++ b/src/galenadrum/_internal/routing/objectives.py
@@ -31,7 +31,7 @@
 
 _WEIGHTS_BY_OBJECTIVE = {
     Objective.ATTAINMENT: Weights(
-        prefill=1.0, load=0.5, admission_margin=1.05, home_wait_s=0.1, size_exponent=3.0
+        prefill=1.0, load=0.5, admission_margin=1.0, home_wait_s=0.1, size_exponent=3.0
     ),
     Objective.COST: Weights(
         prefill=2.0, load=0.5, admission_margin=1.1, home_wait_s=0.3, size_exponent=3.0
--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -21,6 +21,7 @@
 
 _GOOD_PROBE_RATIO = 2.5
 _ROUNDING_CALLS = 0.5
+_STALLED_RATIO = 2.0
 _MAX_ALLOWANCE_SHARE = 0.5
 _UNKNOWN_SHARE = 0.25
 
@@ -151,7 +152,7 @@
             raise InvariantError(f"dispatch to {candidate.server_id}: not serving")
         if call.stage not in record.announcement.stages:
             raise InvariantError(f"{candidate.server_id} does not serve {call.stage}")
-        record.load.start(call.key, now)
+        record.load.start(call.key, candidate.nominal_s, now)
         self._capacity_by_stage.clear()
         if candidate.probe:
             record.health.probing = True
@@ -203,7 +204,7 @@
         records = self._usable(stage)
         if not records:
             return StageCapacity(0, 0.0, 0.0, 0.0, 1.0, 0.0)
-        slownesses = [self._times.slowness(i, now) for i, _ in records]
+        slownesses = [self._slowness(i, record, now) for i, record in records]
         least = min(slownesses)
         slots = free = total_limit = failures = 0.0
         for (_, record), slowness in zip(records, slownesses, strict=True):
@@ -253,7 +254,7 @@
             PeerView(
                 server_id,
                 self._records_by_id[server_id].health,
-                self._times.slowness(server_id, now),
+                self._slowness(server_id, self._records_by_id[server_id], now),
             )
             for server_id in self._ids_by_stage.get(stage, ())
         ]
@@ -329,6 +330,13 @@
         allowed = limit + self._queue_allowance(record, stage, limit, now)
         return total + 1.0 <= allowed
 
+    def _slowness(self, server_id: str, record: ServerRecord, now: float) -> float:
+        learned = self._times.slowness(server_id, now)
+        if not self._mechanisms.stalls:
+            return learned
+        stalled = record.load.stall_ratio(now)
+        return max(learned, stalled) if stalled > _STALLED_RATIO else learned
+
     def _queue_allowance(
         self, record: ServerRecord, stage: str, limit: float, now: float
     ) -> float:
@@ -362,7 +370,7 @@
         probe: bool = False,
     ) -> Candidate:
         record = self._records_by_id[server_id]
-        slowness = self._times.slowness(server_id, now)
+        slowness = self._slowness(server_id, record, now)
         whole_s = self._times.expected(call.stage, size) * slowness
         reused = 0.0
         service_s = whole_s
@@ -374,6 +382,7 @@
         return Candidate(
             server_id=server_id,
             service_s=service_s,
+            nominal_s=service_s / slowness,
             prefill_saved_s=whole_s - service_s,
             total=len(record.load.in_flight) + self._others(record, now),
             limit=record.limit.value(now),
--- a/src/galenadrum/_internal/routing/scoring.py
+++ b/src/galenadrum/_internal/routing/scoring.py
@@ -18,6 +18,7 @@
 
     Attributes:
         service_s: Expected service time on it, with the prefix it holds.
+        nominal_s: The same on a server of ordinary speed.
         prefill_saved_s: Service time that the prefix saves.
         total: Estimated calls on it, this entry host's and others'.
         limit: Calls that may be on it.
@@ -28,6 +29,7 @@
 
     server_id: str
     service_s: float
+    nominal_s: float
     prefill_saved_s: float
     total: float
     limit: float
--- a/src/galenadrum/_internal/routing/server_loads.py
+++ b/src/galenadrum/_internal/routing/server_loads.py
@@ -11,6 +11,7 @@
 import math
 from collections import deque
 from dataclasses import dataclass
+from itertools import islice
 
 from galenadrum._internal.exceptions import InvariantError
 from galenadrum._internal.models.servers import LoadReport
@@ -20,6 +21,7 @@
 _FRESH_STEP = 0.5
 _MEAN_STEP = 0.1
 _FADE_S = 2.0
+_OLDEST_CALLS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,21 +30,27 @@
     in_flight: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Started:
+    at: float
+    expected_s: float
+
+
 class ServerLoad:
     """Own calls in flight on one server, and an estimate of the others'."""
 
     def __init__(self) -> None:
-        self.in_flight: dict[tuple[str, int, int], float] = {}
+        self.in_flight: dict[tuple[str, int, int], _Started] = {}
         self._history: deque[_Sample] = deque(maxlen=_HISTORY_LENGTH)
         self._others_fresh = 0.0
         self._others_mean = 0.0
         self._reported_at: float | None = None
 
-    def start(self, key: tuple[str, int, int], now: float) -> None:
-        """Record a dispatched call."""
+    def start(self, key: tuple[str, int, int], expected_s: float, now: float) -> None:
+        """Record a dispatched call and how long it should take."""
         if key in self.in_flight:
             raise InvariantError(f"call {key} was dispatched twice to one server")
-        self.in_flight[key] = now
+        self.in_flight[key] = _Started(now, expected_s)
         self._note(now)
 
     def end(self, key: tuple[str, int, int], now: float) -> None:
@@ -71,6 +79,18 @@
         weight = math.exp(-max(0.0, now - self._reported_at) / _FADE_S)
         return weight * self._others_fresh + (1.0 - weight) * self._others_mean
 
+    def stall_ratio(self, now: float) -> float:
+        """Return how far the calls that began first are past their expected time.
+
+        Waiting for their end would show a slow server only after its calls
+        missed their deadlines.
+        """
+        oldest = islice(self.in_flight.values(), _OLDEST_CALLS)
+        return max(
+            ((now - started.at) / started.expected_s for started in oldest),
+            default=0.0,
+        )
+
     def age_s(self, now: float) -> float:
         """Return the age of the latest load report in seconds."""
         return 0.0 if self._reported_at is None else max(0.0, now - self._reported_at)
