--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,11 @@
 
 clean:
 	rm -rf $(VENV) build dist .pytest_cache .ruff_cache .hypothesis
+
+.PHONY: bench-control bench-entry
+
+bench-control: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m benchmarks.control_cost
+
+bench-entry: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m benchmarks.entry_overhead
