--- a/src/galenadrum/_internal/membership/validation.py
+++ b/src/galenadrum/_internal/membership/validation.py
@@ -26,6 +26,8 @@
     Raises:
         ValueError: It isn't the number of a single host and a port.
     """
+    if len(address) > MAX_NAME_CHARACTERS:
+        raise ValueError("the address is too long")
     ip, port = split_address(address)
     number = ipaddress.ip_address(ip)
     if number.is_unspecified or number.is_multicast:
@@ -47,7 +49,7 @@
             host passed the announcement on.
     """
     if announcement.zone != zone:
-        message = f"this host serves zone {zone}, not {announcement.zone}"
+        message = f"this host serves zone {zone}, not {announcement.zone[:64]!r}"
         return Rejection(RejectReason.WRONG_ZONE, message)
     try:
         announced_ip = host_ip(announcement.address)
--- a/src/galenadrum/_internal/membership/zone_service.py
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -112,7 +112,7 @@
         verdict = self.exchange.announce(announcement, self._now(), peer_ip)
         if not verdict.accepted:
             logger.warning(
-                "announcement of %s rejected: %s",
+                "announcement of %r rejected: %s",
                 announcement.server_id[:128],
                 verdict.rejection.message,
                 extra={"reason": str(verdict.rejection.reason)},
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -38,6 +38,7 @@
     before = registry.servers(now)
     verdict = registry.announce(announcement, now, peer_ip)
     assert registry.servers(now) == before
+    assert len(verdict.rejection.message) < 1_000
     return verdict.rejection.reason
 
 
@@ -46,6 +47,9 @@
         ("changes", "reason"),
         [
             ({"zone": "ba"}, RejectReason.WRONG_ZONE),
+            ({"zone": "\ud800\n" * 200}, RejectReason.WRONG_ZONE),
+            ({"server_id": "\ud800"}, RejectReason.BAD_FIELD),
+            ({"address": "1" * 99_999}, RejectReason.BAD_ADDRESS),
             ({"address": "localhost:1"}, RejectReason.BAD_ADDRESS),
             ({"address": "127.0.0.1"}, RejectReason.BAD_ADDRESS),
             ({"address": "127.0.0.1:0"}, RejectReason.BAD_ADDRESS),
