Exchange digests every second where there is little to tell

Cause: the policy acts on digests of up to 3 s of age, and they came every 10 s; each call opened a connection of its own. Change: the interval follows the size of what is told, 1 to 10 s; channels stay open to the hosts that answer and are replaced after a failed call; digests are no longer rounded or held back. Measured: pytest tests/unit/membership tests/functional/test_zone_links.py: 57 passed.

--- a/src/galenadrum/_internal/membership/digest_peers.py
+++ b/src/galenadrum/_internal/membership/digest_peers.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-DIGEST_INTERVAL_S = 10.0
 _MAX_UNKNOWN_PER_ROUND = 4
 _RETRY_AFTER_S = 15.0
 
@@ -28,18 +27,23 @@
     def __init__(self, addresses: Iterable[str], rng: random.Random) -> None:
         self._state_by_address = {address: _PeerState() for address in addresses}
         self._rng = rng
+        self._last_by_zone: dict[str, str] = {}
 
     def choose(self, now: float) -> tuple[str, ...]:
         """Return the addresses for this round.
 
-        One that works for each zone that is known, and a few whose zone isn't.
+        One that works for each zone that is known, the same as last time where
+        possible, and a few whose zone isn't.
         """
         addresses_by_zone: dict[str | None, list[str]] = {}
         for address, state in self._state_by_address.items():
             if state.down_until <= now:
                 addresses_by_zone.setdefault(state.zone, []).append(address)
         unknown = addresses_by_zone.pop(None, [])
-        chosen = [self._rng.choice(found) for found in addresses_by_zone.values()]
+        chosen = []
+        for zone, found in addresses_by_zone.items():
+            last = self._last_by_zone.get(zone)
+            chosen.append(last if last in found else self._rng.choice(found))
         count = min(len(unknown), _MAX_UNKNOWN_PER_ROUND)
         return (*chosen, *self._rng.sample(unknown, count))
 
@@ -47,6 +51,7 @@
         """Note that a host of a zone answered at an address."""
         state = self._state_by_address[address]
         state.zone = zone
+        self._last_by_zone[zone] = address
         state.down_until = 0.0
 
     def failed(self, address: str, now: float) -> None:
--- a/src/galenadrum/_internal/membership/digests.py
+++ b/src/galenadrum/_internal/membership/digests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from galenadrum._internal.models.servers import ZoneDigest
@@ -10,7 +9,10 @@
 DIGEST_TTL_S = 30.0
 MAX_STAGES = 256
 _MAX_ZONES = 64
-_REFRESH_S = 10.0
+_MIN_INTERVAL_S = 1.0
+_MAX_INTERVAL_S = 10.0
+_BYTES_PER_S = 600
+_STAGE_BYTES = 8
 _MIN_PROGRESS_S = 0.05
 
 
@@ -68,11 +70,7 @@
         self._held_by_zone: dict[str, _HeldDigest] = {}
 
     def merge(self, digest: PeerDigest, now: float) -> bool:
-        """Take a digest; return whether it should be passed on in the zone.
-
-        A digest that says the same as the last is passed on only when the last
-        one gets old, so that quiet zones cost little.
-        """
+        """Take a digest; return whether it is newer than what was known."""
         if digest.zone == self._zone or len(digest.stages) > MAX_STAGES:
             return False
         made_at = now - max(0.0, digest.age_s)
@@ -80,7 +78,8 @@
         if held is None:
             is_news = len(self._held_by_zone) < _MAX_ZONES
         else:
-            is_news = _is_news(digest, made_at, held)
+            is_other = held.digest.serial != digest.serial
+            is_news = is_other and made_at > held.made_at + _MIN_PROGRESS_S
         if not is_news or now - made_at >= DIGEST_TTL_S:
             return False
         self._held_by_zone[digest.zone] = _HeldDigest(digest, made_at)
@@ -121,39 +120,19 @@
                 )
         return {stage: tuple(items) for stage, items in digests.items()}
 
-    def zones(self) -> tuple[str, ...]:
-        """Return the zones with a digest."""
-        return tuple(self._held_by_zone)
-
+    def interval_s(self) -> float:
+        """Return how often digests should be exchanged, in seconds.
 
-def _is_news(digest: PeerDigest, made_at: float, held: _HeldDigest) -> bool:
-    if held.digest.serial == digest.serial:
-        return False
-    if made_at <= held.made_at + _MIN_PROGRESS_S:
-        return False
-    is_same = (held.digest.stages, held.digest.entry_address) == (
-        digest.stages,
-        digest.entry_address,
-    )
-    return not is_same or made_at - held.made_at >= _REFRESH_S
-
-
-def coarsen(loads: Iterable[StageLoad]) -> tuple[StageLoad, ...]:
-    """Round loads to two significant bits, so that noise is not sent around."""
-    ordered = sorted(loads, key=lambda load: load.stage)[:MAX_STAGES]
-    return tuple(
-        StageLoad(
-            stage=load.stage,
-            free_capacity=_round_down(load.free_capacity),
-            queue_delay_s=_round_down(round(load.queue_delay_s * 1_000)) / 1_000,
-            capacity=load.capacity,
-            service_s=_round_down(round(load.service_s * 1_000)) / 1_000,
-            failure_share=_round_down(round(load.failure_share * 100)) / 100,
+        The more there is to tell, the more rarely it is told, so that the cost
+        of spreading it inside the zone stays bounded.
+        """
+        size_bytes = sum(
+            len(load.stage) + _STAGE_BYTES
+            for held in self._held_by_zone.values()
+            for load in held.digest.stages
         )
-        for load in ordered
-    )
-
+        return min(max(size_bytes / _BYTES_PER_S, _MIN_INTERVAL_S), _MAX_INTERVAL_S)
 
-def _round_down(number: int) -> int:
-    shift = max(0, number.bit_length() - 2)
-    return number >> shift << shift
+    def zones(self) -> tuple[str, ...]:
+        """Return the zones with a digest."""
+        return tuple(self._held_by_zone)
--- a/src/galenadrum/_internal/membership/zone_service.py
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from contextlib import AbstractAsyncContextManager
 
 import grpclib.client
@@ -14,15 +14,14 @@
 import grpclib.server
 
 from galenadrum._internal.membership.digest_peers import (
-    DIGEST_INTERVAL_S,
     DigestPeers,
     is_sender,
 )
 from galenadrum._internal.membership.digests import (
+    MAX_STAGES,
     DigestTable,
     PeerDigest,
     StageLoad,
-    coarsen,
 )
 from galenadrum._internal.membership.exchange import ZoneExchange
 from galenadrum._internal.membership.hosts import HostTable
@@ -91,6 +90,7 @@
             open_link or open_zone_link,
             rng,
         )
+        self._channels_by_address: dict[str, grpclib.client.Channel] = {}
         self._digest_peers = DigestPeers(settings.other_zone_addresses, rng)
 
     def supervisor(self, name: str = "membership") -> Supervisor:
@@ -189,20 +189,41 @@
 
     async def run_digests(self) -> None:
         """Exchange digests with other zones while this host is the sender."""
+        try:
+            await self._run_digests()
+        finally:
+            self._keep_channels(())
+
+    async def _run_digests(self) -> None:
         while True:
-            await asyncio.sleep(DIGEST_INTERVAL_S * (0.9 + 0.2 * self._rng.random()))
+            interval_s = self.digests.interval_s()
+            await asyncio.sleep(interval_s * (0.9 + 0.2 * self._rng.random()))
             live = (host.host_id for host in self.hosts.live(self._now()))
             if not is_sender(self._settings.host_id, live):
+                self._keep_channels(())
                 continue
             addresses = self._digest_peers.choose(self._now())
+            self._keep_channels(addresses)
             await asyncio.gather(*map(self._share_digest, addresses))
 
+    def _keep_channels(self, addresses: Collection[str]) -> None:
+        """Close the channels to all other addresses."""
+        for address in list(self._channels_by_address):
+            if address not in addresses:
+                self._channels_by_address.pop(address).close()
+
+    def _channel(self, address: str) -> grpclib.client.Channel:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            host, port = split_address(address)
+            channel = grpclib.client.Channel(host, port)
+            self._channels_by_address[address] = channel
+        return channel
+
     async def _share_digest(self, address: str) -> None:
-        host, port = split_address(address)
         request = zone_pb2.ShareDigestsRequest(digest=encode_digest(self._digest()))
-        channel = grpclib.client.Channel(host, port)
         try:
-            response = await ZoneStub(channel).ShareDigests(
+            response = await ZoneStub(self._channel(address)).ShareDigests(
                 request, timeout=_DIGEST_TIMEOUT_S
             )
             digest = decode_digest(response.digest)
@@ -215,11 +236,11 @@
         ) as error:
             logger.debug("no digest from %s: %s", address, error)
             self._digest_peers.failed(address, self._now())
+            # Its connection may have gone silent; the next call opens another.
+            self._channels_by_address.pop(address).close()
         else:
             self._digest_peers.succeeded(address, digest.zone)
             self._take_digest(digest)
-        finally:
-            channel.close()
 
     def _take_digest(self, digest: PeerDigest) -> None:
         self.exchange.add_digest(digest, self._now())
@@ -231,7 +252,7 @@
             entry_address=self._settings.caller_address,
             serial=self._rng.getrandbits(64),
             age_s=0.0,
-            stages=coarsen(self._local_loads()),
+            stages=tuple(self._local_loads())[:MAX_STAGES],
         )
 
     def _now(self) -> float:
