Run followers, relays and claims clients; end watches that are left

Cause: nothing on the entry hosts' side had run. Over real connections each watch that its reader left hung until its timeout, since a gRPC stream that isn't cancelled waits for its end. Change: open_watch cancels its stream; tests over loopback, and on a paused clock with silent connections, relays that lost control, and lost claims. Conclusion: a silent watch is replaced within 18 s in each of 5 tries, by the loop's paused clock.

--- a/src/galenadrum/_internal/entry/declarations_follower.py
+++ b/src/galenadrum/_internal/entry/declarations_follower.py
@@ -6,7 +6,7 @@
 import logging
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager, suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,6 +37,7 @@
 SILENCE_TIMEOUT_S = 2 * HEARTBEAT_INTERVAL_S + 2.0
 STALE_SOURCE_S = 10.0
 _CONNECT_TIMEOUT_S = 2.0
+_CLOSE_TIMEOUT_S = 0.5
 _CATCH_UP_TIMEOUT_S = 5.0
 _DELAY_MIN_S = 0.1
 _DELAY_MAX_S = 5.0
@@ -322,7 +323,13 @@
             await channel.__connect__()
         async with DeclarationsStub(channel).Watch.open() as stream:
             await stream.send_message(request, end=True)
-            yield aiter(stream)
+            try:
+                yield aiter(stream)
+            finally:
+                # Left open, the stream would wait for a watch that never ends.
+                with suppress(ProtocolError, StreamTerminatedError, TimeoutError):
+                    async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+                        await stream.cancel()
     finally:
         channel.close()
 
--- /dev/null
+++ b/tests/functional/test_control_services.py
@@ -0,0 +1,165 @@
+"""Control's services, a relay and the clients over real connections."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+from grpclib.server import Server
+
+from galenadrum._internal.control.claims_service import ClaimsService
+from galenadrum._internal.control.declarations_service import DeclarationsService
+from galenadrum._internal.control.proposals import Proposer
+from galenadrum._internal.control.state.in_force import InForce
+from galenadrum._internal.control.state.machine import ControlState
+from galenadrum._internal.entry.claims_client import build_claims_client
+from galenadrum._internal.entry.control_client import ControlClient
+from galenadrum._internal.entry.declarations import DeclarationsView
+from galenadrum._internal.entry.declarations_follower import (
+    DeclarationsFollower,
+    Source,
+    build_send_confirmation,
+    open_watch,
+)
+from galenadrum._internal.entry.declarations_relay import DeclarationsRelay
+from galenadrum._internal.exceptions import RequestRefusedError
+from galenadrum._internal.models.callers import RecordedAnswer
+from galenadrum._internal.models.requests import RefusalReason, Request, RunState
+from lib.control_commands import STAGE, change_set, put
+from lib.fake_log import FakeLog
+
+
+class _Member:
+    """A control host whose log is a fake."""
+
+    def __init__(self, is_leader=True):
+        self.state = ControlState()
+        self.log = FakeLog(self.state, is_leader)
+        self.in_force = InForce()
+        self.proposer = Proposer(self.log, self.state, random.Random(1))
+        self.handlers = [
+            DeclarationsService(self.log, self.state, self.in_force),
+            ClaimsService(self.proposer),
+        ]
+
+    async def declare(self, change_id, *names):
+        changes = [put("stage", name, STAGE) for name in names]
+        return await self.proposer.propose_change(
+            change_set("vatu", change_id, *changes), 1.0
+        )
+
+
+@asynccontextmanager
+async def _serving(*groups):
+    servers, addresses = [], []
+    try:
+        for handlers in groups:
+            server = Server(handlers)
+            await server.start("127.0.0.1", 0)
+            servers.append(server)
+            port = server._server.sockets[0].getsockname()[1]
+            addresses.append(f"127.0.0.1:{port}")
+        yield addresses
+    finally:
+        for server in servers:
+            server.close()
+
+
+def _follower(name, view, sources, peers, client):
+    return DeclarationsFollower(
+        name,
+        "nadi",
+        view,
+        sources,
+        peers,
+        open_watch,
+        build_send_confirmation(client),
+        lambda applied: None,
+        random.Random(2),
+    )
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def _request(request_id, key="key"):
+    now = asyncio.get_running_loop().time()
+    return Request(
+        request_id, "suva", "pay", ("pay",), now + 20, now, idempotency_key=key
+    )
+
+
+class TestControlServices:
+    def test_changes_reach_hosts_through_a_relay_and_are_confirmed(self):
+        async def run():
+            member = _Member()
+            await member.declare("a", "s1")
+            async with _serving(member.handlers) as (control,):
+                client = ControlClient([control], random.Random(3))
+                views = [DeclarationsView(), DeclarationsView()]
+                source = Source(control, False)
+                first = _follower("e1", views[0], [source], [], client)
+                async with _serving([DeclarationsRelay(views[0], first)]) as (relay,):
+                    second = _follower(
+                        "e2", views[1], [Source(relay, True), source], [], client
+                    )
+                    tasks = [
+                        asyncio.create_task(item.run()) for item in (first, second)
+                    ]
+                    await _until(lambda: views[1].revision == 1)
+                    await member.declare("b", *[f"t{n}" for n in range(3_000)])
+                    await _until(lambda: views[1].revision == 2)
+                    assert len(views[1].stages_by_name) == 3_001
+                    now = asyncio.get_running_loop().time
+                    await _until(
+                        lambda: member.in_force.status(2, now()).live_count == 2
+                    )
+                    await _until(lambda: member.in_force.status(2, now()).is_in_force)
+                    for task in tasks:
+                        task.cancel()
+                    await asyncio.wait(tasks)
+                client.close()
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_claims_find_the_leader_and_outcomes_are_given_again(self, seed):
+        async def run():
+            leader, other = _Member(), _Member(is_leader=False)
+            async with _serving(leader.handlers, other.handlers) as addresses:
+                other.log.leader_address = addresses[0]
+                client = ControlClient(addresses, random.Random(seed))
+                claims = build_claims_client("e1", client)
+                answer = RecordedAnswer(200, b"paid")
+                assert await claims.acquire(_request("r1"), b"f" * 32) is None
+                await claims.record(_request("r1"), answer)
+                assert await claims.acquire(_request("r2"), b"f" * 32) == answer
+                with pytest.raises(RequestRefusedError) as caught:
+                    await claims.acquire(_request("r3"), b"g" * 32)
+                refusal = caught.value.refusal
+                assert refusal.reason is RefusalReason.IDEMPOTENCY_KEY_REUSED
+                leader.log.lose_answer = True
+                assert await claims.acquire(_request("r4", "k4"), b"f" * 32) is None
+                client.close()
+
+        asyncio.run(run())
+
+    def test_without_a_leader_a_claim_is_refused_as_not_run(self):
+        async def run():
+            member = _Member(is_leader=False)
+            member.log.leader_address = None
+            async with _serving(member.handlers) as addresses:
+                client = ControlClient(addresses, random.Random(3))
+                claims = build_claims_client("e1", client)
+                for _ in range(2):
+                    with pytest.raises(RequestRefusedError) as caught:
+                        await claims.acquire(_request("r1"), b"f" * 32)
+                    refusal = caught.value.refusal
+                    assert refusal.reason is RefusalReason.CONTROL_UNREACHABLE
+                    assert refusal.run is RunState.NOT_RUN
+                assert claims.pending_records == 0
+                client.close()
+
+        asyncio.run(run())
--- a/tests/unit/control/test_claims.py
+++ b/tests/unit/control/test_claims.py
@@ -209,3 +209,11 @@
         replica.send(claim("r1"))
         with pytest.raises(InvariantError):
             replica.state.apply(1, b"")
+
+    def test_a_recorded_unknown_stays(self):
+        replica = Replica()
+        replica.send(claim("r1"))
+        assert replica.send(outcome("r1", CLAIM_STATE_UNKNOWN)).accepted
+        for state in (CLAIM_STATE_COMPLETED, CLAIM_STATE_RELEASED):
+            assert not replica.send(outcome("r1", state, b"late")).accepted
+        assert replica.send(claim("r2")).state == CLAIM_STATE_UNKNOWN
--- /dev/null
+++ b/tests/unit/entry/test_declarations_follower.py
@@ -0,0 +1,164 @@
+"""The follower over fake sources, on a paused clock."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+from galenadrum._internal.entry.declarations import DeclarationsView
+from galenadrum._internal.entry.declarations_follower import (
+    SILENCE_TIMEOUT_S,
+    DeclarationsFollower,
+    Source,
+    choose_sources,
+)
+from galenadrum._internal.network.watch_stream import HEARTBEAT_INTERVAL_S
+from lib.control_commands import STAGE, Replica, change_set, put
+from lib.paused_loop import run_paused
+
+_IN_FORCE_LIMIT_S = 18.0
+
+
+class _Network:
+    """Sources by address; a connection may go silent while new ones work."""
+
+    def __init__(self, replica, *addresses):
+        self.state_by_address = dict.fromkeys(addresses, replica.state)
+        self.age_ms_by_address = dict.fromkeys(addresses, 0)
+        self.down = set()
+        self.silenced = set()
+        self.opened = []
+        self.confirmed = []
+
+    @asynccontextmanager
+    async def open_watch(self, address, request):
+        if address in self.down:
+            raise ConnectionRefusedError
+        number = len(self.opened)
+        self.opened.append(address)
+        yield self._events(number, address, request.from_revision)
+
+    async def _events(self, number, address, revision):
+        while True:
+            while number in self.silenced or address in self.down:
+                await asyncio.sleep(1)
+            event = self.state_by_address[address].events_after(revision)
+            event.source_age_ms = self.age_ms_by_address[address]
+            revision = max(revision, event.revision)
+            yield event
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def confirm(self, source, request):
+        self.confirmed.append((source.address, request.hosts[0].revision))
+
+
+def _declare(replica):
+    number = replica.state.change_id_count
+    replica.send(change_set("vatu", str(number), put("stage", f"s{number}", STAGE)))
+
+
+def _run(network, sources, peers, scenario):
+    async def run():
+        view = DeclarationsView()
+        follower = DeclarationsFollower(
+            "e1",
+            "nadi",
+            view,
+            [Source(address, is_relay) for address, is_relay in sources],
+            peers,
+            network.open_watch,
+            network.confirm,
+            lambda applied: None,
+            random.Random(1),
+        )
+        task = asyncio.create_task(follower.run())
+        try:
+            await scenario(view, follower)
+        finally:
+            task.cancel()
+            await asyncio.wait([task])
+
+    run_paused(run())
+
+
+class TestDeclarationsFollower:
+    def test_a_silent_watch_is_replaced_and_misses_nothing(self):
+        replica = Replica()
+        _declare(replica)
+        network = _Network(replica, "c1", "c2")
+
+        async def scenario(view, follower):
+            for _ in range(5):
+                await asyncio.sleep(SILENCE_TIMEOUT_S)
+                network.silenced.add(len(network.opened) - 1)
+                _declare(replica)
+                began = asyncio.get_running_loop().time()
+                while view.revision < replica.state.revision:
+                    await asyncio.sleep(0.1)
+                lasted_s = asyncio.get_running_loop().time() - began
+                assert lasted_s < _IN_FORCE_LIMIT_S
+            assert follower.reconnects == 5
+            await asyncio.sleep(1)
+            assert network.confirmed[-1][1] == view.revision
+
+        _run(network, [("c1", False), ("c2", False)], [], scenario)
+
+    def test_a_restart_takes_the_newest_that_any_host_shows(self):
+        replica = Replica()
+        _declare(replica)
+        older = replica.restored()
+        _declare(replica)
+        network = _Network(replica, "c1", "e0", "e2")
+        network.state_by_address["e0"] = older.state
+        network.down.add("c1")
+        network.age_ms_by_address.update(e0=60_000, e2=60_000)
+
+        async def scenario(view, follower):
+            while not view.is_ready:
+                await asyncio.sleep(0.1)
+            assert view.revision == 2
+            await asyncio.sleep(60)
+            assert view.revision == 2
+            # A relay that lost control itself must not keep its watcher.
+            network.down.clear()
+            _declare(replica)
+            await asyncio.sleep(_IN_FORCE_LIMIT_S)
+            assert view.revision == 3
+
+        _run(network, [("e0", True), ("c1", False)], ["e0", "e2"], scenario)
+
+    def test_with_nothing_around_it_isnt_ready_and_asks_at_a_bounded_rate(self):
+        network = _Network(Replica(), "c1")
+        network.down.add("c1")
+
+        async def scenario(view, follower):
+            await asyncio.sleep(600)
+            assert not view.is_ready
+            assert 100 < follower.reconnects < 300
+
+        _run(network, [("c1", False)], [], scenario)
+
+    def test_it_returns_to_the_relay_once_that_is_back(self):
+        replica = Replica()
+        _declare(replica)
+        network = _Network(replica, "e0", "c1")
+        network.down.add("e0")
+
+        async def scenario(view, follower):
+            await asyncio.sleep(20)
+            assert network.opened[-1] == "c1"
+            network.down.clear()
+            await asyncio.sleep(70)
+            assert network.opened[-1] == "e0"
+            assert network.confirmed[-1][0] == "e0"
+
+        _run(network, [("e0", True), ("c1", False)], [], scenario)
+
+    def test_no_two_hosts_of_a_zone_follow_each_other(self):
+        zone = [f"10.0.0.{number}:1" for number in range(1, 9)]
+        for own in zone:
+            others = [address for address in zone if address != own]
+            sources = choose_sources(own, others, ["10.1.0.1:1"], random.Random(1))
+            relays = [source.address for source in sources if source.is_relay]
+            assert len(relays) <= 2
+            assert all(address < own for address in relays)
+            assert sources[-1] == Source("10.1.0.1:1", False)
