--- a/src/galenadrum/_internal/utils/addresses.py
+++ b/src/galenadrum/_internal/utils/addresses.py
@@ -6,6 +6,8 @@
 
 _MAX_PORT = 65_535
 
+IpNumber = ipaddress.IPv4Address | ipaddress.IPv6Address
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP number and the port of ``address``.
@@ -15,12 +17,35 @@
     Raises:
         ValueError: The address is not an IP number and a port.
     """
+    ip, port = parse_address(address)
+    return str(ip), port
+
+
+def parse_address(address: str) -> tuple[IpNumber, int]:
+    """Return the IP number and the port of ``address``, parsed.
+
+    Names are refused: a daemon must not depend on a name server.
+
+    Raises:
+        ValueError: Says what is wrong and how to write it.
+    """
     host, separator, port_text = address.rpartition(":")
-    if not separator or not port_text.isdecimal():
-        raise ValueError(f"{address!r} is not an IP number and a port")
-    port = int(port_text)
-    if port > _MAX_PORT:
-        raise ValueError(f"port {port} is above {_MAX_PORT}")
-    host = host.removeprefix("[").removesuffix("]")
-    ipaddress.ip_address(host)
-    return host, port
+    if not separator:
+        raise ValueError(f'"{address}" has no port; write IP:PORT, as 10.0.0.7:9000')
+    try:
+        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        message = f'"{host}" is not an IP number; names are not looked up'
+        raise ValueError(message) from None
+    if ip.version == 6 and not host.startswith("["):
+        raise ValueError(f"write an IPv6 address in brackets: [{ip}]:{port_text}")
+    if not (port_text.isascii() and port_text.isdecimal()):
+        raise ValueError(f'"{port_text}" is not a port number')
+    if int(port_text) > _MAX_PORT:
+        raise ValueError(f"port {port_text} is above {_MAX_PORT}")
+    return ip, int(port_text)
+
+
+def format_address(ip: IpNumber, port: int) -> str:
+    """Write an address in its one canonical form."""
+    return f"[{ip}]:{port}" if ip.version == 6 else f"{ip}:{port}"
