--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -191,11 +191,11 @@
         """Answer ``GET /v1/status``, on any member."""
         authenticate(environ, self._operators)
         _parse_query(environ, frozenset())
-        log_status, revision = self._call(self._calls.status())
+        log_status, role, revision = self._call(self._calls.status())
         hosts = self._call(self._calls.hosts())
         document = {
             "member_id": log_status.member_id,
-            "role": str(log_status.role),
+            "role": role,
             "term": log_status.term,
             "leader": log_status.leader_id or None,
             "members": [item.member.member_id for item in log_status.members],
--- a/src/galenadrum/_internal/control/operator_api/calls.py
+++ b/src/galenadrum/_internal/control/operator_api/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from galenadrum._internal.control.proposals import Log, Proposer
 from galenadrum._internal.control.state.in_force import (
@@ -16,6 +17,9 @@
 from galenadrum._internal.protocol.commands_pb2 import ChangeResult, ChangeSet
 from galenadrum._internal.protocol.declarations_pb2 import WatchEvent
 
+_LEADER = "leader"
+_LEADER_WITHOUT_LEASE = "leader_without_lease"
+
 
 class OperatorCalls:
     """Reads and changes the state; all methods belong to the loop.
@@ -80,6 +84,14 @@
             await self._signal.wait(wait_s)
         return self._state.events_after(revision)
 
-    async def status(self) -> tuple[object, int]:
-        """Return this member's view of the log and its revision."""
-        return self._log.status, self._state.revision
+    async def status(self) -> tuple[Any, str, int]:
+        """Return this member's view of the log, its role and its revision.
+
+        A member that won an election but has no lease yet can't answer as
+        leader, and so isn't shown as one.
+        """
+        log_status = self._log.status
+        role = str(log_status.role)
+        if role == _LEADER and not self._log.is_leader:
+            role = _LEADER_WITHOUT_LEASE
+        return log_status, role, self._state.revision
--- a/tests/unit/control/test_operator_api.py
+++ b/tests/unit/control/test_operator_api.py
@@ -151,7 +151,9 @@
         for answer in (api.change("a", STAGE), api.call("GET", "/v1/resources")):
             assert answer[0] == 503
             assert answer[1]["error"]["leader"] == "127.0.0.1:2"
-        assert api.call("GET", "/v1/status")[1]["members"] == ["c1"]
+        status = api.call("GET", "/v1/status")[1]
+        assert status["members"] == ["c1"]
+        assert status["role"] == "leader_without_lease"
 
     def test_a_watch_gives_changes_and_heartbeats(self, api):
         api.change("a", STAGE)
