--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -118,9 +118,8 @@
 
     def admit(self, request: Request, now: float) -> Refusal | None:
         """Admit a request, or return why it is refused; it then did not run."""
-        for stage in request.stages:
-            if not self._pool.serves(stage) and not self._digests.fresh(stage, now):
-                return self._refuse(request, RefusalReason.NO_SERVER, now)
+        if not all(self._may_serve(request, stage, now) for stage in request.stages):
+            return self._refuse(request, RefusalReason.NO_SERVER, now)
         costs = self._forecast.costs(request, now)
         reason = self._refusal_reason(request, costs, now)
         if reason is not None:
@@ -140,7 +139,14 @@
         give_up_at = call.request.deadline
         if self._mechanisms.give_up:
             give_up_at -= _GIVE_UP_SHARE * (service_s + rest_s)
-        queued = QueuedCall(call, service_s, rest_s, give_up_at, now)
+        queued = QueuedCall(
+            call,
+            service_s,
+            rest_s,
+            give_up_at,
+            now,
+            self._order(call, service_s, give_up_at, now),
+        )
         evicted = self._queue(call.stage).push(queued)
         decisions = []
         if evicted is not None:
@@ -241,16 +247,26 @@
         """Return why a call was dispatched as it was, for its span."""
         return self._explanations.get(call.key)
 
+    def _may_serve(self, request: Request, stage: str, now: float) -> bool:
+        if self._pool.serves(stage):
+            return True
+        return not request.forwarded and bool(self._digests.fresh(stage, now))
+
     def _refusal_reason(
         self, request: Request, costs: dict[int, float], now: float
     ) -> RefusalReason | None:
         if not self._mechanisms.admission:
             return None
-        margin = weights_for(self._objective).admission_margin
+        weights = weights_for(self._objective)
+        margin = weights.admission_margin
+        exponent = weights.size_exponent
         left_s = request.deadline - now
-        if margin * self._forecast.completion_s(request, costs, now) <= left_s:
+        loaded_s = self._forecast.completion_s(request, costs, exponent, now)
+        if margin * loaded_s <= left_s:
             return None
-        unloaded_s = self._forecast.completion_s(request, costs, now, loaded=False)
+        unloaded_s = self._forecast.completion_s(
+            request, costs, exponent, now, loaded=False
+        )
         if margin * unloaded_s > left_s:
             return None if self._allow_trial(left_s, now) else RefusalReason.DEADLINE
         if self._over_share(request):
@@ -290,6 +306,22 @@
         cost_s = self._times.mean(stage)
         return self._refusals.retry_after_s(backlog_s, cost_s, slots, now, self._random)
 
+    def _order(
+        self, call: StageCall, service_s: float, give_up_at: float, now: float
+    ) -> float:
+        """Return the place of a call in its queue: what is due first goes first.
+
+        A call that was admitted past the work of larger ones counts as due
+        sooner, or it would wait behind them after all.
+        """
+        if not self._mechanisms.deadline_order:
+            return now
+        if not self._mechanisms.small_first:
+            return give_up_at
+        exponent = weights_for(self._objective).size_exponent
+        factor = self._forecast.size_factor(call.stage, service_s, exponent)
+        return now + (give_up_at - now) * factor
+
     def _may_repeat(self, call: StageCall, result: AttemptResult) -> bool:
         if result.outcome in (Outcome.COMPLETED, Outcome.CANCELLED):
             return False
@@ -334,6 +366,8 @@
             for queued in queue.pop_expired(now)
         ]
         decisions.extend(self._reject_unserved(stage, now))
+        if not self._pool.serves(stage):
+            decisions.extend(self._return_forwarded(queue, now))
         while len(queue):
             queued = queue.peek(self._usage(stage), self._fair_window_s(stage), now)
             placement = self._placer.place(queued, weights_for(self._objective), now)
@@ -358,6 +392,13 @@
             queue.remove(call.key)
         return [self._reject(call, RefusalReason.NO_SERVER, now) for call in calls]
 
+    def _return_forwarded(self, queue: FairQueue, now: float) -> list[Decision]:
+        """Reject calls of other zones while none of this zone's servers is left."""
+        forwarded = [q.call for q in queue if q.call.request.forwarded]
+        for call in forwarded:
+            queue.remove(call.key)
+        return [self._reject(call, RefusalReason.NO_SERVER, now) for call in forwarded]
+
     def _fair_window_s(self, stage: str) -> float | None:
         if not self._mechanisms.fairness:
             return None
@@ -477,7 +518,7 @@
     def _queue(self, stage: str) -> FairQueue:
         queue = self._queues_by_stage.get(stage)
         if queue is None:
-            queue = FairQueue(_MAX_QUEUED_CALLS, self._mechanisms.deadline_order)
+            queue = FairQueue(_MAX_QUEUED_CALLS)
             self._queues_by_stage[stage] = queue
         return queue
 
