Let rare requests through to a member that was down

After a refused connection a link opened its next stream with nothing to send; the next pre-vote, later than half an election timeout, took that stream for silent, replaced it, and was itself dropped. Two members without a leader so never heard each other. Change: what waited is dropped when a connection fails, not when the next opens; a message that finds a silent stream goes out on its successor; no stream is opened without a message.

--- a/src/galenadrum/_internal/control/replication/peers.py
+++ b/src/galenadrum/_internal/control/replication/peers.py
@@ -56,6 +56,12 @@
         self._records.append(codec.encode_message(message))
         self.changed.set()
 
+    async def wait_for_message(self) -> None:
+        """Wait until a message is queued."""
+        while not self._records:
+            self.changed.clear()
+            await self.changed.wait()
+
     def take(self) -> pb.PeerFrame | None:
         """Return all that wait as one frame, or None."""
         self.changed.clear()
@@ -68,6 +74,7 @@
     def clear(self) -> None:
         """Drop what waits; the core sends again what still matters."""
         self._records.clear()
+        self.changed.clear()
 
 
 class PeerLink:
@@ -108,13 +115,15 @@
             level = logging.INFO if self._answered else logging.DEBUG
             logger.log(level, "the stream to %s is silent", self.address)
             self._exchange.cancel()
+            self._outbox.clear()
         self._outbox.add(message)
 
     async def run(self) -> None:
         """Keep a stream while there are messages, until cancelled."""
         delay_s = _MIN_RECONNECT_DELAY_S
         while True:
-            await self._outbox.changed.wait()
+            await self._outbox.wait_for_message()
+            # The time starts anew with each connection.
             self._unanswered_since = self._loop.time()
             self._answered = False
             self._exchange = asyncio.create_task(self._run_exchange())
@@ -123,10 +132,12 @@
                 await asyncio.wait([self._exchange])
             finally:
                 self._exchange.cancel()
+            if not self._exchange.cancelled():
+                # Otherwise the message that found the silence still waits.
+                self._outbox.clear()
             delay_s = _MIN_RECONNECT_DELAY_S if self._answered else delay_s * 2
             delay_s = min(delay_s, self._silence_s)
             await asyncio.sleep(delay_s * (0.5 + self._rng.random() / 2))
-            self._outbox.clear()
 
     async def _run_exchange(self) -> None:
         host, port = split_address(self.address)
--- a/tests/functional/control/test_peer_link.py
+++ b/tests/functional/control/test_peer_link.py
@@ -53,3 +53,29 @@
             sock.close()
 
         asyncio.run(asyncio.wait_for(scenario(), _TIMEOUT_S))
+
+    def test_rare_requests_reach_a_member_that_was_down(self):
+        async def scenario():
+            sock = bind_free_port()
+            answered = asyncio.Event()
+            link = PeerLink(
+                address_of(sock), lambda _: answered.set(), 0.1, random.Random(1)
+            )
+            running = asyncio.create_task(link.run())
+            for _ in range(3):
+                link.send(request())
+                await asyncio.sleep(0.3)
+            service = ReplicationService(respond, lambda _: None, lambda _: None)
+            server = Server([service])
+            await server.start(sock=sock.dup())
+            # Further apart than the silence after which a stream is replaced.
+            while not answered.is_set():
+                link.send(request())
+                await asyncio.sleep(0.3)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            server.close()
+            await server.wait_closed()
+            sock.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), _TIMEOUT_S))
