Answer operators and hosts when the log is busy or alone

Cause: the log raises LogBusyError and ControlUnreachableError too, which ended as an internal error of the HTTP server; a claim that found the log busy after an earlier attempt was not released, and an outcome was dropped. Change: 503 busy and unavailable; RESOURCE_EXHAUSTED for claims; outcomes are sent again, and the claim released.

--- a/src/galenadrum/_internal/control/claims_service.py
+++ b/src/galenadrum/_internal/control/claims_service.py
@@ -9,7 +9,11 @@
 from grpclib.server import Stream
 
 from galenadrum._internal.control.proposals import Proposer
-from galenadrum._internal.exceptions import NotLeaderError, OutcomeUnknownError
+from galenadrum._internal.exceptions import (
+    LogBusyError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
 from galenadrum._internal.network.leader_redirect import redirect_error
 from galenadrum._internal.protocol.claims_grpc import ClaimsBase
 from galenadrum._internal.protocol.claims_pb2 import (
@@ -81,6 +85,8 @@
         raise redirect_error(error.leader_address) from None
     except OutcomeUnknownError as error:
         raise GRPCError(Status.ABORTED, str(error)) from None
+    except LogBusyError as error:
+        raise GRPCError(Status.RESOURCE_EXHAUSTED, str(error)) from None
     if result.WhichOneof("body") == "error":
         raise GRPCError(_STATUS_BY_CODE[result.error.code], result.error.message)
     return result
--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -36,7 +36,12 @@
 from galenadrum._internal.control.proposals import Log, Proposer
 from galenadrum._internal.control.state.in_force import InForce
 from galenadrum._internal.control.state.machine import ControlState
-from galenadrum._internal.exceptions import NotLeaderError, OutcomeUnknownError
+from galenadrum._internal.exceptions import (
+    ControlUnreachableError,
+    LogBusyError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
 from galenadrum._internal.models.findings import Finding
 from galenadrum._internal.models.resources import Kind, Resource
 from galenadrum._internal.models.settings import Operator
@@ -134,7 +139,9 @@
             except OutcomeUnknownError as error:
                 unknown = ApiError(ErrorCode.UNKNOWN, str(error))
                 return send_error(start_response, unknown)
-            except BridgeTimeoutError as error:
+            except LogBusyError as error:
+                return send_error(start_response, ApiError(ErrorCode.BUSY, str(error)))
+            except (BridgeTimeoutError, ControlUnreachableError) as error:
                 unavailable = ApiError(ErrorCode.UNAVAILABLE, str(error))
                 return send_error(start_response, unavailable)
 
--- a/src/galenadrum/_internal/control/proposals.py
+++ b/src/galenadrum/_internal/control/proposals.py
@@ -84,6 +84,7 @@
         """Stamp and propose a command.
 
         Raises:
+            LogBusyError: It certainly was not accepted; too much waits.
             NotLeaderError: It certainly was not accepted.
             OutcomeUnknownError: It may have been accepted.
         """
--- a/src/galenadrum/_internal/entry/claims_client.py
+++ b/src/galenadrum/_internal/entry/claims_client.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NoReturn
 
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
 from galenadrum._internal.entry.control_client import ControlClient
@@ -162,6 +163,9 @@
             self.release(request)
             _refuse_unreachable()
         except GRPCError as error:
+            if error.status is Status.RESOURCE_EXHAUSTED:
+                # An earlier attempt may have been taken all the same.
+                self.release(request)
             _refuse(
                 RefusalReason.OVERLOADED,
                 RunState.NOT_RUN,
@@ -219,6 +223,9 @@
                 await asyncio.sleep(_RECORD_RETRY_DELAY_S)
                 continue
             except GRPCError as error:
+                if error.status is Status.RESOURCE_EXHAUSTED:
+                    await asyncio.sleep(_RECORD_RETRY_DELAY_S)
+                    continue
                 self._drop(message, error.message)
                 return
             if not response.accepted:
--- a/tests/functional/test_control_services.py
+++ b/tests/functional/test_control_services.py
@@ -22,7 +22,7 @@
     open_watch,
 )
 from galenadrum._internal.entry.declarations_relay import DeclarationsRelay
-from galenadrum._internal.exceptions import RequestRefusedError
+from galenadrum._internal.exceptions import LogBusyError, RequestRefusedError
 from galenadrum._internal.models.callers import RecordedAnswer
 from galenadrum._internal.models.requests import RefusalReason, Request, RunState
 from lib.control_commands import STAGE, change_set, put
@@ -140,6 +140,11 @@
                     await claims.acquire(_request("r3"), b"g" * 32)
                 refusal = caught.value.refusal
                 assert refusal.reason is RefusalReason.IDEMPOTENCY_KEY_REUSED
+                leader.log.failure = LogBusyError("full")
+                with pytest.raises(RequestRefusedError) as caught:
+                    await claims.acquire(_request("r5", "k5"), b"f" * 32)
+                assert caught.value.refusal.run is RunState.NOT_RUN
+                leader.log.failure = None
                 leader.log.lose_answer = True
                 assert await claims.acquire(_request("r4", "k4"), b"f" * 32) is None
                 client.close()
--- a/tests/lib/fake_log.py
+++ b/tests/lib/fake_log.py
@@ -20,6 +20,7 @@
     term: int = 1
     lose_command: bool = False
     lose_answer: bool = False
+    failure: Exception | None = None
 
     @property
     def status(self):
@@ -40,5 +41,7 @@
         return result
 
     async def read_barrier(self, timeout_s):
+        if self.failure is not None:
+            raise self.failure
         if not self.is_leader:
             raise NotLeaderError(self.leader_address)
--- a/tests/unit/control/test_operator_api.py
+++ b/tests/unit/control/test_operator_api.py
@@ -9,6 +9,7 @@
 from galenadrum._internal.control.proposals import Proposer
 from galenadrum._internal.control.state.in_force import InForce
 from galenadrum._internal.control.state.machine import ControlState
+from galenadrum._internal.exceptions import ControlUnreachableError, LogBusyError
 from galenadrum._internal.models.settings import Operator
 from lib.fake_log import FakeLog
 from lib.paused_loop import PausedLoop
@@ -155,6 +156,20 @@
         assert status["members"] == ["c1"]
         assert status["role"] == "leader_without_lease"
 
+    @pytest.mark.parametrize(
+        ("failure", "code"),
+        [
+            (LogBusyError("full"), "busy"),
+            (ControlUnreachableError("alone"), "unavailable"),
+        ],
+    )
+    def test_a_log_that_cant_serve_gives_an_error_with_its_code(
+        self, api, failure, code
+    ):
+        api.log.failure = failure
+        status, body = api.call("GET", "/v1/resources")
+        assert (status, body["error"]["code"]) == (503, code)
+
     def test_a_watch_gives_changes_and_heartbeats(self, api):
         api.change("a", STAGE)
         _, lines = api.open("GET", "/v1/watch?from=0")
--- a/tests/unit/entry/test_claims_client.py
+++ b/tests/unit/entry/test_claims_client.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
 from galenadrum._internal.entry.claims_client import ClaimsClient
 from galenadrum._internal.exceptions import (
@@ -35,6 +37,8 @@
         if fault == "unreachable":
             await asyncio.sleep(deadline - now)
             raise ControlUnreachableError
+        if fault == "busy":
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "too much waits")
         if fault != "command lost":
             response = self.replica.send(message, round(now * 1_000))
         if fault:
@@ -80,7 +84,7 @@
 
         async def scenario():
             client = leader.client()
-            leader.faults = ["answer lost", "unreachable", "command lost"]
+            leader.faults = ["answer lost", "unreachable", "busy", "command lost"]
             await _refusal(client, _request("r1"))
             await asyncio.sleep(20)
             assert await client.acquire(_request("r2"), _FINGERPRINT) is None
