Take test ports that no outgoing connection is given; ask again after a lost quorum

Cause: one of 28 entry hosts did not come up since its port had been handed to another process between probing and use; a read after a leader lost its quorum met a truthful 503.

--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -113,10 +113,28 @@
         return status["members"]
 
     def declared(self, name):
-        """Return the deadline that a pipeline has at the leader."""
+        """Return the deadline that a pipeline has at the leader.
+
+        A leader that loses its quorum between two calls truthfully refuses the
+        second one, which is then asked again.
+        """
         path = f"/v1/resources?kind=pipeline&name={name}"
-        _, answer = self.operate("GET", path)
-        resources = answer["resources"]
+        answers = []
+
+        def ask():
+            leader = self.find_leader()
+            if leader is None:
+                return False
+            address = self.operators[leader]
+            status, answer = self.operate("GET", path, address=address)
+            if status == 503:
+                return False
+            assert status == 200, answer
+            answers.append(answer["resources"])
+            return True
+
+        wait_until(ask, f"an answer about {name}")
+        [resources] = answers
         return resources[0]["spec"]["deadline_ms"] if resources else None
 
     def submit(self, changes, change_id):
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -14,14 +14,35 @@
 
 ROOT = Path(__file__).parents[2]
 START_TIMEOUT_S = 60.0
+PORTS = range(20_000, 32_000)
+
+
+def _free_ports():
+    """Yield each port once, none that outgoing connections are given."""
+    size = PORTS.stop - PORTS.start
+    start = os.getpid() * 97 % size
+    while True:
+        for offset in range(size):
+            port = PORTS.start + (start + offset) % size
+            if _is_free(port):
+                yield port
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+_ports = _free_ports()
 
 
 def free_address():
     """Return a loopback address that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{next(_ports)}"
 
 
 def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
