--- a/src/galenadrum/_internal/membership/exchange.py
+++ b/src/galenadrum/_internal/membership/exchange.py
@@ -9,6 +9,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from galenadrum._internal.membership.digests import DigestTable, PeerDigest
@@ -72,6 +73,7 @@
         self._zone = zone
         self._links_by_id: dict[int, Link] = {}
         self._closing: list[CloseLink] = []
+        self.closed_by_reason: Counter[CloseReason] = Counter()
         self._spread_at_by_id: dict[str, float] = {}
         self._deferred_by_id: dict[str, float] = {}
 
@@ -194,6 +196,7 @@
     def _close(self, link: Link, reason: CloseReason) -> None:
         self._links_by_id.pop(link.link_id, None)
         self._closing.append(CloseLink(link.link_id, reason))
+        self.closed_by_reason[reason] += 1
         is_fault = reason in (CloseReason.WRONG_ZONE, CloseReason.OWN_HOST)
         logger.log(
             logging.WARNING if is_fault else logging.INFO,
--- a/src/galenadrum/_internal/membership/zone_service.py
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -5,8 +5,10 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
 
 import grpclib.client
 import grpclib.const
@@ -25,9 +27,10 @@
 )
 from galenadrum._internal.membership.exchange import ZoneExchange
 from galenadrum._internal.membership.hosts import HostTable
+from galenadrum._internal.membership.messages import CloseReason
 from galenadrum._internal.membership.registry import ServerRegistry
 from galenadrum._internal.membership.relay import FollowPlan, HostRevision, RelayRole
-from galenadrum._internal.membership.verdicts import Verdict
+from galenadrum._internal.membership.verdicts import RejectReason, Verdict
 from galenadrum._internal.membership.zone_codec import decode_digest, encode_digest
 from galenadrum._internal.membership.zone_dialer import ZoneDialer
 from galenadrum._internal.membership.zone_driver import ZoneDriver, ZoneStream
@@ -45,6 +48,27 @@
 _DIGEST_TIMEOUT_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneStatus:
+    """Counts for metrics and for operators.
+
+    Attributes:
+        host_ids: The zone's live entry hosts, this one included.
+        servers: Backend servers that take new work.
+        links: Links to other entry hosts that stand.
+        closed_by_reason: Links that this host closed since it started.
+        rejected_by_reason: Announcements that it rejected since it started.
+        digest_zones: Other zones with a digest that is young enough.
+    """
+
+    host_ids: tuple[str, ...]
+    servers: int
+    links: int
+    closed_by_reason: dict[CloseReason, int]
+    rejected_by_reason: dict[RejectReason, int]
+    digest_zones: tuple[str, ...]
+
+
 class ZoneService(ZoneBase):
     """Keeps the zone's membership on one entry host.
 
@@ -90,6 +114,7 @@
             open_link or open_zone_link,
             rng,
         )
+        self._rejected_by_reason: Counter[RejectReason] = Counter()
         self._channels_by_address: dict[str, grpclib.client.Channel] = {}
         self._digest_peers = DigestPeers(settings.other_zone_addresses, rng)
 
@@ -111,6 +136,7 @@
         """Take an announcement that a backend server made to this host."""
         verdict = self.exchange.announce(announcement, self._now(), peer_ip)
         if not verdict.accepted:
+            self._rejected_by_reason[verdict.rejection.reason] += 1
             logger.warning(
                 "announcement of %r rejected: %s",
                 announcement.server_id[:128],
@@ -161,6 +187,18 @@
         """Return what other zones could take over, by stage name."""
         return self.digests.digests_by_stage(self._now())
 
+    def status(self) -> ZoneStatus:
+        """Return counts of the zone as this host sees it."""
+        now = self._now()
+        return ZoneStatus(
+            host_ids=tuple(host.host_id for host in self.hosts.live(now)),
+            servers=len(self.registry.servers(now)),
+            links=self.driver.link_count,
+            closed_by_reason=dict(self.exchange.closed_by_reason),
+            rejected_by_reason=dict(self._rejected_by_reason),
+            digest_zones=self.digests.zones(),
+        )
+
     async def Exchange(  # noqa: N802
         self,
         stream: grpclib.server.Stream[zone_pb2.ZoneMessage, zone_pb2.ZoneMessage],
--- a/tests/functional/test_zone_links.py
+++ b/tests/functional/test_zone_links.py
@@ -7,6 +7,7 @@
 from grpclib.server import Server
 
 from galenadrum._internal.membership.digests import StageLoad
+from galenadrum._internal.membership.messages import CloseReason
 from galenadrum._internal.membership.zone_service import ZoneService
 from galenadrum._internal.models.servers import Announcement, ServerState
 from galenadrum._internal.models.settings import EntrySettings
@@ -81,6 +82,12 @@
             await _until(lambda: not second.servers())
             after = [relay.connections for relay in relays]
             assert all(b > a for a, b in zip(before, after, strict=True))
+            replay = first.announce(_SERVER)
+            assert not replay.accepted
+            status = first.status()
+            assert status.closed_by_reason[CloseReason.SILENT] >= 1
+            assert status.rejected_by_reason == {replay.rejection.reason: 1}
+            assert (status.host_ids, status.servers) == (("h0", "h1"), 0)
             # The abandoned connections are gone at both ends.
             await _until(lambda: first.driver.link_count == 2)
             await _until(lambda: second.driver.link_count == 2)
