Show that both ends free the sockets of silent connections

Cause: nothing held the accepting side to closing its socket, and the relay of the tests logged its own cancellation as errors. Change: the relay counts ends that were closed; the test waits for all of them.

--- a/tests/functional/test_zone_links.py
+++ b/tests/functional/test_zone_links.py
@@ -88,9 +88,11 @@
             assert status.closed_by_reason[CloseReason.SILENT] >= 1
             assert status.rejected_by_reason == {replay.rejection.reason: 1}
             assert (status.host_ids, status.servers) == (("h0", "h1"), 0)
-            # The abandoned connections are gone at both ends.
             await _until(lambda: first.driver.link_count == 2)
             await _until(lambda: second.driver.link_count == 2)
+            # Both sides have freed the sockets of the abandoned connections.
+            ends = [2 * count for count in before]
+            await _until(lambda: [relay.silent_ends for relay in relays] == ends)
 
         _run(scenario)
 
--- a/tests/lib/silent_relay.py
+++ b/tests/lib/silent_relay.py
@@ -22,6 +22,7 @@
         self._target = (host, int(port))
         self._generation = 0
         self._connections = 0
+        self._silent_ends = 0
         self._tasks = set()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -42,6 +43,11 @@
         """The number of connections taken so far."""
         return self._connections
 
+    @property
+    def silent_ends(self):
+        """The number of ends of silent connections that have been closed."""
+        return self._silent_ends
+
     def silence(self):
         """Drop everything of the connections that stand now."""
         self._generation += 1
@@ -78,6 +84,9 @@
                 self._copy(reader, far_writer, generation),
                 self._copy(far_reader, writer, generation),
             )
+        except asyncio.CancelledError:
+            # asyncio's streams log a cancelled handler as an error.
+            pass
         finally:
             writer.close()
             far_writer.close()
@@ -93,5 +102,6 @@
             pass
         if generation != self._generation:
             # The other side must not learn of the end.
+            self._silent_ends += 1
             await asyncio.Event().wait()
         writer.close()
