--- a/src/galenadrum/_internal/membership/exchange.py
+++ b/src/galenadrum/_internal/membership/exchange.py
@@ -9,6 +9,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from galenadrum._internal.membership.digests import DigestTable, PeerDigest
@@ -39,7 +40,7 @@
 logger = logging.getLogger(__name__)
 
 _MAX_ENTRIES_PER_MESSAGE = 100
-_MAX_CACHE_HASHES_PER_MESSAGE = 8
+_MAX_CACHE_HASHES_PER_MESSAGE = 4
 _SHORT_TTL_S = 8.0
 _RENEWAL_SPREAD_PER_TTL = 4
 _RENEWALS_SPREAD_PER_S = 20.0
@@ -72,6 +73,7 @@
         self._zone = zone
         self._links_by_id: dict[int, Link] = {}
         self._closing: list[CloseLink] = []
+        self.closed_by_reason: Counter[CloseReason] = Counter()
         self._spread_at_by_id: dict[str, float] = {}
         self._deferred_by_id: dict[str, float] = {}
 
@@ -194,6 +196,7 @@
     def _close(self, link: Link, reason: CloseReason) -> None:
         self._links_by_id.pop(link.link_id, None)
         self._closing.append(CloseLink(link.link_id, reason))
+        self.closed_by_reason[reason] += 1
         is_fault = reason in (CloseReason.WRONG_ZONE, CloseReason.OWN_HOST)
         logger.log(
             logging.WARNING if is_fault else logging.INFO,
@@ -280,6 +283,8 @@
                 for other in self._links_by_id.values():
                     if other is not link:
                         other.zones.add(digest.zone)
+            elif self.digests.holds(digest):
+                link.zones.discard(digest.zone)
 
     def _answer_wanted(self, link: Link, wanted: Iterable[int], now: float) -> None:
         for ref in wanted:
