--- a/src/galenadrum/_internal/routing/forecast.py
+++ b/src/galenadrum/_internal/routing/forecast.py
@@ -16,6 +16,7 @@
 
 _MIN_SIZE_FACTOR = 0.3
 _MAX_SIZE_FACTOR = 4.0
+_FULL_PRESSURE_S = 1.0
 
 
 class Forecast:
@@ -89,9 +90,16 @@
         first_s = self._first_free_s(stage, capacity)
         return first_s + backlog_s / max(capacity.slots, 0.1)
 
-    def size_factor(self, stage: str, cost_s: float, exponent: float) -> float:
-        """Return by how much the queue counts as longer for a large request."""
+    def size_factor(
+        self, stage: str, cost_s: float, exponent: float, wait_s: float
+    ) -> float:
+        """Return by how much the queue counts as longer for a large request.
+
+        Short queues pass by themselves; sizes count fully from a wait of a
+        second on.
+        """
         ratio = cost_s / self._times.mean(stage)
+        exponent *= min(1.0, wait_s / _FULL_PRESSURE_S)
         return min(_MAX_SIZE_FACTOR, max(_MIN_SIZE_FACTOR, ratio**exponent))
 
     def _outlook(
@@ -114,7 +122,8 @@
             request.organisation, request.weight, self._mechanisms.fairness
         )
         if self._mechanisms.small_first:
-            ahead_s *= self.size_factor(stage, cost_s, size_exponent)
+            wait_s = ahead_s / max(slots, 0.1)
+            ahead_s *= self.size_factor(stage, cost_s, size_exponent, wait_s)
         first_s = self._first_free_s(stage, capacity)
         if elsewhere >= 1.0:
             first_s = min(first_s, ZONE_HOP_S)
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -316,7 +316,8 @@
         if not self._mechanisms.small_first:
             return give_up_at
         exponent = weights_for(self._objective).size_exponent
-        factor = self._forecast.size_factor(call.stage, service_s, exponent)
+        wait_s = self._forecast.queue_delay_s(call.stage, now)
+        factor = self._forecast.size_factor(call.stage, service_s, exponent, wait_s)
         return now + (give_up_at - now) * factor
 
     def _may_repeat(self, call: StageCall, result: AttemptResult) -> bool:
