Queue on the server that keeps a prefix while that saves time; test the parts

Change: such a server is compared while its queue costs less than the prefix saves, up to half its limit.

--- a/src/galenadrum/_internal/routing/mechanisms.py
+++ b/src/galenadrum/_internal/routing/mechanisms.py
@@ -18,6 +18,8 @@
         reports: Correct own calls in flight with load reports.
         slow_start: Raise the load of a server that joined step by step.
         prefixes: Weigh prefixes that a server is expected to hold.
+        prefix_queueing: Queue on the server that keeps a prefix rather than
+            compute it elsewhere, while that saves time.
         home_zones: Forward long prefixes to the zone that keeps them.
         spill: Forward calls that the own zone can't complete in time.
         ejection: Leave out servers that do worse than their peers.
@@ -36,6 +38,7 @@
     reports: bool = True
     slow_start: bool = True
     prefixes: bool = True
+    prefix_queueing: bool = True
     home_zones: bool = True
     spill: bool = True
     ejection: bool = True
--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -130,10 +130,12 @@
         candidates = []
         for server_id in sample(ids, self._random):
             record = self._records_by_id[server_id]
-            if self._has_room(record, call.stage, now):
-                candidates.append(
-                    self._candidate(call, size, uses_prefix, server_id, now)
-                )
+            roomy = self._has_room(record, call.stage, now)
+            if not (roomy or uses_prefix):
+                continue
+            candidate = self._candidate(call, size, uses_prefix, server_id, now)
+            if roomy or self._pays_to_queue(candidate):
+                candidates.append(candidate)
         return candidates
 
     def reusable_tokens(self, stage: str, prefix: tuple[str, ...], now: float) -> float:
@@ -337,6 +339,15 @@
         stalled = record.load.stall_ratio(now)
         return max(learned, stalled) if stalled > _STALLED_RATIO else learned
 
+    def _pays_to_queue(self, candidate: Candidate) -> bool:
+        """Return whether a kept prefix saves more time than queueing for it costs."""
+        if not self._mechanisms.prefix_queueing:
+            return False
+        over = candidate.total + 1.0 - candidate.limit
+        if over > _MAX_ALLOWANCE_SHARE * candidate.limit:
+            return False
+        return candidate.service_s * over / candidate.limit < candidate.prefill_saved_s
+
     def _queue_allowance(
         self, record: ServerRecord, stage: str, limit: float, now: float
     ) -> float:
--- /dev/null
+++ b/tests/unit/routing/test_parts.py
@@ -0,0 +1,254 @@
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenadrum._internal.models.servers import CacheEvent, LoadReport, ZoneDigest
+from galenadrum._internal.routing import ejection
+from galenadrum._internal.routing.admission import StageOutlook, expected_completion_s
+from galenadrum._internal.routing.concurrency import ConcurrencyLimit
+from galenadrum._internal.routing.ejection import PeerView, ServerHealth
+from galenadrum._internal.routing.prefix_cache import PREFIX_BLOCK_TOKENS, PrefixHints
+from galenadrum._internal.routing.queues import FairQueue, QueuedCall, Usage
+from galenadrum._internal.routing.retry_budget import RetryBudget
+from galenadrum._internal.routing.server_loads import ServerLoad
+from galenadrum._internal.routing.service_times import CallSize, ServiceTimes
+from galenadrum._internal.routing.spill import ZoneDigests, home_zone
+from lib.policy_driver import first_call, make_request
+
+
+def queued(index, organisation="a", weight=1.0, give_up_at=10.0, cost_s=1.0):
+    request = make_request(f"r{index}", organisation=organisation, weight=weight)
+    return QueuedCall(first_call(request), cost_s, 0.0, give_up_at, 0.0, give_up_at)
+
+
+def serve(queue, usage, count, window_s=1.0):
+    served = {}
+    for _ in range(count):
+        call = queue.peek(usage, window_s, 0.0)
+        queue.remove(call.call.key)
+        request = call.call.request
+        served[request.organisation] = served.get(request.organisation, 0) + 1
+        usage.charge(request.organisation, call.cost_s, request.weight, 0.0)
+    return served
+
+
+class TestFairQueue:
+    @given(
+        st.lists(st.floats(0.1, 5.0), min_size=2, max_size=4),
+        st.floats(0.05, 0.5),
+    )
+    def test_organisations_are_served_in_proportion_to_their_weights(
+        self, weights, cost_s
+    ):
+        queue, usage = FairQueue(10_000), Usage()
+        for place, weight in enumerate(weights):
+            for index in range(200):
+                call = queued(f"{place}-{index}", str(place), weight, 10.0, cost_s)
+                queue.push(call)
+        serve(queue, usage, 150)
+        values = [usage.value(str(place), 0.0) for place in range(len(weights))]
+        assert max(values) - min(values) <= 1.0 + 2 * cost_s / min(weights)
+
+    def test_what_is_due_first_goes_first_within_the_window(self):
+        queue, usage = FairQueue(10), Usage()
+        for index, due in enumerate((5.0, 3.0, 4.0)):
+            queue.push(queued(index, "abc"[index], give_up_at=due))
+        order = []
+        while queue:
+            call = queue.peek(usage, 10.0, 0.0)
+            queue.remove(call.call.key)
+            order.append(call.give_up_at)
+        assert order == [3.0, 4.0, 5.0]
+
+    @given(st.lists(st.sampled_from("abc"), min_size=1, max_size=60))
+    def test_the_bound_holds_and_the_largest_organisation_pays(self, organisations):
+        queue = FairQueue(8)
+        held = {}
+        for index, organisation in enumerate(organisations):
+            held[organisation] = held.get(organisation, 0) + 1
+            evicted = queue.push(queued(index, organisation))
+            if evicted is not None:
+                name = evicted.call.request.organisation
+                assert held[name] == max(held.values())
+                held[name] -= 1
+            assert len(queue) == sum(held.values()) <= 8
+
+    @given(st.lists(st.floats(0.0, 10.0), max_size=30), st.floats(0.0, 10.0))
+    def test_expired_calls_leave_at_once(self, dues, now):
+        queue = FairQueue(100)
+        for index, due in enumerate(dues):
+            queue.push(queued(index, give_up_at=due))
+        assert len(queue.pop_expired(now)) == sum(due <= now for due in dues)
+        expiry = queue.next_expiry()
+        assert expiry == min((due for due in dues if due > now), default=None)
+
+
+class TestServiceTimes:
+    @given(st.integers(0, 99), st.floats(0.00005, 0.001))
+    def test_learns_the_cost_of_tokens_despite_outliers(self, seed, prefill_s):
+        times = ServiceTimes()
+        times.declare("generate", 0.5)
+        random = Random(seed)
+        for index in range(180):
+            prefill, output = random.randrange(4000), random.randrange(300)
+            seconds = 0.1 + prefill * prefill_s + output * 0.02
+            if index % 20 == 19:
+                seconds *= 30
+            size = CallSize(prefill, output)
+            times.observe("generate", size, f"s{random.randrange(3)}", seconds, 1.0)
+        expected = times.expected("generate", CallSize(2000, 150))
+        true_s = 0.1 + 2000 * prefill_s + 3.0
+        assert 0.5 * true_s < expected < 2.0 * true_s
+
+    def test_slowness_is_found_and_fades_when_the_server_is_not_used(self):
+        times = ServiceTimes()
+        times.declare("encode", 0.1)
+        size = CallSize(100, 0)
+        for index in range(90):
+            server_id = f"s{index % 3}"
+            seconds = 0.5 if server_id == "s0" else 0.1
+            times.observe("encode", size, server_id, seconds, 1.0)
+        assert times.slowness("s0", 1.0) > 3.0 * times.slowness("s1", 1.0)
+        assert times.slowness("s0", 120.0) < 1.1
+
+
+class TestServerLoad:
+    @given(st.integers(0, 20), st.integers(0, 20), st.floats(0.5, 5.0))
+    def test_own_calls_at_the_instant_of_the_report_are_not_counted_twice(
+        self, own, others, age_s
+    ):
+        load = ServerLoad()
+        for index in range(own):
+            load.start(("r", index, 1), 1.0, 10.0)
+        for index in range(own, own + 5):
+            load.start(("r", index, 1), 1.0, 10.0 + 1.5 * age_s)
+        now = 10.0 + 2 * age_s
+        for repeat in range(6):
+            report = LoadReport(own + others, 0, age_s + 0.01 * (5 - repeat))
+            load.report(report, now)
+        assert abs(load.others(now) - others) <= 0.2 * others + 0.01
+        assert load.total(now) >= own + 5
+
+
+class TestPrefixHints:
+    def test_events_store_and_evict_and_gaps_lower_confidence(self):
+        hints = PrefixHints()
+        hints.apply((CacheEvent(1, ("a", "b", "c")),), 0.0)
+        full = hints.expected_tokens(("a", "b", "c", "d"), 0.0)
+        assert 2.5 * PREFIX_BLOCK_TOKENS < full <= 3 * PREFIX_BLOCK_TOKENS
+        hints.apply((CacheEvent(1, ("d",)), CacheEvent(9, (), ("c",))), 0.0)
+        assert hints.gaps == 1
+        after_gap = hints.expected_tokens(("a", "b", "c", "d"), 0.0)
+        assert after_gap < 2 * PREFIX_BLOCK_TOKENS
+        assert hints.expected_tokens(("a", "b"), 600.0) < 0.01 * after_gap
+
+    def test_misses_that_servers_report_lower_confidence(self):
+        hints = PrefixHints()
+        hints.sent(("a", "b", "c"), 0.0)
+        before = hints.expected_tokens(("a", "b", "c"), 0.0)
+        for _ in range(20):
+            hints.observed(("a", "b", "c"), before, 0)
+        assert hints.expected_tokens(("a", "b", "c"), 0.0) < 0.6 * before
+
+
+class TestEjection:
+    @given(
+        st.lists(
+            st.tuples(st.floats(0.0, 1.0), st.floats(0.25, 16.0)),
+            min_size=1,
+            max_size=12,
+        )
+    )
+    def test_never_more_than_a_share_is_out_and_never_the_last(self, servers):
+        peers = [
+            PeerView(f"s{i}", ServerHealth(failure_share=f, calls=10), slowness)
+            for i, (f, slowness) in enumerate(servers)
+        ]
+        for _ in peers:
+            outlier = ejection.find_outlier(peers)
+            if outlier is not None:
+                ejection.eject(outlier.health, 0.0)
+        out = sum(peer.health.ejected for peer in peers)
+        assert out <= max(1, 0.34 * len(peers))
+        assert out < len(peers)
+
+    def test_a_fault_common_to_all_ejects_none(self):
+        peers = [
+            PeerView(f"s{i}", ServerHealth(failure_share=0.6, calls=10), 4.0)
+            for i in range(4)
+        ]
+        assert ejection.find_outlier(peers) is None
+
+    def test_probes_bring_a_server_back_and_bad_ones_come_less_often(self):
+        health = ServerHealth()
+        ejection.eject(health, 0.0)
+        assert not ejection.may_probe(health, 1.0)
+        assert not ejection.record_probe(health, False, 2.0)
+        assert health.probe_at == 6.0
+        assert not ejection.record_probe(health, True, 6.0)
+        assert ejection.record_probe(health, True, 6.1)
+        assert not health.ejected
+
+
+class TestLimits:
+    @given(st.lists(st.floats(0.1, 10.0), max_size=200))
+    def test_the_limit_stays_between_one_and_the_capacity(self, ratios):
+        limit = ConcurrencyLimit(8, 0.0, slow_start=True)
+        for index, ratio in enumerate(ratios):
+            limit.succeeded(ratio, True, 1.0 * index)
+            assert 1.0 <= limit.value(1.0 * index) <= 8.0
+
+    @given(st.lists(st.sampled_from(["first", "ran", "did not run"]), max_size=300))
+    def test_retries_that_ran_stay_a_share_of_first_attempts(self, events):
+        budget = RetryBudget()
+        first = retries = 0
+        for event in events:
+            if event == "first":
+                budget.deposit()
+                first += 1
+            else:
+                did_run = event == "ran"
+                retries += budget.withdraw(did_run) and did_run
+        assert retries <= 3 + 0.1 * first
+
+
+class TestSpill:
+    def test_a_zone_keeps_its_prefixes_when_another_zone_is_lost(self):
+        zones = {"a": 8, "b": 16, "c": 8}
+        prefixes = [(f"p{i}", f"q{i}") for i in range(300)]
+        before = {p: home_zone(p, zones) for p in prefixes}
+        del zones["c"]
+        for prefix, zone in before.items():
+            if zone != "c":
+                assert home_zone(prefix, zones) == zone
+        counts = [list(before.values()).count(zone) for zone in "abc"]
+        assert counts[1] > 1.4 * counts[0]
+
+    def test_forwarded_calls_use_up_what_a_digest_showed_free(self):
+        digests = ZoneDigests("own")
+        digests.update((ZoneDigest("a", "s", 4, 0.0, "a:1", 0.0, 8, 0.1),))
+        random = Random(1)
+        for index in range(2):
+            found = digests.best("s", frozenset(), 0.1, random, even_full=False)
+            digests.sent("s", found.zone, ("r", index, 1), 0.1)
+        none = digests.best("s", frozenset(), 0.1, random, even_full=False)
+        assert none is None
+        digests.ended("s", "a", ("r", 0, 1), False, 0.2)
+        assert digests.best("s", frozenset(), 0.2, random, even_full=False)
+        assert digests.best("s", frozenset(), 9.0, random, even_full=True) is None
+
+
+class TestExpectedCompletion:
+    @given(
+        st.lists(
+            st.tuples(st.floats(0, 5), st.floats(0, 50), st.floats(0.5, 20)),
+            max_size=5,
+        )
+    )
+    def test_is_at_least_the_service_and_grows_with_the_work_ahead(self, stages):
+        outlooks = [StageOutlook(s, ahead, slots, 0.0) for s, ahead, slots in stages]
+        longer = [StageOutlook(s, a + 1.0, n, 0.0) for s, a, n in stages]
+        expected = expected_completion_s(outlooks)
+        assert expected >= sum(s for s, _, _ in stages) - 1e-9
+        assert expected_completion_s(longer) >= expected
