Send long prefixes home although the home zone is busy; ignore small slowness

Change: a home zone takes a prefix while its queue delay is within the bound of the objective, unless it is slow or fails; only prefix tokens that are missing count; slowness within a factor of 1.6 counts as none.

--- a/src/galenadrum/_internal/routing/placement.py
+++ b/src/galenadrum/_internal/routing/placement.py
@@ -13,6 +13,7 @@
 from galenadrum._internal.routing.mechanisms import Mechanisms
 from galenadrum._internal.routing.objectives import Weights
 from galenadrum._internal.routing.pool import ServerPool
+from galenadrum._internal.routing.prefix_cache import PREFIX_BLOCK_TOKENS
 from galenadrum._internal.routing.queues import QueuedCall
 from galenadrum._internal.routing.scoring import (
     Candidate,
@@ -33,6 +34,7 @@
 _SPILL_GAIN_SHARE = 0.1
 _LOCAL_FAILURE_SHARE = 0.3
 _FAILURE_GAIN = 0.2
+_SLOW_ZONE = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,16 +176,21 @@
         prefix = call.request.prefix_hashes
         if not prefix or not self._catalog.uses_model(call.stage):
             return None
-        size = self._catalog.size(call.request, call.stage)
         reused = self._pool.reusable_tokens(call.stage, prefix, now)
-        if size.prefill_tokens - reused < _MIN_HOME_TOKENS:
+        if len(prefix) * PREFIX_BLOCK_TOKENS - reused < _MIN_HOME_TOKENS:
             return None
         digest = self._home_digest(call, now)
-        if digest is None or digest.queue_delay_s > weights.home_wait_s:
+        if digest is None:
+            return None
+        wait_s = self._digests.delay_s(call.stage, digest.zone)
+        usual_s = self._times.mean(call.stage)
+        if wait_s > weights.home_wait_s or digest.service_s > _SLOW_ZONE * usual_s:
+            return None
+        if digest.failure_share > _LOCAL_FAILURE_SHARE:
             return None
         if zone_server_id(digest.zone) in call.tried_server_ids:
             return None
-        expected = ZONE_HOP_S + digest.queue_delay_s + queued.cost_s
+        expected = ZONE_HOP_S + wait_s + queued.cost_s
         return ForwardPlacement(digest, Choice.HOME_ZONE, expected)
 
     def _home_digest(self, call: StageCall, now: float) -> ZoneDigest | None:
@@ -201,6 +208,4 @@
         if not capacity_by_zone:
             return None
         home = home_zone(call.request.prefix_hashes, capacity_by_zone)
-        if home == self._zone or not self._digests.has_room(call.stage, home, now):
-            return None
-        return digests_by_zone[home]
+        return digests_by_zone.get(home)
--- a/src/galenadrum/_internal/routing/service_times.py
+++ b/src/galenadrum/_internal/routing/service_times.py
@@ -21,6 +21,7 @@
 _MIN_SLOWNESS = 0.25
 _MAX_SLOWNESS = 16.0
 _SLOWNESS_FADE_S = 15.0
+_ORDINARY = 1.6
 _MIN_SERVICE_S = 0.001
 _SOLVE_EVERY = 4
 
@@ -158,10 +159,11 @@
         """Return how much slower than its stage's model a server is.
 
         It fades towards 1 while nothing is observed, so that a server which
-        is avoided for being slow is tried again.
+        is avoided for being slow is tried again. Differences that load alone
+        may cause count as none.
         """
-        logarithm, at = self._slowness_by_server.get(server_id, (0.0, now))
-        return math.exp(logarithm * math.exp((at - now) / _SLOWNESS_FADE_S))
+        slowness = self._raw_slowness(server_id, now)
+        return 1.0 if 1.0 / _ORDINARY < slowness < _ORDINARY else slowness
 
     def observe(
         self, stage: str, size: CallSize, server_id: str, seconds: float, now: float
@@ -169,7 +171,7 @@
         """Record one completed call."""
         model = self._model(stage)
         seconds = max(seconds, _MIN_SERVICE_S)
-        slowness = self.slowness(server_id, now)
+        slowness = self._raw_slowness(server_id, now)
         ratio = seconds / model.predict(size)
         if self._learn_speeds and model.observations > 8:
             slowness = self._follow_slowness(server_id, slowness, ratio, now)
@@ -179,7 +181,7 @@
         self, stage: str, size: CallSize, server_id: str, seconds: float, now: float
     ) -> None:
         """Record a call that was cut short; it counts only if it was slow."""
-        slowness = self.slowness(server_id, now)
+        slowness = self._raw_slowness(server_id, now)
         ratio = seconds / self._model(stage).predict(size)
         if self._learn_speeds and ratio > slowness:
             self._follow_slowness(server_id, slowness, ratio, now)
@@ -188,6 +190,10 @@
         """Drop what was learned of a server that is gone."""
         self._slowness_by_server.pop(server_id, None)
 
+    def _raw_slowness(self, server_id: str, now: float) -> float:
+        logarithm, at = self._slowness_by_server.get(server_id, (0.0, now))
+        return math.exp(logarithm * math.exp((at - now) / _SLOWNESS_FADE_S))
+
     def _follow_slowness(
         self, server_id: str, slowness: float, ratio: float, now: float
     ) -> float:
--- a/src/galenadrum/_internal/routing/spill.py
+++ b/src/galenadrum/_internal/routing/spill.py
@@ -96,12 +96,12 @@
             return None
         return min(entries, key=lambda e: _full_delay_s(e, random)).digest
 
-    def has_room(self, stage: str, zone: str, now: float) -> bool:
-        """Return whether one zone has free capacity for a stage."""
-        entry = self._by_stage.get(stage, {}).get(zone)
-        if entry is None or now - entry.digest.sent_at > _DIGEST_MAX_AGE_S:
-            return False
-        return _free(entry, now) >= 1.0
+    def delay_s(self, stage: str, zone: str) -> float:
+        """Return the expected wait in a zone, with what was sent there since."""
+        entry = self._by_stage[stage][zone]
+        digest = entry.digest
+        over = max(0.0, _sent_since(entry) - digest.free_capacity)
+        return digest.queue_delay_s + over * digest.service_s / max(1, digest.capacity)
 
     def free(self, stage: str, now: float) -> float:
         """Return the calls that other zones can start for this host."""
@@ -134,10 +134,14 @@
     fade = math.exp(-max(0.0, now - entry.failed_at) / _FAILURE_FADE_S)
     if entry.failure_share * fade > _MAX_FAILURE_SHARE:
         return 0.0
-    sent_since = sum(
+    return entry.digest.free_capacity * _USABLE_SHARE - _sent_since(entry)
+
+
+def _sent_since(entry: _ZoneStage) -> int:
+    """Return the calls away that the zone's digest doesn't show yet."""
+    return sum(
         sent_at >= entry.digest.sent_at for sent_at in entry.sent_at_by_key.values()
     )
-    return entry.digest.free_capacity * _USABLE_SHARE - sent_since
 
 
 def _full_delay_s(entry: _ZoneStage, random: Random) -> float:
