Drop slow start; refresh the capacity of large pools every 20 ms

Change: slow start removed (limits on calls in flight already keep a server that joined from being flooded); in pools above 8 servers capacity and outliers are worked out at most each 20 ms; the cost benchmark; a scenario with failures in a burst that runs when named.

--- a/benchmarks/policy/__main__.py
+++ b/benchmarks/policy/__main__.py
@@ -14,7 +14,7 @@
     to_json,
 )
 from benchmarks.policy.results import RunResult
-from benchmarks.policy.scenarios import SCENARIOS_BY_NAME
+from benchmarks.policy.scenarios import SCENARIOS, SCENARIOS_BY_NAME
 from benchmarks.policy.simulation import PolicyName, Simulation, bound_of
 from benchmarks.policy.sites import SITES_BY_NAME
 from galenadrum._internal.routing.mechanisms import Mechanisms
@@ -88,7 +88,7 @@
     return [
         Job(site, scenario, seed, tuple(map(PolicyName, names)), mechanisms)
         for site in options.site or SITES_BY_NAME
-        for scenario in options.scenario or SCENARIOS_BY_NAME
+        for scenario in options.scenario or [s.name for s in SCENARIOS]
         for seed in range(options.first_seed, options.first_seed + options.seeds)
     ]
 
--- a/benchmarks/policy/scenarios.py
+++ b/benchmarks/policy/scenarios.py
@@ -62,6 +62,11 @@
     Scenario("restarts", restarts=True, length_s=34.0),
 )
 
-SCENARIOS_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
+# Run only when they are named.
+EXTRA_SCENARIOS = (
+    Scenario("failing-burst", burst=3.0, failing_service=0.5, length_s=36.0),
+)
+
+SCENARIOS_BY_NAME = {s.name: s for s in (*SCENARIOS, *EXTRA_SCENARIOS)}
 GREEDY_ORGANISATION = "middle"
 SMALL_ORGANISATIONS = ("small-1", "small-2")
--- /dev/null
+++ b/benchmarks/policy_cost.py
@@ -0,0 +1,111 @@
+"""Processor time of the policy's decisions against the size of its zone.
+
+Prints, for pools of 5, 50 and 200 servers, the processor time for a request
+of one stage (admit, submit, finished, end of the request) and for taking in
+the announcements of the whole pool once, and as its last line one JSON object.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import deque
+from random import Random
+
+from galenadrum._internal.models.requests import (
+    AttemptResult,
+    Dispatch,
+    Outcome,
+    Request,
+    StageCall,
+)
+from galenadrum._internal.models.resources import PolicySpec, StageSpec
+from galenadrum._internal.models.servers import Announcement, LoadReport
+from galenadrum._internal.routing.policy import Policy
+
+_SIZES = (5, 50, 200)
+_REQUESTS = 3_000
+_UPDATES = 50
+_CALLS_PER_SERVER = 2
+_STAGES = ("generate",)
+
+
+def make_announcements(count: int, sequence: int) -> list[Announcement]:
+    """Return one announcement for each server of a pool."""
+    return [
+        Announcement(
+            server_id=f"engine-{index}",
+            incarnation=1,
+            sequence=sequence,
+            address=f"127.0.0.1:{index}",
+            zone="a",
+            stages=_STAGES,
+            capacity=8,
+            ttl_s=5.0,
+            load=LoadReport(4, 0, 0.5),
+        )
+        for index in range(count)
+    ]
+
+
+def make_request(index: int, now: float) -> Request:
+    """Return a request with a prefix of eight blocks."""
+    return Request(
+        request_id=f"r{index}",
+        organisation=f"o{index % 100}",
+        pipeline="p",
+        stages=_STAGES,
+        deadline=now + 5.0,
+        arrived=now,
+        input_tokens=2_200,
+        output_tokens=100,
+        prefix_hashes=tuple(f"{index % 300}-{block}" for block in range(8)),
+    )
+
+
+def measure(count: int) -> dict[str, float]:
+    """Return microseconds for a request and for an update of the pool."""
+    policy = Policy("a", Random(1))
+    stages = {"generate": StageSpec(model="m", streams=True, expected_service_ms=900)}
+    policy.update_declarations(stages, {}, PolicySpec(), 0.0)
+    policy.update_servers(make_announcements(count, 1), 0.0)
+    in_flight: deque[Dispatch] = deque()
+    result = AttemptResult(Outcome.COMPLETED, 0.9, cached_tokens=1_024)
+    now = 1.0
+    started = time.process_time()
+    for index in range(_REQUESTS):
+        now += 0.9 / (_CALLS_PER_SERVER * count)
+        request = make_request(index, now)
+        if policy.admit(request, now) is None:
+            call = StageCall(request, "generate", 0, 1)
+            in_flight.extend(policy.submit(call, now))
+        if len(in_flight) >= _CALLS_PER_SERVER * count:
+            dispatch = in_flight.popleft()
+            policy.finished(dispatch.call, dispatch.server_id, result, now)
+            policy.end_request(dispatch.call.request, now)
+    request_s = (time.process_time() - started) / _REQUESTS
+    started = time.process_time()
+    for index in range(_UPDATES):
+        policy.update_servers(make_announcements(count, 2 + index), now + index)
+    update_s = (time.process_time() - started) / _UPDATES
+    return {
+        "servers": count,
+        "request_us": round(request_s * 1e6, 1),
+        "update_us": round(update_s * 1e6, 1),
+    }
+
+
+def main() -> None:
+    """Print the figures of each size and their ratios to the smallest."""
+    rows = [measure(count) for count in _SIZES]
+    for row in rows:
+        ratio = row["request_us"] / rows[0]["request_us"]
+        print(
+            f"{row['servers']:4} servers: {row['request_us']:8.1f} us a request"
+            f" (ratio {ratio:.2f}), {row['update_us']:8.1f} us an update of all"
+        )
+    print(json.dumps({"rows": rows}))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/galenadrum/_internal/routing/concurrency.py
+++ b/src/galenadrum/_internal/routing/concurrency.py
@@ -10,10 +10,7 @@
 _DECREASE = 0.8
 _INCREASE_CALLS = 1.0
 _SLOW_RATIO = 2.5
-_HEADROOM = 1.0
 _DECREASE_INTERVAL_S = 1.0
-_RAMP_S = 3.0
-_RAMP_START = 0.34
 
 
 class ConcurrencyLimit:
@@ -23,11 +20,9 @@
         capacity: Calls that the server announced it serves at once.
     """
 
-    def __init__(self, capacity: int, joined_at: float, slow_start: bool) -> None:
+    def __init__(self, capacity: int) -> None:
         self.capacity = capacity
         self._limit = float(capacity)
-        self._joined_at = joined_at
-        self._slow_start = slow_start
         self._decreased_at = -1e9
 
     def announce(self, capacity: int) -> None:
@@ -36,14 +31,10 @@
             self._limit *= capacity / self.capacity
             self.capacity = capacity
 
-    def value(self, now: float) -> float:
-        """Return the number of calls that may be on the server, at least 1."""
-        limit = self._limit
-        joined_s = now - self._joined_at
-        if self._slow_start and joined_s < _RAMP_S:
-            ramp = _RAMP_START + (1.0 - _RAMP_START) * joined_s / _RAMP_S
-            limit *= ramp
-        return max(1.0, limit)
+    @property
+    def value(self) -> float:
+        """The number of calls that may be on the server, at least 1."""
+        return max(1.0, self._limit)
 
     def succeeded(self, ratio: float, reached: bool, now: float) -> None:
         """Record a completed call.
@@ -56,8 +47,8 @@
         if ratio > _SLOW_RATIO:
             self.overloaded(now)
         elif reached:
-            ceiling = self.capacity * _HEADROOM
-            self._limit = min(ceiling, self._limit + _INCREASE_CALLS / self._limit)
+            raised = self._limit + _INCREASE_CALLS / self._limit
+            self._limit = min(self.capacity, raised)
 
     def overloaded(self, now: float) -> None:
         """Record that the server turned a call away or was much too slow."""
--- a/src/galenadrum/_internal/routing/mechanisms.py
+++ b/src/galenadrum/_internal/routing/mechanisms.py
@@ -16,7 +16,6 @@
         deadline_order: Serve what is due first; otherwise in order of arrival.
         limits: Adapt the number of calls in flight for each server.
         reports: Correct own calls in flight with load reports.
-        slow_start: Raise the load of a server that joined step by step.
         prefixes: Weigh prefixes that a server is expected to hold.
         prefix_queueing: Queue on the server that keeps a prefix rather than
             compute it elsewhere, while that saves time.
@@ -36,7 +35,6 @@
     deadline_order: bool = True
     limits: bool = True
     reports: bool = True
-    slow_start: bool = True
     prefixes: bool = True
     prefix_queueing: bool = True
     home_zones: bool = True
--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -21,6 +21,8 @@
 
 _GOOD_PROBE_RATIO = 2.5
 _ROUNDING_CALLS = 0.5
+_SMALL_POOL = 8
+_LARGE_POOL_CAPACITY_AGE_S = 0.02
 _STALLED_RATIO = 2.0
 _MAX_ALLOWANCE_SHARE = 0.5
 _UNKNOWN_SHARE = 0.25
@@ -82,8 +84,8 @@
         self._random = random
         self._records_by_id: dict[str, ServerRecord] = {}
         self._ids_by_stage: dict[str, list[str]] = {}
-        self._started = False
         self._capacity_by_stage: dict[str, tuple[float, StageCapacity]] = {}
+        self._judged_at_by_stage: dict[str, float] = {}
 
     def update(self, announcements: Iterable[Announcement], now: float) -> None:
         """Take in the servers that stand announced; others are gone."""
@@ -95,7 +97,6 @@
             if server_id not in seen:
                 record.present = False
                 self._drop_if_unused(server_id, record)
-        self._started = self._started or bool(seen)
         self._index_stages()
 
     def records(self) -> dict[str, ServerRecord]:
@@ -113,7 +114,7 @@
     def capacity(self, stage: str, now: float) -> StageCapacity:
         """Return what the zone's servers can take for a stage."""
         known = self._capacity_by_stage.get(stage)
-        if known is not None and known[0] == now:
+        if known is not None and now - known[0] <= self._capacity_age_s(stage):
             return known[1]
         capacity = self._work_out_capacity(stage, now)
         self._capacity_by_stage[stage] = (now, capacity)
@@ -155,7 +156,8 @@
         if call.stage not in record.announcement.stages:
             raise InvariantError(f"{candidate.server_id} does not serve {call.stage}")
         record.load.start(call.key, candidate.nominal_s, now)
-        self._capacity_by_stage.clear()
+        for stage in record.announcement.stages:
+            self._note_change(stage)
         if candidate.probe:
             record.health.probing = True
             record.probe_key = call.key
@@ -173,7 +175,7 @@
     ) -> tuple[str, ...]:
         """Learn from the end of a call; return the stages with room now."""
         record = self._records_by_id[server_id]
-        reached = record.load.total(now) >= record.limit.value(now) - 1.0
+        reached = record.load.total(now) >= record.limit.value - 1.0
         record.load.end(call.key, now)
         ratio = result.service_s / self._times.expected(call.stage, size)
         failed = result.outcome in (Outcome.FAILED, Outcome.UNKNOWN, Outcome.NOT_RUN)
@@ -189,7 +191,8 @@
                 call.stage, size, server_id, result.service_s, now
             )
         self._judge(call, server_id, record, failed, ratio, now)
-        self._capacity_by_stage.clear()
+        for stage in record.announcement.stages:
+            self._note_change(stage)
         self._drop_if_unused(server_id, record)
         return record.announcement.stages
 
@@ -202,6 +205,18 @@
         ]
         return min(times, default=None)
 
+    def _capacity_age_s(self, stage: str) -> float:
+        """Return how old a stage's capacity may be, in seconds.
+
+        In a large pool one call changes little and working it out costs most.
+        """
+        large = len(self._ids_by_stage.get(stage, ())) > _SMALL_POOL
+        return _LARGE_POOL_CAPACITY_AGE_S if large else 0.0
+
+    def _note_change(self, stage: str) -> None:
+        if len(self._ids_by_stage.get(stage, ())) <= _SMALL_POOL:
+            self._capacity_by_stage.pop(stage, None)
+
     def _work_out_capacity(self, stage: str, now: float) -> StageCapacity:
         records = self._usable(stage)
         if not records:
@@ -210,7 +225,7 @@
         least = min(slownesses)
         slots = free = total_limit = failures = 0.0
         for (_, record), slowness in zip(records, slownesses, strict=True):
-            limit = record.limit.value(now)
+            limit = record.limit.value
             others = self._others(record, now)
             slots += max(1.0, limit - others) * least / slowness
             free += max(0.0, limit - others - len(record.load.in_flight))
@@ -252,6 +267,10 @@
             self._eject_outlier(call.stage, now)
 
     def _eject_outlier(self, stage: str, now: float) -> None:
+        judged_at = self._judged_at_by_stage.get(stage, -1.0)
+        if now - judged_at < self._capacity_age_s(stage):
+            return
+        self._judged_at_by_stage[stage] = now
         peers = [
             PeerView(
                 server_id,
@@ -268,8 +287,7 @@
     def _update_one(self, announcement: Announcement, now: float) -> None:
         record = self._records_by_id.get(announcement.server_id)
         if record is None:
-            slow_start = self._mechanisms.slow_start and self._started
-            limit = ConcurrencyLimit(announcement.capacity, now, slow_start)
+            limit = ConcurrencyLimit(announcement.capacity)
             record = ServerRecord(announcement, limit)
             self._records_by_id[announcement.server_id] = record
             self._learn_announcement(record, announcement, now)
@@ -278,19 +296,17 @@
         record.present = True
         record.announcement = announcement
         if announcement.incarnation != known.incarnation:
-            self._restart(record, now)
+            self._restart(record)
         elif announcement.sequence == known.sequence:
             return
         record.limit.announce(announcement.capacity)
         self._learn_announcement(record, announcement, now)
 
-    def _restart(self, record: ServerRecord, now: float) -> None:
+    def _restart(self, record: ServerRecord) -> None:
         record.hints.clear()
         record.health = ServerHealth()
         record.probe_key = None
-        record.limit = ConcurrencyLimit(
-            record.announcement.capacity, now, self._mechanisms.slow_start
-        )
+        record.limit = ConcurrencyLimit(record.announcement.capacity)
         self._times.forget(record.announcement.server_id)
 
     def _learn_announcement(
@@ -328,7 +344,7 @@
         if own == 0:
             return True
         total = own + self._others(record, now)
-        limit = record.limit.value(now)
+        limit = record.limit.value
         allowed = limit + self._queue_allowance(record, stage, limit, now)
         return total + 1.0 <= allowed
 
@@ -396,7 +412,7 @@
             nominal_s=service_s / slowness,
             prefill_saved_s=whole_s - service_s,
             total=len(record.load.in_flight) + self._others(record, now),
-            limit=record.limit.value(now),
+            limit=record.limit.value,
             reused_tokens=reused,
             tried=server_id in call.tried_server_ids,
             probe=probe,
--- a/tests/unit/routing/test_parts.py
+++ b/tests/unit/routing/test_parts.py
@@ -194,10 +194,10 @@
 class TestLimits:
     @given(st.lists(st.floats(0.1, 10.0), max_size=200))
     def test_the_limit_stays_between_one_and_the_capacity(self, ratios):
-        limit = ConcurrencyLimit(8, 0.0, slow_start=True)
+        limit = ConcurrencyLimit(8)
         for index, ratio in enumerate(ratios):
             limit.succeeded(ratio, True, 1.0 * index)
-            assert 1.0 <= limit.value(1.0 * index) <= 8.0
+            assert 1.0 <= limit.value <= 8.0
 
     @given(st.lists(st.sampled_from(["first", "ran", "did not run"]), max_size=300))
     def test_retries_that_ran_stay_a_share_of_first_attempts(self, events):
