--- a/src/galenadrum/_internal/routing/prefix_cache.py
+++ b/src/galenadrum/_internal/routing/prefix_cache.py
@@ -2,7 +2,7 @@
 
 Cache events come late and with gaps, so an entry is a hint. Its confidence
 falls with its age and with each gap in the server's events, and rises again
-when the server stores the block anew or reports reused tokens.
+with each event that comes without a gap.
 """
 
 from __future__ import annotations
@@ -47,16 +47,6 @@
         """Record that a call with this prefix was sent to the server."""
         self._store(prefix_hashes, now)
 
-    def observed(
-        self, prefix_hashes: tuple[str, ...], expected: float, cached: int
-    ) -> None:
-        """Compare the reused tokens that a reply named with those expected."""
-        if expected <= PREFIX_BLOCK_TOKENS:
-            return
-        hit = min(1.0, cached / expected)
-        target = _MISS_CONFIDENCE + (_MAX_CONFIDENCE - _MISS_CONFIDENCE) * hit
-        self.confidence += 0.1 * (target - self.confidence)
-
     def clear(self) -> None:
         """Forget everything, as after a restart of the server."""
         self._stored_by_hash.clear()
