--- /dev/null
+++ b/benchmarks/entry_overhead.py
@@ -0,0 +1,128 @@
+"""What an entry host adds to its backend servers' own time, as a ratio.
+
+Run with ``make bench-entry``. The baseline calls the same backend servers one
+after the other, without an entry host. Prints a table and, as its last line,
+one JSON object.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import click
+import urllib3
+
+from benchmarks.process_figures import read_figures
+from lib.deployment import STAGES, Deployment, standard_changes
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One number of callers at a time.
+
+    Attributes:
+        ratio: Median time through the entry host over that of the baseline.
+        processor_ms: Processor time of the entry host for each request.
+    """
+
+    callers: int
+    direct_p50_ms: float
+    entry_p50_ms: float
+    entry_p99_ms: float
+    ratio: float
+    requests_per_s: float
+    processor_ms: float
+
+
+def measure(deployment: Deployment, entry: str, callers: int, requests: int) -> Row:
+    """Return the row of one number of callers."""
+    pool = urllib3.PoolManager(retries=False, maxsize=callers, timeout=60)
+    direct = _time_all(lambda n: _call_direct(deployment, pool, n), callers, requests)
+    pid = deployment.processes[entry].popen.pid
+    before = read_figures([pid])[pid].processor_s
+    started = time.monotonic()
+    through = _time_all(
+        lambda n: deployment.call(entry, "plan", f"n{n}"), callers, requests
+    )
+    seconds = time.monotonic() - started
+    processor_s = read_figures([pid])[pid].processor_s - before
+    direct_p50 = statistics.median(direct)
+    entry_p50 = statistics.median(through)
+    return Row(
+        callers,
+        direct_p50 * 1_000,
+        entry_p50 * 1_000,
+        sorted(through)[int(len(through) * 0.99)] * 1_000,
+        entry_p50 / direct_p50,
+        requests / seconds,
+        processor_s / requests * 1_000,
+    )
+
+
+def _time_all(call, callers: int, requests: int) -> list[float]:
+    def time_one(number: int) -> float:
+        started = time.perf_counter()
+        response = call(number)
+        if response.status != 200:
+            raise click.ClickException(f"a request failed: {response.data!r}")
+        return time.perf_counter() - started
+
+    with ThreadPoolExecutor(callers) as executor:
+        return list(executor.map(time_one, range(requests)))
+
+
+def _call_direct(deployment: Deployment, pool: urllib3.PoolManager, number: int):
+    stage_input: object = f"n{number}"
+    for stage in STAGES:
+        address = deployment.backends[f"{stage}-{number % 2}"]
+        response = pool.request(
+            "POST", f"http://{address}/v1/stages/{stage}", json={"input": stage_input}
+        )
+        if stage != STAGES[-1]:
+            stage_input = response.json()["output"]
+    return response
+
+
+@click.command()
+@click.option("--callers", "caller_counts", default="1,4,16")
+@click.option("--requests", default=400)
+@click.option("--service-ms", default=5.0)
+def main(caller_counts: str, requests: int, service_ms: float) -> None:
+    """Measure each number of callers and print the table."""
+    with tempfile.TemporaryDirectory(prefix="galenadrum-bench-") as folder:
+        deployment = Deployment(Path(folder))
+        try:
+            deployment.start_controls(1)
+            deployment.apply(standard_changes(), "first")
+            [entry] = deployment.start_entries(1)
+            for stage in STAGES:
+                for number in range(2):
+                    deployment.start_backend(
+                        f"{stage}-{number}", [stage], [entry], service_ms=service_ms
+                    )
+            deployment.wait_ready([entry], servers=2 * len(STAGES))
+            measure(deployment, entry, 1, 20)
+            rows = [
+                measure(deployment, entry, int(count), requests)
+                for count in caller_counts.split(",")
+            ]
+        finally:
+            deployment.close()
+    for row in rows:
+        click.echo(
+            f"{row.callers:3} callers  direct {row.direct_p50_ms:7.1f} ms"
+            f"  entry {row.entry_p50_ms:7.1f} ms (p99 {row.entry_p99_ms:7.1f} ms)"
+            f"  ratio {row.ratio:4.2f}  {row.requests_per_s:5.0f} requests/s"
+            f"  {row.processor_ms:5.2f} ms processor a request"
+        )
+    click.echo(json.dumps({"rows": [asdict(row) for row in rows]}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/galenadrum/_internal/commands/delete.py
@@ -0,0 +1,38 @@
+"""The command ``delete``."""
+
+from __future__ import annotations
+
+import click
+
+from galenadrum._internal.changes.preparing import prepare_deletions
+from galenadrum._internal.cli.changes import read_current, submit_and_report
+from galenadrum._internal.cli.options import (
+    ChangeOptions,
+    ControlOptions,
+    ResourceKeyType,
+    change_options,
+    control_options,
+)
+from galenadrum._internal.models.resources import ResourceKey
+
+
+@click.command("delete")
+@click.argument("keys", nargs=-1, required=True, type=ResourceKeyType())
+@change_options
+@control_options
+def command(
+    keys: tuple[ResourceKey, ...], options: ChangeOptions, control: ControlOptions
+) -> None:
+    r"""Delete resources, all of them together or none.
+
+    A resource that another one refers to can't be deleted before it; name
+    both in one command. A lost answer is handled as by apply.
+
+    \b
+    Example:
+      galenadrum delete pipeline/restock-plan stage/rerank-plan
+    """
+    client = control.connect()
+    current = read_current(client)
+    change_set = prepare_deletions(options.change_id, keys, current)
+    submit_and_report(client, change_set, options)
--- a/src/galenadrum/_internal/entry/request_service.py
+++ b/src/galenadrum/_internal/entry/request_service.py
@@ -11,9 +11,11 @@
 import logging
 import uuid
 from dataclasses import dataclass
-from typing import Any, NoReturn, Protocol
+from typing import Any, NoReturn
 
 from galenadrum._internal.entry.answers import refusal_body, refusal_status
+from galenadrum._internal.entry.claims_client import ClaimsClient
+from galenadrum._internal.entry.declarations import DeclarationsView
 from galenadrum._internal.entry.execution import (
     Action,
     Complete,
@@ -22,6 +24,7 @@
     SendCall,
 )
 from galenadrum._internal.entry.prefixes import estimate_tokens, prefix_hashes
+from galenadrum._internal.entry.request_telemetry import claim_span
 from galenadrum._internal.exceptions import RequestRefusedError
 from galenadrum._internal.models.callers import CallerRequest, RecordedAnswer
 from galenadrum._internal.models.requests import (
@@ -35,7 +38,6 @@
 from galenadrum._internal.models.resources import (
     OrganisationSpec,
     PipelineSpec,
-    StageSpec,
 )
 
 logger = logging.getLogger(__name__)
@@ -48,39 +50,6 @@
 _DEADLINE_MARGIN_S = 0.05
 
 
-class DeclarationsLookup(Protocol):
-    """The declared state that this entry host serves from."""
-
-    revision: int
-
-    def organisation_by_key_digest(
-        self, digest: str
-    ) -> tuple[str, OrganisationSpec] | None: ...
-
-    def pipeline_by_name(self, name: str) -> PipelineSpec | None: ...
-
-    def stage_by_name(self, name: str) -> StageSpec | None: ...
-
-
-class ClaimKeeper(Protocol):
-    """Claims of requests that may not be repeated."""
-
-    async def acquire(
-        self, request: Request, fingerprint: bytes
-    ) -> RecordedAnswer | None:
-        """Return None when granted, or the recorded answer.
-
-        Raises:
-            RequestRefusedError: The claim was refused.
-        """
-
-    async def record(self, request: Request, answer: RecordedAnswer) -> None: ...
-
-    def record_unknown(self, request: Request) -> None: ...
-
-    def release(self, request: Request) -> None: ...
-
-
 @dataclass(frozen=True, slots=True)
 class Opened:
     """A request that was taken on.
@@ -101,47 +70,82 @@
 
     Args:
         executor: The pure execution of pipelines.
-        lookup: Declared state.
+        view: Declared state.
         claims: Claims of requests that may not be repeated.
         max_in_flight: Requests in flight beyond which new ones are refused.
+
+    Attributes:
+        leaving: Whether the balancer is told to send no more callers.
+        draining: Whether new requests are refused.
     """
 
     def __init__(
         self,
         executor: PipelineExecutor,
-        lookup: DeclarationsLookup,
-        claims: ClaimKeeper,
+        view: DeclarationsView,
+        claims: ClaimsClient,
         max_in_flight: int,
     ) -> None:
         self._executor = executor
-        self._lookup = lookup
+        self._view = view
         self._claims = claims
         self._max_in_flight = max_in_flight
         self._open_by_id: dict[str, Request] = {}
         self._claimed_ids: set[str] = set()
         self._steps_by_id: dict[str, asyncio.Future[Dispatch | None]] = {}
         self._wakeup = asyncio.Event()
+        self.leaving = False
         self.draining = False
 
+    @property
+    def not_ready_reason(self) -> str:
+        """Why the balancer should send no callers here; empty when it may."""
+        if self.leaving or self.draining:
+            return "shutting down"
+        if not self._view.is_ready:
+            return "no declarations yet"
+        return ""
+
     @property
     def in_flight(self) -> int:
         """Number of requests that have no final answer yet."""
         return len(self._open_by_id)
 
-    async def open(self, caller_request: CallerRequest) -> Opened:
+    async def open(self, caller_request: CallerRequest, traceparent: str) -> Opened:
         """Take a request on and wait for its first stage call.
 
         Raises:
             RequestRefusedError: The final answer is a refusal.
         """
-        now = self._now()
         request, unrepeatable = self._resolve(caller_request)
-        refusal = self._executor.admit(request, now)
-        if refusal is not None:
-            raise RequestRefusedError(refusal)
-        self._open_by_id[request.request_id] = request
+        self._admit(request)
         try:
-            return await self._start(caller_request, request, unrepeatable)
+            if unrepeatable:
+                with claim_span(request, traceparent):
+                    recorded = await self._acquire(caller_request, request)
+                if recorded is not None:
+                    self._forget(request)
+                    return Opened(request, unrepeatable, None, recorded)
+                self._claimed_ids.add(request.request_id)
+            return await self._begin(request, unrepeatable)
+        except BaseException:
+            self._open_by_id.pop(request.request_id, None)
+            raise
+
+    async def open_forwarded(
+        self, request: Request, unrepeatable: frozenset[str]
+    ) -> Opened:
+        """Take over a stage call of another zone's entry host.
+
+        That host holds the claim of a request that may not be repeated.
+
+        Raises:
+            RequestRefusedError: The final answer is a refusal.
+        """
+        self._check_open()
+        self._admit(request)
+        try:
+            return await self._begin(request, unrepeatable)
         except BaseException:
             self._open_by_id.pop(request.request_id, None)
             raise
@@ -198,7 +202,7 @@
             self.carry_out(self._executor.tick(self._now()))
 
     def _resolve(self, caller_request: CallerRequest) -> tuple[Request, frozenset[str]]:
-        self._check_open(caller_request)
+        self._check_open()
         name, organisation = self._authenticate(caller_request.key)
         pipeline = self._find_pipeline(caller_request.pipeline, organisation)
         unrepeatable = self._unrepeatable_stages(pipeline)
@@ -210,8 +214,8 @@
         request = _build_request(caller_request, name, organisation, pipeline)
         return request, unrepeatable
 
-    def _check_open(self, caller_request: CallerRequest) -> None:
-        if self._lookup.revision == 0:
+    def _check_open(self) -> None:
+        if not self._view.is_ready:
             _refuse(
                 RefusalReason.NOT_READY,
                 "this entry host has no declarations yet",
@@ -232,13 +236,13 @@
 
     def _authenticate(self, key: str) -> tuple[str, OrganisationSpec]:
         digest = hashlib.sha256(key.encode()).hexdigest()
-        found = self._lookup.organisation_by_key_digest(digest)
+        found = self._view.organisation_by_key_digest(digest)
         if found is None:
             _refuse(RefusalReason.UNAUTHORISED, "no organisation has this key")
         return found
 
     def _find_pipeline(self, name: str, organisation: OrganisationSpec) -> PipelineSpec:
-        pipeline = self._lookup.pipeline_by_name(name)
+        pipeline = self._view.pipeline_by_name(name)
         allowed = not organisation.pipelines or name in organisation.pipelines
         if pipeline is None or not allowed:
             _refuse(RefusalReason.UNKNOWN_PIPELINE, f"no pipeline is named {name!r}")
@@ -247,24 +251,22 @@
     def _unrepeatable_stages(self, pipeline: PipelineSpec) -> frozenset[str]:
         names = set()
         for stage in pipeline.stages:
-            spec = self._lookup.stage_by_name(stage)
+            spec = self._view.stage_by_name(stage)
             if spec is not None and not spec.repeatable:
                 names.add(stage)
         return frozenset(names)
 
-    async def _start(
-        self,
-        caller_request: CallerRequest,
-        request: Request,
-        unrepeatable: frozenset[str],
-    ) -> Opened:
-        if unrepeatable:
-            recorded = await self._acquire(caller_request, request)
-            if recorded is not None:
-                self._executor.cancel_admission(request, self._now())
-                self._open_by_id.pop(request.request_id)
-                return Opened(request, unrepeatable, None, recorded)
-            self._claimed_ids.add(request.request_id)
+    def _admit(self, request: Request) -> None:
+        refusal = self._executor.admit(request, self._now())
+        if refusal is not None:
+            raise RequestRefusedError(refusal)
+        self._open_by_id[request.request_id] = request
+
+    def _forget(self, request: Request) -> None:
+        self._executor.cancel_admission(request, self._now())
+        self._open_by_id.pop(request.request_id, None)
+
+    async def _begin(self, request: Request, unrepeatable: frozenset[str]) -> Opened:
         actions = self._executor.begin(
             request, unrepeatable, self._now(), claimed=bool(unrepeatable)
         )
@@ -277,7 +279,7 @@
         try:
             return await self._claims.acquire(request, _fingerprint(caller_request))
         except BaseException:
-            self._executor.cancel_admission(request, self._now())
+            self._forget(request)
             raise
 
     async def _step(
@@ -288,11 +290,13 @@
         self._steps_by_id[request_id] = step
         self.carry_out(actions)
         try:
-            async with asyncio.timeout_at(request.deadline + _DEADLINE_MARGIN_S):
-                return await step
-        except TimeoutError:
-            self.abandon(request, RefusalReason.DEADLINE)
-            return await step
+            # Waits without cancelling: the step still takes the refusal that
+            # giving the request up brings.
+            until = request.deadline + _DEADLINE_MARGIN_S
+            await asyncio.wait({step}, timeout=max(0.0, until - self._now()))
+            if not step.done():
+                self.abandon(request, RefusalReason.DEADLINE)
+            return step.result()
         except asyncio.CancelledError:
             step.cancel()
             self.abandon(request, RefusalReason.DEADLINE)
--- a/src/galenadrum/_internal/models/settings.py
+++ b/src/galenadrum/_internal/models/settings.py
@@ -21,11 +21,14 @@
 
     Attributes:
         trace_file: File of JSON lines that spans are appended to, or None.
+        trace_percent: Share of the traces begun here that are recorded; a
+            caller's own choice, in its traceparent, goes first.
     """
 
     log_level: str = "INFO"
     log_format: LogFormat = LogFormat.AUTO
     trace_file: Path | None = None
+    trace_percent: int = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,8 @@
         heartbeat_ms: Interval between a leader's heartbeats.
         election_timeout_ms: Shortest silence after which a member asks for
             votes; a random part of the same length is added.
+        replaces: Member whose disk was lost and whose place this one takes
+            when it joins; empty otherwise.
         change_id_retention_s: How long a resent change finds its outcome.
     """
 
@@ -118,6 +123,7 @@
     members: tuple[ControlMember, ...]
     operators: tuple[Operator, ...]
     join_addresses: tuple[str, ...] = ()
+    replaces: str = ""
     heartbeat_ms: int = 150
     election_timeout_ms: int = 1_000
     change_id_retention_s: int = 86_400
