Count dispatches to check what is refused as not run

Cause: the check read the same field as the answer it checked. Change: dispatches and ends that did not run are counted on their own; unused methods removed. Measured: pytest tests/unit/routing tests/unit/test_execution.py.

--- a/src/galenadrum/_internal/routing/ledger.py
+++ b/src/galenadrum/_internal/routing/ledger.py
@@ -25,6 +25,8 @@
         in_flight: Server by key of the dispatched calls.
         may_have_run: Whether an attempt ended other than as certainly not run.
         has_run: Whether an attempt certainly ran.
+        dispatches: Calls that were given to a server or another zone.
+        not_run_ends: Those of them that certainly did not run.
         ended: Whether the request ended while a call was still in flight.
     """
 
@@ -34,6 +36,8 @@
     queued: set[CallKey] = field(default_factory=set)
     may_have_run: bool = False
     has_run: bool = False
+    dispatches: int = 0
+    not_run_ends: int = 0
     ended: bool = False
 
     @property
@@ -103,6 +107,7 @@
         """Record that a call was given to a server."""
         self.dequeue(record, call.key)
         record.in_flight[call.key] = server_id
+        record.dispatches += 1
         self._drop_cost(record, call.stage_index)
 
     def end_call(self, call: StageCall, server_id: str, outcome: Outcome) -> None:
@@ -112,7 +117,9 @@
             raise InvariantError(f"call {call.key} was not in flight on {server_id}")
         if outcome in (Outcome.COMPLETED, Outcome.FAILED):
             record.has_run = True
-        elif outcome is not Outcome.NOT_RUN:
+        elif outcome is Outcome.NOT_RUN:
+            record.not_run_ends += 1
+        else:
             record.may_have_run = True
         if record.ended and not record.in_flight:
             del self._records_by_id[call.request.request_id]
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -288,6 +288,8 @@
         return True
 
     def _refuse(self, request: Request, reason: RefusalReason, now: float) -> Refusal:
+        if self._ledger.get(request.request_id) is not None:
+            raise InvariantError(f"request {request.request_id} refused while open")
         self.counters.refused_by_reason[reason.value] += 1
         return Refusal(
             reason=reason,
@@ -481,8 +483,8 @@
         record = self._ledger.require(call.request.request_id)
         self._ledger.dequeue(record, call.key)
         run = record.run_state
-        if run is RunState.NOT_RUN and record.in_flight:
-            raise InvariantError(f"call {call.key} refused as not run while in flight")
+        if run is RunState.NOT_RUN and record.dispatches > record.not_run_ends:
+            raise InvariantError(f"call {call.key} refused as not run may have run")
         self.counters.rejected_by_reason[reason.value] += 1
         refusal = Refusal(
             reason=reason,
--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -180,7 +180,7 @@
         ratio = result.service_s / self._times.expected(call.stage, size)
         failed = result.outcome in (Outcome.FAILED, Outcome.UNKNOWN, Outcome.NOT_RUN)
         if result.outcome is Outcome.COMPLETED:
-            self._learn_time(call.stage, size, server_id, result, now)
+            self._times.observe(call.stage, size, server_id, result.service_s, now)
             if self._mechanisms.limits:
                 record.limit.succeeded(ratio, reached, now)
         elif result.outcome is Outcome.NOT_RUN:
@@ -196,15 +196,6 @@
         self._drop_if_unused(server_id, record)
         return record.announcement.stages
 
-    def next_probe(self) -> float | None:
-        """Return the loop time at which the next ejected server is probed."""
-        times = [
-            record.health.probe_at
-            for record in self._records_by_id.values()
-            if record.health.ejected and record.serving and not record.health.probing
-        ]
-        return min(times, default=None)
-
     def _capacity_age_s(self, stage: str) -> float:
         """Return how old a stage's capacity may be, in seconds.
 
@@ -235,16 +226,6 @@
             len(records), slots, free, total_limit, least, failures / len(records)
         )
 
-    def _learn_time(
-        self,
-        stage: str,
-        size: CallSize,
-        server_id: str,
-        result: AttemptResult,
-        now: float,
-    ) -> None:
-        self._times.observe(stage, size, server_id, result.service_s, now)
-
     def _judge(
         self,
         call: StageCall,
