--- a/src/galenadrum/_internal/routing/pool.py
+++ b/src/galenadrum/_internal/routing/pool.py
@@ -21,6 +21,8 @@
 
 _GOOD_PROBE_RATIO = 2.5
 _ROUNDING_CALLS = 0.5
+_SMALL_POOL = 8
+_LARGE_POOL_CAPACITY_AGE_S = 0.02
 _STALLED_RATIO = 2.0
 _MAX_ALLOWANCE_SHARE = 0.5
 _UNKNOWN_SHARE = 0.25
@@ -82,8 +84,8 @@
         self._random = random
         self._records_by_id: dict[str, ServerRecord] = {}
         self._ids_by_stage: dict[str, list[str]] = {}
-        self._started = False
         self._capacity_by_stage: dict[str, tuple[float, StageCapacity]] = {}
+        self._judged_at_by_stage: dict[str, float] = {}
 
     def update(self, announcements: Iterable[Announcement], now: float) -> None:
         """Take in the servers that stand announced; others are gone."""
@@ -95,7 +97,6 @@
             if server_id not in seen:
                 record.present = False
                 self._drop_if_unused(server_id, record)
-        self._started = self._started or bool(seen)
         self._index_stages()
 
     def records(self) -> dict[str, ServerRecord]:
@@ -113,7 +114,7 @@
     def capacity(self, stage: str, now: float) -> StageCapacity:
         """Return what the zone's servers can take for a stage."""
         known = self._capacity_by_stage.get(stage)
-        if known is not None and known[0] == now:
+        if known is not None and now - known[0] <= self._capacity_age_s(stage):
             return known[1]
         capacity = self._work_out_capacity(stage, now)
         self._capacity_by_stage[stage] = (now, capacity)
@@ -130,10 +131,12 @@
         candidates = []
         for server_id in sample(ids, self._random):
             record = self._records_by_id[server_id]
-            if self._has_room(record, call.stage, now):
-                candidates.append(
-                    self._candidate(call, size, uses_prefix, server_id, now)
-                )
+            roomy = self._has_room(record, call.stage, now)
+            if not (roomy or uses_prefix):
+                continue
+            candidate = self._candidate(call, size, uses_prefix, server_id, now)
+            if roomy or self._pays_to_queue(candidate):
+                candidates.append(candidate)
         return candidates
 
     def reusable_tokens(self, stage: str, prefix: tuple[str, ...], now: float) -> float:
@@ -153,7 +156,8 @@
         if call.stage not in record.announcement.stages:
             raise InvariantError(f"{candidate.server_id} does not serve {call.stage}")
         record.load.start(call.key, candidate.nominal_s, now)
-        self._capacity_by_stage.clear()
+        for stage in record.announcement.stages:
+            self._note_change(stage)
         if candidate.probe:
             record.health.probing = True
             record.probe_key = call.key
@@ -171,12 +175,12 @@
     ) -> tuple[str, ...]:
         """Learn from the end of a call; return the stages with room now."""
         record = self._records_by_id[server_id]
-        reached = record.load.total(now) >= record.limit.value(now) - 1.0
+        reached = record.load.total(now) >= record.limit.value - 1.0
         record.load.end(call.key, now)
         ratio = result.service_s / self._times.expected(call.stage, size)
         failed = result.outcome in (Outcome.FAILED, Outcome.UNKNOWN, Outcome.NOT_RUN)
         if result.outcome is Outcome.COMPLETED:
-            self._learn_time(call.stage, size, server_id, result, now)
+            self._times.observe(call.stage, size, server_id, result.service_s, now)
             if self._mechanisms.limits:
                 record.limit.succeeded(ratio, reached, now)
         elif result.outcome is Outcome.NOT_RUN:
@@ -187,18 +191,22 @@
                 call.stage, size, server_id, result.service_s, now
             )
         self._judge(call, server_id, record, failed, ratio, now)
-        self._capacity_by_stage.clear()
+        for stage in record.announcement.stages:
+            self._note_change(stage)
         self._drop_if_unused(server_id, record)
         return record.announcement.stages
 
-    def next_probe(self) -> float | None:
-        """Return the loop time at which the next ejected server is probed."""
-        times = [
-            record.health.probe_at
-            for record in self._records_by_id.values()
-            if record.health.ejected and record.serving and not record.health.probing
-        ]
-        return min(times, default=None)
+    def _capacity_age_s(self, stage: str) -> float:
+        """Return how old a stage's capacity may be, in seconds.
+
+        In a large pool one call changes little and working it out costs most.
+        """
+        large = len(self._ids_by_stage.get(stage, ())) > _SMALL_POOL
+        return _LARGE_POOL_CAPACITY_AGE_S if large else 0.0
+
+    def _note_change(self, stage: str) -> None:
+        if len(self._ids_by_stage.get(stage, ())) <= _SMALL_POOL:
+            self._capacity_by_stage.pop(stage, None)
 
     def _work_out_capacity(self, stage: str, now: float) -> StageCapacity:
         records = self._usable(stage)
@@ -208,7 +216,7 @@
         least = min(slownesses)
         slots = free = total_limit = failures = 0.0
         for (_, record), slowness in zip(records, slownesses, strict=True):
-            limit = record.limit.value(now)
+            limit = record.limit.value
             others = self._others(record, now)
             slots += max(1.0, limit - others) * least / slowness
             free += max(0.0, limit - others - len(record.load.in_flight))
@@ -218,16 +226,6 @@
             len(records), slots, free, total_limit, least, failures / len(records)
         )
 
-    def _learn_time(
-        self,
-        stage: str,
-        size: CallSize,
-        server_id: str,
-        result: AttemptResult,
-        now: float,
-    ) -> None:
-        self._times.observe(stage, size, server_id, result.service_s, now)
-
     def _judge(
         self,
         call: StageCall,
@@ -250,6 +248,10 @@
             self._eject_outlier(call.stage, now)
 
     def _eject_outlier(self, stage: str, now: float) -> None:
+        judged_at = self._judged_at_by_stage.get(stage, -1.0)
+        if now - judged_at < self._capacity_age_s(stage):
+            return
+        self._judged_at_by_stage[stage] = now
         peers = [
             PeerView(
                 server_id,
@@ -266,8 +268,7 @@
     def _update_one(self, announcement: Announcement, now: float) -> None:
         record = self._records_by_id.get(announcement.server_id)
         if record is None:
-            slow_start = self._mechanisms.slow_start and self._started
-            limit = ConcurrencyLimit(announcement.capacity, now, slow_start)
+            limit = ConcurrencyLimit(announcement.capacity)
             record = ServerRecord(announcement, limit)
             self._records_by_id[announcement.server_id] = record
             self._learn_announcement(record, announcement, now)
@@ -276,19 +277,17 @@
         record.present = True
         record.announcement = announcement
         if announcement.incarnation != known.incarnation:
-            self._restart(record, now)
+            self._restart(record)
         elif announcement.sequence == known.sequence:
             return
         record.limit.announce(announcement.capacity)
         self._learn_announcement(record, announcement, now)
 
-    def _restart(self, record: ServerRecord, now: float) -> None:
+    def _restart(self, record: ServerRecord) -> None:
         record.hints.clear()
         record.health = ServerHealth()
         record.probe_key = None
-        record.limit = ConcurrencyLimit(
-            record.announcement.capacity, now, self._mechanisms.slow_start
-        )
+        record.limit = ConcurrencyLimit(record.announcement.capacity)
         self._times.forget(record.announcement.server_id)
 
     def _learn_announcement(
@@ -326,7 +325,7 @@
         if own == 0:
             return True
         total = own + self._others(record, now)
-        limit = record.limit.value(now)
+        limit = record.limit.value
         allowed = limit + self._queue_allowance(record, stage, limit, now)
         return total + 1.0 <= allowed
 
@@ -337,6 +336,15 @@
         stalled = record.load.stall_ratio(now)
         return max(learned, stalled) if stalled > _STALLED_RATIO else learned
 
+    def _pays_to_queue(self, candidate: Candidate) -> bool:
+        """Return whether a kept prefix saves more time than queueing for it costs."""
+        if not self._mechanisms.prefix_queueing:
+            return False
+        over = candidate.total + 1.0 - candidate.limit
+        if over > _MAX_ALLOWANCE_SHARE * candidate.limit:
+            return False
+        return candidate.service_s * over / candidate.limit < candidate.prefill_saved_s
+
     def _queue_allowance(
         self, record: ServerRecord, stage: str, limit: float, now: float
     ) -> float:
@@ -385,7 +393,7 @@
             nominal_s=service_s / slowness,
             prefill_saved_s=whole_s - service_s,
             total=len(record.load.in_flight) + self._others(record, now),
-            limit=record.limit.value(now),
+            limit=record.limit.value,
             reused_tokens=reused,
             tried=server_id in call.tried_server_ids,
             probe=probe,
