Hand reports of backend servers to the policy together

Cause: an idle entry host with ten servers that renew each second spent 2.4% of a core, 0.2% without servers; the policy was given all servers at each renewal, and all servers renewed at the same entry host. Change: only joins, leaves and changes go to the policy at once; the stand-in servers begin with different entry hosts. Measured: benchmarks/control_cost.py, idle: 1 host 2.65% to 2.35%, 8 hosts 3.09% to 3.04%, most 3.80% to 3.50% (busy machine). Conclusion: a small gain; the rest is the announcements' HTTP and their spread.

--- a/src/galenadrum/_internal/demo/backend_server.py
+++ b/src/galenadrum/_internal/demo/backend_server.py
@@ -13,6 +13,7 @@
 import signal
 import threading
 import time
+import zlib
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -115,7 +116,7 @@
         with self._lock:
             self._sequence += 1
             body = self._announcement(state)
-        for entry_address in self._options.entry_addresses:
+        for entry_address in self._entry_addresses():
             try:
                 response = self._pool.request(
                     "POST", f"http://{entry_address}/v1/announcements", json=body
@@ -128,6 +129,14 @@
             logger.warning("announcement refused: %s", response.data.decode())
         return False
 
+    def _entry_addresses(self) -> tuple[str, ...]:
+        """Return all entry hosts; servers begin with different ones."""
+        addresses = self._options.entry_addresses
+        if not addresses:
+            return ()
+        start = zlib.crc32(self._options.server_id.encode()) % len(addresses)
+        return addresses[start:] + addresses[:start]
+
     def _announcement(self, state: str) -> dict[str, Any]:
         options = self._options
         return {
--- a/src/galenadrum/_internal/entry/backends.py
+++ b/src/galenadrum/_internal/entry/backends.py
@@ -36,8 +36,17 @@
         self._carry_out = carry_out
         self._seen_version = -1
 
+    def take_changes(self, zone: ZoneService) -> None:
+        """Tell the policy at once when servers joined, left or changed.
+
+        Reports alone wait for the next refresh: a zone's servers renew many
+        times a second.
+        """
+        if zone.registry.version != self._seen_version:
+            self.refresh(zone)
+
     def refresh(self, zone: ZoneService) -> None:
-        """Tell the policy when servers joined, left, changed or reported."""
+        """Tell the policy what servers there are and what they reported."""
         now = asyncio.get_running_loop().time()
         registry = zone.registry
         reports = registry.drain_reports(now)
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -84,7 +84,7 @@
         self.zone = ZoneService(
             settings,
             self._rng,
-            self._refresh_backends,
+            self._take_server_changes,
             self.directory.local_loads,
         )
         self.follower = self._build_follower()
@@ -199,8 +199,8 @@
         supervisor.add("requests", self.service.run_ticks)
         return supervisor
 
-    def _refresh_backends(self) -> None:
-        self.directory.refresh(self.zone)
+    def _take_server_changes(self) -> None:
+        self.directory.take_changes(self.zone)
 
     def _take_declarations(self, applied: Applied) -> None:
         self.policy.update_declarations(
