Declare the rate of the weight store and roles of replicas

Cause: orders to engines need the rate that the weight store allows, and how many replicas only prefill or decode. Change: three fields with defaults; a stored specification without them reads as before. Conclusion: nothing changes for declarations that don't name them.

--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -37,6 +37,7 @@
 _MAX_ADAPTERS = 256
 _MAX_ZONES = 64
 _MAX_REPLICAS = 10_000
+_MAX_LOADS_PER_MINUTE = 10_000
 _MAX_WEIGHT = 1e6
 _MAX_PRIORITY = 9
 _VERSION_MAX_CHARACTERS = 128
@@ -69,8 +70,13 @@
         "replicas_by_zone": fields.map_of(
             fields.name, fields.integer_between(0, _MAX_REPLICAS), _MAX_ZONES
         ),
+        "prefill_replicas": fields.integer_between(0, _MAX_REPLICAS),
+        "decode_replicas": fields.integer_between(0, _MAX_REPLICAS),
+    },
+    PolicySpec: {
+        "objective": fields.one_of(Objective),
+        "loads_per_minute": fields.integer_between(1, _MAX_LOADS_PER_MINUTE),
     },
-    PolicySpec: {"objective": fields.one_of(Objective)},
 }
 
 
--- a/src/galenadrum/_internal/models/resources.py
+++ b/src/galenadrum/_internal/models/resources.py
@@ -90,19 +90,31 @@
     Attributes:
         version: The version that should serve.
         adapters: Names of adapters that should be loaded beside it.
-        replicas_by_zone: Desired number of loaded replicas by zone name.
+        replicas_by_zone: Desired number of loaded replicas by zone name. Empty
+            leaves the engines as they are.
+        prefill_replicas: Replicas of each zone that only prefill.
+        decode_replicas: Replicas of each zone that only decode; those that are
+            left do both.
     """
 
     version: str
     adapters: tuple[str, ...] = ()
     replicas_by_zone: dict[str, int] = field(default_factory=dict)
+    prefill_replicas: int = 0
+    decode_replicas: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class PolicySpec:
-    """The objective of a deployment; the one resource is named ``default``."""
+    """The objective of a deployment; the one resource is named ``default``.
+
+    Attributes:
+        loads_per_minute: Loads of model weights that the weight store allows
+            in any minute, for all engines together.
+    """
 
     objective: Objective = Objective.ATTAINMENT
+    loads_per_minute: int = 12
 
 
 Spec = OrganisationSpec | StageSpec | PipelineSpec | ModelSpec | PolicySpec
