Give engines the orders that bring them to what is declared

Cause: nothing made engines load the declared models. Change: a reconciler without input or output, its driver in the leader, the replicated table of open orders, reports of engines by zones, the orders protocol with a stand-in engine, and what engines hold in a model's status.

--- a/src/galenadrum/_internal/control/daemon.py
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -9,6 +9,8 @@
 from galenadrum._internal.control.claims_service import ClaimsService
 from galenadrum._internal.control.declarations_service import DeclarationsService
 from galenadrum._internal.control.operator_api import build_operator_app
+from galenadrum._internal.control.orders.driver import OrdersDriver
+from galenadrum._internal.control.orders.reports import EngineReportsService
 from galenadrum._internal.control.proposals import Proposer
 from galenadrum._internal.control.replication.driver import ReplicatedLog
 from galenadrum._internal.control.state.in_force import InForce
@@ -32,12 +34,22 @@
         self._settings = settings
         rng = random.Random()
         self.state = ControlState()
-        self.log = ReplicatedLog(settings, self.state, rng)
+        self.log = ReplicatedLog(
+            settings, self.state, rng, on_leadership=self._note_leadership
+        )
         self.in_force = InForce()
         proposer = Proposer(self.log, self.state, rng, settings.change_id_retention_s)
+        self.orders = OrdersDriver(
+            self.log,
+            self.state,
+            proposer,
+            settings.election_timeout_ms / 1_000,
+            rng,
+        )
         declarations = DeclarationsService(self.log, self.state, self.in_force)
         claims = ClaimsService(proposer)
-        handlers = [*self.log.services(), declarations, claims]
+        reports = EngineReportsService(self.log, self.orders.take_report)
+        handlers = [*self.log.services(), declarations, claims, reports]
         self._peers = GrpcServer(settings.peer_address, handlers)
         self.operators = HttpServer(
             settings.operator_address,
@@ -48,12 +60,14 @@
                 self.in_force,
                 settings.operators,
                 proposer,
+                model_status_of=self.orders.status,
             ),
             _OPERATOR_LIMITS,
             f"{settings.member_id}-operators",
         )
         self._supervisor = Supervisor(settings.member_id, rng)
         self._supervisor.add("peers", self._peers.run)
+        self._supervisor.add("orders", self.orders.run)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -87,6 +101,9 @@
             await asyncio.gather(self._task, return_exceptions=True)
         await self.log.stop()
 
+    def _note_leadership(self, term: int, lease_until: float | None) -> None:
+        self.orders.note_leadership(term, lease_until)
+
 
 def run_control(settings: ControlSettings) -> None:
     """Run a control host until a stop signal arrives.
--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -10,7 +10,10 @@
 from urllib.parse import parse_qs
 
 from galenadrum._internal.control.operator_api.authentication import authenticate
-from galenadrum._internal.control.operator_api.calls import OperatorCalls
+from galenadrum._internal.control.operator_api.calls import (
+    ModelStatusOf,
+    OperatorCalls,
+)
 from galenadrum._internal.control.operator_api.change_requests import (
     parse_change_request,
     read_body,
@@ -77,6 +80,7 @@
     operators: Sequence[Operator],
     proposer: Proposer,
     operator_address_of: OperatorAddress = lambda peer_address: None,
+    model_status_of: ModelStatusOf = lambda model: None,
 ) -> Handler:
     """Return the application that answers operators.
 
@@ -89,8 +93,12 @@
         proposer: Proposes changes while this member leads.
         operator_address_of: Returns the operators' address of the control host
             with a peer address, when it is known.
+        model_status_of: Returns how the engines run a model, when it is known;
+            called on the loop.
     """
-    calls = OperatorCalls(log, state, in_force, proposer, _CALL_TIMEOUT_S)
+    calls = OperatorCalls(
+        log, state, in_force, proposer, _CALL_TIMEOUT_S, model_status_of
+    )
     app = OperatorApp(bridge, calls, operators, operator_address_of)
     return build_routes(
         {
@@ -231,8 +239,16 @@
     def _documents(self, resources: Sequence[Resource]) -> list[dict[str, Any]]:
         revisions = frozenset(resource.revision for resource in resources)
         statuses = self._call(self._calls.in_force_by_revision(revisions))
+        models = tuple(r.key.name for r in resources if r.key.kind is Kind.MODEL)
+        model_statuses = self._call(self._calls.model_statuses(models))
         return [
-            resource_document(resource, statuses[resource.revision])
+            resource_document(
+                resource,
+                statuses[resource.revision],
+                model_statuses.get(resource.key.name)
+                if resource.key.kind is Kind.MODEL
+                else None,
+            )
             for resource in resources
         ]
 
--- a/src/galenadrum/_internal/control/operator_api/calls.py
+++ b/src/galenadrum/_internal/control/operator_api/calls.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
+from galenadrum._internal.control.orders.status import ModelStatus
 from galenadrum._internal.control.proposals import Log, Proposer
 from galenadrum._internal.control.state.in_force import (
     HostStatus,
@@ -17,6 +19,8 @@
 from galenadrum._internal.protocol.commands_pb2 import ChangeResult, ChangeSet
 from galenadrum._internal.protocol.declarations_pb2 import WatchEvent
 
+ModelStatusOf = Callable[[str], ModelStatus | None]
+
 _LEADER = "leader"
 _LEADER_WITHOUT_LEASE = "leader_without_lease"
 
@@ -30,6 +34,7 @@
         in_force: Confirmations of entry hosts.
         proposer: Proposes changes while this member leads.
         timeout_s: Limit on each step that needs other members.
+        model_status_of: Returns how the engines run a model, when it is known.
     """
 
     def __init__(
@@ -39,12 +44,14 @@
         in_force: InForce,
         proposer: Proposer,
         timeout_s: float,
+        model_status_of: ModelStatusOf = lambda model: None,
     ) -> None:
         self._log = log
         self._state = state
         self._in_force = in_force
         self._proposer = proposer
         self._timeout_s = timeout_s
+        self._model_status_of = model_status_of
         self._signal = ChangeSignal()
         state.add_listener(self._signal.set)
 
@@ -78,6 +85,12 @@
             revision: self._in_force.status(revision, now) for revision in revisions
         }
 
+    async def model_statuses(
+        self, models: tuple[str, ...]
+    ) -> dict[str, ModelStatus | None]:
+        """Return how the engines run each of ``models``."""
+        return {model: self._model_status_of(model) for model in models}
+
     async def next_event(self, revision: int, wait_s: float) -> WatchEvent:
         """Return what happened after ``revision``, or a heartbeat in time."""
         if self._state.revision <= revision:
--- a/src/galenadrum/_internal/control/operator_api/documents.py
+++ b/src/galenadrum/_internal/control/operator_api/documents.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from galenadrum._internal.control.orders.status import ModelStatus
 from galenadrum._internal.control.state.in_force import HostStatus, InForceStatus
 from galenadrum._internal.declarations.references import references_of
 from galenadrum._internal.declarations.specs import unstructure_spec
@@ -14,10 +15,19 @@
 from galenadrum._internal.protocol.declarations_pb2 import ResourceRecord, WatchEvent
 
 _MAX_LISTED_HOSTS = 50
+_MAX_LISTED_ENGINES = 200
 
 
-def resource_document(resource: Resource, status: InForceStatus) -> dict[str, Any]:
-    """Return a resource with the place where it is in force."""
+def resource_document(
+    resource: Resource, status: InForceStatus, model: ModelStatus | None = None
+) -> dict[str, Any]:
+    """Return a resource with the place where it is in force.
+
+    A model also shows what the engines have loaded, once the leader knows.
+    """
+    shown = status_document(status)
+    if model is not None:
+        shown |= model_status_document(model)
     return {
         "kind": resource.key.kind.value,
         "name": resource.key.name,
@@ -25,7 +35,35 @@
         "revision": resource.revision,
         "generation": resource.generation,
         "spec": unstructure_spec(resource.spec),
-        "status": status_document(status),
+        "status": shown,
+    }
+
+
+def model_status_document(status: ModelStatus) -> dict[str, Any]:
+    """Return what the engines hold of a model; a long list of them is cut."""
+    failure = status.failure
+    return {
+        "loaded_by_zone": status.replicas_by_zone,
+        "engine_count": len(status.engines),
+        "engines": [
+            {
+                "engine_id": engine.engine_id,
+                "zone": engine.zone,
+                "version": engine.version,
+                "adapters": list(engine.adapters),
+                "role": engine.role,
+                "order": engine.order,
+            }
+            for engine in status.engines[:_MAX_LISTED_ENGINES]
+        ],
+        "failure": None
+        if failure is None
+        else {
+            "engine_id": failure.engine_id,
+            "message": failure.message,
+            "count": failure.count,
+            "retry_in_s": failure.retry_in_s,
+        },
     }
 
 
--- /dev/null
+++ b/src/galenadrum/_internal/control/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: what is declared about models becomes what they run."""
--- /dev/null
+++ b/src/galenadrum/_internal/control/orders/status.py
@@ -0,0 +1,106 @@
+"""What the leader knows of a model on the engines, for operators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from galenadrum._internal.control.orders.engines import Engine
+from galenadrum._internal.control.orders.reconciler import OpenOrder, Reconciler
+
+
+@dataclass(frozen=True, slots=True)
+class EngineStatus:
+    """What one engine holds of a model, and what it is ordered to do.
+
+    Attributes:
+        version: What it has loaded, or None.
+        order: The order under way, such as ``switch to 2 (sending)``.
+    """
+
+    engine_id: str
+    zone: str
+    version: str | None
+    adapters: tuple[str, ...]
+    role: str
+    order: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class FailureStatus:
+    """The last failure to load the declared version.
+
+    Attributes:
+        retry_in_s: Seconds until it may be tried again; 0 for now.
+    """
+
+    engine_id: str
+    message: str
+    count: int
+    retry_in_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ModelStatus:
+    """A model as the engines run it.
+
+    Attributes:
+        replicas_by_zone: Engines that hold the declared version, by zone.
+    """
+
+    replicas_by_zone: dict[str, int]
+    engines: tuple[EngineStatus, ...]
+    failure: FailureStatus | None
+
+
+def describe_model(reconciler: Reconciler, model: str, now: float) -> ModelStatus:
+    """Return the status of a model at loop time ``now`` in seconds."""
+    spec = reconciler.declared.models_by_name.get(model)
+    version = spec.version if spec is not None else ""
+    engines = []
+    replicas_by_zone: dict[str, int] = {}
+    for engine_id, engine in sorted(reconciler.engines.by_id.items()):
+        opened = reconciler.orders_by_engine.get(engine_id)
+        held = engine.contents.versions_by_model.get(model)
+        is_ordered = opened is not None and opened.order.model == model
+        if not engine.is_live(now) or (held is None and not is_ordered):
+            continue
+        engines.append(_engine_status(engine, held, opened if is_ordered else None))
+        if held == version:
+            zone = engine.reported.zone
+            replicas_by_zone[zone] = replicas_by_zone.get(zone, 0) + 1
+    failure = _failure_status(reconciler, model, version, now)
+    return ModelStatus(replicas_by_zone, tuple(engines), failure)
+
+
+def _engine_status(
+    engine: Engine, held: str | None, opened: OpenOrder | None
+) -> EngineStatus:
+    return EngineStatus(
+        engine_id=engine.reported.engine_id,
+        zone=engine.reported.zone,
+        version=held,
+        adapters=tuple(sorted(engine.contents.adapters)),
+        role=engine.contents.role,
+        order=_describe_order(opened) if opened is not None else None,
+    )
+
+
+def _describe_order(opened: OpenOrder) -> str:
+    order = opened.order
+    target = order.role or order.version
+    return f"{order.action.value} {target} ({opened.phase.value})"
+
+
+def _failure_status(
+    reconciler: Reconciler, model: str, version: str, now: float
+) -> FailureStatus | None:
+    delay = reconciler.delay(model, version)
+    if delay is None:
+        return None
+    failure, retry_at = delay
+    return FailureStatus(
+        failure.engine_id,
+        failure.message,
+        failure.count,
+        max(0.0, round(retry_at - now, 1)),
+    )
--- a/src/galenadrum/_internal/control/proposals.py
+++ b/src/galenadrum/_internal/control/proposals.py
@@ -18,6 +18,7 @@
     Command,
     CommandResult,
 )
+from galenadrum._internal.protocol.engines_pb2 import EngineOrder, OrderClosing
 
 CHANGE_ID_RETENTION_S = 86_400
 CLAIM_RETENTION_S = 86_400
@@ -80,6 +81,18 @@
         """Propose the outcome of a claim; see ``_propose`` for the errors."""
         return await self._propose(Command(record_outcome=request), timeout_s)
 
+    async def propose_order(
+        self, order: EngineOrder, timeout_s: float
+    ) -> CommandResult:
+        """Propose to record an order; see ``_propose`` for the errors."""
+        return await self._propose(Command(record_order=order), timeout_s)
+
+    async def propose_order_closing(
+        self, closing: OrderClosing, timeout_s: float
+    ) -> CommandResult:
+        """Propose how an order ended; see ``_propose`` for the errors."""
+        return await self._propose(Command(close_order=closing), timeout_s)
+
     async def _propose(self, command: Command, timeout_s: float) -> CommandResult:
         """Stamp and propose a command.
 
--- a/src/galenadrum/_internal/control/state/machine.py
+++ b/src/galenadrum/_internal/control/state/machine.py
@@ -18,6 +18,7 @@
     result_of,
 )
 from galenadrum._internal.control.state.claims import MAX_CLAIMS, ClaimTable
+from galenadrum._internal.control.state.orders import OrderTable
 from galenadrum._internal.declarations.records import key_of, resource_of
 from galenadrum._internal.declarations.table import MAX_DELETIONS, ResourceTable
 from galenadrum._internal.exceptions import (
@@ -42,10 +43,13 @@
     StateSnapshot,
 )
 from galenadrum._internal.protocol.declarations_pb2 import ResourceId, WatchEvent
+from galenadrum._internal.protocol.engines_pb2 import OrderResult
 
 logger = logging.getLogger(__name__)
 
-_Body = ChangeResult | ClaimResponse | RecordOutcomeResponse | CommandError
+_Body = (
+    ChangeResult | ClaimResponse | RecordOutcomeResponse | CommandError | OrderResult
+)
 
 
 class ControlState:
@@ -55,6 +59,7 @@
     members that applied the same commands hold the same state.
 
     Attributes:
+        orders: Orders to engines.
         revision: Revision of the last accepted change set that changed
             anything; it never falls.
     """
@@ -68,6 +73,7 @@
         self._holders = KeyHolders()
         self._change_ids = ChangeIds()
         self._claims = ClaimTable(max_claims)
+        self.orders = OrderTable()
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -182,6 +188,7 @@
             change_ids=self._change_ids.snapshot(),
             change_id_sequence=self._change_ids.sequence,
             claims=self._claims.snapshot(),
+            orders=self.orders.snapshot(),
         )
         return snapshot.SerializeToString(deterministic=True)
 
@@ -205,6 +212,7 @@
         self._restore_table(snapshot, resources, deletions)
         self._change_ids.restore(snapshot.change_ids, snapshot.change_id_sequence)
         self._claims.restore(snapshot.claims)
+        self.orders.restore(snapshot.orders)
         self._notify()
 
     def _restore_table(
@@ -226,6 +234,7 @@
         self._table.cluster_id = self._table.cluster_id or command.cluster_id
         self._change_ids.expire(self._time_ms)
         self._claims.expire(self._time_ms)
+        self.orders.expire(self._time_ms)
 
     def _dispatch(self, command: Command) -> _Body:
         body = command.WhichOneof("body")
@@ -238,6 +247,10 @@
             return self._claims.record(
                 command.record_outcome, self._time_ms, retention_ms
             )
+        if body == "record_order":
+            return self.orders.record(command.record_order, self._time_ms)
+        if body == "close_order":
+            return self.orders.close(command.close_order)
         return _malformed("the command has no body")
 
     def _apply_change_set(self, command: Command) -> ChangeResult:
@@ -325,6 +338,8 @@
         result = CommandResult(claim=body)
     elif isinstance(body, RecordOutcomeResponse):
         result = CommandResult(record_outcome=body)
+    elif isinstance(body, OrderResult):
+        result = CommandResult(order=body)
     else:
         result = CommandResult(error=body)
     return result.SerializeToString(deterministic=True)
--- /dev/null
+++ b/src/galenadrum/_internal/demo/engine.py
@@ -0,0 +1,274 @@
+"""A stand-in for a model engine that takes orders over HTTP.
+
+It holds models by name, takes a set time for each load, and checks fencing
+numbers or ignores them. It serves no stages: only orders and queries.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import click
+import urllib3
+
+from galenadrum._internal.models.settings import CallerLimits
+from galenadrum._internal.network.engine_client import (
+    FENCING_HEADER,
+    MODELS_PATH,
+    ORDERS_PATH,
+)
+from galenadrum._internal.network.http_server import HttpServer
+
+_ANNOUNCE_TIMEOUT_S = 1.0
+_MAX_REMEMBERED_ORDERS = 100
+_FENCING_KEY = "HTTP_" + FENCING_HEADER.upper().replace("-", "_")
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """How an engine behaves.
+
+    Attributes:
+        models: Pairs of model and version that it holds from the start.
+        load_ms: Time that each load takes.
+        failing_versions: Versions whose load fails.
+    """
+
+    server_id: str
+    zone: str
+    stages: tuple[str, ...]
+    entry_addresses: tuple[str, ...]
+    listen: str = "127.0.0.1:0"
+    models: tuple[tuple[str, str], ...] = ()
+    checks_fencing: bool = False
+    load_ms: float = 50.0
+    ttl_s: float = 3.0
+    failing_versions: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class EngineState:
+    """What the engine holds, and the orders that it took.
+
+    Attributes:
+        orders_by_id: The orders taken and how far each is, oldest first.
+        runs: Orders as they began: id, fencing, action, version.
+    """
+
+    versions_by_model: dict[str, str]
+    adapters: set[str] = field(default_factory=set)
+    role: str = "both"
+    highest_fencing: int = 0
+    orders_by_id: OrderedDict[str, dict[str, str]] = field(default_factory=OrderedDict)
+    runs: list[tuple[str, int, str, str]] = field(default_factory=list)
+
+
+class EngineServer:
+    """Takes orders until it is stopped."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self._options = options
+        self.state = EngineState(dict(options.models))
+        self._lock = threading.Lock()
+        self._http = HttpServer(
+            options.listen, self._application, CallerLimits(workers=8), "engine"
+        )
+        self._pool = urllib3.PoolManager(retries=False, timeout=_ANNOUNCE_TIMEOUT_S)
+        self._stopping = threading.Event()
+        self._incarnation = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._threads: list[threading.Thread] = []
+
+    @property
+    def address(self) -> str:
+        """The IP number and port that the engine listens on."""
+        return self._http.address
+
+    def start(self) -> None:
+        """Listen and begin to announce."""
+        self._http.start()
+        if self._options.entry_addresses:
+            self._spawn(self._announce_until_stopped)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+        self._http.stop()
+
+    def _spawn(self, target: Any, *arguments: Any) -> None:
+        thread = threading.Thread(target=target, args=arguments)
+        self._threads.append(thread)
+        thread.start()
+
+    def _announce_until_stopped(self) -> None:
+        while not self._stopping.is_set():
+            body = self._announcement()
+            for entry_address in self._options.entry_addresses:
+                url = f"http://{entry_address}/v1/announcements"
+                try:
+                    response = self._pool.request("POST", url, json=body)
+                except urllib3.exceptions.HTTPError:
+                    continue
+                if response.status == 200:
+                    break
+            self._stopping.wait(self._options.ttl_s / 3)
+
+    def _announcement(self) -> dict[str, Any]:
+        options = self._options
+        with self._lock:
+            self._sequence += 1
+            return {
+                "server_id": options.server_id,
+                "incarnation": self._incarnation,
+                "sequence": self._sequence,
+                "address": self.address,
+                "zone": options.zone,
+                "stages": list(options.stages),
+                "capacity": 1,
+                "ttl_s": options.ttl_s,
+                "state": "serving",
+                "model_versions": list(self.state.versions_by_model.items()),
+                "adapters": sorted(self.state.adapters),
+                "role": self.state.role,
+                "checks_fencing": options.checks_fencing,
+            }
+
+    def _application(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        fencing = int(environ.get(_FENCING_KEY) or 0)
+        route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        if route == ("GET", MODELS_PATH):
+            return _send(start_response, "200 OK", self._describe(fencing))
+        if route != ("POST", ORDERS_PATH):
+            return _send(start_response, "404 Not Found", {"message": "no such path"})
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        order = json.loads(environ["wsgi.input"].read(length))
+        status, message = self._take(order, fencing)
+        return _send(start_response, status, {"message": message})
+
+    def _describe(self, fencing: int) -> dict[str, Any]:
+        with self._lock:
+            state = self.state
+            self._note_fencing(fencing)
+            last = next(reversed(state.orders_by_id), None)
+            return {
+                "models": [
+                    {"model": model, "version": version}
+                    for model, version in state.versions_by_model.items()
+                ],
+                "adapters": sorted(state.adapters),
+                "role": state.role,
+                "order": last and {"order_id": last, **state.orders_by_id[last]},
+            }
+
+    def _take(self, order: dict[str, Any], fencing: int) -> tuple[str, str]:
+        with self._lock:
+            state = self.state
+            if not self._note_fencing(fencing):
+                return "409 Conflict", f"the number {state.highest_fencing} was seen"
+            if order["order_id"] in state.orders_by_id:
+                return "202 Accepted", ""
+            last = next(reversed(state.orders_by_id), None)
+            if last and state.orders_by_id[last]["state"] == "running":
+                return "409 Conflict", f"order {last} is under way"
+            state.orders_by_id[order["order_id"]] = {"state": "running"}
+            state.runs.append(
+                (order["order_id"], fencing, order["action"], order["version"])
+            )
+            while len(state.orders_by_id) > _MAX_REMEMBERED_ORDERS:
+                state.orders_by_id.popitem(last=False)
+        self._spawn(self._carry_out, order)
+        return "202 Accepted", ""
+
+    def _note_fencing(self, fencing: int) -> bool:
+        """Remember the highest number; return whether this one may order."""
+        if not self._options.checks_fencing:
+            return True
+        is_current = fencing >= self.state.highest_fencing
+        self.state.highest_fencing = max(self.state.highest_fencing, fencing)
+        return is_current
+
+    def _carry_out(self, order: dict[str, Any]) -> None:
+        self._stopping.wait(self._options.load_ms / 1_000)
+        with self._lock:
+            result = self.state.orders_by_id[order["order_id"]]
+            loads = order["action"] in ("load", "switch")
+            if loads and order["version"] in self._options.failing_versions:
+                result |= {"state": "failed", "message": "the weights are damaged"}
+                return
+            self._change(order)
+            result["state"] = "done"
+
+    def _change(self, order: dict[str, Any]) -> None:
+        state = self.state
+        match order["action"]:
+            case "load" | "switch":
+                state.versions_by_model[order["model"]] = order["version"]
+                state.adapters.update(order["adapters"])
+            case "unload":
+                state.versions_by_model.pop(order["model"], None)
+            case "change_role":
+                state.role = order["role"]
+
+
+def _send(start_response: Any, status: str, body: dict[str, Any]) -> Iterable[bytes]:
+    encoded = json.dumps(body).encode()
+    start_response(
+        status,
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(encoded))),
+        ],
+    )
+    return [encoded]
+
+
+@click.command()
+@click.option("--server-id", required=True)
+@click.option("--zone", required=True)
+@click.option("--stage", "stages", multiple=True, required=True)
+@click.option("--entry", "entries", multiple=True, required=True)
+@click.option("--listen", default="127.0.0.1:0")
+@click.option("--model", "models", multiple=True, help="model=version")
+@click.option("--checks-fencing", default=False, type=bool)
+@click.option("--load-ms", default=50.0)
+@click.option("--failing-version", "failing", multiple=True)
+def main(
+    stages: tuple[str, ...],
+    entries: tuple[str, ...],
+    models: tuple[str, ...],
+    failing: tuple[str, ...],
+    **options: Any,
+) -> None:
+    """Run one engine until it is told to stop."""
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    signal.signal(signal.SIGINT, lambda *_: stop.set())
+    pairs = tuple(tuple(text.split("=", 1)) for text in models)
+    server = EngineServer(
+        EngineOptions(
+            stages=stages,
+            entry_addresses=entries,
+            models=pairs,
+            failing_versions=frozenset(failing),
+            **options,
+        )
+    )
+    server.start()
+    click.echo(server.address)
+    stop.wait()
+    server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -22,6 +22,7 @@
     open_watch,
 )
 from galenadrum._internal.entry.declarations_relay import DeclarationsRelay
+from galenadrum._internal.entry.engine_reports import EngineReporter
 from galenadrum._internal.entry.execution import PipelineExecutor
 from galenadrum._internal.entry.forwarded_stages_app import (
     ForwardedStagesApp,
@@ -31,6 +32,7 @@
 from galenadrum._internal.entry.request_service import RequestService
 from galenadrum._internal.entry.request_telemetry import RequestTelemetry
 from galenadrum._internal.entry.stage_runner import StageRunner
+from galenadrum._internal.membership.relay import choose_relays
 from galenadrum._internal.membership.zone_service import ZoneService
 from galenadrum._internal.models.settings import CallerLimits, EntrySettings
 from galenadrum._internal.network.bridge import LoopBridge
@@ -167,6 +169,16 @@
             self._rng,
         )
 
+    def _build_reporter(self) -> EngineReporter:
+        return EngineReporter(
+            self._settings.zone,
+            self._control,
+            self._reports_engines,
+            self.zone.servers,
+            lambda: self.view.stages_by_name,
+            self._rng,
+        )
+
     def _build_caller_routes(self) -> Handler:
         limits = self._settings.callers
         telemetry = RequestTelemetry(self.metrics, self.policy.explain)
@@ -197,8 +209,13 @@
         supervisor.add("declarations", self.follower.run)
         supervisor.add("backends", lambda: self.directory.run(self.zone))
         supervisor.add("requests", self.service.run_ticks)
+        supervisor.add("engines", self._build_reporter().run)
         return supervisor
 
+    def _reports_engines(self) -> bool:
+        relays = choose_relays(self.zone.hosts.live(self._loop.time()))
+        return self._settings.host_id in relays
+
     def _refresh_backends(self) -> None:
         self.directory.refresh(self.zone)
 
