--- a/src/galenadrum/_internal/control/orders/planning.py
+++ b/src/galenadrum/_internal/control/orders/planning.py
@@ -96,14 +96,15 @@
 
     A load on an engine that holds other models counts as touching them: the
     engine may need their room. Adapters are loaded beside a model that goes on
-    serving, and a model that no zone is to hold may lose its last replica.
+    serving. A model that isn't declared, or that no zone is to hold, may lose its
+    last replica.
     """
     engine = situation.engines_by_id[wanted.engine_id]
     return tuple(
         model
         for model, version in engine.contents.versions_by_model.items()
         if not _loads_adapters_only(wanted, model, version)
-        and not _is_withdrawn(situation.declared, model)
+        and _is_protected(situation.declared, model)
     )
 
 
@@ -115,14 +116,12 @@
     )
 
 
-def _is_withdrawn(declared: Declared, model: str) -> bool:
-    """Return whether no zone is to hold the model any more."""
+def _is_protected(declared: Declared, model: str) -> bool:
+    """Return whether the model is declared, and not to be unloaded everywhere."""
     spec = declared.models_by_name.get(model)
-    return (
-        spec is not None
-        and bool(spec.replicas_by_zone)
-        and not any(spec.replicas_by_zone.values())
-    )
+    if spec is None:
+        return False
+    return not spec.replicas_by_zone or any(spec.replicas_by_zone.values())
 
 
 def _is_disturbed(order: Order | None, model: str) -> bool:
--- /dev/null
+++ b/tests/functional/test_engine_orders.py
@@ -0,0 +1,136 @@
+import socket
+import threading
+from contextlib import contextmanager
+
+import pytest
+
+from galenadrum._internal.control.orders.messages import Order, OrderAction
+from galenadrum._internal.demo.engine import EngineOptions, EngineServer
+from galenadrum._internal.network.engine_client import (
+    EngineUnreachableError,
+    OrderNotSentError,
+    query_engine,
+    send_order,
+)
+from lib.deployment import Deployment, put
+from lib.processes import wait_until
+
+
+def build_order(order_id, fencing, version="1"):
+    return Order(order_id, fencing, "e", OrderAction.LOAD, "m", version)
+
+
+@contextmanager
+def running_engine(**options):
+    engine = EngineServer(EngineOptions("e", "z", ("generate",), (), **options))
+    engine.start()
+    try:
+        yield engine
+    finally:
+        engine.stop()
+
+
+class TestOrderOnSockets:
+    def test_an_order_sent_twice_runs_once(self):
+        with running_engine(load_ms=1) as engine:
+            for _ in range(2):
+                assert not send_order(
+                    engine.address, build_order("1-a", 1), lambda: 1.0
+                ).refusal
+            wait_until(lambda: engine.state.versions_by_model, "the load")
+            contents = query_engine(engine.address, 1, 1.0)
+            assert contents.versions_by_model == {"m": "1"}
+            assert contents.order_id == "1-a"
+            assert len(engine.state.runs) == 1
+
+    @pytest.mark.parametrize("checks_fencing", [False, True])
+    def test_a_query_fences_orders_of_earlier_terms(self, checks_fencing):
+        with running_engine(load_ms=1, checks_fencing=checks_fencing) as engine:
+            query_engine(engine.address, 2, 1.0)
+            answer = send_order(engine.address, build_order("1-a", 1), lambda: 1.0)
+            assert bool(answer.refusal) is checks_fencing
+            assert len(engine.state.runs) == (0 if checks_fencing else 1)
+
+    def test_nothing_is_written_once_the_lease_is_over(self):
+        remaining = iter((1.0, 0.0))
+        with running_engine() as engine:
+            with pytest.raises(OrderNotSentError):
+                send_order(
+                    engine.address, build_order("1-a", 1), lambda: next(remaining)
+                )
+            assert engine.state.runs == []
+
+    def test_an_engine_that_hangs_up_leaves_the_outcome_open(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+
+            def hang_up():
+                connection, _ = server.accept()
+                connection.recv(65_536)
+                connection.close()
+
+            thread = threading.Thread(target=hang_up)
+            thread.start()
+            with pytest.raises(EngineUnreachableError):
+                send_order(address, build_order("1-a", 1), lambda: 1.0)
+            thread.join()
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    deployment = Deployment(tmp_path)
+    try:
+        yield deployment
+    finally:
+        deployment.close()
+
+
+def model_change(version):
+    spec = {"version": version, "adapters": ["a"], "replicas_by_zone": {"zone-1": 2}}
+    return put("model", "m", spec)
+
+
+def model_status(deployment):
+    leader = deployment.find_leader()
+    if leader is None:
+        return {}
+    address = deployment.operators[leader]
+    path = "/v1/resources?kind=model"
+    code, answer = deployment.operate("GET", path, address=address)
+    return answer["resources"][0]["status"] if code == 200 else {}
+
+
+def has_loaded(deployment, version):
+    status = model_status(deployment)
+    held = [row["version"] for row in status.get("engines", ())]
+    orders = [row["order"] for row in status.get("engines", ())]
+    return held == [version] * 2 and orders == [None] * 2
+
+
+class TestOrdersOfAControlHost:
+    def test_a_version_rolls_out_over_a_change_of_the_leader(self, deployment):
+        deployment.start_controls(3)
+        deployment.apply(
+            [model_change("1"), put("stage", "generate", {"model": "m"})], "first"
+        )
+        entries = deployment.start_entries(2)
+        for number in range(3):
+            arguments = ["galenadrum._internal.demo.engine", "--zone", "zone-1"]
+            arguments += ["--server-id", f"engine-{number}", "--stage", "generate"]
+            arguments += ["--checks-fencing", str(number == 0), "--load-ms", "300"]
+            for entry in entries:
+                arguments += ["--entry", deployment.callers[entry]]
+            deployment.start_process(f"engine-{number}", arguments)
+        wait_until(lambda: has_loaded(deployment, "1"), "version 1 loaded")
+        deployment.apply([model_change("2")], "second")
+        wait_until(
+            lambda: any(
+                row["order"] for row in model_status(deployment).get("engines", ())
+            ),
+            "an order for version 2",
+        )
+        leader = deployment.find_leader()
+        assert leader is not None
+        deployment.processes[leader].kill()
+        wait_until(lambda: deployment.find_leader() is not None, "another leader")
+        wait_until(lambda: has_loaded(deployment, "2"), "version 2 loaded")
--- /dev/null
+++ b/tests/lib/engine_world.py
@@ -0,0 +1,364 @@
+"""Control hosts and engines around the reconciler, with failures on demand."""
+
+import random
+from dataclasses import dataclass, field
+
+from galenadrum._internal.control.orders import lease as lease_module
+from galenadrum._internal.control.orders import messages as m
+from galenadrum._internal.control.orders.lease import Lease
+from galenadrum._internal.control.orders.reconciler import Reconciler
+from galenadrum._internal.control.state.orders import OrderTable, message_of
+from galenadrum._internal.models.resources import ModelSpec
+from galenadrum._internal.protocol.engines_pb2 import OrderClosing
+
+MODEL = "m"
+LEASE_S = 0.9
+# Fixed here, so that a change of the program's own bound can't hide a fault.
+DELIVERY_S = 20.0
+DISRUPTIVE = ("switch", "unload", "change_role")
+
+
+@dataclass
+class FakeEngine:
+    engine_id: str
+    zone: str
+    checks_fencing: bool
+    versions: dict = field(default_factory=dict)
+    adapters: frozenset = frozenset()
+    role: str = "both"
+    orders: dict = field(default_factory=dict)
+    running: list = field(default_factory=list)
+    highest_fencing: int = 0
+    highest_begun: int = 0
+    violations: list = field(default_factory=list)
+
+    def contents(self):
+        last = next(reversed(self.orders), "")
+        return m.EngineContents(
+            dict(self.versions),
+            self.adapters,
+            self.role,
+            last,
+            self.orders.get(last),
+        )
+
+    def hear(self, fencing):
+        is_current = fencing >= self.highest_fencing
+        self.highest_fencing = max(fencing, self.highest_fencing)
+        return is_current or not self.checks_fencing
+
+    def take(self, order):
+        """Return why the order is refused, or nothing."""
+        if not self.hear(order.fencing):
+            return "old fencing number"
+        if order.order_id in self.orders:
+            return ""
+        if self.running:
+            self.violations.append(f"{order} while {self.running} ran")
+        if order.fencing < self.highest_begun:
+            self.violations.append(f"{order} after term {self.highest_begun}")
+        self.highest_begun = max(self.highest_begun, order.fencing)
+        self.orders[order.order_id] = m.OrderProgress.RUNNING
+        self.running.append(order)
+        return ""
+
+    def finish(self, failing_version=None):
+        for order in self.running:
+            succeeds = order.version != failing_version
+            state = m.OrderProgress.DONE if succeeds else m.OrderProgress.FAILED
+            self.orders[order.order_id] = state
+            self._change(order, succeeds)
+        self.running.clear()
+
+    def _change(self, order, succeeds):
+        if order.action in ("load", "switch"):
+            if succeeds:
+                self.versions[order.model] = order.version
+                self.adapters |= set(order.adapters)
+            elif order.action == "switch":
+                del self.versions[order.model]
+        elif succeeds and order.action == "unload":
+            self.versions.pop(order.model, None)
+        elif succeeds:
+            self.role = order.role
+
+    def restart(self, versions):
+        self.versions = dict(versions)
+        self.orders.clear()
+        self.running.clear()
+
+
+@dataclass
+class Host:
+    rng: random.Random
+    reconciler: Reconciler = None
+    lease: Lease | None = None
+    is_frozen: bool = False
+    pending: list = field(default_factory=list)
+
+    def restart(self):
+        self.reconciler = Reconciler(self.rng)
+        self.lease = None
+        self.is_frozen = False
+        self.pending.clear()
+
+
+@dataclass
+class InFlight:
+    order: m.Order
+    sent_at: float
+
+
+class EngineWorld:
+    """Two control hosts with one replicated table, and engines in two zones."""
+
+    def __init__(self, engines, declared, seed=7):
+        self.now = 1_000.0
+        self.table = OrderTable()
+        self.engines = {engine.engine_id: engine for engine in engines}
+        self.declared = declared
+        self.term = 0
+        self.leader = None
+        self.hosts = [Host(random.Random(seed + number)) for number in range(2)]
+        self.in_flight = []
+        self.cut_zones = set()
+        self.slow_ids = set()
+        self.failing_version = None
+        self.load_times = []
+        self.restarted_at = float("-inf")
+        for host in self.hosts:
+            host.restart()
+
+    def elect(self, host):
+        """Make ``host`` the leader once no other lease can stand."""
+        if host.is_frozen or host is self.leader:
+            return
+        if self.leader is not None:
+            self.advance(max(0.0, self.leader.lease.until - self.now))
+        self.term += 1
+        self.leader = host
+        host.lease = Lease(self.term, self.now + LEASE_S)
+        if host.reconciler.term is not None:
+            host.reconciler.receive(m.LeadershipLost(), self.now)
+        self.table.expire(round(self.now * 1_000))
+        event = m.LeadershipGained(self.term, LEASE_S, self.table.recorded())
+        host.reconciler.receive(event, self.now)
+        host.reconciler.receive(self.declared, self.now)
+
+    def advance(self, seconds):
+        """Let time pass; a leader that isn't frozen keeps its lease."""
+        self.now += seconds
+        for host in self.hosts:
+            if host is self.leader and not host.is_frozen:
+                host.lease = Lease(host.lease.term, self.now + LEASE_S)
+        self.in_flight = [
+            message
+            for message in self.in_flight
+            if self.now < message.sent_at + DELIVERY_S
+        ]
+
+    def declare(self, declared):
+        self.declared = declared
+        if self.leader is not None:
+            self.leader.reconciler.receive(declared, self.now)
+
+    def tick(self, host):
+        """Run one pass of the driver's loop."""
+        if host.is_frozen:
+            return
+        if host is not self.leader and host.reconciler.term is not None:
+            host.reconciler.receive(m.LeadershipLost(), self.now)
+        host.pending.extend(host.reconciler.tick(self.now))
+
+    def carry_out(self, host, position, fault=""):
+        """Carry out a pending action; ``fault`` is "lost", "unanswered" or "" ."""
+        if host.is_frozen or not host.pending:
+            return
+        action = host.pending.pop(position % len(host.pending))
+        match action:
+            case m.RecordOrder(order):
+                event = m.OrderRecorded(order.order_id)
+                self._propose(host, order, message_of(order), event, fault)
+            case m.RecordOutcome(order, outcome, message):
+                closing = OrderClosing(
+                    order_id=order.order_id,
+                    engine_id=order.engine_id,
+                    outcome=outcome.value,
+                    message=message,
+                )
+                event = m.OutcomeRecorded(order.order_id)
+                self._propose(host, order, closing, event, fault)
+            case m.SendOrder(order, _):
+                self._send(host, order, fault)
+            case m.QueryEngine(engine_id, _, fencing):
+                self._query(host, engine_id, fencing, fault)
+
+    def _propose(self, host, order, message, event, fault):
+        accepted = False
+        if host is self.leader and order.fencing <= self.term and fault != "lost":
+            if isinstance(message, OrderClosing):
+                accepted = self.table.close(message).accepted
+            else:
+                accepted = self._record(order, message)
+        if not accepted or fault:
+            event = m.RecordUnknown(order.order_id)
+        host.reconciler.receive(event, self.now)
+
+    def _record(self, order, message):
+        before = len(self.table.recorded().open_orders)
+        accepted = self.table.record(message, round(self.now * 1_000)).accepted
+        is_new = len(self.table.recorded().open_orders) > before
+        if is_new and order.action in ("load", "switch"):
+            self.load_times.append(self.now)
+        return accepted
+
+    def _send(self, host, order, fault):
+        time_s = lease_module.send_time_s(order.fencing, host.lease, self.now)
+        if time_s <= 0:
+            host.reconciler.receive(m.OrderNotSent(order.order_id), self.now)
+            return
+        assert host is self.leader, "an order was sent outside a lease"
+        assert self.now + time_s <= host.lease.until
+        opened = self.table.recorded().open_orders
+        assert order in opened, "an order was sent that isn't recorded"
+        if fault != "lost" and self._is_reached(order.engine_id):
+            self.in_flight.append(InFlight(order, self.now))
+        host.reconciler.receive(m.OrderSent(order.order_id), self.now)
+
+    def _query(self, host, engine_id, fencing, fault):
+        contents = None
+        if not fault and self._is_reached(engine_id):
+            engine = self.engines[engine_id]
+            engine.hear(fencing)
+            contents = engine.contents()
+        event = m.EngineAnswered(engine_id, self.now, contents)
+        host.reconciler.receive(event, self.now)
+
+    def _is_reached(self, engine_id):
+        return self.engines[engine_id].zone not in self.cut_zones
+
+    def deliver(self, position, doubled=False):
+        """Deliver an order that is in flight; a doubled one stays in flight."""
+        if not self.in_flight:
+            return
+        position %= len(self.in_flight)
+        message = self.in_flight[position]
+        if not doubled:
+            del self.in_flight[position]
+        engine = self.engines[message.order.engine_id]
+        had_begun = message.order.order_id in engine.orders
+        self._check_replicas(engine, message.order, had_begun)
+        engine.take(message.order)
+
+    def _check_replicas(self, engine, order, had_begun):
+        # What an engine loses by itself isn't known to the leader at once.
+        settled = self.now > self.restarted_at + 60.0
+        if had_begun or not settled or order.action not in DISRUPTIVE:
+            return
+        if not any(self.declared.models_by_name[MODEL].replicas_by_zone.values()):
+            return
+        others = [
+            other
+            for other in self.engines.values()
+            if other is not engine
+            and MODEL in other.versions
+            and not any(o.action in DISRUPTIVE for o in other.running)
+        ]
+        assert others, f"{order} takes the last replica"
+
+    def restart_engine(self, engine, versions):
+        """Restart an engine; what was sent to it goes with its connections."""
+        engine.restart(versions)
+        self.restarted_at = self.now
+        self.in_flight = [
+            message
+            for message in self.in_flight
+            if message.order.engine_id != engine.engine_id
+        ]
+
+    def snapshot_zone(self, zone):
+        return m.EnginesReported(
+            zone,
+            tuple(
+                m.ReportedEngine(
+                    engine.engine_id,
+                    "127.0.0.1:1",
+                    zone,
+                    ("generate",),
+                    m.EngineContents(
+                        dict(engine.versions), engine.adapters, engine.role
+                    ),
+                    engine.checks_fencing,
+                )
+                for engine in self.engines.values()
+                if engine.zone == zone
+            ),
+        )
+
+    def report(self, event):
+        if self.leader is None or self.leader.is_frozen:
+            return
+        if event.zone not in self.cut_zones:
+            self.leader.reconciler.receive(event, self.now)
+
+    def zones(self):
+        return sorted({engine.zone for engine in self.engines.values()})
+
+    def check(self):
+        for engine in self.engines.values():
+            assert not engine.violations
+        window = [at for at in self.load_times if at > self.now - 60.0]
+        assert len(window) <= self.declared.loads_per_minute
+        taken = [
+            (self.engines[order.engine_id].zone, order.model)
+            for order in self.table.recorded().open_orders
+            if order.action in DISRUPTIVE
+        ]
+        assert len(taken) == len(set(taken))
+
+    def run_fairly(self, seconds, step_s=1.0):
+        """Let everything but slow engines work for a while, checking all along."""
+        for _ in range(int(seconds / step_s)):
+            self.run_step()
+            self.advance(step_s)
+
+    def run_step(self, max_actions=None):
+        """Report, decide and carry out once; return the number of actions."""
+        for zone in self.zones():
+            self.report(self.snapshot_zone(zone))
+        count = 0
+        for host in self.hosts:
+            self.tick(host)
+            while host.pending and not host.is_frozen and count != max_actions:
+                self.carry_out(host, 0)
+                count += 1
+        if count == max_actions:
+            return count
+        for position in reversed(range(len(self.in_flight))):
+            if self.in_flight[position].order.engine_id not in self.slow_ids:
+                self.deliver(position)
+        for engine in self.engines.values():
+            if engine.engine_id not in self.slow_ids:
+                engine.finish(self.failing_version)
+        self.check()
+        return count
+
+    def unsettled(self):
+        """Return what differs from the declaration."""
+        spec = self.declared.models_by_name[MODEL]
+        found = []
+        for zone in self.zones():
+            held = [
+                engine.versions[MODEL]
+                for engine in self.engines.values()
+                if engine.zone == zone and MODEL in engine.versions
+            ]
+            desired = [spec.version] * spec.replicas_by_zone.get(zone, 0)
+            if held != desired:
+                found.append((zone, held, desired))
+        return found
+
+
+def declared(version="1", loads_per_minute=12, **replicas_by_zone):
+    spec = ModelSpec(version, replicas_by_zone=replicas_by_zone)
+    return m.Declared({MODEL: spec}, {"generate": MODEL}, loads_per_minute)
--- /dev/null
+++ b/tests/unit/control/orders/test_reconciler.py
@@ -0,0 +1,290 @@
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from lib.engine_world import (
+    DELIVERY_S,
+    LEASE_S,
+    MODEL,
+    EngineWorld,
+    FakeEngine,
+    declared,
+)
+
+INDEX = st.integers(0, 7)
+HOST = st.integers(0, 1)
+VERSION = st.sampled_from(("1", "2", "3"))
+FAULT = st.sampled_from(("", "", "", "lost", "unanswered"))
+
+
+def build_engines(kinds, version=None):
+    versions = {MODEL: version} if version else {}
+    return [
+        FakeEngine(f"e{number}", f"z{number % 2}", checks_fencing, dict(versions))
+        for number, checks_fencing in enumerate(kinds)
+    ]
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Two control hosts, five engines in two zones, and all that can fail."""
+
+    @initialize(kinds=st.lists(st.booleans(), min_size=5, max_size=5))
+    def start(self, kinds):
+        self.world = EngineWorld(build_engines(kinds), declared("1", 6, z0=2, z1=1))
+        self.old_reports = [self.world.snapshot_zone("z0")]
+        self.world.elect(self.world.hosts[0])
+        self.world.run_fairly(4)
+
+    @rule(host=HOST)
+    def elect(self, host):
+        self.world.elect(self.world.hosts[host])
+
+    @rule(host=HOST)
+    def freeze(self, host):
+        self.world.hosts[host].is_frozen = True
+
+    @rule(host=HOST)
+    def thaw(self, host):
+        self.world.hosts[host].is_frozen = False
+
+    @rule(host=HOST)
+    def kill(self, host):
+        killed = self.world.hosts[host]
+        other = self.world.hosts[1 - host]
+        if killed is self.world.leader:
+            other.is_frozen = False
+            self.world.elect(other)
+        killed.restart()
+
+    @rule(host=HOST)
+    def tick(self, host):
+        self.world.tick(self.world.hosts[host])
+
+    @rule(host=HOST, position=INDEX, fault=FAULT)
+    def carry_out(self, host, position, fault):
+        self.world.carry_out(self.world.hosts[host], position, fault)
+
+    @rule(host=HOST)
+    def carry_out_all(self, host):
+        chosen = self.world.hosts[host]
+        self.world.tick(chosen)
+        while chosen.pending and not chosen.is_frozen:
+            self.world.carry_out(chosen, 0)
+
+    @rule(position=INDEX, doubled=st.booleans())
+    def deliver(self, position, doubled):
+        self.world.deliver(position, doubled)
+
+    @rule(seconds=st.sampled_from((0.1, 1.0, 4.0, 12.0)))
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(number=st.integers(0, 4), failing=st.one_of(st.none(), VERSION))
+    def finish(self, number, failing):
+        self.world.engines[f"e{number}"].finish(failing)
+
+    @rule(number=st.integers(0, 4))
+    def slow_down(self, number):
+        self.world.slow_ids ^= {f"e{number}"}
+
+    @rule(failing=st.one_of(st.none(), VERSION))
+    def fail_loads(self, failing):
+        self.world.failing_version = failing
+
+    @rule(number=st.integers(0, 4), version=st.one_of(st.none(), VERSION))
+    def restart_engine(self, number, version):
+        engine = self.world.engines[f"e{number}"]
+        versions = {MODEL: version} if version else {"other": "1"}
+        self.world.restart_engine(engine, versions)
+
+    @rule(zone=st.sampled_from(("z0", "z1")))
+    def report(self, zone):
+        event = self.world.snapshot_zone(zone)
+        self.old_reports.append(event)
+        self.world.report(event)
+
+    @rule(position=INDEX)
+    def report_late(self, position):
+        self.world.report(self.old_reports[-1 - position % len(self.old_reports)])
+
+    @rule(zone=st.sampled_from(("z0", "z1")))
+    def cut(self, zone):
+        self.world.cut_zones ^= {zone}
+
+    @rule(version=VERSION, z0=st.integers(1, 2), z1=st.integers(1, 2))
+    def declare(self, version, z0, z1):
+        self.world.declare(declared(version, 6, z0=z0, z1=z1))
+
+    @rule(seconds=st.sampled_from((1, 3, 8, 15)))
+    def work(self, seconds):
+        self.world.run_fairly(seconds)
+
+    @invariant()
+    def holds(self):
+        if hasattr(self, "world"):
+            self.world.check()
+
+    def teardown(self):
+        """Once nothing fails any more, the engines run what is declared."""
+        if not hasattr(self, "world"):
+            return
+        self.world.cut_zones.clear()
+        self.world.slow_ids.clear()
+        self.world.failing_version = None
+        for host in self.world.hosts:
+            host.is_frozen = False
+        self.world.run_fairly(60)
+        for _ in range(40):
+            if not self.world.unsettled():
+                break
+            self.world.run_fairly(60)
+        assert not self.world.unsettled()
+        assert not self.world.table.recorded().open_orders
+
+
+TestOrders = OrdersMachine.TestCase
+TestOrders.settings = settings(max_examples=60, stateful_step_count=50)
+
+
+def build_world(kinds, version, wanted, **replicas):
+    """Return a world whose engines hold ``version`` and should hold ``wanted``."""
+    return EngineWorld(build_engines(kinds, version), declared(wanted, **replicas))
+
+
+def run_until_sent(world):
+    """Let the leader work until an order is on its way to a slow engine."""
+    for _ in range(30):
+        if world.in_flight:
+            return
+        world.run_fairly(1)
+    raise AssertionError("no order was sent")
+
+
+class TestTwoLeaders:
+    @pytest.mark.parametrize("checks_fencing", [False, True])
+    def test_a_late_order_of_the_old_leader_meets_none_of_the_new(self, checks_fencing):
+        world = build_world([checks_fencing] * 3, None, "1", z0=2)
+        world.slow_ids = set(world.engines)
+        world.elect(world.hosts[0])
+        run_until_sent(world)
+        late = list(world.in_flight)
+        world.hosts[0].is_frozen = True
+        world.elect(world.hosts[1])
+        world.declare(declared("2", z0=2))
+        world.slow_ids = {message.order.engine_id for message in late}
+        gained_at = world.now
+        world.run_fairly(LEASE_S + DELIVERY_S - 2)
+        world.hosts[0].is_frozen = False
+        orders = world.table.recorded().open_orders
+        is_given = [order.fencing == 2 for order in orders]
+        assert all(is_given) if checks_fencing else not any(is_given)
+        assert world.now < gained_at + LEASE_S + DELIVERY_S
+        while any(message in late for message in world.in_flight):
+            world.deliver(world.in_flight.index(late.pop()))
+        world.slow_ids.clear()
+        world.run_fairly(120)
+        assert not world.unsettled()
+
+    @pytest.mark.parametrize("checks_fencing", [False, True])
+    @pytest.mark.parametrize("step", range(24))
+    def test_a_leader_killed_at_any_step_is_taken_over_from(self, checks_fencing, step):
+        world = build_world([checks_fencing] * 5, "1", "2", z0=2, z1=2)
+        world.elect(world.hosts[0])
+        while step > 0:
+            done = world.run_step(max_actions=step)
+            step -= done or 1
+            world.advance(1.0)
+        world.hosts[0].is_frozen = True
+        world.elect(world.hosts[1])
+        world.run_fairly(45)
+        world.hosts[0].is_frozen = False
+        world.run_fairly(75)
+        assert not world.unsettled()
+
+    def test_the_new_leader_keeps_the_rate_of_the_old_one(self):
+        world = EngineWorld(build_engines([True] * 5), declared("1", 1, z0=3, z1=2))
+        world.elect(world.hosts[0])
+        world.run_fairly(20)
+        world.elect(world.hosts[1])
+        world.run_fairly(320)
+        assert not world.unsettled()
+
+
+class TestOrderThatIsLost:
+    def test_it_is_not_given_again_while_it_may_arrive(self):
+        world = build_world([False] * 2, None, "1", z0=1)
+        world.slow_ids = {"e0"}
+        world.elect(world.hosts[0])
+        run_until_sent(world)
+        [late] = world.in_flight
+        world.run_fairly(DELIVERY_S - 2)
+        assert world.table.recorded().open_orders == (late.order,)
+        world.deliver(0, doubled=True)
+        world.slow_ids.clear()
+        world.run_fairly(10)
+        assert not world.unsettled()
+        assert len(world.load_times) == 1
+
+
+class TestLastReplica:
+    def test_a_zone_that_is_cut_off_stops_the_change_until_it_is_back(self):
+        world = build_world([False] * 2, "1", "1", z0=1, z1=1)
+        world.elect(world.hosts[0])
+        world.run_fairly(5)
+        world.cut_zones = {"z1"}
+        world.run_fairly(20)
+        world.declare(declared("2", z0=1, z1=1))
+        world.run_fairly(60)
+        assert world.engines["e0"].versions == {MODEL: "1"}
+        world.cut_zones.clear()
+        world.run_fairly(60)
+        assert not world.unsettled()
+
+    def test_a_report_that_is_out_of_date_is_no_replica(self):
+        world = build_world([False] * 2, "1", "2", z0=1, z1=1)
+        report = world.snapshot_zone("z1")
+        world.engines["e1"].restart({})
+        world.slow_ids = {"e1"}
+        world.elect(world.hosts[0])
+        for _ in range(40):
+            world.report(report)
+            world.report(world.snapshot_zone("z0"))
+            world.tick(world.leader)
+            while world.leader.pending:
+                world.carry_out(world.leader, 0)
+            world.advance(1.0)
+        assert world.engines["e0"].versions == {MODEL: "1"}
+
+    def test_the_only_replica_is_replaced_by_a_spare_engine(self):
+        world = build_world([False] * 3, None, "2", z0=1)
+        world.engines["e0"].versions = {MODEL: "1"}
+        world.elect(world.hosts[0])
+        world.run_fairly(30)
+        assert world.engines["e0"].versions == {}
+        assert world.engines["e2"].versions == {MODEL: "2"}
+
+
+class TestVersionChange:
+    def test_one_engine_tries_a_new_version_and_a_failure_is_undone(self):
+        world = build_world([True] * 5, "1", "1", z0=3, z1=2)
+        world.elect(world.hosts[0])
+        world.run_fairly(5)
+        world.failing_version = "2"
+        world.declare(declared("2", z0=3, z1=2))
+        world.run_fairly(28)
+        assert all(e.versions == {MODEL: "1"} for e in world.engines.values())
+        failure, retry_at = world.leader.reconciler.delay(MODEL, "2")
+        assert failure.count == 1
+        assert retry_at > world.now
+        # The new leader knows of the failure and waits as long.
+        world.elect(world.hosts[1])
+        world.run_fairly(25)
+        assert world.leader.reconciler.delay(MODEL, "2")[0].count == 1
+        world.run_fairly(30)
+        failure, retry_at = world.leader.reconciler.delay(MODEL, "2")
+        assert failure.count == 2
+        assert retry_at - world.now > 30
+        world.failing_version = None
+        world.run_fairly(120)
+        assert not world.unsettled()
