Plan orders only when something changed; pass over silent engines

Cause: at 600 engines a tick took 16 ms with nothing to do, several times a second, and a silent spare engine kept others from being chosen. Change: candidates are found once a plan, a settled leader plans every 5 s, reports don't wake the driver, engines that don't answer come last, and an order that can't be sent is given up after ten attempts.

--- a/src/galenadrum/_internal/control/orders/driver.py
+++ b/src/galenadrum/_internal/control/orders/driver.py
@@ -63,6 +63,7 @@
 QueryCall = Callable[[str, int, float], EngineContents]
 
 _TICK_S = 1.0
+_TICK_MIN_S = 0.1
 _PROPOSE_TIMEOUT_S = 5.0
 _BARRIER_TIMEOUT_S = 5.0
 _QUERY_TIMEOUT_S = 1.5
@@ -118,7 +119,6 @@
     def take_report(self, event: EnginesReported) -> None:
         """Take what a zone reports of its engines."""
         self._reports_by_zone[event.zone] = event
-        self._wake.set()
 
     def status(self, model: str) -> ModelStatus | None:
         """Return how the engines run a model; None when this doesn't lead."""
@@ -163,6 +163,8 @@
             self._start(action)
 
     async def _wait(self) -> None:
+        """Wait for the next tick; events that come close together share one."""
+        await asyncio.sleep(_TICK_MIN_S)
         try:
             async with asyncio.timeout(_TICK_S):
                 await self._wake.wait()
--- a/src/galenadrum/_internal/control/orders/engines.py
+++ b/src/galenadrum/_internal/control/orders/engines.py
@@ -66,16 +66,20 @@
         """Forget all engines."""
         self.by_id.clear()
 
-    def take_report(self, event: EnginesReported, now: float) -> None:
-        """Take over what a zone reports; engines that it left out are gone."""
+    def take_report(self, event: EnginesReported, now: float) -> bool:
+        """Take over what a zone reports; engines that it left out are gone.
+
+        Returns:
+            Whether an engine came or holds something else than before.
+        """
         present = {reported.engine_id for reported in event.engines}
         for engine in self.by_id.values():
             if engine.reported.zone != event.zone:
                 continue
             if engine.reported.engine_id not in present:
                 engine.reported_at = float("-inf")
-        for reported in event.engines:
-            self._take_engine(reported, now)
+        changes = [self._take_engine(reported, now) for reported in event.engines]
+        return any(changes)
 
     def take_answer(self, event: EngineAnswered) -> Engine | None:
         """Take over what an engine said; return the engine if it is newer."""
@@ -99,17 +103,19 @@
         for engine_id in gone:
             del self.by_id[engine_id]
 
-    def _take_engine(self, reported: ReportedEngine, now: float) -> None:
+    def _take_engine(self, reported: ReportedEngine, now: float) -> bool:
         engine = self.by_id.get(reported.engine_id)
         if engine is None:
             self.by_id[reported.engine_id] = Engine(reported, now, reported.contents)
-            return
+            return True
         # Reports come late: only one that changed says more than the answer
         # that the engine gave, and the engine is asked again.
-        if reported.contents != engine.reported.contents:
+        is_changed = reported.contents != engine.reported.contents
+        if is_changed:
             engine.contents = reported.contents
             engine.answered_at = None
         if reported.address != engine.reported.address:
             engine.answered_at = None
         engine.reported = reported
         engine.reported_at = now
+        return is_changed
--- a/src/galenadrum/_internal/control/orders/planning.py
+++ b/src/galenadrum/_internal/control/orders/planning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from galenadrum._internal.control.orders.engines import Engine
@@ -52,6 +52,7 @@
 
     Attributes:
         engines_by_id: Live engines only.
+        candidates_by_model: Those that hold a model or serve a stage of it.
         orders_by_engine: Orders that are under way.
         failures_by_model: Failures of the declared version that still delay its
             next load.
@@ -61,6 +62,7 @@
 
     declared: Declared
     engines_by_id: Mapping[str, Engine]
+    candidates_by_model: Mapping[str, Sequence[Engine]]
     orders_by_engine: Mapping[str, Order]
     failures_by_model: Mapping[str, Failure]
     failed_models: frozenset[str] = frozenset()
@@ -82,15 +84,31 @@
 
 def serving_ids(situation: Situation, model: str) -> set[str]:
     """Return the engines that serve a model and go on doing so."""
+    orders = situation.orders_by_engine
     return {
-        engine_id
-        for engine_id, engine in situation.engines_by_id.items()
+        engine.reported.engine_id
+        for engine in situation.candidates_by_model.get(model, ())
         if model in engine.contents.versions_by_model
-        and not _is_disturbed(situation.orders_by_engine.get(engine_id), model)
+        and not _is_disturbed(orders.get(engine.reported.engine_id), model)
         and not engine.is_running_order()
     }
 
 
+def find_candidates(
+    declared: Declared, engines: Iterable[Engine]
+) -> dict[str, list[Engine]]:
+    """Return the engines that hold a model or serve a stage of it, by model."""
+    found: dict[str, list[Engine]] = {}
+    for engine in engines:
+        models = set(engine.contents.versions_by_model)
+        for stage in engine.reported.stages:
+            if stage in declared.model_by_stage:
+                models.add(declared.model_by_stage[stage])
+        for model in models:
+            found.setdefault(model, []).append(engine)
+    return found
+
+
 def touched_models(situation: Situation, wanted: Wanted) -> tuple[str, ...]:
     """Return the models that must have another replica while the order runs.
 
@@ -139,10 +157,9 @@
         self._spec = spec
         self._failure = situation.failures_by_model.get(model)
         self._engines_by_zone: dict[str, list[Engine]] = {}
-        for engine in situation.engines_by_id.values():
-            if self._is_candidate(engine):
-                zone = engine.reported.zone
-                self._engines_by_zone.setdefault(zone, []).append(engine)
+        for engine in situation.candidates_by_model.get(model, ()):
+            zone = engine.reported.zone
+            self._engines_by_zone.setdefault(zone, []).append(engine)
         self._orders = [
             order
             for order in situation.orders_by_engine.values()
@@ -159,14 +176,6 @@
             found = self._only_one_load(found)
         return found
 
-    def _is_candidate(self, engine: Engine) -> bool:
-        if self._model in engine.contents.versions_by_model:
-            return True
-        model_by_stage = self._situation.declared.model_by_stage
-        return any(
-            model_by_stage.get(stage) == self._model for stage in engine.reported.stages
-        )
-
     def _is_unproved(self) -> bool:
         """Return whether the version is to be tried on one engine first.
 
@@ -324,14 +333,15 @@
         )
         return [wanted]
 
-    def _spare_order(self, engine: Engine) -> tuple[bool, int, int, str]:
+    def _spare_order(self, engine: Engine) -> tuple[bool, bool, int, int, str]:
         failed = any(
             failure.engine_id == engine.reported.engine_id
             for failure in (self._failure,)
             if failure is not None
         )
         held = len(engine.contents.versions_by_model)
-        return failed, held, engine.reported.load, engine.reported.engine_id
+        is_silent = engine.answered_at is None
+        return is_silent, failed, held, engine.reported.load, engine.reported.engine_id
 
     def _load(self, engine: Engine, version: str, rank: tuple[float, ...]) -> Wanted:
         return Wanted(
@@ -381,5 +391,7 @@
     }
 
 
-def _load_order(engine: Engine) -> tuple[int, str]:
-    return engine.reported.load, engine.reported.engine_id
+def _load_order(engine: Engine) -> tuple[bool, int, str]:
+    """Order by load; engines that don't answer come last."""
+    is_silent = engine.answered_at is None
+    return is_silent, engine.reported.load, engine.reported.engine_id
--- a/src/galenadrum/_internal/control/orders/reconciler.py
+++ b/src/galenadrum/_internal/control/orders/reconciler.py
@@ -41,6 +41,7 @@
     DISRUPTIVE_ACTIONS,
     Situation,
     Wanted,
+    find_candidates,
     plan,
     serving_ids,
     touched_models,
@@ -56,8 +57,10 @@
 RETRY_DELAY_MAX_S = 1_800.0
 LOAD_WINDOW_S = 60.0
 _MAX_OPEN_ORDERS = 500
+_SETTLED_PLAN_INTERVAL_S = 5.0
 _MAX_QUERIES = 32
 _RECORD_RETRY_S = 1.0
+_MAX_SEND_ATTEMPTS = 10
 _ORDER_ID_BITS = 64
 
 
@@ -80,6 +83,7 @@
         lost_from: Loop time from which an engine that doesn't name the order
             will never get it; None before it was sent.
         due_at: Loop time of the next attempt to record or send it.
+        attempts: Times that it was to be sent.
     """
 
     order: Order
@@ -87,6 +91,7 @@
     since: float
     lost_from: float | None = None
     due_at: float = float("-inf")
+    attempts: int = 0
     outcome: OrderOutcome | None = None
     message: str = ""
 
@@ -119,6 +124,7 @@
         self._hold_until_by_engine: dict[str, float] = {}
         self._delays: dict[tuple[str, str], _Delay] = {}
         self._load_times: deque[float] = deque()
+        self._plan_at = float("-inf")
 
     @property
     def term(self) -> int | None:
@@ -154,11 +160,13 @@
             case Declared():
                 self._declared = event
             case EnginesReported():
-                self.engines.take_report(event, now)
+                if not self.engines.take_report(event, now):
+                    return
             case EngineAnswered():
                 self._take_answer(event, now)
             case _:
                 self._take_progress(event, now)
+        self._plan_at = now
 
     def tick(self, now: float) -> tuple[Action, ...]:
         """Return what is to be done now.
@@ -339,6 +347,10 @@
         if engine is None or not engine.is_live(now):
             self._end(opened, OrderOutcome.LOST, "the engine went away")
             return []
+        if opened.attempts >= _MAX_SEND_ATTEMPTS:
+            self._end(opened, OrderOutcome.LOST, "it could not be sent")
+            return []
+        opened.attempts += 1
         self._check_alone(order, engine, now)
         opened.phase = Phase.SENDING
         opened.due_at = float("inf")
@@ -367,8 +379,12 @@
 
     def _give_orders(self, now: float) -> list[Action]:
         """Take on as many wanted orders as the limits allow."""
+        if now < self._plan_at:
+            return []
         actions: list[Action] = []
-        for wanted in plan(self._situation(now)):
+        found = plan(self._situation(now))
+        self._plan_at = now if found else now + _SETTLED_PLAN_INTERVAL_S
+        for wanted in found:
             if len(self.orders_by_engine) >= _MAX_OPEN_ORDERS:
                 break
             if not self._may_give(wanted, now):
@@ -455,13 +471,15 @@
             if (name, spec.version) in self._delays
             and now < self._delays[name, spec.version].retry_at
         }
+        engines_by_id = {
+            engine_id: engine
+            for engine_id, engine in self.engines.by_id.items()
+            if engine.is_live(now)
+        }
         return Situation(
             declared=self._declared,
-            engines_by_id={
-                engine_id: engine
-                for engine_id, engine in self.engines.by_id.items()
-                if engine.is_live(now)
-            },
+            engines_by_id=engines_by_id,
+            candidates_by_model=find_candidates(self._declared, engines_by_id.values()),
             orders_by_engine={
                 engine_id: opened.order
                 for engine_id, opened in self.orders_by_engine.items()
--- a/tests/lib/engine_world.py
+++ b/tests/lib/engine_world.py
@@ -123,6 +123,7 @@
         self.in_flight = []
         self.cut_zones = set()
         self.slow_ids = set()
+        self.dead_ids = set()
         self.failing_version = None
         self.load_times = []
         self.restarted_at = float("-inf")
@@ -235,7 +236,8 @@
         host.reconciler.receive(event, self.now)
 
     def _is_reached(self, engine_id):
-        return self.engines[engine_id].zone not in self.cut_zones
+        is_cut = self.engines[engine_id].zone in self.cut_zones
+        return not is_cut and engine_id not in self.dead_ids
 
     def deliver(self, position, doubled=False):
         """Deliver an order that is in flight; a doubled one stays in flight."""
--- /dev/null
+++ b/tests/unit/control/orders/test_order_table.py
@@ -0,0 +1,69 @@
+from galenadrum._internal.control.orders.messages import Order, OrderAction
+from galenadrum._internal.control.orders.reports import EngineReportsService
+from galenadrum._internal.control.state.machine import ControlState
+from galenadrum._internal.control.state.orders import message_of
+from galenadrum._internal.entry.engine_reports import build_report
+from galenadrum._internal.models.resources import StageSpec
+from galenadrum._internal.models.servers import Announcement
+from galenadrum._internal.protocol.commands_pb2 import (
+    Command,
+    CommandResult,
+    StateSnapshot,
+)
+from galenadrum._internal.protocol.engines_pb2 import EngineReport, OrderClosing
+
+ORDER = Order("1-a", 1, "e", OrderAction.LOAD, "m", "2", adapters=("x",))
+CLOSING = OrderClosing(order_id="1-a", engine_id="e", outcome="failed", message="no")
+
+
+def apply(state, time_ms=1_000, **body):
+    command = Command(time_ms=time_ms, **body).SerializeToString()
+    result = state.apply(state.applied_index + 1, command)
+    return CommandResult.FromString(result).order
+
+
+class TestOrdersInTheState:
+    def test_an_engine_has_one_open_order_and_repeats_change_nothing(self):
+        state = ControlState()
+        other = Order("1-b", 1, "e", OrderAction.LOAD, "m", "2")
+        for _ in range(2):
+            assert apply(state, record_order=message_of(ORDER)).accepted
+        assert not apply(state, record_order=message_of(other)).accepted
+        assert state.orders.recorded().open_orders == (ORDER,)
+        assert state.orders.recorded().recent_loads == 1
+        for _ in range(2):
+            assert apply(state, close_order=CLOSING).accepted
+        [failure] = state.orders.recorded().failures
+        assert (failure.count, failure.message) == (1, "no")
+        assert not state.orders.recorded().open_orders
+
+    def test_a_snapshot_holds_orders_and_one_without_them_is_read(self):
+        state = ControlState()
+        apply(state, record_order=message_of(ORDER))
+        restored = ControlState()
+        restored.restore(state.snapshot())
+        assert restored.orders.recorded() == state.orders.recorded()
+        assert restored.snapshot() == state.snapshot()
+        older = StateSnapshot.FromString(state.snapshot())
+        older.ClearField("orders")
+        restored.restore(older.SerializeToString())
+        assert not restored.orders.recorded().open_orders
+
+
+class TestZoneReports:
+    def test_records_travel_once_and_loads_each_time(self):
+        taken = []
+        service = EngineReportsService(None, taken.append)
+        stages = {"generate": StageSpec(model="m"), "encode": StageSpec()}
+        servers = [
+            Announcement(name, 1, 1, "10.0.0.1:1", "z", (stage,), 1, 3.0)
+            for name, stage in (("e", "generate"), ("plain", "encode"))
+        ]
+        report = build_report("z", servers, stages)
+        short = EngineReport(zone="z", digest=report.digest, loads=[7])
+        assert service.take(short).wants_full
+        assert not taken
+        assert not service.take(report).wants_full
+        assert not service.take(short).wants_full
+        assert [engine.engine_id for engine in taken[-1].engines] == ["e"]
+        assert taken[-1].engines[0].load == 7
--- a/tests/unit/control/orders/test_reconciler.py
+++ b/tests/unit/control/orders/test_reconciler.py
@@ -264,6 +264,13 @@
         assert world.engines["e0"].versions == {}
         assert world.engines["e2"].versions == {MODEL: "2"}
 
+    def test_an_engine_that_does_not_answer_is_passed_over(self):
+        world = build_world([False] * 3, None, "1", z0=1)
+        world.dead_ids = {"e0"}
+        world.elect(world.hosts[0])
+        world.run_fairly(30)
+        assert world.engines["e2"].versions == {MODEL: "1"}
+
 
 class TestVersionChange:
     def test_one_engine_tries_a_new_version_and_a_failure_is_undone(self):
