Let the machine's end wait for outcomes too

Change: the end waits for both, within the same bound, and asserts both. Conclusion: the fault was in the test's end, not in the reconciler.

--- a/tests/unit/control/orders/test_reconciler.py
+++ b/tests/unit/control/orders/test_reconciler.py
@@ -136,11 +136,14 @@
             host.is_frozen = False
         self.world.run_fairly(60)
         for _ in range(40):
-            if not self.world.unsettled():
+            if not self.world.unsettled() and not self.open_orders():
                 break
             self.world.run_fairly(60)
         assert not self.world.unsettled()
-        assert not self.world.table.recorded().open_orders
+        assert not self.open_orders()
+
+    def open_orders(self):
+        return self.world.table.recorded().open_orders
 
 
 TestOrders = OrdersMachine.TestCase
