--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -22,6 +22,7 @@
     open_watch,
 )
 from galenadrum._internal.entry.declarations_relay import DeclarationsRelay
+from galenadrum._internal.entry.engine_reports import EngineReporter
 from galenadrum._internal.entry.execution import PipelineExecutor
 from galenadrum._internal.entry.forwarded_stages_app import (
     ForwardedStagesApp,
@@ -167,6 +168,16 @@
             self._rng,
         )
 
+    def _build_reporter(self) -> EngineReporter:
+        return EngineReporter(
+            self._settings.zone,
+            self._control,
+            self._reports_engines,
+            self.zone.servers,
+            lambda: self.view.stages_by_name,
+            self._rng,
+        )
+
     def _build_caller_routes(self) -> Handler:
         limits = self._settings.callers
         telemetry = RequestTelemetry(self.metrics, self.policy.explain)
@@ -197,11 +208,16 @@
         supervisor.add("declarations", self.follower.run)
         supervisor.add("backends", lambda: self.directory.run(self.zone))
         supervisor.add("requests", self.service.run_ticks)
+        supervisor.add("engines", self._build_reporter().run)
         return supervisor
 
     def _take_server_changes(self) -> None:
         self.directory.take_changes(self.zone)
 
+    def _reports_engines(self) -> bool:
+        self.zone.set_control_reach(self.follower.follows_control)
+        return self.zone.is_reporter()
+
     def _take_declarations(self, applied: Applied) -> None:
         self.policy.update_declarations(
             self.view.stages_by_name,
--- a/src/galenadrum/_internal/entry/declarations_follower.py
+++ b/src/galenadrum/_internal/entry/declarations_follower.py
@@ -148,6 +148,12 @@
         age_s = asyncio.get_running_loop().time() - self._fresh_at
         return int(min(max(age_s, 0.0) * 1_000, MAX_SOURCE_AGE_MS))
 
+    @property
+    def follows_control(self) -> bool:
+        """Whether the newest event came from a control host, not long ago."""
+        is_fresh = self.source_age_ms() < STALE_SOURCE_S * 1_000
+        return is_fresh and not self._current.is_relay
+
     def gather(self, hosts: Sequence[HostRevision]) -> None:
         """Take confirmations of other hosts, to send on with the own one."""
         for host in hosts:
--- a/src/galenadrum/_internal/membership/zone_service.py
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -26,10 +26,10 @@
     StageLoad,
 )
 from galenadrum._internal.membership.exchange import ZoneExchange
-from galenadrum._internal.membership.hosts import HostTable
+from galenadrum._internal.membership.hosts import ControlReach, HostTable
 from galenadrum._internal.membership.messages import CloseReason
 from galenadrum._internal.membership.registry import ServerRegistry
-from galenadrum._internal.membership.relay import FollowPlan, HostRevision, RelayRole
+from galenadrum._internal.membership.relay import choose_reporter
 from galenadrum._internal.membership.verdicts import RejectReason, Verdict
 from galenadrum._internal.membership.zone_codec import decode_digest, encode_digest
 from galenadrum._internal.membership.zone_dialer import ZoneDialer
@@ -100,9 +100,6 @@
         self.registry = ServerRegistry(settings.zone)
         self.hosts = HostTable(settings.host_id, settings.peer_address, now)
         self.digests = DigestTable(settings.zone)
-        self.relay = RelayRole(
-            self.hosts, settings.zone, settings.control_addresses, rng
-        )
         self.exchange = ZoneExchange(
             self.registry, self.hosts, self.digests, settings.zone
         )
@@ -156,28 +153,17 @@
         self.exchange.update_host(self._now(), leaving=True)
         self.driver.wake()
 
-    def follow_plan(
-        self, follows_control: bool = False, control_failed: bool = False
-    ) -> FollowPlan:
-        """Return where to follow the declarations now.
-
-        The follower calls this before each connection and every second or so.
-
-        Args:
-            follows_control: Whether a watch at a control host stands.
-            control_failed: Whether control was tried since the last call and
-                none of its hosts could be followed.
-        """
-        now = self._now()
-        reach = self.relay.reach_after(follows_control, control_failed, now)
-        if reach is not None:
-            self.exchange.update_host(now, control=reach)
+    def set_control_reach(self, reached: bool) -> None:
+        """Tell the zone whether this host follows declarations at control."""
+        reach = ControlReach.REACHED if reached else ControlReach.UNREACHED
+        if reach is not self.hosts.own.control:
+            self.exchange.update_host(self._now(), control=reach)
             self.driver.wake()
-        return self.relay.plan(now)
 
-    def zone_revisions(self) -> tuple[HostRevision, ...]:
-        """Return the revisions of all live hosts of the zone, to be confirmed."""
-        return self.relay.zone_revisions(self._now())
+    def is_reporter(self) -> bool:
+        """Return whether this host reports the zone's engines to control."""
+        live = self.hosts.live(self._now())
+        return choose_reporter(live) == self._settings.host_id
 
     def servers(self) -> tuple[Announcement, ...]:
         """Return the zone's backend servers that take new work."""
