Keep the lines of examples and exit codes in help texts

Cause: the mark that keeps lines stood in raw strings, so that click saw a backslash and wrapped all examples into paragraphs.

--- a/src/galenadrum/_internal/cli/main.py
+++ b/src/galenadrum/_internal/cli/main.py
@@ -38,7 +38,7 @@
 
 @click.group(cls=_LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 def cli() -> None:
-    r"""Serve multi-stage model pipelines.
+    """Serve multi-stage model pipelines.
 
     Operators declare pipelines, stages, organisations, models and a policy in
     files, and apply them to the control hosts; entry hosts serve callers
--- a/src/galenadrum/_internal/commands/apply.py
+++ b/src/galenadrum/_internal/commands/apply.py
@@ -25,7 +25,7 @@
 def command(
     paths: tuple[Path, ...], options: ChangeOptions, control: ControlOptions
 ) -> None:
-    r"""Put declarations in place, all of them together or none.
+    """Put declarations in place, all of them together or none.
 
     Resources that the files don't name stay as they are. Each one is compared
     with the revision that was read at the beginning: when another operator
--- a/src/galenadrum/_internal/commands/check.py
+++ b/src/galenadrum/_internal/commands/check.py
@@ -22,7 +22,7 @@
 )
 @output_option
 def command(paths: tuple[Path, ...], form: str) -> int:
-    r"""Check settings files and declaration files; connect to nothing.
+    """Check settings files and declaration files; connect to nothing.
 
     A file with a "role" is a settings file, any other a declaration file. A
     folder stands for the .json and .jsonc files below it. All declarations
--- a/src/galenadrum/_internal/commands/control.py
+++ b/src/galenadrum/_internal/commands/control.py
@@ -14,7 +14,7 @@
 @click.command("control")
 @click.argument("settings_file", type=click.Path(path_type=Path))
 def command(settings_file: Path) -> None:
-    r"""Run a control host until it gets SIGTERM.
+    """Run a control host until it gets SIGTERM.
 
     It holds a replica of the declared state in its data folder, which must be
     its own and on a disk that lasts.
--- a/src/galenadrum/_internal/commands/delete.py
+++ b/src/galenadrum/_internal/commands/delete.py
@@ -23,7 +23,7 @@
 def command(
     keys: tuple[ResourceKey, ...], options: ChangeOptions, control: ControlOptions
 ) -> None:
-    r"""Delete resources, all of them together or none.
+    """Delete resources, all of them together or none.
 
     A resource that another one refers to can't be deleted before it; name
     both in one command. A lost answer is handled as by apply.
--- a/src/galenadrum/_internal/commands/diff.py
+++ b/src/galenadrum/_internal/commands/diff.py
@@ -25,7 +25,7 @@
 @control_options
 @output_option
 def command(paths: tuple[Path, ...], control: ControlOptions, form: str) -> int:
-    r"""Show what apply would change; change nothing.
+    """Show what apply would change; change nothing.
 
     The exit code is 1 when there are differences, else 0.
 
--- a/src/galenadrum/_internal/commands/digest.py
+++ b/src/galenadrum/_internal/commands/digest.py
@@ -12,7 +12,7 @@
 
 @click.command("digest")
 def command() -> None:
-    r"""Print the SHA-256 digest of a caller's key or an operator's token.
+    """Print the SHA-256 digest of a caller's key or an operator's token.
 
     The secret is read from standard input, so that it shows in no process
     list; a line break at its end is left out. The digest goes into key_sha256
--- a/src/galenadrum/_internal/commands/entry.py
+++ b/src/galenadrum/_internal/commands/entry.py
@@ -14,7 +14,7 @@
 @click.command("entry")
 @click.argument("settings_file", type=click.Path(path_type=Path))
 def command(settings_file: Path) -> None:
-    r"""Run an entry host until it gets SIGTERM.
+    """Run an entry host until it gets SIGTERM.
 
     It answers callers and announcements of backend servers, and serves from
     the declarations that the control hosts hold. On SIGTERM it stops being
--- a/src/galenadrum/_internal/commands/export.py
+++ b/src/galenadrum/_internal/commands/export.py
@@ -21,7 +21,7 @@
 )
 @control_options
 def command(owner: str, target: Path | None, control: ControlOptions) -> None:
-    r"""Write one owner's declarations as a file.
+    """Write one owner's declarations as a file.
 
     The file is a declaration file: keep it in version control, apply it here
     again, or create everything elsewhere with import.
--- a/src/galenadrum/_internal/commands/get.py
+++ b/src/galenadrum/_internal/commands/get.py
@@ -30,7 +30,7 @@
     control: ControlOptions,
     form: str,
 ) -> int:
-    r"""Show resources and where they are in force.
+    """Show resources and where they are in force.
 
     The last column counts the entry hosts that serve from the resource's
     revision or a later one, and names those that have not confirmed it.
--- a/src/galenadrum/_internal/commands/import_.py
+++ b/src/galenadrum/_internal/commands/import_.py
@@ -30,7 +30,7 @@
 def command(
     paths: tuple[Path, ...], options: ChangeOptions, control: ControlOptions
 ) -> None:
-    r"""Create exported declarations elsewhere, all of them or none.
+    """Create exported declarations elsewhere, all of them or none.
 
     Unlike apply, it changes nothing that stands already: a resource of the
     same kind and name is a conflict. The operator whose token is used becomes
--- a/src/galenadrum/_internal/commands/status.py
+++ b/src/galenadrum/_internal/commands/status.py
@@ -19,7 +19,7 @@
 @control_options
 @output_option
 def command(control: ControlOptions, form: str) -> int:
-    r"""Show the control hosts, and the revision that each entry host serves.
+    """Show the control hosts, and the revision that each entry host serves.
 
     Every control host that --control names is asked for its own view. The
     entry hosts are shown as the leader sees them; one whose last confirmation
--- a/src/galenadrum/_internal/commands/trace.py
+++ b/src/galenadrum/_internal/commands/trace.py
@@ -44,7 +44,7 @@
     last: int,
     form: str,
 ) -> int:
-    r"""Show recorded traces as trees, with the duration of each hop.
+    """Show recorded traces as trees, with the duration of each hop.
 
     FILE is the trace_file of a host's settings; a trace that crosses hosts is
     whole when the files of all of them are named. The first number of a line
--- a/src/galenadrum/_internal/commands/watch.py
+++ b/src/galenadrum/_internal/commands/watch.py
@@ -33,7 +33,7 @@
 def command(
     from_revision: int, count: int | None, control: ControlOptions, form: str
 ) -> None:
-    r"""Follow changes as they are accepted, until interrupted.
+    """Follow changes as they are accepted, until interrupted.
 
     A connection that goes silent is given up and taken up again from the last
     revision shown, so that no change is missed. A watcher that is too far
--- a/tests/unit/test_command_line.py
+++ b/tests/unit/test_command_line.py
@@ -18,6 +18,13 @@
 
 
 class TestHelp:
+    @pytest.mark.parametrize("name", ["", *COMMANDS_BY_NAME])
+    def test_keeps_the_lines_of_examples(self, name, capsys):
+        main.run([name, "--help"] if name else ["--help"])
+        text = capsys.readouterr().out
+        assert "\\" not in text
+        assert text.count("\n    galenadrum ") == text.count("  galenadrum ")
+
     def test_lists_every_command_without_importing_it(self, capsys):
         assert main.run(["--help"]) == status_codes.SUCCESS
         listed = capsys.readouterr().out
