--- a/src/galenadrum/_internal/demo/backend_server.py
+++ b/src/galenadrum/_internal/demo/backend_server.py
@@ -24,7 +24,7 @@
 
 from galenadrum._internal.models.settings import CallerLimits
 from galenadrum._internal.network.http_server import HttpServer
-from galenadrum._internal.network.stage_client import (
+from galenadrum._internal.network.stage_protocol import (
     ATTEMPT_HEADER,
     EVENT_STREAM,
     NOT_RUN,
--- a/src/galenadrum/_internal/demo/runner.py
+++ b/src/galenadrum/_internal/demo/runner.py
@@ -128,12 +128,16 @@
         return entry.view.is_ready and announced == len(self._backends)
 
 
-def run_demo() -> int:
-    """Serve both examples' pipelines and print what came of it."""
+def run_demo(examples_folder: Path) -> int:
+    """Serve both examples' pipelines, print what came of it, and return a code.
+
+    Args:
+        examples_folder: Holds a folder for each example.
+    """
     started = time.monotonic()
     attempts: list[Attempt] = []
     for name in EXAMPLE_NAMES:
-        declared = read_declarations([EXAMPLES_FOLDER / name / "declarations"])
+        declared = read_declarations([examples_folder / name / "declarations"])
         done = asyncio.run(_serve(declared.declarations))
         _print_pipelines(name, done)
         attempts.extend(done)
--- a/src/galenadrum/_internal/entry/caller_app.py
+++ b/src/galenadrum/_internal/entry/caller_app.py
@@ -29,7 +29,7 @@
 from galenadrum._internal.models.requests import Refusal
 from galenadrum._internal.models.settings import CallerLimits
 from galenadrum._internal.network.http_server import SOCKET_KEY
-from galenadrum._internal.network.stage_client import EVENT_STREAM
+from galenadrum._internal.network.stage_protocol import EVENT_STREAM
 
 PIPELINES_PREFIX = "/v1/pipelines/"
 
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -35,13 +35,11 @@
 from galenadrum._internal.membership.zone_service import ZoneService
 from galenadrum._internal.models.settings import CallerLimits, EntrySettings
 from galenadrum._internal.network.bridge import LoopBridge
+from galenadrum._internal.network.connection_pool import ConnectionPool
 from galenadrum._internal.network.grpc_server import GrpcServer
 from galenadrum._internal.network.http_server import HttpServer
-from galenadrum._internal.network.stage_client import (
-    STAGES_PREFIX,
-    ConnectionPool,
-    StageClient,
-)
+from galenadrum._internal.network.stage_client import StageClient
+from galenadrum._internal.network.stage_protocol import STAGES_PREFIX
 from galenadrum._internal.network.wsgi_routes import Handler, build_routes
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.routing.policy import Policy
--- a/src/galenadrum/_internal/entry/forwarded_stages_app.py
+++ b/src/galenadrum/_internal/entry/forwarded_stages_app.py
@@ -40,7 +40,7 @@
 )
 from galenadrum._internal.models.settings import CallerLimits
 from galenadrum._internal.network.http_server import SOCKET_KEY
-from galenadrum._internal.network.stage_client import (
+from galenadrum._internal.network.stage_protocol import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
     EVENT_STREAM,
--- a/src/galenadrum/_internal/entry/stage_runner.py
+++ b/src/galenadrum/_internal/entry/stage_runner.py
@@ -23,12 +23,9 @@
     RunState,
 )
 from galenadrum._internal.network.bridge import LoopBridge
-from galenadrum._internal.network.stage_client import (
-    AttemptLimits,
-    StageClient,
-    StageReply,
-    has_left,
-)
+from galenadrum._internal.network.sockets import has_left
+from galenadrum._internal.network.stage_client import StageClient, StageReply
+from galenadrum._internal.network.stage_replies import AttemptLimits
 from galenadrum._internal.observability.traces import traceparent_of
 
 T = TypeVar("T")
--- /dev/null
+++ b/src/galenadrum/_internal/network/sockets.py
@@ -0,0 +1,26 @@
+"""Questions to sockets that never wait."""
+
+from __future__ import annotations
+
+import select
+import socket
+
+
+def has_left(caller_socket: socket.socket) -> bool:
+    """Return whether the caller closed its connection; never waits."""
+    # A socket with a timeout waits in recv whatever flags it is given.
+    if not is_readable(caller_socket):
+        return False
+    try:
+        return caller_socket.recv(1, socket.MSG_PEEK) == b""
+    except OSError:
+        return True
+
+
+def is_readable(sock: socket.socket | None) -> bool:
+    """Return whether a read would not wait; a missing socket counts as ended."""
+    if sock is None:
+        return True
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/src/galenadrum/_internal/network/stage_replies.py
@@ -0,0 +1,196 @@
+"""Reading of backend servers' replies, whole or streamed."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from urllib3.connection import HTTPConnection
+from urllib3.response import HTTPResponse
+
+from galenadrum._internal.models.requests import Outcome
+from galenadrum._internal.network.sockets import has_left
+from galenadrum._internal.network.stage_protocol import (
+    EVENT_STREAM,
+    NOT_RUN,
+    RUN_HEADER,
+    UNKNOWN,
+    parse_event,
+)
+
+_READ_SIZE_BYTES = 65_536
+_MAX_REPLY_BYTES = 64 * 1024 * 1024
+_MAX_EVENT_BYTES = 4 * 1024 * 1024
+
+OnDelta = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptLimits:
+    """What one attempt must respect.
+
+    Attributes:
+        deadline: Absolute monotonic time in seconds.
+        first_byte_timeout_s: Silence after which the connection is suspect.
+        fresh_connection: Whether a pooled connection must not be used.
+        caller_socket: The caller's socket, whose end cancels the attempt.
+        once: Whether an entry host that takes the call over must send it at
+            most once.
+    """
+
+    deadline: float
+    first_byte_timeout_s: float
+    fresh_connection: bool = False
+    caller_socket: socket.socket | None = None
+    once: bool = False
+
+
+class AttemptError(Exception):
+    """Ends an attempt with an outcome other than completed."""
+
+    def __init__(
+        self, outcome: Outcome, detail: str, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(detail)
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(slots=True)
+class Exchange:
+    """The state of one attempt on its connection."""
+
+    connection: HTTPConnection
+    limits: AttemptLimits
+    started: float
+    sent: bool = False
+    first_byte_s: float | None = None
+    cached_tokens: int = 0
+    reusable: bool = False
+
+
+def check_status(response: HTTPResponse) -> None:
+    """Raise what a status other than 200 says of the attempt."""
+    if response.status == 200:
+        return
+    retry_after_s = _retry_after(response)
+    outcome = Outcome.FAILED
+    run = response.headers.get(RUN_HEADER)
+    if run == NOT_RUN:
+        outcome = Outcome.NOT_RUN
+    elif run == UNKNOWN:
+        outcome = Outcome.UNKNOWN
+    detail = f"server answered {response.status}"
+    raise AttemptError(outcome, detail, retry_after_s)
+
+
+def _retry_after(response: HTTPResponse) -> float | None:
+    text = response.headers.get("Retry-After", "")
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return None
+
+
+def _read_part(response: HTTPResponse, exchange: Exchange) -> bytes:
+    left_s = exchange.limits.deadline - time.monotonic()
+    if left_s <= 0:
+        raise AttemptError(Outcome.CANCELLED, "the deadline passed")
+    sock = exchange.connection.sock
+    if sock is not None:
+        sock.settimeout(left_s)
+    return response.read1(_READ_SIZE_BYTES)
+
+
+def _read_whole(response: HTTPResponse, exchange: Exchange) -> Any:
+    parts = []
+    size = 0
+    while part := _read_part(response, exchange):
+        parts.append(part)
+        size += len(part)
+        if size > _MAX_REPLY_BYTES:
+            raise AttemptError(Outcome.FAILED, "the reply is too large")
+    reply = json.loads(b"".join(parts))
+    if not isinstance(reply, dict) or "output" not in reply:
+        raise AttemptError(Outcome.FAILED, "the reply has no output")
+    exchange.cached_tokens = _count(reply.get("cached_tokens"))
+    return reply["output"]
+
+
+def _read_stream(
+    response: HTTPResponse,
+    exchange: Exchange,
+    on_delta: OnDelta | None,
+) -> str:
+    digest = hashlib.sha256()
+    deltas: list[str] = []
+    buffer = b""
+    while part := _read_part(response, exchange):
+        buffer += part
+        if len(buffer) > _MAX_EVENT_BYTES:
+            raise AttemptError(Outcome.UNKNOWN, "an event is too large")
+        *events, buffer = buffer.split(b"\n\n")
+        for event in events:
+            name, data = parse_event(event)
+            if name == "done":
+                _check_digest(data, digest.hexdigest())
+                exchange.cached_tokens = _count(data.get("cached_tokens"))
+                _drain(response, exchange)
+                return "".join(deltas)
+            _take_delta(str(data["delta"]), deltas, digest, on_delta)
+        _check_caller(exchange)
+    raise AttemptError(Outcome.UNKNOWN, "the stream ended before its last event")
+
+
+def _take_delta(
+    delta: str,
+    deltas: list[str],
+    digest: Any,
+    on_delta: OnDelta | None,
+) -> None:
+    digest.update(delta.encode())
+    deltas.append(delta)
+    if on_delta is None:
+        return
+    try:
+        on_delta(delta)
+    except OSError:
+        raise AttemptError(Outcome.CANCELLED, "the caller left") from None
+
+
+def _check_caller(exchange: Exchange) -> None:
+    caller_socket = exchange.limits.caller_socket
+    if caller_socket is not None and has_left(caller_socket):
+        raise AttemptError(Outcome.CANCELLED, "the caller left")
+
+
+def _check_digest(data: dict[str, Any], digest: str) -> None:
+    if data.get("digest") != digest:
+        raise AttemptError(Outcome.UNKNOWN, "the stream's digest differs")
+
+
+def _drain(response: HTTPResponse, exchange: Exchange) -> None:
+    while _read_part(response, exchange):
+        pass
+
+
+def _count(value: Any) -> int:
+    return value if isinstance(value, int) and value > 0 else 0
+
+
+def read_output(
+    response: HTTPResponse, exchange: Exchange, on_delta: OnDelta | None
+) -> Any:
+    """Return the output in a reply whose head was read.
+
+    Raises:
+        AttemptError: The reply is not the whole output of the call.
+    """
+    if response.headers.get("Content-Type", "").startswith(EVENT_STREAM):
+        return _read_stream(response, exchange, on_delta)
+    return _read_whole(response, exchange)
--- a/tests/functional/test_stage_client.py
+++ b/tests/functional/test_stage_client.py
@@ -7,11 +7,9 @@
 
 from galenadrum._internal.demo.backend_server import BackendOptions, BackendServer
 from galenadrum._internal.models.requests import Dispatch, Outcome, Request, StageCall
-from galenadrum._internal.network.stage_client import (
-    AttemptLimits,
-    ConnectionPool,
-    StageClient,
-)
+from galenadrum._internal.network.connection_pool import ConnectionPool
+from galenadrum._internal.network.stage_client import StageClient
+from galenadrum._internal.network.stage_replies import AttemptLimits
 
 FAR_S = 30.0
 
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from galenadrum._internal.network.stage_client import parse_event
+from galenadrum._internal.network.stage_protocol import parse_event
 from lib.deployment import STAGES, Deployment, expected_output, standard_changes
 
 REQUESTS = 200
