--- a/benchmarks/entry_overhead.py
+++ b/benchmarks/entry_overhead.py
@@ -19,7 +19,10 @@
 import urllib3
 
 from benchmarks.process_figures import read_figures
-from lib.deployment import STAGES, Deployment, standard_changes
+from lib.deployment import STAGES, Deployment, put, standard_changes
+
+_STREAM_REPEATS = 10
+_TALK_SPEC = {"stages": ["generate"], "deadline_ms": 20_000}
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +68,20 @@
     )
 
 
+def measure_stream(deployment: Deployment, entry: str, words: int) -> float:
+    """Return the entry host's processor time for each part of a stream, in us."""
+    pid = deployment.processes[entry].popen.pid
+    stage_input = "w " * words
+
+    before = read_figures([pid])[pid].processor_s
+    parts = 0
+    for _ in range(_STREAM_REPEATS):
+        response = deployment.call(entry, "talk", stage_input, stream=True)
+        parts += response.data.count(b"\n\n")
+    processor_s = read_figures([pid])[pid].processor_s - before
+    return processor_s / parts * 1e6
+
+
 def _time_all(call, callers: int, requests: int) -> list[float]:
     def time_one(number: int) -> float:
         started = time.perf_counter()
@@ -93,13 +110,15 @@
 @click.option("--callers", "caller_counts", default="1,4,16")
 @click.option("--requests", default=400)
 @click.option("--service-ms", default=5.0)
-def main(caller_counts: str, requests: int, service_ms: float) -> None:
+@click.option("--words", default=2_000)
+def main(caller_counts: str, requests: int, service_ms: float, words: int) -> None:
     """Measure each number of callers and print the table."""
     with tempfile.TemporaryDirectory(prefix="galenadrum-bench-") as folder:
         deployment = Deployment(Path(folder))
         try:
             deployment.start_controls(1)
-            deployment.apply(standard_changes(), "first")
+            talk = put("pipeline", "talk", _TALK_SPEC)
+            deployment.apply([*standard_changes(), talk], "first")
             [entry] = deployment.start_entries(1)
             for stage in STAGES:
                 for number in range(2):
@@ -112,6 +131,7 @@
                 measure(deployment, entry, int(count), requests)
                 for count in caller_counts.split(",")
             ]
+            part_us = measure_stream(deployment, entry, words)
         finally:
             deployment.close()
     for row in rows:
@@ -121,7 +141,9 @@
             f"  ratio {row.ratio:4.2f}  {row.requests_per_s:5.0f} requests/s"
             f"  {row.processor_ms:5.2f} ms processor a request"
         )
-    click.echo(json.dumps({"rows": [asdict(row) for row in rows]}))
+    click.echo(f"stream: {part_us:.0f} us processor a part")
+    summary = {"rows": [asdict(row) for row in rows], "stream_part_us": part_us}
+    click.echo(json.dumps(summary))
 
 
 if __name__ == "__main__":
