--- a/tests/functional/failures/test_silent_connections.py
+++ b/tests/functional/failures/test_silent_connections.py
@@ -102,3 +102,37 @@
             assert response.status == 200, response.data
             relay.silence()
         assert list(deployment.runs("charge-0").values()) == [1] * 3
+
+
+class TestCutZone:
+    def test_serves_throughout_converges_after_and_never_reverts(
+        self, deployment, relays
+    ):
+        control = deployment.control_settings["control-1"]["peer_address"]
+        relay = relays(control)
+        entries = deployment.start_entries(2, control_addresses=[relay.address])
+        for stage in STAGES:
+            deployment.start_backend(f"{stage}-0", [stage], entries)
+        deployment.wait_ready(entries, servers=len(STAGES))
+        before = put_later(deployment, 0)
+        for entry in entries:
+            wait_until(lambda e=entry: deployment.revision_of(e) == before, "in force")
+        relay.cut()
+        seen = []
+        for number in range(1, 6):
+            newest = put_later(deployment, number)
+            for entry in entries:
+                response = deployment.call(entry, "plan", f"note {number}")
+                assert response.status == 200, response.data
+                seen.append(deployment.revision_of(entry))
+        assert set(seen) == {before}
+        relay.heal()
+        for entry in entries:
+            revisions = [before]
+
+            def has_converged(entry=entry, revisions=revisions):
+                revisions.append(deployment.revision_of(entry))
+                return revisions[-1] == newest
+
+            wait_until(has_converged, "the newest revision")
+            assert revisions == sorted(revisions)
--- a/tests/lib/silent_relay.py
+++ b/tests/lib/silent_relay.py
@@ -21,6 +21,7 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._generation = 0
+        self._is_cut = False
         self._connections = 0
         self._silent_ends = 0
         self._tasks = set()
@@ -52,6 +53,16 @@
         """Drop everything of the connections that stand now."""
         self._generation += 1
 
+    def cut(self):
+        """Drop everything, also of connections made from now on."""
+        self._is_cut = True
+        self.silence()
+
+    def heal(self):
+        """Let new connections work again; those made before stay silent."""
+        self._is_cut = False
+        self.silence()
+
     def _run(self):
         asyncio.set_event_loop(self._loop)
         server = self._loop.run_until_complete(
@@ -95,12 +106,12 @@
     async def _copy(self, reader, writer, generation):
         try:
             while chunk := await reader.read(_CHUNK_BYTES):
-                if generation == self._generation:
+                if generation == self._generation and not self._is_cut:
                     writer.write(chunk)
                     await writer.drain()
         except ConnectionError:
             pass
-        if generation != self._generation:
+        if generation != self._generation or self._is_cut:
             # The other side must not learn of the end.
             self._silent_ends += 1
             await asyncio.Event().wait()
