--- a/src/galenadrum/_internal/control/replication/joining.py
+++ b/src/galenadrum/_internal/control/replication/joining.py
@@ -10,7 +10,7 @@
 
 from galenadrum._internal.control.replication.core import ReplicaCore
 from galenadrum._internal.control.replication.membership import Member
-from galenadrum._internal.control.replication.peers import STREAM_ERRORS, split_address
+from galenadrum._internal.control.replication.peers import STREAM_ERRORS
 from galenadrum._internal.exceptions import (
     MemberRefusedError,
     MembershipError,
@@ -18,6 +18,7 @@
 )
 from galenadrum._internal.protocol import replication_pb2 as pb
 from galenadrum._internal.protocol.replication_grpc import ReplicationStub
+from galenadrum._internal.utils.addresses import split_address
 
 logger = logging.getLogger(__name__)
 
--- a/src/galenadrum/_internal/control/replication/peers.py
+++ b/src/galenadrum/_internal/control/replication/peers.py
@@ -22,6 +22,7 @@
 from galenadrum._internal.control.replication.messages import Message
 from galenadrum._internal.protocol import replication_pb2 as pb
 from galenadrum._internal.protocol.replication_grpc import ReplicationStub
+from galenadrum._internal.utils.addresses import split_address
 
 logger = logging.getLogger(__name__)
 
@@ -38,12 +39,6 @@
 )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class Outbox:
     """Messages that wait for a stream; the oldest give way when it is full."""
 
--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -28,6 +28,7 @@
     Spec,
     StageSpec,
 )
+from galenadrum._internal.utils.validation_errors import flatten_errors
 
 PIPELINE_MAX_STAGES = 8
 DEADLINE_MAX_MS = 600_000
@@ -132,25 +133,12 @@
     return converter
 
 
-def _findings_of(
-    error: ClassValidationError | IterableValidationError, path: str
-) -> list[Finding]:
+def _findings_of(error: Exception, path: str) -> list[Finding]:
     """Flatten the errors that cattrs grouped, each with its path."""
-    if isinstance(error, ClassValidationError):
-        places = [
-            (inner, path if note is None else f"{path}.{note.name}")
-            for inner, note in _with_notes(error)
-        ]
-    else:
-        places = [
-            (inner, path if note is None else _item_path(path, note.index))
-            for inner, note in _with_notes(error)
-        ]
     findings: list[Finding] = []
-    for inner, place in places:
-        if isinstance(inner, ClassValidationError | IterableValidationError):
-            findings.extend(_findings_of(inner, place))
-        elif isinstance(inner, ForbiddenExtraKeysError):
+    for inner_path, inner in flatten_errors(error):
+        place = path + "".join(map(_path_part, inner_path))
+        if isinstance(inner, ForbiddenExtraKeysError):
             findings.extend(
                 Finding("", 0, 0, f"{place}.{field}", "unknown field")
                 for field in inner.extra_fields
@@ -160,13 +148,8 @@
     return findings
 
 
-def _with_notes(error: ClassValidationError | IterableValidationError) -> list[Any]:
-    with_notes, without = error.group_exceptions()
-    return list(with_notes) + [(inner, None) for inner in without]
-
-
-def _item_path(path: str, index: int | str) -> str:
-    return f"{path}[{index}]" if isinstance(index, int) else f"{path}.{index}"
+def _path_part(part: str | int) -> str:
+    return f"[{part}]" if isinstance(part, int) else f".{part}"
 
 
 def _message_of(error: Exception) -> str:
