Log refusals and failed attempts under their request and trace

Cause: reading the whole change again showed that nothing used the logs' request and trace ids: refusals and failed attempts were seen in spans and metrics only. Also found: a flag of an execution that followed from its set of dispatched stages, a method that only passed on, and two methods without a caller. Change: RequestTelemetry logs both under their ids; the flag and the dead code are gone. No check is changed; one is added. Conclusion: behaviour towards callers is the same.

--- a/src/galenadrum/_internal/control/state/machine.py
+++ b/src/galenadrum/_internal/control/state/machine.py
@@ -110,10 +110,6 @@
         """Have ``listener`` called after each change of the revision."""
         self._listeners.append(listener)
 
-    def remove_listener(self, listener: Callable[[], None]) -> None:
-        """Undo ``add_listener``."""
-        self._listeners.remove(listener)
-
     def get(self, key: ResourceKey) -> Resource | None:
         """Return the resource with that key, if it is declared."""
         return self._table.get(key)
--- a/src/galenadrum/_internal/entry/execution.py
+++ b/src/galenadrum/_internal/entry/execution.py
@@ -93,7 +93,6 @@
     last_server_id: str | None = None
     unresolved: bool = False
     anything_ran: bool = False
-    effects_possible: bool = False
     effects_dispatched: set[int] = field(default_factory=set)
 
     @property
@@ -167,7 +166,7 @@
     ) -> tuple[Action, ...]:
         """Take the end of an attempt; a stale one changes no request."""
         decisions = self._policy.finished(call, server_id, result, now)
-        actions = list(self._carry(decisions, now))
+        actions = list(self.carry_out(decisions, now))
         execution = self._executions_by_id.get(call.request.request_id)
         if execution is None or not _is_current(execution, call, server_id):
             self.stale_results += 1
@@ -195,7 +194,7 @@
         actions: list[Action] = []
         if execution.server_id is None:
             decisions = self._policy.withdraw(execution.call, now)
-            actions.extend(self._carry(decisions, now))
+            actions.extend(self.carry_out(decisions, now))
         else:
             execution.unresolved = True
         refusal = Refusal(reason, execution.run_state, "the request was given up")
@@ -204,22 +203,12 @@
 
     def tick(self, now: float) -> tuple[Action, ...]:
         """Let the policy act on the passing of time."""
-        return self._carry(self._policy.tick(now), now)
+        return self.carry_out(self._policy.tick(now), now)
 
     def carry_out(
         self, decisions: tuple[Decision, ...], now: float
     ) -> tuple[Action, ...]:
-        """Turn decisions that the policy gave elsewhere into actions."""
-        return self._carry(decisions, now)
-
-    def next_wakeup(self, now: float) -> float | None:
-        """Return the loop time at which ``tick`` is due, if any."""
-        return self._policy.next_wakeup(now)
-
-    def _submit(self, call: StageCall, now: float) -> tuple[Action, ...]:
-        return self._carry(self._policy.submit(call, now), now)
-
-    def _carry(self, decisions: tuple[Decision, ...], now: float) -> tuple[Action, ...]:
+        """Turn decisions of the policy into actions."""
         actions: list[Action] = []
         for decision in decisions:
             if isinstance(decision, Dispatch):
@@ -228,6 +217,13 @@
                 actions.append(self._reject(decision, now))
         return tuple(actions)
 
+    def next_wakeup(self, now: float) -> float | None:
+        """Return the loop time at which ``tick`` is due, if any."""
+        return self._policy.next_wakeup(now)
+
+    def _submit(self, call: StageCall, now: float) -> tuple[Action, ...]:
+        return self.carry_out(self._policy.submit(call, now), now)
+
     def _send(self, dispatch: Dispatch) -> SendCall:
         call = dispatch.call
         execution = self._executions_by_id.get(call.request.request_id)
@@ -288,7 +284,9 @@
         ):
             raise InvariantError(f"false not_run for {execution.request.request_id}")
         self._remove(execution, now)
-        return Refuse(execution.request.request_id, refusal, execution.effects_possible)
+        return Refuse(
+            execution.request.request_id, refusal, bool(execution.effects_dispatched)
+        )
 
     def _remove(self, execution: _Execution, now: float) -> None:
         del self._executions_by_id[execution.request.request_id]
@@ -304,7 +302,6 @@
     if outcome is Outcome.NOT_RUN:
         if unrepeatable:
             execution.effects_dispatched.discard(call.stage_index)
-            execution.effects_possible = bool(execution.effects_dispatched)
         return
     if outcome in (Outcome.UNKNOWN, Outcome.CANCELLED):
         # Stays set until the stage completes: a later attempt that says "not
@@ -322,7 +319,6 @@
     if call.stage_index in execution.effects_dispatched:
         raise InvariantError(f"stage of {call.key} may run twice")
     execution.effects_dispatched.add(call.stage_index)
-    execution.effects_possible = True
 
 
 def _next_attempt(call: StageCall, execution: _Execution) -> StageCall:
--- a/src/galenadrum/_internal/entry/request_telemetry.py
+++ b/src/galenadrum/_internal/entry/request_telemetry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -11,14 +12,18 @@
 
 from galenadrum._internal.models.requests import Dispatch, Refusal, Request, StageCall
 from galenadrum._internal.network.stage_client import StageReply
+from galenadrum._internal.observability.logs import log_context
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.observability.traces import (
     end_span,
     start_span,
+    trace_id_of,
     traceparent_of,
 )
 from galenadrum._internal.routing.counters import Explanation
 
+logger = logging.getLogger(__name__)
+
 Explain = Callable[[StageCall], Explanation | None]
 
 
@@ -28,12 +33,14 @@
 
     Attributes:
         refusal: Set when the request ends with a refusal.
+        request_id: Empty until the request was taken on.
     """
 
     span: Span
     pipeline: str
     started: float
     refusal: Refusal | None = None
+    request_id: str = ""
 
     @property
     def traceparent(self) -> str:
@@ -42,6 +49,7 @@
 
     def identify(self, request: Request) -> None:
         """Add what is known once the request was taken on."""
+        self.request_id = request.request_id
         self.span.set_attribute("request_id", request.request_id)
         self.span.set_attribute("organisation", request.organisation)
 
@@ -86,6 +94,8 @@
                 pipeline=record.pipeline,
             )
             return
+        with log_context(record.request_id, trace_id_of(record.span)):
+            logger.info("request refused, %s: %s", refusal.run, refusal.message)
         record.span.set_attribute("run", str(refusal.run))
         end_span(record.span, f"{refusal.reason}: {refusal.message}")
         self._metrics.increment(
@@ -115,6 +125,15 @@
         call = dispatch.call
         outcome = str(reply.result.outcome)
         span.set_attribute("outcome", outcome)
+        if reply.detail:
+            with log_context(call.request.request_id, trace_id_of(span)):
+                logger.info(
+                    "attempt %d at stage %s on %s: %s",
+                    call.attempt,
+                    call.stage,
+                    dispatch.server_id,
+                    reply.detail,
+                )
         end_span(span, reply.detail or None)
         self._metrics.increment("attempts_total", stage=call.stage, outcome=outcome)
         self._metrics.record_duration(
--- a/src/galenadrum/_internal/membership/exchange.py
+++ b/src/galenadrum/_internal/membership/exchange.py
@@ -176,11 +176,6 @@
                 due.append(link.flush_at)
         return min(due)
 
-    def peer_ids(self) -> frozenset[str]:
-        """Return the ids of the hosts that links stand to."""
-        links = self._links_by_id.values()
-        return frozenset(link.peer_host_id for link in links if link.peer_host_id)
-
     def _accept_hello(self, link: Link, hello: Hello) -> bool:
         if hello.zone != self._zone:
             self._close(link, CloseReason.WRONG_ZONE)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -6,6 +6,7 @@
 
 from galenadrum._internal.network.stage_protocol import parse_event
 from lib.deployment import STAGES, Deployment, expected_output, standard_changes
+from lib.processes import wait_until
 
 REQUESTS = 200
 
@@ -113,6 +114,13 @@
         response = deployment.pool.request("POST", url, body=bytes(5 * 1024 * 1024))
         assert response.status == 413
 
+    def test_a_refusal_is_logged_under_the_callers_trace(self, deployment):
+        trace_id = "1af7651916cd43dd8448eb211c80319c"
+        headers = {"traceparent": f"00-{trace_id}-b7ad6b7169203331-01"}
+        deployment.call("zone-1-entry-1", "none", "x", headers=headers)
+        process = deployment.processes["zone-1-entry-1"]
+        wait_until(lambda: trace_id in process.read_log(), "a log line")
+
     def test_spans_of_all_hops_share_the_callers_trace(self, deployment):
         trace_id = "0af7651916cd43dd8448eb211c80319c"
         headers = {"traceparent": f"00-{trace_id}-b7ad6b7169203331-01"}
