Serve each operator's pipelines by its own policy

Cause: the one policy resource was named default and belonged to whoever created it. Of the two examples applied to one deployment by two operators, the second was refused as a whole, and one of the objectives couldn't count. Ruled out: a policy named after its operator (an import under another operator's name would be refused); an objective on each pipeline (the objective is one of an operator, and would stand many times). Change: an operator has at most one policy, of any name, which counts for the pipelines it owns; a call handed over by another zone counts by the owner of its stage. Of several declared rates of the weight store the smallest counts. The check of files finds a second policy. The test that the policy has one name is replaced by tests that an operator has one policy. Measured: the new tests fail on the earlier check; both examples are accepted side by side.

--- a/benchmarks/policy/policy_host.py
+++ b/benchmarks/policy/policy_host.py
@@ -26,9 +26,9 @@
     RefusalReason,
     RunState,
 )
-from galenadrum._internal.models.resources import PolicySpec
 from galenadrum._internal.models.servers import Announcement, ZoneDigest
 from galenadrum._internal.routing.mechanisms import Mechanisms
+from galenadrum._internal.routing.objectives import Objectives
 from galenadrum._internal.routing.policy import Policy
 
 OnDone = Callable[[Refusal | None], None]
@@ -56,7 +56,7 @@
         self.zone = site.host_zones[index]
         self.policy = Policy(self.zone, Random(f"{seed}/{index}"), mechanisms)
         self.policy.update_declarations(
-            site.stages_by_name(), {}, PolicySpec(site.objective), 0.0
+            site.stages_by_name(), {}, _objectives_of(site), 0.0
         )
         self._clock = clock
         self._wire = Wire(self.zone, clock, network)
@@ -209,3 +209,10 @@
     if refusal.run is RunState.RUN:
         return AttemptResult(Outcome.FAILED, 0.0)
     return AttemptResult(Outcome.UNKNOWN, 0.0)
+
+
+def _objectives_of(site: Site) -> Objectives:
+    return Objectives(
+        {load.name: site.objective for load in site.pipelines},
+        dict.fromkeys(site.stages_by_name(), site.objective),
+    )
--- a/benchmarks/policy_cost.py
+++ b/benchmarks/policy_cost.py
@@ -19,8 +19,9 @@
     Request,
     StageCall,
 )
-from galenadrum._internal.models.resources import PolicySpec, StageSpec
+from galenadrum._internal.models.resources import StageSpec
 from galenadrum._internal.models.servers import Announcement, LoadReport
+from galenadrum._internal.routing.objectives import Objectives
 from galenadrum._internal.routing.policy import Policy
 
 _SIZES = (5, 50, 200)
@@ -67,7 +68,7 @@
     """Return microseconds for a request and for an update of the pool."""
     policy = Policy("a", Random(1))
     stages = {"generate": StageSpec(model="m", streams=True, expected_service_ms=900)}
-    policy.update_declarations(stages, {}, PolicySpec(), 0.0)
+    policy.update_declarations(stages, {}, Objectives(), 0.0)
     policy.update_servers(make_announcements(count, 1), 0.0)
     in_flight: deque[Dispatch] = deque()
     result = AttemptResult(Outcome.COMPLETED, 0.9, cached_tokens=1_024)
--- a/src/galenadrum/_internal/control/orders/driver.py
+++ b/src/galenadrum/_internal/control/orders/driver.py
@@ -296,7 +296,7 @@
     """Return what the state declares about models."""
     models: dict[str, ModelSpec] = {}
     model_by_stage: dict[str, str] = {}
-    policy = PolicySpec()
+    loads_per_minute: list[int] = []
     for resource in state.resources():
         match resource.key.kind, resource.spec:
             case Kind.MODEL, ModelSpec():
@@ -304,8 +304,10 @@
             case Kind.STAGE, StageSpec(model=str(model)):
                 model_by_stage[resource.key.name] = model
             case Kind.POLICY, PolicySpec():
-                policy = resource.spec
-    return Declared(models, model_by_stage, policy.loads_per_minute)
+                loads_per_minute.append(resource.spec.loads_per_minute)
+    # All operators load from one store: the most careful of them counts.
+    rate = min(loads_per_minute, default=PolicySpec().loads_per_minute)
+    return Declared(models, model_by_stage, rate)
 
 
 async def _is_accepted(proposal: Awaitable[CommandResult], order: Order) -> bool:
--- a/src/galenadrum/_internal/control/state/changes.py
+++ b/src/galenadrum/_internal/control/state/changes.py
@@ -132,6 +132,9 @@
     for change in evaluation.changes:
         _compare(change, change_set.operator_name, table, evaluation)
     evaluation.findings += _check_whole(evaluation.changes, table, holders)
+    evaluation.findings += _check_policies(
+        evaluation.changes, change_set.operator_name, table
+    )
     return evaluation
 
 
@@ -246,6 +249,34 @@
     return findings + _check_deletions(change_by_key, table)
 
 
+def _check_policies(
+    changes: list[ParsedChange], operator_name: str, table: ResourceTable
+) -> list[Finding]:
+    """Return a finding for each policy beyond the one an operator may have."""
+    written = [c for c in changes if c.key.kind is Kind.POLICY]
+    added = [change for change in written if change.spec is not None]
+    if not added:
+        return []
+    written_keys = {change.key for change in written}
+    standing = [
+        resource.key
+        for resource in table
+        if resource.key.kind is Kind.POLICY
+        and resource.owner == operator_name
+        and resource.key not in written_keys
+    ]
+    first, *others = [*standing, *(change.key for change in added)]
+    return [
+        _place(
+            change.position,
+            "name",
+            f"{operator_name} has {first} already; an operator has one policy",
+        )
+        for change in added
+        if change.key in others
+    ]
+
+
 def _check_deletions(
     change_by_key: dict[ResourceKey, ParsedChange], table: ResourceTable
 ) -> list[Finding]:
--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -32,7 +32,6 @@
 
 PIPELINE_MAX_STAGES = 8
 DEADLINE_MAX_MS = 600_000
-POLICY_NAME = "default"
 _MAX_KEYS = 32
 _MAX_PIPELINES = 256
 _MAX_ADAPTERS = 256
@@ -113,9 +112,6 @@
     """Return what is wrong with the name of a resource."""
     if not is_valid_name(name):
         return (Finding("", 0, 0, path, NAME_RULE),)
-    if kind is Kind.POLICY and name != POLICY_NAME:
-        message = f"the one policy is named {POLICY_NAME!r}"
-        return (Finding("", 0, 0, path, message),)
     return ()
 
 
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -220,7 +220,7 @@
         self.policy.update_declarations(
             self.view.stages_by_name,
             self.view.organisations_by_name,
-            self.view.policy,
+            self.view.objectives(),
             self._loop.time(),
         )
         self.zone.set_revision(applied.revision)
--- a/src/galenadrum/_internal/entry/declarations.py
+++ b/src/galenadrum/_internal/entry/declarations.py
@@ -16,15 +16,16 @@
 from galenadrum._internal.models.resources import (
     Kind,
     ModelSpec,
+    Objective,
     OrganisationSpec,
     PipelineSpec,
-    PolicySpec,
     Resource,
     ResourceKey,
     Spec,
     StageSpec,
 )
 from galenadrum._internal.protocol.declarations_pb2 import WatchEvent
+from galenadrum._internal.routing.objectives import Objectives
 
 MAX_PARTS = 256
 
@@ -114,11 +115,23 @@
         """The declared models; not to be changed."""
         return self._spec_by_name[Kind.MODEL]
 
-    @property
-    def policy(self) -> PolicySpec:
-        """The declared policy, or the default one."""
-        policies = self._spec_by_name[Kind.POLICY]
-        return next(iter(policies.values()), PolicySpec())
+    def objectives(self) -> Objectives:
+        """Return the objective of each pipeline and stage, by its owner's policy."""
+        policy_by_owner = {
+            self._owner(Kind.POLICY, name): spec
+            for name, spec in self._spec_by_name[Kind.POLICY].items()
+        }
+
+        def objective_by_name(kind: Kind) -> dict[str, Objective]:
+            return {
+                name: policy_by_owner[owner].objective
+                for name in self._spec_by_name[kind]
+                if (owner := self._owner(kind, name)) in policy_by_owner
+            }
+
+        return Objectives(
+            objective_by_name(Kind.PIPELINE), objective_by_name(Kind.STAGE)
+        )
 
     def organisation_by_key_digest(
         self, digest: str
@@ -139,6 +152,9 @@
         """Return all that happened after ``revision``, for relaying."""
         return self._table.events_after(revision)
 
+    def _owner(self, kind: Kind, name: str) -> str:
+        return self._table.get(ResourceKey(kind, name)).owner
+
     def discard_parts(self) -> None:
         """Forget the parts of an event whose stream ended."""
         self._parts.clear()
--- a/src/galenadrum/_internal/models/resources.py
+++ b/src/galenadrum/_internal/models/resources.py
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PolicySpec:
-    """The objective of a deployment; the one resource is named ``default``.
+    """How the pipelines of one operator are served; each has at most one policy.
 
     Attributes:
         loads_per_minute: Loads of model weights that the weight store allows
--- a/src/galenadrum/_internal/routing/objectives.py
+++ b/src/galenadrum/_internal/routing/objectives.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
+from galenadrum._internal.models.requests import Request
 from galenadrum._internal.models.resources import Objective
 
 
@@ -42,3 +44,25 @@
 def weights_for(objective: Objective) -> Weights:
     """Return the weights of a declared objective."""
     return _WEIGHTS_BY_OBJECTIVE[objective]
+
+
+@dataclass(frozen=True, slots=True)
+class Objectives:
+    """Whose objective counts for a request; attainment where none is declared.
+
+    Attributes:
+        by_pipeline: Objective of the operator who owns each pipeline.
+        by_stage: Objective of the operator who owns each stage, for calls that
+            another zone handed over without naming their pipeline.
+    """
+
+    by_pipeline: Mapping[str, Objective] = field(default_factory=dict)
+    by_stage: Mapping[str, Objective] = field(default_factory=dict)
+
+    def weights_of(self, request: Request) -> Weights:
+        """Return the weights by which a request is decided on."""
+        if request.forwarded:
+            objective = self.by_stage.get(request.stages[0])
+        else:
+            objective = self.by_pipeline.get(request.pipeline)
+        return weights_for(objective or Objective.ATTAINMENT)
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -25,9 +25,7 @@
     StageCall,
 )
 from galenadrum._internal.models.resources import (
-    Objective,
     OrganisationSpec,
-    PolicySpec,
     StageSpec,
 )
 from galenadrum._internal.models.servers import Announcement, ZoneDigest
@@ -41,7 +39,7 @@
 from galenadrum._internal.routing.forecast import Forecast
 from galenadrum._internal.routing.ledger import RequestLedger
 from galenadrum._internal.routing.mechanisms import Mechanisms
-from galenadrum._internal.routing.objectives import weights_for
+from galenadrum._internal.routing.objectives import Objectives
 from galenadrum._internal.routing.placement import (
     ForwardPlacement,
     LocalPlacement,
@@ -83,7 +81,7 @@
         self._mechanisms = mechanisms or Mechanisms()
         self._zone = zone
         self._random = random
-        self._objective = Objective.ATTAINMENT
+        self._objectives = Objectives()
         self.counters = PolicyCounters()
         self._explanations = Explanations()
         self._catalog = StageCatalog()
@@ -204,7 +202,7 @@
         self,
         stages_by_name: Mapping[str, StageSpec],
         organisations_by_name: Mapping[str, OrganisationSpec],
-        policy: PolicySpec,
+        objectives: Objectives,
         now: float,
     ) -> None:
         """Take the declarations in force in.
@@ -212,7 +210,7 @@
         The weight and priority of an organisation come with each request.
         """
         self._catalog.update(stages_by_name, self._times)
-        self._objective = policy.objective
+        self._objectives = objectives
 
     def update_digests(self, digests: Iterable[ZoneDigest], now: float) -> None:
         """Take in what other zones told of their stages."""
@@ -257,7 +255,7 @@
     ) -> RefusalReason | None:
         if not self._mechanisms.admission:
             return None
-        weights = weights_for(self._objective)
+        weights = self._objectives.weights_of(request)
         margin = weights.admission_margin
         exponent = weights.size_exponent
         left_s = request.deadline - now
@@ -320,7 +318,7 @@
             return now
         if not self._mechanisms.small_first:
             return give_up_at
-        exponent = weights_for(self._objective).size_exponent
+        exponent = self._objectives.weights_of(call.request).size_exponent
         wait_s = self._forecast.queue_delay_s(call.stage, now)
         factor = self._forecast.size_factor(call.stage, service_s, exponent, wait_s)
         return now + (give_up_at - now) * factor
@@ -373,7 +371,8 @@
             decisions.extend(self._return_forwarded(queue, now))
         while len(queue):
             queued = queue.peek(self._usage(stage), self._fair_window_s(stage), now)
-            placement = self._placer.place(queued, weights_for(self._objective), now)
+            weights = self._objectives.weights_of(queued.call.request)
+            placement = self._placer.place(queued, weights, now)
             if placement is None:
                 break
             queue.remove(queued.call.key)
--- a/src/galenadrum/_internal/settings/declarations.py
+++ b/src/galenadrum/_internal/settings/declarations.py
@@ -159,7 +159,15 @@
         findings += check_digests(key, spec, holder_by_digest.get, declared.find)
         for digest in digests_of(spec):
             holder_by_digest.setdefault(digest, key)
-    return tuple(sorted(findings))
+    return tuple(sorted(findings + _find_second_policies(declared)))
+
+
+def _find_second_policies(declared: DeclarationSet) -> list[Finding]:
+    policies = [key for key in declared.places_by_key if key.kind is Kind.POLICY]
+    return [
+        declared.find(key, "name", f"{policies[0]} is declared; one policy is expected")
+        for key in policies[1:]
+    ]
 
 
 def _declaration_places(document: Document) -> Iterator[DeclarationPlace]:
--- a/tests/unit/control/test_changes.py
+++ b/tests/unit/control/test_changes.py
@@ -1,7 +1,9 @@
 import random
 
+from galenadrum._internal.declarations.specs import unstructure_spec
 from galenadrum._internal.models.resources import Kind, ResourceKey
 from galenadrum._internal.protocol.commands_pb2 import ChangeResult
+from galenadrum._internal.settings.declarations import read_declarations
 from lib.control_commands import (
     DIGESTS,
     RETENTION_MS,
@@ -11,6 +13,7 @@
     delete,
     put,
 )
+from lib.processes import ROOT
 
 PIPELINE = {"stages": ["encode"], "deadline_ms": 5_000}
 
@@ -176,3 +179,51 @@
         replica.send(body, 10)
         assert replica.send(body, 9 + RETENTION_MS).repeated
         assert replica.send(body, 10 + RETENTION_MS).status == ChangeResult.CONFLICT
+
+
+class TestPolicies:
+    def test_each_operator_has_its_own_and_no_second_one(self):
+        replica = Replica()
+        for operator, objective in (("vatu", "attainment"), ("tornos", "cost")):
+            result = replica.send(
+                change_set(
+                    operator,
+                    f"{operator}-1",
+                    put("policy", operator, {"objective": objective}, 0),
+                )
+            )
+            assert result.status == ChangeResult.ACCEPTED
+        result = replica.send(
+            change_set(
+                "vatu", "second", put("policy", "other", {}), put("policy", "x", {})
+            )
+        )
+        assert result.status == ChangeResult.INVALID
+        message = "vatu has policy/vatu already; an operator has one policy"
+        assert _messages(result) == [
+            ("changes[0].name", message),
+            ("changes[1].name", message),
+        ]
+
+    def test_is_replaced_by_one_of_another_name_in_one_change(self):
+        replica = Replica()
+        replica.send(change_set("vatu", "first", put("policy", "a", {})))
+        result = replica.send(
+            change_set("vatu", "second", delete("policy", "a"), put("policy", "b", {}))
+        )
+        assert result.status == ChangeResult.ACCEPTED
+        names = [item.key.name for item in replica.state.resources()]
+        assert names == ["b"]
+
+    def test_the_examples_of_both_operators_stand_beside_each_other(self):
+        replica = Replica()
+        for operator in ("vatu", "tornos"):
+            declared = read_declarations(
+                [ROOT / "examples" / operator / "declarations"]
+            )
+            changes = [
+                put(d.key.kind, d.key.name, unstructure_spec(d.spec), 0)
+                for d in declared.declarations
+            ]
+            result = replica.send(change_set(operator, operator, *changes))
+            assert result.status == ChangeResult.ACCEPTED, _messages(result)
--- a/tests/unit/entry/test_declarations.py
+++ b/tests/unit/entry/test_declarations.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import settings
@@ -15,9 +16,12 @@
     Ignored,
     IgnoredReason,
 )
+from galenadrum._internal.models.resources import Objective
 from galenadrum._internal.protocol.commands_pb2 import ChangeResult
 from galenadrum._internal.protocol.declarations_pb2 import WatchEvent
+from galenadrum._internal.routing.objectives import weights_for
 from lib.control_commands import DIGESTS, Replica, change_set, delete, put
+from lib.policy_driver import make_request
 
 EXAMPLES = int(os.environ.get("GALENADRUM_EXAMPLES", "60"))
 _MAX_DELETIONS = 2
@@ -188,3 +192,28 @@
             assert view.apply_event(event).revision == 501
         assert early.stages_by_name == new.stages_by_name
         assert len(new.stages_by_name) == 40
+
+
+class TestObjectives:
+    def test_the_owner_of_a_pipeline_decides_how_it_is_served(self):
+        control = Replica()
+        for operator, policy in (("vatu", None), ("tornos", {"objective": "cost"})):
+            stage = f"{operator}-stage"
+            pipeline = {"stages": [stage], "deadline_ms": 1_000}
+            changes = [put("stage", stage, {}), put("pipeline", operator, pipeline)]
+            if policy is not None:
+                changes.append(put("policy", "p", policy))
+            control.send(change_set(operator, operator, *changes))
+        view = DeclarationsView()
+        view.apply_event(control.state.events_after(0))
+        objectives = view.objectives()
+        requests = {
+            name: make_request("r", stages=(f"{name}-stage",), pipeline=name)
+            for name in ("vatu", "tornos", "unknown")
+        }
+        weights = {n: objectives.weights_of(r) for n, r in requests.items()}
+        attainment = weights_for(Objective.ATTAINMENT)
+        cost = weights_for(Objective.COST)
+        assert weights == {"vatu": attainment, "tornos": cost, "unknown": attainment}
+        forwarded = replace(requests["tornos"], pipeline="", forwarded=True)
+        assert objectives.weights_of(forwarded) == cost
--- a/tests/unit/settings/test_check.py
+++ b/tests/unit/settings/test_check.py
@@ -177,6 +177,14 @@
         assert finding.file.endswith("b.json")
         assert f"already declared at {tmp_path / 'a.json'}:1" in finding.message
 
+    def test_a_second_policy_is_found_across_files(self, tmp_path):
+        for name in ("a", "b"):
+            policy = {"kind": "policy", "name": name, "spec": {}}
+            (tmp_path / f"{name}.json").write_text(json.dumps(policy))
+        (finding,) = check_files([tmp_path])
+        assert finding.file.endswith("b.json")
+        assert finding.message == "policy/a is declared; one policy is expected"
+
 
 class TestExamples:
     @pytest.mark.parametrize("operator", ["vatu", "tornos"])
