End the watches of operators when a control host stops; tell the leader's address

Cause: the HTTP server waits for its workers without a limit, and a watch holds its worker for as long as its operator reads: a control host with an open watch never ended on SIGTERM. Answers that say not_leader never named the leader, as nothing gave the operators' address of another member. Ruled out: ending the connection from outside, as the server shuts down only the reading side of a busy connection. Change: the daemon ends its watches before the server stops. Members in settings may carry operator_address. The operators' calls are built by the daemon. The new test fails without the change.

--- a/src/galenadrum/_internal/control/daemon.py
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -8,7 +8,10 @@
 
 from galenadrum._internal.control.claims_service import ClaimsService
 from galenadrum._internal.control.declarations_service import DeclarationsService
-from galenadrum._internal.control.operator_api import build_operator_app
+from galenadrum._internal.control.operator_api import (
+    OperatorCalls,
+    build_operator_app,
+)
 from galenadrum._internal.control.orders.driver import OrdersDriver
 from galenadrum._internal.control.orders.reports import EngineReportsService
 from galenadrum._internal.control.proposals import Proposer
@@ -51,16 +54,16 @@
         reports = EngineReportsService(self.log, self.orders.take_report)
         handlers = [*self.log.services(), declarations, claims, reports]
         self._peers = GrpcServer(settings.peer_address, handlers)
+        self._operator_calls = OperatorCalls(
+            self.log, self.state, self.in_force, proposer, self.orders.status
+        )
         self.operators = HttpServer(
             settings.operator_address,
             build_operator_app(
                 LoopBridge(asyncio.get_running_loop()),
-                self.log,
-                self.state,
-                self.in_force,
+                self._operator_calls,
                 settings.operators,
-                proposer,
-                model_status_of=self.orders.status,
+                _operator_addresses(settings).get,
             ),
             _OPERATOR_LIMITS,
             f"{settings.member_id}-operators",
@@ -95,6 +98,9 @@
 
     async def stop(self) -> None:
         """Stop taking part and end all tasks."""
+        # The HTTP server waits for its workers, and a watch holds one as long as
+        # its operator reads.
+        self._operator_calls.end_watches()
         await asyncio.to_thread(self.operators.stop)
         if self._task is not None:
             self._task.cancel()
@@ -105,6 +111,15 @@
         self.orders.note_leadership(term, lease_until)
 
 
+def _operator_addresses(settings: ControlSettings) -> dict[str, str]:
+    """Return the operators' address by peer address, where it is known."""
+    return {
+        member.peer_address: member.operator_address
+        for member in settings.members
+        if member.operator_address
+    }
+
+
 def run_control(settings: ControlSettings) -> None:
     """Run a control host until a stop signal arrives.
 
--- a/src/galenadrum/_internal/control/operator_api/__init__.py
+++ b/src/galenadrum/_internal/control/operator_api/__init__.py
@@ -1,5 +1,6 @@
 """Operators' HTTP interface of a control host."""
 
 from galenadrum._internal.control.operator_api.app import build_operator_app
+from galenadrum._internal.control.operator_api.calls import OperatorCalls
 
-__all__ = ["build_operator_app"]
+__all__ = ["OperatorCalls", "build_operator_app"]
--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -11,7 +11,7 @@
 
 from galenadrum._internal.control.operator_api.authentication import authenticate
 from galenadrum._internal.control.operator_api.calls import (
-    ModelStatusOf,
+    CALL_TIMEOUT_S,
     OperatorCalls,
 )
 from galenadrum._internal.control.operator_api.change_requests import (
@@ -36,9 +36,6 @@
     send_json,
     start_json_lines,
 )
-from galenadrum._internal.control.proposals import Log, Proposer
-from galenadrum._internal.control.state.in_force import InForce
-from galenadrum._internal.control.state.machine import ControlState
 from galenadrum._internal.exceptions import (
     ControlUnreachableError,
     LogBusyError,
@@ -54,7 +51,6 @@
 
 logger = logging.getLogger(__name__)
 
-_CALL_TIMEOUT_S = 10.0
 # The loop's own timeout ends a call first, with the truer error.
 _BRIDGE_MARGIN_S = 2.0
 _WATCH_HEARTBEAT_S = 5.0
@@ -79,31 +75,19 @@
 
 def build_operator_app(
     bridge: LoopBridge,
-    log: Log,
-    state: ControlState,
-    in_force: InForce,
+    calls: OperatorCalls,
     operators: Sequence[Operator],
-    proposer: Proposer,
     operator_address_of: OperatorAddress = lambda peer_address: None,
-    model_status_of: ModelStatusOf = lambda model: None,
 ) -> Handler:
     """Return the application that answers operators.
 
     Args:
         bridge: The way to the loop.
-        log: The replicated log.
-        state: The state of this member.
-        in_force: Confirmations of entry hosts.
+        calls: What operators' calls do on the loop.
         operators: Who may call, with the digests of their tokens.
-        proposer: Proposes changes while this member leads.
         operator_address_of: Returns the operators' address of the control host
             with a peer address, when it is known.
-        model_status_of: Returns how the engines run a model, when it is known;
-            called on the loop.
     """
-    calls = OperatorCalls(
-        log, state, in_force, proposer, _CALL_TIMEOUT_S, model_status_of
-    )
     app = OperatorApp(bridge, calls, operators, operator_address_of)
     return build_routes(
         {
@@ -239,6 +223,8 @@
                 event = self._call(self._calls.next_event(revision, wait_s))
             except BridgeTimeoutError:
                 return
+            if event is None:
+                return
             yield json.dumps(event_document(event)).encode() + b"\n"
             revision = max(revision, event.revision)
             wait_s = _WATCH_HEARTBEAT_S
@@ -260,7 +246,7 @@
         ]
 
     def _call(self, coroutine: Any) -> Any:
-        return self._bridge.call(coroutine, _CALL_TIMEOUT_S + _BRIDGE_MARGIN_S)
+        return self._bridge.call(coroutine, CALL_TIMEOUT_S + _BRIDGE_MARGIN_S)
 
     def _redirect(self, error: NotLeaderError) -> ApiError:
         peer_address = error.leader_address
--- a/src/galenadrum/_internal/control/operator_api/calls.py
+++ b/src/galenadrum/_internal/control/operator_api/calls.py
@@ -21,6 +21,7 @@
 
 ModelStatusOf = Callable[[str], ModelStatus | None]
 
+CALL_TIMEOUT_S = 10.0
 _LEADER = "leader"
 _LEADER_WITHOUT_LEASE = "leader_without_lease"
 
@@ -33,7 +34,6 @@
         state: The state of this member.
         in_force: Confirmations of entry hosts.
         proposer: Proposes changes while this member leads.
-        timeout_s: Limit on each step that needs other members.
         model_status_of: Returns how the engines run a model, when it is known.
     """
 
@@ -43,33 +43,32 @@
         state: ControlState,
         in_force: InForce,
         proposer: Proposer,
-        timeout_s: float,
         model_status_of: ModelStatusOf = lambda model: None,
     ) -> None:
         self._log = log
         self._state = state
         self._in_force = in_force
         self._proposer = proposer
-        self._timeout_s = timeout_s
         self._model_status_of = model_status_of
         self._signal = ChangeSignal()
+        self._is_closing = False
         state.add_listener(self._signal.set)
 
     async def check(self, change_set: ChangeSet) -> ChangeResult:
         """Say what would become of a change."""
-        await self._log.read_barrier(self._timeout_s)
+        await self._log.read_barrier(CALL_TIMEOUT_S)
         return self._state.check(change_set)
 
     async def change(self, change_set: ChangeSet) -> ChangeResult:
         """Carry out a change."""
-        result = await self._proposer.propose_change(change_set, self._timeout_s)
+        result = await self._proposer.propose_change(change_set, CALL_TIMEOUT_S)
         return result.change
 
     async def read(
         self, kind: Kind | None, owner: str | None
     ) -> tuple[int, tuple[Resource, ...]]:
         """Return the current revision and resources."""
-        await self._log.read_barrier(self._timeout_s)
+        await self._log.read_barrier(CALL_TIMEOUT_S)
         return self._state.revision, self._state.resources(kind, owner)
 
     async def hosts(self) -> tuple[HostStatus, ...]:
@@ -91,10 +90,20 @@
         """Return how the engines run each of ``models``."""
         return {model: self._model_status_of(model) for model in models}
 
-    async def next_event(self, revision: int, wait_s: float) -> WatchEvent:
-        """Return what happened after ``revision``, or a heartbeat in time."""
-        if self._state.revision <= revision:
+    def end_watches(self) -> None:
+        """End all watches, as this member is about to stop."""
+        self._is_closing = True
+        self._signal.set()
+
+    async def next_event(self, revision: int, wait_s: float) -> WatchEvent | None:
+        """Return what happened after ``revision``, or a heartbeat in time.
+
+        None ends the watch.
+        """
+        if self._state.revision <= revision and not self._is_closing:
             await self._signal.wait(wait_s)
+        if self._is_closing:
+            return None
         return self._state.events_after(revision)
 
     async def status(self) -> tuple[Any, str, int]:
--- a/src/galenadrum/_internal/models/settings.py
+++ b/src/galenadrum/_internal/models/settings.py
@@ -89,10 +89,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlMember:
-    """A control host as its peers reach it."""
+    """A control host as its peers reach it.
+
+    Attributes:
+        operator_address: Where operators reach it, for answers that send them
+            on to the leader; empty when it isn't known.
+    """
 
     member_id: str
     peer_address: str
+    operator_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/functional/failures/test_control_hosts.py
+++ b/tests/functional/failures/test_control_hosts.py
@@ -6,8 +6,9 @@
 import threading
 
 import pytest
+import urllib3
 
-from lib.deployment import Deployment, put, standard_changes
+from lib.deployment import TOKEN, Deployment, put, standard_changes
 from lib.processes import wait_until
 
 KILLS = 6
@@ -109,6 +110,16 @@
         for number in range(CHANGES_AFTER_A_LOSS + 1):
             assert deployment.declared(f"numbered-{number}") == 1_000 + number
 
+    def test_a_member_with_an_open_watch_stops_when_asked(self, deployment):
+        name = deployment.find_leader()
+        url = f"http://{deployment.operators[name]}/v1/watch?from=0"
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        answer = urllib3.request("GET", url, headers=headers, preload_content=False)
+        lines = iter(answer)
+        next(lines)
+        assert deployment.processes[name].stop() == 0
+        assert list(lines) == []
+
     def test_an_old_member_with_an_empty_disk_is_refused(self, deployment):
         self.lose_disk(deployment, "control-3")
         deployment.start_control("control-3")
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -62,11 +62,14 @@
         names = [f"control-{number}" for number in range(1, count + 1)]
         peers = {name: free_address() for name in names}
         members = [
-            {"member_id": name, "peer_address": address}
+            {
+                "member_id": name,
+                "peer_address": address,
+                "operator_address": self.operators.setdefault(name, free_address()),
+            }
             for name, address in peers.items()
         ]
         for name in names:
-            self.operators[name] = free_address()
             settings = {
                 "role": "control",
                 "member_id": name,
--- a/tests/unit/control/test_operator_api.py
+++ b/tests/unit/control/test_operator_api.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from galenadrum._internal.control.operator_api import build_operator_app
+from galenadrum._internal.control.operator_api import OperatorCalls, build_operator_app
 from galenadrum._internal.control.proposals import Proposer
 from galenadrum._internal.control.state.in_force import InForce
 from galenadrum._internal.control.state.machine import ControlState
@@ -38,13 +38,11 @@
             Operator(name, hashlib.sha256(name.encode()).hexdigest())
             for name in ("vatu", "tornos")
         ]
+        self.calls = OperatorCalls(self.log, self.state, self.in_force, proposer)
         self.app = build_operator_app(
             self.bridge,
-            self.log,
-            self.state,
-            self.in_force,
+            self.calls,
             operators,
-            proposer,
             {"127.0.0.1:1": "127.0.0.1:2"}.get,
         )
 
@@ -189,6 +187,12 @@
         assert next(events)["deleted"] == [{"kind": "stage", "name": "encode"}]
         lines.close()
 
+    def test_a_watch_ends_when_the_control_host_stops(self, api):
+        _, lines = api.open("GET", "/v1/watch?from=0")
+        next(lines := iter(lines))
+        api.calls.end_watches()
+        assert list(lines) == []
+
     def test_watches_are_bounded_and_give_their_places_back(self, api):
         opened = [api.open("GET", "/v1/watch")[1] for _ in range(16)]
         assert api.call("GET", "/v1/watch")[0] == 503
