Abort connections that are still served when an HTTP server stops

Cause: after its time limit the server shuts down only the reading side of a busy connection and waits for the worker without a limit. A worker that writes a long answer held the process until the answer ended, also past the drain time of an entry host. Change: connections still open after the shutdown time are aborted in both directions, so that the worker's next write fails and its request is cancelled.

--- a/src/galenadrum/_internal/network/http_server.py
+++ b/src/galenadrum/_internal/network/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import socket
 import threading
@@ -91,15 +92,22 @@
 
     def __init__(self, owner: Any, sock: socket.socket, _make: object = None) -> None:
         super().__init__(owner, sock, _make_file)
+        owner.open_connections.add(self)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.has_unread_body = False
 
     def close(self) -> None:
         """Close the connection, so that an answer sent before still arrives."""
+        self.server.open_connections.discard(self)
         if self.has_unread_body:
             _discard_input(self.socket)
         super().close()
 
+    def abort(self) -> None:
+        """Make reads and writes fail, also those under way in a worker."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
 
 def _discard_input(sock: socket.socket) -> None:
     """Read what the peer still sends, for a bounded time and size.
@@ -136,6 +144,7 @@
     def __init__(self, limits: CallerLimits, **options: Any) -> None:
         super().__init__(**options)
         self.limits = limits
+        self.open_connections: set[_LimitedConnection] = set()
         self.gateway = _SocketGateway
 
     def process_conn(self, conn: Any) -> None:
@@ -201,8 +210,21 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop listening and wait for the workers, for a bounded time."""
+        """Stop listening and wait for the workers, for a bounded time.
+
+        Connections that are still served after it are aborted. Without this a
+        worker that writes would be waited for until its answer ends.
+        """
         if self._thread.ident is None:
             return
+        abortion = threading.Timer(_SHUTDOWN_TIMEOUT_S, self._abort_connections)
+        abortion.start()
         self._server.stop()
+        abortion.cancel()
         self._thread.join(_SHUTDOWN_TIMEOUT_S)
+
+    def _abort_connections(self) -> None:
+        connections = tuple(self._server.open_connections)
+        logger.info("aborting %d connections", len(connections))
+        for connection in connections:
+            connection.abort()
--- a/tests/functional/test_http_server.py
+++ b/tests/functional/test_http_server.py
@@ -13,6 +13,8 @@
     workers=4, head_timeout_ms=400, body_timeout_ms=400, idle_timeout_ms=20_000
 )
 
+_STOP_WAIT_S = 30.0
+
 
 def echo_app(environ, start_response):
     length = int(environ.get("CONTENT_LENGTH") or 0)
@@ -103,3 +105,29 @@
                 while reader.readline() != b"\r\n":
                     pass
                 assert reader.read(1) == b"x"
+
+    def test_an_answer_that_does_not_end_is_aborted_by_the_stop(self):
+        def endless_app(environ, start_response):
+            start_response("200 OK", [("Content-Type", "text/plain")])
+            while True:
+                yield b"part"
+
+        server = HttpServer("127.0.0.1:0", endless_app, LIMITS, "endless")
+        server.start()
+        answer = urllib3.request(
+            "GET", f"http://{server.address}/", preload_content=False
+        )
+        reading = threading.Thread(target=_read_to_the_end, args=(answer,))
+        reading.start()
+        stopping = threading.Thread(target=server.stop, daemon=True)
+        stopping.start()
+        stopping.join(_STOP_WAIT_S)
+        assert not stopping.is_alive()
+        reading.join(_STOP_WAIT_S)
+        assert not reading.is_alive()
+
+
+def _read_to_the_end(answer):
+    with contextlib.suppress(urllib3.exceptions.HTTPError):
+        while answer.read(65_536):
+            pass
