Let a leader that shuts down hand its lead over; fail tests early on a dead daemon

Cause: a restart of the leading control host was a crash to the others: changes and claims waited for an election. Ruled out: a shorter election timeout, which would make leaders change under load. Change: the leader proposes nothing more, waits for what it proposed, gives up its lease and asks a member that holds the whole log to lead; votes for that one are given though a leader was heard lately. Tests that wait for a daemon which has ended fail at once with its log, in place of waiting for 60 s. The simulation takes transfers among its faults; a leader that keeps its lease while it asks another to lead is noticed.

--- a/src/galenadrum/_internal/control/daemon.py
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -27,6 +27,7 @@
 
 logger = logging.getLogger(__name__)
 
+_STEP_DOWN_TIMEOUT_S = 3.0
 _OPERATOR_LIMITS = CallerLimits(workers=32)
 
 
@@ -94,7 +95,8 @@
             task.result()
 
     async def drain(self) -> None:
-        """Do nothing: what was proposed is committed by the other members."""
+        """Let another member lead, so that changes and claims go on at once."""
+        await self.log.step_down(_STEP_DOWN_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Stop taking part and end all tasks."""
--- a/src/galenadrum/_internal/control/replication/codec.py
+++ b/src/galenadrum/_internal/control/replication/codec.py
@@ -135,11 +135,17 @@
 
 
 def _encode_vote_request(body: m.VoteRequest) -> pb.VoteRequest:
-    return pb.VoteRequest(last_index=body.last_index, last_term=body.last_term)
+    return pb.VoteRequest(
+        last_index=body.last_index,
+        last_term=body.last_term,
+        leader_stepped_down=body.leader_stepped_down,
+    )
 
 
 def _decode_vote_request(record: pb.VoteRequest) -> m.VoteRequest:
-    return m.VoteRequest(record.last_index, record.last_term)
+    return m.VoteRequest(
+        record.last_index, record.last_term, record.leader_stepped_down
+    )
 
 
 def _encode_vote_response(body: m.VoteResponse) -> pb.VoteResponse:
@@ -224,6 +230,14 @@
     return m.SnapshotResponse(record.index, record.received_bytes, record.round)
 
 
+def _encode_timeout_now(body: m.TimeoutNow) -> pb.TimeoutNow:
+    return pb.TimeoutNow()
+
+
+def _decode_timeout_now(record: pb.TimeoutNow) -> m.TimeoutNow:
+    return m.TimeoutNow()
+
+
 def _encode_refusal(body: m.MemberRefusal) -> pb.MemberRefusal:
     return pb.MemberRefusal(reason=body.reason)
 
@@ -265,6 +279,7 @@
         _encode_snapshot_response,
         _decode_snapshot_response,
     ),
+    m.TimeoutNow: ("timeout_now", _encode_timeout_now, _decode_timeout_now),
     m.MemberRefusal: ("refusal", _encode_refusal, _decode_refusal),
 }
 
--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -32,6 +32,7 @@
     Refused,
     SnapshotChunk,
     SnapshotResponse,
+    TimeoutNow,
     VoteRequest,
     VoteResponse,
 )
@@ -47,6 +48,7 @@
     PreVoteResponse: election.handle_pre_vote_response,
     VoteRequest: election.handle_vote_request,
     VoteResponse: election.handle_vote_response,
+    TimeoutNow: election.handle_timeout_now,
     AppendRequest: follower.handle_append_request,
     SnapshotChunk: follower.handle_snapshot_chunk,
     AppendResponse: leader.handle_append_response,
@@ -235,6 +237,19 @@
         changed = membership.remove(self._state.membership, member_id)
         return leader.change_membership(self._state, changed, now), self._state.term
 
+    def transfer_leadership(self, now: float) -> str | None:
+        """Step down and let the member that is furthest along take the lead.
+
+        Returns:
+            The member asked to lead; None when no other could, and this member
+            goes on.
+
+        Raises:
+            NotLeaderError: When this member doesn't lead.
+        """
+        self._require_lead(now)
+        return leader.transfer(self._state, now)
+
     def request_read(self, token: int, now: float) -> None:
         """Ask for `ReadReady` or `ReadFailed` with this token.
 
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -43,6 +43,7 @@
 _FOUNDING_LOG_INTERVAL_S = 10.0
 _SNAPSHOT_MIN_BYTES = 1024 * 1024
 _ENTRY_OVERHEAD_BYTES = 64
+_POLL_INTERVAL_S = 0.01
 
 
 class StateMachine(Protocol):
@@ -115,6 +116,7 @@
         self._snapshot_bytes = 0
         self._pump_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
+        self._is_leaving = False
         self._next_founding_log = 0.0
         self._service = ReplicationService(
             self._peers.receive_inbound, self._peers.inbound_closed, self._answer_join
@@ -191,6 +193,8 @@
             OutcomeUnknownError: When it may have been accepted.
         """
         core = self._running_core()
+        if self._is_leaving:
+            raise NotLeaderError(None)
         index, term = core.propose(command, self._loop.time())
         return await self._wait_committed(index, term, timeout_s)
 
@@ -207,6 +211,33 @@
         finally:
             self._proposals.discard(index, future)
 
+    async def step_down(self, timeout_s: float) -> None:
+        """Let another member lead, once what was proposed here is committed.
+
+        Nothing is proposed here any more. Returns when another leader is known,
+        when there is no other member to lead, or after ``timeout_s`` seconds.
+        """
+        self._is_leaving = True
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._proposals:
+                    await asyncio.sleep(_POLL_INTERVAL_S)
+                if self._transfer_leadership():
+                    while self.leader_address is None:
+                        await asyncio.sleep(_POLL_INTERVAL_S)
+        except TimeoutError:
+            logger.info("no other member took the lead within %s s", timeout_s)
+
+    def _transfer_leadership(self) -> bool:
+        if not self.is_leader:
+            return False
+        successor_id = self._core.transfer_leadership(self._loop.time())
+        self._schedule_pump()
+        if successor_id is None:
+            return False
+        logger.info("member %s is asked to lead", successor_id)
+        return True
+
     async def read_barrier(self, timeout_s: float) -> None:
         """Return when all that was committed before the call is applied here.
 
--- a/src/galenadrum/_internal/control/replication/election.py
+++ b/src/galenadrum/_internal/control/replication/election.py
@@ -36,13 +36,26 @@
         state.send(member_id, request)
 
 
-def _start_election(state: ReplicaState, now: float) -> None:
+def handle_timeout_now(state: ReplicaState, message: Message, now: float) -> None:
+    """Take the lead from a leader that steps down."""
+    is_follower = state.role is Role.FOLLOWER and message.term == state.term
+    if not is_follower or message.sender_id != state.term_leader_id:
+        return
+    if state.membership.is_voter(state.member_id):
+        _start_election(state, now, leader_stepped_down=True)
+
+
+def _start_election(
+    state: ReplicaState, now: float, leader_stepped_down: bool = False
+) -> None:
     state.enter_term(state.term + 1, state.member_id)
     state.role = Role.CANDIDATE
     state.votes = set()
     state.disk_ids_by_voter = {}
     state.reset_election_deadline(now)
-    request = VoteRequest(state.log.last_index, state.log.last_term)
+    request = VoteRequest(
+        state.log.last_index, state.log.last_term, leader_stepped_down
+    )
     for member_id in state.peer_voter_ids():
         state.send_after_sync(member_id, request)
 
@@ -71,9 +84,14 @@
 
 
 def handle_vote_request(state: ReplicaState, message: Message, now: float) -> None:
-    """Grant at most one vote a term, and none while a leader is heard."""
+    """Grant at most one vote a term, and none while a leader is heard.
+
+    A leader that stepped down for the sender has no lease that a vote could
+    break, and neither has any leader before it.
+    """
     body = message.body
-    if state.hears_leader(now) or message.term < state.term:
+    hears_leader = state.hears_leader(now) and not body.leader_stepped_down
+    if hears_leader or message.term < state.term:
         state.send(message.sender_id, VoteResponse(granted=False))
         return
     if message.term > state.term:
--- a/src/galenadrum/_internal/control/replication/leader.py
+++ b/src/galenadrum/_internal/control/replication/leader.py
@@ -10,7 +10,7 @@
 )
 from galenadrum._internal.control.replication.entries import Entry, EntryKind
 from galenadrum._internal.control.replication.membership import Membership
-from galenadrum._internal.control.replication.messages import Message
+from galenadrum._internal.control.replication.messages import Message, TimeoutNow
 from galenadrum._internal.control.replication.state import (
     LeaderState,
     Progress,
@@ -88,6 +88,32 @@
     return index
 
 
+def transfer(state: ReplicaState, now: float) -> str | None:
+    """Ask a voter that holds the whole log to lead, and follow it.
+
+    The lease ends here: nothing that rests on it may happen after the request
+    for an election has left.
+    """
+    ready_ids = [
+        member_id
+        for member_id in state.peer_voter_ids()
+        if _could_lead(state, state.leader.progress_by_id.get(member_id), now)
+    ]
+    if not ready_ids:
+        return None
+    successor_id = state.rng.choice(ready_ids)
+    state.become_follower(state.term, now)
+    state.send(successor_id, TimeoutNow())
+    return successor_id
+
+
+def _could_lead(state: ReplicaState, progress: Progress | None, now: float) -> bool:
+    if progress is None or progress.answered_at is None:
+        return False
+    answers = now - progress.answered_at < state.options.election_timeout_s
+    return answers and progress.match_index == state.log.last_index
+
+
 def append_membership(state: ReplicaState, changed: Membership) -> int:
     """Append a membership that differs from the latest in one member."""
     return append(state, EntryKind.MEMBERSHIP, codec.membership_to_bytes(changed))
--- a/src/galenadrum/_internal/control/replication/messages.py
+++ b/src/galenadrum/_internal/control/replication/messages.py
@@ -31,10 +31,16 @@
 
 @dataclass(frozen=True, slots=True)
 class VoteRequest:
-    """Asks for a vote in the message's term."""
+    """Asks for a vote in the message's term.
+
+    Attributes:
+        leader_stepped_down: Whether the leader of the term before has given up
+            its lease and asked the sender to take the lead.
+    """
 
     last_index: int
     last_term: int
+    leader_stepped_down: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +104,11 @@
     round: int
 
 
+@dataclass(frozen=True, slots=True)
+class TimeoutNow:
+    """Asks a follower to start an election; its sender leads no longer."""
+
+
 @dataclass(frozen=True, slots=True)
 class MemberRefusal:
     """Tells a member that its messages are not accepted, and why."""
@@ -114,10 +125,17 @@
     | AppendResponse
     | SnapshotChunk
     | SnapshotResponse
+    | TimeoutNow
     | MemberRefusal
 )
 
-REQUEST_BODIES = (PreVoteRequest, VoteRequest, AppendRequest, SnapshotChunk)
+REQUEST_BODIES = (
+    PreVoteRequest,
+    VoteRequest,
+    AppendRequest,
+    SnapshotChunk,
+    TimeoutNow,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/control/replication/waiting.py
+++ b/src/galenadrum/_internal/control/replication/waiting.py
@@ -20,6 +20,9 @@
     def __init__(self) -> None:
         self._proposals_by_index: dict[int, _Proposal] = {}
 
+    def __len__(self) -> int:
+        return len(self._proposals_by_index)
+
     def add(self, index: int, term: int) -> asyncio.Future[bytes]:
         """Return the future of a proposal just appended at ``index``."""
         future = asyncio.get_running_loop().create_future()
--- a/tests/functional/failures/test_control_hosts.py
+++ b/tests/functional/failures/test_control_hosts.py
@@ -110,6 +110,19 @@
         for number in range(CHANGES_AFTER_A_LOSS + 1):
             assert deployment.declared(f"numbered-{number}") == 1_000 + number
 
+    def test_a_leader_that_shuts_down_lets_another_lead_first(self, deployment):
+        old = deployment.find_leader()
+        process = deployment.processes[old]
+        _, before = deployment.operate("GET", "/v1/status")
+        assert process.stop() == 0
+        assert "is asked to lead" in process.read_log()
+        assert "no other member took the lead" not in process.read_log()
+        deployment.operators.pop(old)
+        deployment.wait_leader()
+        _, after = deployment.operate("GET", "/v1/status")
+        assert after["leader"] != old
+        assert after["term"] == before["term"] + 1
+
     def test_a_member_with_an_open_watch_stops_when_asked(self, deployment):
         name = deployment.find_leader()
         url = f"http://{deployment.operators[name]}/v1/watch?from=0"
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -212,7 +212,13 @@
         return process
 
     def wait_leader(self):
-        wait_until(lambda: self.find_leader() is not None, "a leader")
+        def has_leader():
+            if all(self.processes[n].popen.poll() is not None for n in self.operators):
+                for name in self.operators:
+                    self.processes[name].assert_running()
+            return self.find_leader() is not None
+
+        wait_until(has_leader, "a leader")
 
     def find_leader(self):
         for name, address in self.operators.items():
@@ -248,6 +254,7 @@
             wait_until(lambda name=name: self.is_ready(name, servers), f"{name} ready")
 
     def is_ready(self, name, servers):
+        self.processes[name].assert_running()
         status, body = get_json(f"http://{self.platforms[name]}/v1/status")
         return status == 200 and body["ready"] and len(body["server_ids"]) >= servers
 
--- a/tests/lib/log_simulation.py
+++ b/tests/lib/log_simulation.py
@@ -224,6 +224,15 @@
         index, term = core.propose(command, now)
         node.proposals_by_index[index] = (term, command)
 
+    def transfer_leadership(self, node):
+        """Let a leader step down for another member."""
+        if node.core is None or node.backlog is not None:
+            return
+        try:
+            self._pump(node, lambda core, now: core.transfer_leadership(now))
+        except NotLeaderError:
+            return
+
     def read(self, node):
         if node.core is None or node.backlog is not None:
             return
@@ -548,11 +557,16 @@
         simulation.replace(node)
 
 
+def _transfer_leadership(simulation, node):
+    simulation.transfer_leadership(node)
+
+
 def _snapshot(simulation, node):
     simulation.snapshot(node)
 
 
 _WEIGHT_BY_FAULT = {
+    _transfer_leadership: 2,
     _crash: 3,
     _cut_power_of_many: 2,
     _restart_at_once: 2,
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -98,6 +98,11 @@
         self.popen.stdout.close()
         self._log.close()
 
+    def assert_running(self):
+        """Fail at once, with the log, for a process that has ended by itself."""
+        code = self.popen.poll()
+        assert code is None, f"{self.name} ended with {code}:\n{self.read_log()}"
+
     def read_log(self):
         return self.log_path.read_text()
 
--- a/tests/unit/control/replication/test_simulation.py
+++ b/tests/unit/control/replication/test_simulation.py
@@ -5,8 +5,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from galenadrum._internal.control.replication import election, rounds
+from galenadrum._internal.control.replication import election, leader, rounds
 from galenadrum._internal.control.replication.membership import Membership
+from galenadrum._internal.control.replication.messages import TimeoutNow
 from galenadrum._internal.control.replication.state import ReplicaState
 from galenadrum._internal.exceptions import InvariantError, LogDamagedError
 from lib.log_simulation import Simulation, Violation, run_randomly
@@ -55,6 +56,10 @@
     def snapshot(self, number):
         self.simulation.snapshot(self.node(number))
 
+    @rule(number=nodes)
+    def transfer_leadership(self, number):
+        self.simulation.transfer_leadership(self.node(number))
+
     @rule(number=nodes, power=st.booleans())
     def crash(self, number, power):
         self.simulation.crash(self.node(number), power)
@@ -113,6 +118,31 @@
         assert any(len(run.leader_by_term) > 3 for run in runs)
 
 
+class TestTransferOfLeadership:
+    @pytest.mark.parametrize("seed", range(5))
+    def test_another_leads_before_any_election_timeout(self, seed):
+        simulation = Simulation(seed)
+        simulation.run(5)
+        (old,) = [n for n in simulation.running() if n.core.is_leader]
+        term = old.core.term
+        simulation.transfer_leadership(old)
+        assert not old.core.is_leader
+        simulation.run(old.core._state.options.election_timeout_s / 4)
+        (new,) = [n for n in simulation.running() if n.core.status().lease_until]
+        assert new is not old
+        assert new.core.term == term + 1
+
+    def test_a_leader_that_nobody_answers_goes_on(self):
+        simulation = Simulation(seed=1)
+        simulation.run(5)
+        (leading,) = [n for n in simulation.running() if n.core.is_leader]
+        others = set(simulation.nodes_by_id) - {leading.member_id}
+        simulation.partition([{leading.member_id}, others])
+        simulation.propose(leading)
+        simulation.transfer_leadership(leading)
+        assert leading.core.is_leader
+
+
 class TestChecksCanFail:
     """Each takes one rule out of the members; the checks must notice."""
 
@@ -168,6 +198,14 @@
         simulation.run(10)
         assert leading.core.is_leader
 
+    def test_when_a_leader_asks_another_to_lead_and_keeps_its_lease(self, monkeypatch):
+        def keep_leading(state, now):
+            for member_id in state.peer_voter_ids():
+                state.send(member_id, TimeoutNow())
+
+        monkeypatch.setattr(leader, "transfer", keep_leading)
+        self.assert_noticed(range(10))
+
     def test_when_a_lost_disk_may_found_with_a_majority(self, monkeypatch):
         self.lose_a_disk_before_all_have_met()
         monkeypatch.setattr(Membership, "is_founding", lambda _: False)
