Let operators remove a control host for good

Cause: a member could be added or replaced by its settings, but not removed: the log's call for it had no caller. Operators who leave a shared deployment take their control hosts along. Change: DELETE /v1/members and the command remove-member; repeated calls find the member removed. ReplicatedLog.replace_member had no caller and goes, as joining names the member that is replaced. Measured: process test: the removed member's next start is refused, the other two go on.

--- a/src/galenadrum/_internal/commands/__init__.py
+++ b/src/galenadrum/_internal/commands/__init__.py
@@ -44,6 +44,9 @@
     "status": CommandInfo(
         f"{_PACKAGE}.status", "Show control hosts and the revisions in force."
     ),
+    "remove-member": CommandInfo(
+        f"{_PACKAGE}.remove_member", "Take a control host out of the cluster for good."
+    ),
     "export": CommandInfo(
         f"{_PACKAGE}.export", "Write one owner's declarations as a file."
     ),
--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -39,6 +39,7 @@
 from galenadrum._internal.exceptions import (
     ControlUnreachableError,
     LogBusyError,
+    MembershipError,
     NotLeaderError,
     OutcomeUnknownError,
 )
@@ -96,6 +97,7 @@
             ("GET", "/v1/watch"): app.guard(app.watch),
             ("GET", "/v1/status"): app.guard(app.status),
             ("GET", "/v1/export"): app.guard(app.export),
+            ("DELETE", "/v1/members"): app.guard(app.remove_member),
         }
     )
 
@@ -131,6 +133,9 @@
             except OutcomeUnknownError as error:
                 unknown = ApiError(ErrorCode.UNKNOWN, str(error))
                 return send_error(start_response, unknown)
+            except MembershipError as error:
+                refused = ApiError(ErrorCode.BAD_REQUEST, str(error))
+                return send_error(start_response, refused)
             except LogBusyError as error:
                 return send_error(start_response, ApiError(ErrorCode.BUSY, str(error)))
             except (BridgeTimeoutError, ControlUnreachableError) as error:
@@ -208,13 +213,23 @@
     ) -> Iterable[bytes]:
         """Answer ``GET /v1/export``."""
         authenticate(environ, self._operators)
-        query = _parse_query(environ, frozenset(("owner",)))
-        if "owner" not in query:
-            finding = Finding("", 0, 0, "owner", "required parameter missing")
-            raise refuse(ErrorCode.BAD_REQUEST, "name the owner", [finding])
-        _, found = self._call(self._calls.read(None, query["owner"]))
+        owner = _required_parameter(environ, "owner")
+        _, found = self._call(self._calls.read(None, owner))
         return send_json(start_response, export_document(found))
 
+    def remove_member(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer ``DELETE /v1/members``."""
+        operator_name = authenticate(environ, self._operators)
+        member_id = _required_parameter(environ, "member_id")
+        try:
+            self._call(self._calls.remove_member(member_id))
+        except BridgeTimeoutError as error:
+            raise OutcomeUnknownError(str(error)) from error
+        logger.info("operator %s removed member %s", operator_name, member_id)
+        return send_json(start_response, {"removed": member_id})
+
     def _lines(self, revision: int, start_response: StartResponse) -> Iterator[bytes]:
         start_json_lines(start_response)
         wait_s = 0.0
@@ -305,6 +320,14 @@
     return {name: given[0] for name, given in values.items()}
 
 
+def _required_parameter(environ: dict[str, Any], name: str) -> str:
+    query = _parse_query(environ, frozenset((name,)))
+    if not query.get(name):
+        finding = Finding("", 0, 0, name, "required parameter missing")
+        raise refuse(ErrorCode.BAD_REQUEST, f"name the {name}", [finding])
+    return query[name]
+
+
 def _kind_of(query: Query) -> Kind | None:
     if "kind" not in query:
         return None
--- a/src/galenadrum/_internal/control/operator_api/calls.py
+++ b/src/galenadrum/_internal/control/operator_api/calls.py
@@ -64,6 +64,10 @@
         result = await self._proposer.propose_change(change_set, CALL_TIMEOUT_S)
         return result.change
 
+    async def remove_member(self, member_id: str) -> None:
+        """Remove a control host for good."""
+        await self._log.remove_member(member_id, CALL_TIMEOUT_S)
+
     async def read(
         self, kind: Kind | None, owner: str | None
     ) -> tuple[int, tuple[Resource, ...]]:
--- a/src/galenadrum/_internal/control/proposals.py
+++ b/src/galenadrum/_internal/control/proposals.py
@@ -36,6 +36,8 @@
 
     async def read_barrier(self, timeout_s: float) -> None: ...
 
+    async def remove_member(self, member_id: str, timeout_s: float) -> None: ...
+
 
 class Proposer:
     """Stamps commands with time, retention and cluster and proposes them.
--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -237,6 +237,11 @@
         changed = membership.remove(self._state.membership, member_id)
         return leader.change_membership(self._state, changed, now), self._state.term
 
+    def is_removed(self, member_id: str) -> bool:
+        """Return whether a member is known to be removed for good."""
+        committed = self._state.log.membership_at(self._state.commit_index)
+        return member_id in committed.removed_ids
+
     def transfer_leadership(self, now: float) -> str | None:
         """Step down and let the member that is furthest along take the lead.
 
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -265,6 +265,8 @@
     ) -> None:
         """Add a member; it votes once it has caught up and synced.
 
+        One that it replaces is removed after that.
+
         Raises:
             NotLeaderError: When this member doesn't lead.
             MembershipError: When it can't be added, or not now.
@@ -276,21 +278,17 @@
         await self._wait_committed(index, term, timeout_s)
 
     async def remove_member(self, member_id: str, timeout_s: float) -> None:
-        """Remove a member for good; raises as `add_member` does."""
+        """Remove a member for good; raises as `add_member` does.
+
+        One that is removed already stays so, for calls that are sent again.
+        """
         core = self._running_core()
+        await self.read_barrier(timeout_s)
+        if core.is_removed(member_id):
+            return
         index, term = core.remove_member(member_id, self._loop.time())
         await self._wait_committed(index, term, timeout_s)
 
-    async def replace_member(
-        self, old_id: str, new_id: str, address: str, timeout_s: float
-    ) -> None:
-        """Add a member that takes another's place; raises as `add_member` does.
-
-        The old one is removed when the new one has caught up; `status` shows
-        how far that is.
-        """
-        await self.add_member(new_id, address, timeout_s, replaces=old_id)
-
     @property
     def is_leader(self) -> bool:
         """Whether this member leads, now, by its clock."""
--- a/src/galenadrum/_internal/network/operator_client.py
+++ b/src/galenadrum/_internal/network/operator_client.py
@@ -213,6 +213,17 @@
             raise ControlUnreachableError("the answer to the export is malformed")
         return resources
 
+    def remove_member(self, member_id: str) -> None:
+        """Remove a control host for good; sent until the outcome is known.
+
+        Raises:
+            OperatorApiError: It can't be removed, or not now.
+            OutcomeUnknownError: It may or may not be removed.
+            ControlUnreachableError: It was certainly not removed.
+        """
+        query = urlencode({"member_id": member_id})
+        self._call("DELETE", f"/v1/members?{query}", changes=True)
+
     def read_statuses(self) -> dict[str, dict[str, Any] | None]:
         """Ask each control host for its own view, None where none answers.
 
--- a/tests/functional/failures/test_control_hosts.py
+++ b/tests/functional/failures/test_control_hosts.py
@@ -123,6 +123,21 @@
         assert after["leader"] != old
         assert after["term"] == before["term"] + 1
 
+    def test_a_removed_member_is_out_for_good_and_the_others_go_on(self, deployment):
+        leader = deployment.find_leader()
+        address = deployment.operators[leader]
+        removed = next(name for name in deployment.operators if name != leader)
+        path = f"/v1/members?member_id={removed}"
+        for _ in range(2):
+            assert deployment.operate("DELETE", path, address=address)[0] == 200
+        deployment.processes[removed].kill()
+        deployment.operators.pop(removed)
+        assert len(deployment.members()) == 2
+        submit_numbered(deployment, 1)
+        restarted = deployment.start_control(removed)
+        assert restarted.popen.wait(60) != 0
+        assert f"{removed} was removed" in restarted.read_log()
+
     def test_a_member_with_an_open_watch_stops_when_asked(self, deployment):
         name = deployment.find_leader()
         url = f"http://{deployment.operators[name]}/v1/watch?from=0"
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -267,3 +267,15 @@
         assert asked == sorted(asked)
         assert {0, 1, 2} <= set(asked)
         assert "Read timed out" in reasons[0]
+
+
+class TestRemoveMember:
+    def test_is_sent_again_after_a_lost_answer(self, run, api):
+        api.behave = lambda call, body: (
+            (200, b"{") if api.calls.count(call) == 1 else None
+        )
+        code, out, _ = run("remove-member", "control-ba")
+        assert (code, out) == (status_codes.SUCCESS, "control-ba removed\n")
+        assert api.calls == ["DELETE /v1/members"] * 2
+        code, out, _ = run("remove-member", "control-ba", "-o", "json")
+        assert json.loads(out) == {"removed": "control-ba"}
--- a/tests/lib/fake_log.py
+++ b/tests/lib/fake_log.py
@@ -3,7 +3,11 @@
 from dataclasses import dataclass
 from types import SimpleNamespace
 
-from galenadrum._internal.exceptions import NotLeaderError, OutcomeUnknownError
+from galenadrum._internal.exceptions import (
+    MembershipError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
 
 
 @dataclass
@@ -40,6 +44,11 @@
             raise OutcomeUnknownError("the answer was lost")
         return result
 
+    async def remove_member(self, member_id, timeout_s):
+        await self.read_barrier(timeout_s)
+        if member_id != "c2":
+            raise MembershipError(f"there is no member {member_id}")
+
     async def read_barrier(self, timeout_s):
         if self.failure is not None:
             raise self.failure
--- a/tests/lib/operators_api.py
+++ b/tests/lib/operators_api.py
@@ -52,6 +52,8 @@
     def serve(self, call, body, query):
         if call == "POST /v1/changes":
             return self.change(body)
+        if call == "DELETE /v1/members":
+            return 200, {"removed": query["member_id"]}
         if call == "GET /v1/status":
             hosts = [
                 {"host_id": "e1", "zone": "nadi", "revision": self.revision, "age_s": 1}
--- a/tests/unit/control/test_operator_api.py
+++ b/tests/unit/control/test_operator_api.py
@@ -187,6 +187,16 @@
         assert next(events)["deleted"] == [{"kind": "stage", "name": "encode"}]
         lines.close()
 
+    def test_a_member_is_removed_or_the_reason_is_told(self, api):
+        path = "/v1/members?member_id="
+        assert api.call("DELETE", path + "c2") == (200, {"removed": "c2"})
+        status, body = api.call("DELETE", path + "c9")
+        assert (status, body["error"]["message"]) == (400, "there is no member c9")
+        assert api.call("DELETE", path)[0] == 400
+        assert api.call("DELETE", path + "c2", token="none")[0] == 401
+        api.log.is_leader = False
+        assert api.call("DELETE", path + "c2")[0] == 503
+
     def test_a_watch_ends_when_the_control_host_stops(self, api):
         _, lines = api.open("GET", "/v1/watch?from=0")
         next(lines := iter(lines))
