Refuse claims at once when control is known to be out of reach

Cause: cut off from the quorum, the first claim of each second waited 2 s for its not_run, as a failed claim only held the next ones up for a second. Ruled out: trying claims on behind a refusal, a steady probe (docs/design/claims.md). Change: the age of the watch, a claim that found no leader for 2 s and silence of all members say that control is out of reach; a probe in the background finds the leader again. An election, where members answer without a leader, is still waited for. A claim with a short deadline that fails says nothing.

--- a/src/galenadrum/_internal/control/claims_service.py
+++ b/src/galenadrum/_internal/control/claims_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable
+from typing import TypeVar
 
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
@@ -17,6 +18,8 @@
 from galenadrum._internal.network.leader_redirect import redirect_error
 from galenadrum._internal.protocol.claims_grpc import ClaimsBase
 from galenadrum._internal.protocol.claims_pb2 import (
+    CheckLeaderRequest,
+    CheckLeaderResponse,
     ClaimRequest,
     ClaimResponse,
     RecordOutcomeRequest,
@@ -24,6 +27,8 @@
 )
 from galenadrum._internal.protocol.commands_pb2 import CommandError, CommandResult
 
+T = TypeVar("T")
+
 _MAX_TIMEOUT_S = 5.0
 _STATUS_BY_CODE = {
     CommandError.MALFORMED: Status.INVALID_ARGUMENT,
@@ -47,8 +52,8 @@
         if request is None:
             return
         timeout_s = _timeout_of(stream)
-        result = await _translate_errors(
-            self._proposer.propose_claim(request, timeout_s)
+        result = _refuse_error(
+            await _translate_errors(self._proposer.propose_claim(request, timeout_s))
         )
         await stream.send_message(result.claim)
 
@@ -60,11 +65,21 @@
         if request is None:
             return
         timeout_s = _timeout_of(stream)
-        result = await _translate_errors(
-            self._proposer.propose_outcome(request, timeout_s)
+        result = _refuse_error(
+            await _translate_errors(self._proposer.propose_outcome(request, timeout_s))
         )
         await stream.send_message(result.record_outcome)
 
+    async def CheckLeader(  # noqa: N802
+        self, stream: Stream[CheckLeaderRequest, CheckLeaderResponse]
+    ) -> None:
+        """Answer while a majority follows this member."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        await _translate_errors(self._proposer.check_leader(_timeout_of(stream)))
+        await stream.send_message(CheckLeaderResponse())
+
 
 def _timeout_of(stream: Stream) -> float:
     """Return how long the client still waits, within a bound."""
@@ -73,20 +88,23 @@
     return min(max(stream.deadline.time_remaining(), 0.001), _MAX_TIMEOUT_S)
 
 
-async def _translate_errors(proposal: Awaitable[CommandResult]) -> CommandResult:
+async def _translate_errors(proposal: Awaitable[T]) -> T:
     """Wait for a proposal; raise what goes wrong as a gRPC status.
 
     ``ABORTED`` says that the command may or may not have been accepted; all
     other statuses raised here say that it certainly was not.
     """
     try:
-        result = await proposal
+        return await proposal
     except NotLeaderError as error:
         raise redirect_error(error.leader_address) from None
     except OutcomeUnknownError as error:
         raise GRPCError(Status.ABORTED, str(error)) from None
     except LogBusyError as error:
         raise GRPCError(Status.RESOURCE_EXHAUSTED, str(error)) from None
+
+
+def _refuse_error(result: CommandResult) -> CommandResult:
     if result.WhichOneof("body") == "error":
         raise GRPCError(_STATUS_BY_CODE[result.error.code], result.error.message)
     return result
--- a/src/galenadrum/_internal/control/proposals.py
+++ b/src/galenadrum/_internal/control/proposals.py
@@ -63,6 +63,15 @@
         self._change_id_retention_ms = change_id_retention_s * 1_000
         self._claim_retention_ms = claim_retention_s * 1_000
 
+    async def check_leader(self, timeout_s: float) -> None:
+        """Wait until a majority confirmed that this member leads.
+
+        Raises:
+            NotLeaderError: This member doesn't lead.
+            OutcomeUnknownError: No majority confirmed it in time.
+        """
+        await self._log.read_barrier(timeout_s)
+
     async def propose_change(
         self, change_set: ChangeSet, timeout_s: float
     ) -> CommandResult:
--- a/src/galenadrum/_internal/entry/claims_client.py
+++ b/src/galenadrum/_internal/entry/claims_client.py
@@ -13,6 +13,7 @@
 from grpclib.exceptions import GRPCError
 
 from galenadrum._internal.entry.control_client import ControlClient
+from galenadrum._internal.entry.control_reach import ControlReach
 from galenadrum._internal.exceptions import (
     ControlUnreachableError,
     OutcomeUnknownError,
@@ -33,6 +34,7 @@
     CLAIM_STATE_MISMATCH,
     CLAIM_STATE_RELEASED,
     CLAIM_STATE_UNKNOWN,
+    CheckLeaderRequest,
     ClaimRequest,
     ClaimResponse,
     RecordOutcomeRequest,
@@ -43,11 +45,14 @@
 
 SendClaim = Callable[[ClaimRequest, float], Awaitable[ClaimResponse]]
 SendOutcome = Callable[[RecordOutcomeRequest, float], Awaitable[RecordOutcomeResponse]]
+SendProbe = Callable[[float], Awaitable[object]]
 
 _OUTCOME_MAX_BYTES = 64 * 1024
 _STATUS_BYTES = 2
 _CLAIM_TIMEOUT_S = 2.0
-_UNREACHABLE_HOLD_S = 1.0
+_PROBE_TIMEOUT_S = 1.0
+_PROBE_DELAY_S = 0.5
+_PROBE_GIVE_UP_S = 60.0
 _RECORD_WAIT_S = 1.0
 _RECORD_ATTEMPT_S = 5.0
 _RECORD_GIVE_UP_S = 120.0
@@ -69,18 +74,30 @@
         host_id: Name of this entry host.
         send_claim: Sends a claim to the leader by a deadline.
         send_outcome: Sends an outcome to the leader by a deadline.
+        send_probe: Asks by a deadline whether a majority follows the leader.
+        watch_age_s: Returns how long ago the watch of declarations last heard
+            of a leader.
 
     Attributes:
         dropped_records: Outcomes that could not be recorded.
     """
 
     def __init__(
-        self, host_id: str, send_claim: SendClaim, send_outcome: SendOutcome
+        self,
+        host_id: str,
+        send_claim: SendClaim,
+        send_outcome: SendOutcome,
+        send_probe: SendProbe,
+        watch_age_s: Callable[[], float],
     ) -> None:
         self._host_id = host_id
         self._send_claim = send_claim
         self._send_outcome = send_outcome
-        self._unreachable_until = 0.0
+        self._send_probe = send_probe
+        self._watch_age_s = watch_age_s
+        self._reach = ControlReach()
+        self._probe_until = 0.0
+        self._probe: asyncio.Task[None] | None = None
         self._records: set[asyncio.Task[None]] = set()
         self.dropped_records = 0
         self.claims_by_state: Counter[int] = Counter()
@@ -139,10 +156,13 @@
             await asyncio.wait(self._records, timeout=timeout_s)
         for task in tuple(self._records):
             task.cancel()
+        if self._probe is not None:
+            self._probe.cancel()
 
     async def _claim(self, request: Request, fingerprint: bytes) -> ClaimResponse:
         now = asyncio.get_running_loop().time()
-        if now < self._unreachable_until:
+        if self._reach.is_lost(now, self._watch_age_s()):
+            self._start_probe()
             _refuse_unreachable()
         message = ClaimRequest(
             organisation=request.organisation,
@@ -154,12 +174,14 @@
         )
         deadline = min(request.deadline, now + _CLAIM_TIMEOUT_S)
         try:
-            return await self._send_claim(message, deadline)
+            response = await self._send_claim(message, deadline)
+            self._note_answer()
+            return response
         except ControlUnreachableError:
-            self._hold()
+            self._note_failure(now, deadline)
             _refuse_unreachable()
         except OutcomeUnknownError:
-            self._hold()
+            self._note_failure(now, deadline)
             self.release(request)
             _refuse_unreachable()
         except GRPCError as error:
@@ -176,10 +198,40 @@
             self.release(request)
             raise
 
-    def _hold(self) -> None:
-        """Refuse at once for a while in place of waiting again."""
-        now = asyncio.get_running_loop().time()
-        self._unreachable_until = now + _UNREACHABLE_HOLD_S
+    def _note_answer(self) -> None:
+        self._reach.answered(asyncio.get_running_loop().time())
+
+    def _note_failure(self, began: float, deadline: float) -> None:
+        """Take control for lost unless an election may explain the failure.
+
+        One that came before its deadline had no answer of any member; one that
+        waited for less than an election may take says nothing.
+        """
+        is_early = asyncio.get_running_loop().time() < deadline
+        if is_early or deadline - began >= _CLAIM_TIMEOUT_S:
+            self._reach.failed()
+            self._start_probe()
+
+    def _start_probe(self) -> None:
+        """Look for the leader in the background, for a bounded time."""
+        loop = asyncio.get_running_loop()
+        self._probe_until = loop.time() + _PROBE_GIVE_UP_S
+        if self._probe is None or self._probe.done():
+            self._probe = loop.create_task(self._probe_until_answered())
+
+    async def _probe_until_answered(self) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < self._probe_until:
+            try:
+                await self._send_probe(loop.time() + _PROBE_TIMEOUT_S)
+            except (ControlUnreachableError, OutcomeUnknownError):
+                await asyncio.sleep(_PROBE_DELAY_S)
+                continue
+            except GRPCError as error:
+                # Also a member of before this call: claims then find out.
+                logger.info("the probe of control was refused: %s", error.message)
+            self._note_answer()
+            return
 
     async def _wait_for_holder(self, request: Request, retry_after_s: float) -> None:
         now = asyncio.get_running_loop().time()
@@ -228,6 +280,7 @@
                     continue
                 self._drop(message, error.message)
                 return
+            self._note_answer()
             if not response.accepted:
                 self._drop(message, "the claim is not held any more")
             return
@@ -242,16 +295,25 @@
         )
 
 
-def build_claims_client(host_id: str, client: ControlClient) -> ClaimsClient:
+def build_claims_client(
+    host_id: str, client: ControlClient, watch_age_s: Callable[[], float]
+) -> ClaimsClient:
     """Return a claims client that calls the leader through ``client``."""
 
     async def send_claim(message: ClaimRequest, deadline: float) -> Any:
-        return await client.call(_claim_method, message, deadline)
+        return await client.call(
+            _claim_method, message, deadline, stop_when_silent=True
+        )
 
     async def send_outcome(message: RecordOutcomeRequest, deadline: float) -> Any:
         return await client.call(_record_method, message, deadline)
 
-    return ClaimsClient(host_id, send_claim, send_outcome)
+    async def send_probe(deadline: float) -> Any:
+        return await client.call(
+            _check_method, CheckLeaderRequest(), deadline, stop_when_silent=True
+        )
+
+    return ClaimsClient(host_id, send_claim, send_outcome, send_probe, watch_age_s)
 
 
 def _claim_method(channel: Any) -> Any:
@@ -262,6 +324,10 @@
     return ClaimsStub(channel).RecordOutcome
 
 
+def _check_method(channel: Any) -> Any:
+    return ClaimsStub(channel).CheckLeader
+
+
 def _recorded_answer(response: ClaimResponse) -> RecordedAnswer:
     if len(response.outcome) < _STATUS_BYTES:
         _refuse(
--- a/src/galenadrum/_internal/entry/control_client.py
+++ b/src/galenadrum/_internal/entry/control_client.py
@@ -67,13 +67,21 @@
             channel.close()
         self._channels_by_address.clear()
 
-    async def call(self, select: SelectMethod, request: Any, deadline: float) -> Any:
+    async def call(
+        self,
+        select: SelectMethod,
+        request: Any,
+        deadline: float,
+        stop_when_silent: bool = False,
+    ) -> Any:
         """Call the leader and return its answer.
 
         Args:
             select: Returns the method of a channel.
             request: The message.
             deadline: Loop time in seconds at which to give up.
+            stop_when_silent: Whether to give up before when no member answered
+                at all. In an election members answer, without a leader.
 
         Raises:
             ControlUnreachableError: No leader took the call; it did nothing.
@@ -83,17 +91,23 @@
         loop = asyncio.get_running_loop()
         may_have_run = False
         attempt = 0
+        silent: set[str] = set()
         while loop.time() < deadline:
+            if stop_when_silent and silent.issuperset(self._addresses):
+                break
             address = self._choose_address()
             try:
                 return await self._attempt(address, select, request, deadline)
             except _NotSentError as error:
                 self._forget(address, error)
+                silent.add(address)
             except GRPCError as error:
+                silent.clear()
                 may_have_run |= self._take_error(address, error)
             except (OSError, StreamTerminatedError, ProtocolError) as error:
                 may_have_run = True
                 self._forget(address, error)
+                silent.add(address)
             attempt += 1
             if self._leader_address is None or attempt > len(self._addresses):
                 await self._pause(attempt, deadline)
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -71,7 +71,11 @@
         self.policy = Policy(settings.zone, random.Random(self._rng.random()))
         self.executor = PipelineExecutor(self.policy)
         self._control = ControlClient(settings.control_addresses, self._rng)
-        self.claims = build_claims_client(settings.host_id, self._control)
+        self.claims = build_claims_client(
+            settings.host_id,
+            self._control,
+            lambda: self.follower.source_age_ms() / 1_000,
+        )
         workers = settings.callers.workers
         max_in_flight = max(1, workers - workers // _SPARE_WORKER_SHARE)
         self.service = RequestService(
--- a/src/galenadrum/_internal/protocol/claims_grpc.py
+++ b/src/galenadrum/_internal/protocol/claims_grpc.py
@@ -22,6 +22,10 @@
     async def RecordOutcome(self, stream: 'grpclib.server.Stream[galenadrum._internal.protocol.claims_pb2.RecordOutcomeRequest, galenadrum._internal.protocol.claims_pb2.RecordOutcomeResponse]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def CheckLeader(self, stream: 'grpclib.server.Stream[galenadrum._internal.protocol.claims_pb2.CheckLeaderRequest, galenadrum._internal.protocol.claims_pb2.CheckLeaderResponse]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/galenadrum.v1.Claims/Claim': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 galenadrum._internal.protocol.claims_pb2.RecordOutcomeRequest,
                 galenadrum._internal.protocol.claims_pb2.RecordOutcomeResponse,
             ),
+            '/galenadrum.v1.Claims/CheckLeader': grpclib.const.Handler(
+                self.CheckLeader,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                galenadrum._internal.protocol.claims_pb2.CheckLeaderRequest,
+                galenadrum._internal.protocol.claims_pb2.CheckLeaderResponse,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             galenadrum._internal.protocol.claims_pb2.RecordOutcomeRequest,
             galenadrum._internal.protocol.claims_pb2.RecordOutcomeResponse,
         )
+        self.CheckLeader = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/galenadrum.v1.Claims/CheckLeader',
+            galenadrum._internal.protocol.claims_pb2.CheckLeaderRequest,
+            galenadrum._internal.protocol.claims_pb2.CheckLeaderResponse,
+        )
--- a/tests/functional/test_control_services.py
+++ b/tests/functional/test_control_services.py
@@ -131,7 +131,7 @@
             async with _serving(leader.handlers, other.handlers) as addresses:
                 other.log.leader_address = addresses[0]
                 client = ControlClient(addresses, random.Random(seed))
-                claims = build_claims_client("e1", client)
+                claims = build_claims_client("e1", client, lambda: 0.0)
                 answer = RecordedAnswer(200, b"paid")
                 assert await claims.acquire(_request("r1"), b"f" * 32) is None
                 await claims.record(_request("r1"), answer)
@@ -157,7 +157,7 @@
             member.log.leader_address = None
             async with _serving(member.handlers) as addresses:
                 client = ControlClient(addresses, random.Random(3))
-                claims = build_claims_client("e1", client)
+                claims = build_claims_client("e1", client, lambda: 0.0)
                 for _ in range(2):
                     with pytest.raises(RequestRefusedError) as caught:
                         await claims.acquire(_request("r1"), b"f" * 32)
@@ -168,3 +168,26 @@
                 client.close()
 
         asyncio.run(run())
+
+    def test_members_that_dont_answer_are_found_out_before_the_deadline(self):
+        async def run():
+            async with _serving([]) as addresses:
+                pass
+            client = ControlClient(addresses, random.Random(3))
+            claims = build_claims_client("e1", client, lambda: 0.0)
+            attempts = []
+            connect = client._connect
+
+            async def count(address, timeout_s):
+                attempts.append(address)
+                return await connect(address, timeout_s)
+
+            client._connect = count
+            with pytest.raises(RequestRefusedError) as caught:
+                await claims.acquire(_request("r1"), b"f" * 32)
+            assert caught.value.refusal.run is RunState.NOT_RUN
+            assert attempts == addresses
+            await claims.drain(0)
+            client.close()
+
+        asyncio.run(run())
--- a/tests/unit/entry/test_claims_client.py
+++ b/tests/unit/entry/test_claims_client.py
@@ -7,6 +7,7 @@
 from grpclib.exceptions import GRPCError
 
 from galenadrum._internal.entry.claims_client import ClaimsClient
+from galenadrum._internal.entry.control_reach import LOST_AFTER_S, ControlReach
 from galenadrum._internal.exceptions import (
     ControlUnreachableError,
     OutcomeUnknownError,
@@ -27,13 +28,24 @@
     def __init__(self):
         self.replica = Replica()
         self.faults = []
+        self.probe_faults = []
+        self.watch_age_s = 0.0
 
     def client(self):
-        return ClaimsClient("e1", self.send, self.send)
+        return ClaimsClient(
+            "e1", self.send, self.send, self.probe, lambda: self.watch_age_s
+        )
+
+    async def probe(self, deadline):
+        if self.probe_faults:
+            await asyncio.sleep(self.probe_faults.pop(0))
+            raise ControlUnreachableError
 
     async def send(self, message, deadline):
         fault = self.faults.pop(0) if self.faults else ""
         now = asyncio.get_running_loop().time()
+        if fault == "silent":
+            raise ControlUnreachableError
         if fault == "unreachable":
             await asyncio.sleep(deadline - now)
             raise ControlUnreachableError
@@ -169,3 +181,82 @@
             assert (client.pending_records, client.dropped_records) == (0, 1)
 
         run_paused(scenario())
+
+    def test_control_that_a_claim_found_lost_is_refused_at_once_until_it_answers(self):
+        leader = _Leader()
+
+        async def scenario():
+            client = leader.client()
+            loop = asyncio.get_running_loop()
+            leader.faults = ["unreachable"]
+            leader.probe_faults = [1.0] * 20
+            await _refusal(client, _request("r0"))
+            began = loop.time()
+            while loop.time() < began + 25:
+                before = loop.time()
+                refusal = await _refusal(client, _request("r1"))
+                assert loop.time() == before
+                assert refusal.run is RunState.NOT_RUN
+                assert refusal.retry_after_s > 0
+                await asyncio.sleep(5)
+            await asyncio.sleep(10)
+            assert await client.acquire(_request("r2"), _FINGERPRINT) is None
+
+        run_paused(scenario())
+
+    def test_a_watch_without_control_refuses_the_first_claim_at_once(self):
+        leader = _Leader()
+
+        async def scenario():
+            client = leader.client()
+            leader.watch_age_s = LOST_AFTER_S + 0.1
+            leader.probe_faults = [1.0]
+            before = asyncio.get_running_loop().time()
+            assert (await _refusal(client, _request("r1"))).run is RunState.NOT_RUN
+            assert asyncio.get_running_loop().time() == before
+            await asyncio.sleep(3)
+            assert await client.acquire(_request("r2"), _FINGERPRINT) is None
+
+        run_paused(scenario())
+
+    def test_a_short_deadline_in_an_election_doesnt_refuse_the_next_claim(self):
+        leader = _Leader()
+
+        async def scenario():
+            client = leader.client()
+            leader.faults = ["unreachable"]
+            await _refusal(client, _request("r1", 0.3))
+            assert await client.acquire(_request("r2"), _FINGERPRINT) is None
+
+        run_paused(scenario())
+
+    def test_silence_of_all_members_needs_no_wait(self):
+        leader = _Leader()
+
+        async def scenario():
+            client = leader.client()
+            leader.faults = ["silent"]
+            leader.probe_faults = [1.0]
+            await _refusal(client, _request("r1", 0.3))
+            before = asyncio.get_running_loop().time()
+            await _refusal(client, _request("r2"))
+            assert asyncio.get_running_loop().time() == before
+
+        run_paused(scenario())
+
+
+class TestControlReach:
+    def test_a_sign_of_either_way_counts(self):
+        reach = ControlReach()
+        assert not reach.is_lost(100.0, LOST_AFTER_S)
+        assert reach.is_lost(100.0, LOST_AFTER_S + 1)
+        reach.answered(100.0)
+        assert not reach.is_lost(101.0, LOST_AFTER_S + 1)
+        assert reach.is_lost(100.0 + LOST_AFTER_S + 1, LOST_AFTER_S + 1)
+
+    def test_a_failure_holds_until_the_leader_answers(self):
+        reach = ControlReach()
+        reach.failed()
+        assert reach.is_lost(100.0, 0.0)
+        reach.answered(101.0)
+        assert not reach.is_lost(101.0, 0.0)
