Remember claims for a declared time, packed and bounded in bytes

Change: claim_retention_s of a pipeline goes with the claim; a claim with a final outcome is one bytes object; digests are gathered by the second in which they expire; memory is bounded as counted, half of it for one organisation.

The early end of a claim that no member answers now counts new connections alone: with one control host and a connection gone silent, test_silent_connections met a false refusal.

--- a/src/galenadrum/_internal/control/state/machine.py
+++ b/src/galenadrum/_internal/control/state/machine.py
@@ -17,7 +17,16 @@
     outcome_word,
     result_of,
 )
-from galenadrum._internal.control.state.claims import MAX_CLAIMS, ClaimTable
+from galenadrum._internal.control.state.claim_records import (
+    PACKED_VERSION,
+    split_blocks,
+    unpack,
+)
+from galenadrum._internal.control.state.claims import (
+    MAX_CLAIMS,
+    MAX_CLAIMS_BYTES,
+    ClaimTable,
+)
 from galenadrum._internal.control.state.orders import OrderTable
 from galenadrum._internal.declarations.records import key_of, resource_of
 from galenadrum._internal.declarations.table import MAX_DELETIONS, ResourceTable
@@ -65,14 +74,17 @@
     """
 
     def __init__(
-        self, max_claims: int = MAX_CLAIMS, max_deletions: int = MAX_DELETIONS
+        self,
+        max_claims: int = MAX_CLAIMS,
+        max_deletions: int = MAX_DELETIONS,
+        max_claims_bytes: int = MAX_CLAIMS_BYTES,
     ) -> None:
         self._applied_index = 0
         self._time_ms = 0
         self._table = ResourceTable(max_deletions)
         self._holders = KeyHolders()
         self._change_ids = ChangeIds()
-        self._claims = ClaimTable(max_claims)
+        self._claims = ClaimTable(max_claims, max_claims_bytes)
         self.orders = OrderTable()
         self._listeners: list[Callable[[], None]] = []
 
@@ -101,6 +113,11 @@
         """Number of claims that are remembered."""
         return len(self._claims)
 
+    @property
+    def claims_bytes(self) -> int:
+        """Estimate of the memory that the claims take."""
+        return self._claims.held_bytes
+
     @property
     def change_id_count(self) -> int:
         """Number of changes whose outcome is remembered."""
@@ -184,9 +201,17 @@
             change_ids=self._change_ids.snapshot(),
             change_id_sequence=self._change_ids.sequence,
             claims=self._claims.snapshot(),
+            packed_claims_version=PACKED_VERSION,
             orders=self.orders.snapshot(),
         )
-        return snapshot.SerializeToString(deterministic=True)
+        # Serialised messages joined are one message: claims are never all held
+        # as messages beside their bytes.
+        parts = [snapshot.SerializeToString(deterministic=True)]
+        parts.extend(
+            StateSnapshot(packed_claims=[block]).SerializeToString()
+            for block in self._claims.packed_snapshot()
+        )
+        return b"".join(parts)
 
     def restore(self, data: bytes) -> None:
         """Take over a snapshot in place of everything held so far.
@@ -196,18 +221,19 @@
         """
         try:
             snapshot = StateSnapshot.FromString(data)
+            _check_packed_claims(snapshot)
             resources = [resource_of(record) for record in snapshot.resources]
             deletions = [
                 (key_of(row.id.kind, row.id.name), row.revision)
                 for row in snapshot.deletions
             ]
-        except (DecodeError, CheckFailedError) as error:
+        except (DecodeError, CheckFailedError, ValueError) as error:
             raise StorageError(f"the snapshot can't be read: {error}") from error
         self._applied_index = snapshot.applied_index
         self._time_ms = snapshot.time_ms
         self._restore_table(snapshot, resources, deletions)
         self._change_ids.restore(snapshot.change_ids, snapshot.change_id_sequence)
-        self._claims.restore(snapshot.claims)
+        self._claims.restore(snapshot.claims, snapshot.packed_claims)
         self.orders.restore(snapshot.orders)
         self._notify()
 
@@ -308,6 +334,21 @@
             listener()
 
 
+def _check_packed_claims(snapshot: StateSnapshot) -> None:
+    """Read all packed claims once, before the state they replace is dropped.
+
+    Raises:
+        ValueError: If one can't be read.
+    """
+    if snapshot.packed_claims_version > PACKED_VERSION:
+        raise ValueError(
+            f"claims are packed in version {snapshot.packed_claims_version},"
+            f" known is {PACKED_VERSION}"
+        )
+    for _, record in split_blocks(snapshot.packed_claims):
+        unpack(record)
+
+
 def _name_order(resource: Resource) -> tuple[str, str]:
     return resource.key.kind, resource.key.name
 
--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -32,6 +32,8 @@
 
 PIPELINE_MAX_STAGES = 8
 DEADLINE_MAX_MS = 600_000
+CLAIM_RETENTION_MIN_S = 60
+CLAIM_RETENTION_MAX_S = 86_400
 POLICY_NAME = "default"
 _MAX_KEYS = 32
 _MAX_PIPELINES = 256
@@ -64,6 +66,9 @@
         # A reply echoes its stage, so that a stage may stand only once.
         "stages": fields.distinct_list(fields.name, 1, PIPELINE_MAX_STAGES),
         "deadline_ms": fields.integer_between(1, DEADLINE_MAX_MS),
+        "claim_retention_s": fields.integer_between(
+            CLAIM_RETENTION_MIN_S, CLAIM_RETENTION_MAX_S
+        ),
     },
     ModelSpec: {
         "version": fields.text_up_to(_VERSION_MAX_CHARACTERS),
--- a/src/galenadrum/_internal/entry/claims_client.py
+++ b/src/galenadrum/_internal/entry/claims_client.py
@@ -108,10 +108,16 @@
         return len(self._records)
 
     async def acquire(
-        self, request: Request, fingerprint: bytes
+        self, request: Request, fingerprint: bytes, retention_s: int = 0
     ) -> RecordedAnswer | None:
         """Claim a request; wait while another holds the claim.
 
+        Args:
+            request: The request.
+            fingerprint: Digest of its pipeline and body.
+            retention_s: How long it is remembered after its end, in seconds;
+                0 leaves it to control.
+
         Returns:
             None when the claim was granted, so that the work may be sent once;
             or the answer that an earlier request recorded.
@@ -120,7 +126,7 @@
             RequestRefusedError: The work may not be sent.
         """
         while True:
-            response = await self._claim(request, fingerprint)
+            response = await self._claim(request, fingerprint, retention_s)
             self.claims_by_state[response.state] += 1
             if response.state == CLAIM_STATE_GRANTED:
                 return None
@@ -159,7 +165,9 @@
         if self._probe is not None:
             self._probe.cancel()
 
-    async def _claim(self, request: Request, fingerprint: bytes) -> ClaimResponse:
+    async def _claim(
+        self, request: Request, fingerprint: bytes, retention_s: int
+    ) -> ClaimResponse:
         now = asyncio.get_running_loop().time()
         if self._reach.is_lost(now, self._watch_age_s()):
             self._start_probe()
@@ -171,6 +179,7 @@
             request_id=request.request_id,
             host_id=self._host_id,
             deadline_in_ms=max(0, round((request.deadline - now) * 1_000)),
+            retention_s=retention_s,
         )
         deadline = min(request.deadline, now + _CLAIM_TIMEOUT_S)
         try:
--- a/src/galenadrum/_internal/entry/control_client.py
+++ b/src/galenadrum/_internal/entry/control_client.py
@@ -81,7 +81,8 @@
             request: The message.
             deadline: Loop time in seconds at which to give up.
             stop_when_silent: Whether to give up before when no member answered
-                at all. In an election members answer, without a leader.
+                over a new connection. In an election members answer, without a
+                leader; an old connection may be silent where new ones work.
 
         Raises:
             ControlUnreachableError: No leader took the call; it did nothing.
@@ -96,6 +97,7 @@
             if stop_when_silent and silent.issuperset(self._addresses):
                 break
             address = self._choose_address()
+            is_new = address not in self._channels_by_address
             try:
                 return await self._attempt(address, select, request, deadline)
             except _NotSentError as error:
@@ -107,7 +109,8 @@
             except (OSError, StreamTerminatedError, ProtocolError) as error:
                 may_have_run = True
                 self._forget(address, error)
-                silent.add(address)
+                if is_new:
+                    silent.add(address)
             attempt += 1
             if self._leader_address is None or attempt > len(self._addresses):
                 await self._pause(attempt, deadline)
--- a/src/galenadrum/_internal/entry/request_service.py
+++ b/src/galenadrum/_internal/entry/request_service.py
@@ -277,11 +277,18 @@
         self, caller_request: CallerRequest, request: Request
     ) -> RecordedAnswer | None:
         try:
-            return await self._claims.acquire(request, _fingerprint(caller_request))
+            return await self._claims.acquire(
+                request, _fingerprint(caller_request), self._retention_s(request)
+            )
         except BaseException:
             self._forget(request)
             raise
 
+    def _retention_s(self, request: Request) -> int:
+        """Return what the request's pipeline declares; 0 leaves it to control."""
+        pipeline = self._view.pipeline_by_name(request.pipeline)
+        return pipeline.claim_retention_s if pipeline else 0
+
     async def _step(
         self, request: Request, actions: tuple[Action, ...]
     ) -> Dispatch | None:
--- a/src/galenadrum/_internal/models/resources.py
+++ b/src/galenadrum/_internal/models/resources.py
@@ -77,10 +77,13 @@
             of the next.
         deadline_ms: Deadline for callers that name none, and the upper limit
             for those that do.
+        claim_retention_s: For how many seconds after its end a request that
+            may not be repeated is remembered.
     """
 
     stages: tuple[str, ...]
     deadline_ms: int
+    claim_retention_s: int = 86_400
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lib/control_commands.py
+++ b/tests/lib/control_commands.py
@@ -33,20 +33,28 @@
     return ChangeSet(operator_name=operator, change_id=change_id, changes=changes)
 
 
-def claim(request_id, key="key", fingerprint=b"f" * 32, deadline_ms=1_000):
+def claim(
+    request_id,
+    key="key",
+    fingerprint=b"f" * 32,
+    deadline_ms=1_000,
+    retention_s=0,
+    organisation="suva",
+):
     return ClaimRequest(
-        organisation="suva",
+        organisation=organisation,
         idempotency_key=key,
         fingerprint=fingerprint,
         request_id=request_id,
         host_id="e1",
         deadline_in_ms=deadline_ms,
+        retention_s=retention_s,
     )
 
 
-def outcome(request_id, state, answer=b"", key="key"):
+def outcome(request_id, state, answer=b"", key="key", organisation="suva"):
     return RecordOutcomeRequest(
-        organisation="suva",
+        organisation=organisation,
         idempotency_key=key,
         request_id=request_id,
         state=state,
--- a/tests/unit/declarations/test_specs.py
+++ b/tests/unit/declarations/test_specs.py
@@ -49,6 +49,19 @@
         spec = structure_spec(Kind.PIPELINE, {"stages": stages, "deadline_ms": 1})
         assert [finding.path for finding in spec] == ["spec.stages"]
 
+    @pytest.mark.parametrize(
+        ("retention_s", "paths"),
+        [(60, []), (86_400, [])]
+        + [(wrong, ["spec.claim_retention_s"]) for wrong in (59, 86_401)],
+    )
+    def test_bounds_the_retention_of_claims(self, retention_s, paths):
+        mapping = {"stages": ["a"], "deadline_ms": 1, "claim_retention_s": retention_s}
+        spec = structure_spec(Kind.PIPELINE, mapping)
+        if paths:
+            assert [finding.path for finding in spec] == paths
+        else:
+            assert unstructure_spec(spec)["claim_retention_s"] == retention_s
+
     def test_refuses_a_second_name_for_the_policy(self):
         assert check_name(Kind.POLICY, "default") == ()
         assert len(check_name(Kind.POLICY, "other")) == 1
--- a/tests/unit/entry/test_claims_client.py
+++ b/tests/unit/entry/test_claims_client.py
@@ -182,6 +182,21 @@
 
         run_paused(scenario())
 
+    def test_the_declared_retention_goes_with_the_claim(self):
+        leader = _Leader()
+
+        async def scenario():
+            client = leader.client()
+            first = _request("r1", 1.0)
+            assert await client.acquire(first, _FINGERPRINT, retention_s=20) is None
+            await client.record(first, _ANSWER)
+            await asyncio.sleep(20)
+            assert await client.acquire(_request("r2"), _FINGERPRINT) == _ANSWER
+            await asyncio.sleep(5)
+            assert await client.acquire(_request("r3"), _FINGERPRINT) is None
+
+        run_paused(scenario())
+
     def test_control_that_a_claim_found_lost_is_refused_at_once_until_it_answers(self):
         leader = _Leader()
 
