Send claims and outcomes of an entry host in common calls

Cause: each claim and each outcome was a call and a command of its own, also where a host has many at a time. Change: one call under way a host; what comes meanwhile goes with the next, as one command; each item keeps its own answer, deadline and release. Ruled out: several calls under way (no batches), gathering over a zone (a hop and a host whose loss takes the claims of all).

--- a/benchmarks/declared_state.py
+++ b/benchmarks/declared_state.py
@@ -1,12 +1,13 @@
 """Costs of declared state, claims and watches at the size to design for.
 
-Run ``python -m benchmarks.declared_state`` with the sources on the path. It
-prints a table and, as its last line, one JSON object.
+Run ``python -m benchmarks.declared_state`` with the sources and the tests on the
+path. It prints a table and, as its last line, one JSON object.
 """
 
 from __future__ import annotations
 
 import argparse
+import asyncio
 import gc
 import hashlib
 import json
@@ -14,21 +15,31 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
 
 from galenadrum._internal.control.state.machine import ControlState
 from galenadrum._internal.declarations.table import split_event
+from galenadrum._internal.entry.claim_batches import ClaimBatcher
 from galenadrum._internal.entry.declarations import DeclarationsView
 from galenadrum._internal.protocol.claims_pb2 import (
     CLAIM_STATE_COMPLETED,
+    ClaimBatchRequest,
     ClaimRequest,
     RecordOutcomeRequest,
 )
-from galenadrum._internal.protocol.commands_pb2 import Change, ChangeSet, Command
+from galenadrum._internal.protocol.commands_pb2 import (
+    Change,
+    ChangeSet,
+    Command,
+    CommandResult,
+)
 from galenadrum._internal.protocol.declarations_pb2 import (
     ConfirmRequest,
     HostRevision,
     WatchRequest,
 )
+from lib.paused_loop import run_paused
 
 ORGANISATIONS = 8_300
 PIPELINES = 37
@@ -39,6 +50,18 @@
 _CHANGES = 2_000
 _CLAIMS = 20_000
 _ANSWER_BYTES = 200
+CLAIMS_PER_S = 155
+ZONES = 12
+_PLANNED_RETENTION_S = 600
+_SERVICE_S = 1.0
+# Claims a second of one host, and hosts; the name ends with the time of a commit.
+_BATCH_CASES = {
+    "planned_5ms": (CLAIMS_PER_S / ZONES / HOSTS_PER_ZONE, ZONES * HOSTS_PER_ZONE),
+    "planned_80ms": (CLAIMS_PER_S / ZONES / HOSTS_PER_ZONE, ZONES * HOSTS_PER_ZONE),
+    "host_with_a_zone_80ms": (CLAIMS_PER_S / ZONES, ZONES),
+    "host_with_all_80ms": (CLAIMS_PER_S, 1),
+}
+_BATCH_CLAIMS = 4_000
 
 
 class Member:
@@ -48,7 +71,7 @@
         self.state = ControlState()
         self.command_bytes = 0
 
-    def send(self, **body: object) -> None:
+    def send(self, **body: object) -> bytes:
         """Apply one command."""
         command = Command(
             time_ms=self.state.applied_index,
@@ -58,7 +81,7 @@
             **body,
         ).SerializeToString()
         self.command_bytes += len(command)
-        self.state.apply(self.state.applied_index + 1, command)
+        return self.state.apply(self.state.applied_index + 1, command)
 
 
 def declare_all(member: Member) -> None:
@@ -97,23 +120,38 @@
     return ChangeSet(operator_name="vatu", change_id=change_id, changes=changes)
 
 
-def claim_and_record(member: Member, number: int) -> None:
-    """Make one claim and record its answer."""
-    names = {
-        "organisation": f"organisation-{number % 5}",
-        "idempotency_key": f"key-{number:032}",
-        "request_id": f"{number:032x}",
-    }
-    claim = ClaimRequest(
+def claim_of(number: int) -> ClaimRequest:
+    """Return a claim like those of entry hosts."""
+    return ClaimRequest(
         fingerprint=hashlib.sha256(str(number).encode()).digest(),
         host_id="entry-1",
         deadline_in_ms=5_000,
-        **names,
+        retention_s=_PLANNED_RETENTION_S,
+        **names_of(number),
     )
-    member.send(claim=claim)
+
+
+def outcome_of(number: int) -> RecordOutcomeRequest:
+    """Return the outcome of a claim."""
     answer = bytes(_ANSWER_BYTES)
-    record = RecordOutcomeRequest(state=CLAIM_STATE_COMPLETED, outcome=answer, **names)
-    member.send(record_outcome=record)
+    return RecordOutcomeRequest(
+        state=CLAIM_STATE_COMPLETED, outcome=answer, **names_of(number)
+    )
+
+
+def names_of(number: int) -> dict[str, str]:
+    """Return the names that a claim and its outcome share."""
+    return {
+        "organisation": f"organisation-{number % 5}",
+        "idempotency_key": f"key-{number:032}",
+        "request_id": f"{number:032x}",
+    }
+
+
+def claim_and_record(member: Member, number: int) -> None:
+    """Make one claim and record its answer."""
+    member.send(claim=claim_of(number))
+    member.send(record_outcome=outcome_of(number))
 
 
 def cpu_ms_each(count: int, run: Callable[[int], object]) -> float:
@@ -182,6 +220,10 @@
     )
     log_bytes = member.command_bytes - before_bytes
     figures["claim_and_record_log_bytes"] = log_bytes / _CLAIMS
+    figures |= measure_planned_claims()
+    for name, (rate, hosts) in _BATCH_CASES.items():
+        commit_s = float(name.split("_")[-1].removesuffix("ms")) / 1_000
+        figures |= measure_batches(name, rate, hosts, commit_s, rng)
     figures |= messages()
     return figures
 
@@ -243,6 +285,90 @@
     }
 
 
+def measure_planned_claims() -> dict[str, float]:
+    """Measure the claims that the planned size remembers in ten minutes."""
+    member = Member()
+    count = CLAIMS_PER_S * _PLANNED_RETENTION_S
+    for number in range(count):
+        claim_and_record(member, number)
+    assert member.state.claim_count == count
+    held_bytes = member.state.claims_bytes
+    return {f"planned_claims_{k}": v for k, v in measure_snapshot(member).items()} | {
+        "planned_claims_counted_bytes": held_bytes / count
+    }
+
+
+@dataclass
+class Leader:
+    """Answers calls of many entry hosts after the time of a commit."""
+
+    commit_s: float
+    member: Member = field(default_factory=Member)
+    calls: int = 0
+    call_bytes: int = 0
+
+    async def send(self, message: Any, deadline: float) -> Any:
+        """Apply a message as one command and answer it."""
+        bodies = {
+            ClaimRequest: "claim",
+            RecordOutcomeRequest: "record_outcome",
+            ClaimBatchRequest: "claim_batch",
+        }
+        body = bodies[type(message)]
+        result = CommandResult.FromString(self.member.send(**{body: message}))
+        answer = getattr(result, body)
+        self.calls += 1
+        self.call_bytes += message.ByteSize() + answer.ByteSize()
+        await asyncio.sleep(self.commit_s)
+        return answer
+
+
+def measure_batches(
+    name: str, rate: float, hosts: int, commit_s: float, rng: random.Random
+) -> dict[str, float]:
+    """Send claims and outcomes of hosts at a rate, alone and in batches."""
+    figures = {}
+    for way in ("alone", "batched"):
+        leader = Leader(commit_s)
+        waits_s: list[float] = []
+        began = time.process_time()
+        run_paused(_send_claims(leader, way, rate, hosts, rng, waits_s))
+        spent_s = time.process_time() - began
+        figures |= {
+            f"{name}_{way}_calls": leader.calls / _BATCH_CLAIMS,
+            f"{name}_{way}_call_bytes": leader.call_bytes / _BATCH_CLAIMS,
+            f"{name}_{way}_log_bytes": leader.member.command_bytes / _BATCH_CLAIMS,
+            f"{name}_{way}_wait_ms": sum(waits_s) * 1_000 / len(waits_s),
+            f"{name}_{way}_both_sides_cpu_ms": spent_s * 1_000 / _BATCH_CLAIMS,
+        }
+    return figures
+
+
+async def _send_claims(
+    leader: Leader,
+    way: str,
+    rate: float,
+    hosts: int,
+    rng: random.Random,
+    waits_s: list[float],
+) -> None:
+    batchers = [ClaimBatcher(leader.send, leader.send) for _ in range(hosts)]
+    loop = asyncio.get_running_loop()
+
+    async def run_one(number: int) -> None:
+        send = rng.choice(batchers).send if way == "batched" else leader.send
+        for message in (claim_of(number), outcome_of(number)):
+            began = loop.time()
+            await send(message, began + 60)
+            waits_s.append(loop.time() - began)
+            await asyncio.sleep(rng.expovariate(1 / _SERVICE_S))
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(_BATCH_CLAIMS):
+            group.create_task(run_one(number))
+            await asyncio.sleep(rng.expovariate(rate * hosts))
+
+
 def messages() -> dict[str, float]:
     """Return sizes of the frequent messages, without framing."""
     hosts = [
@@ -268,7 +394,7 @@
     parser.add_argument("--seed", type=int, default=1)
     figures = measure(parser.parse_args().seed)
     for name, value in figures.items():
-        print(f"{name:32}{value:14.3f}")
+        print(f"{name:44}{value:14.3f}")
     print(json.dumps({name: round(value, 4) for name, value in figures.items()}))
 
 
--- a/src/galenadrum/_internal/control/claims_service.py
+++ b/src/galenadrum/_internal/control/claims_service.py
@@ -20,6 +20,8 @@
 from galenadrum._internal.protocol.claims_pb2 import (
     CheckLeaderRequest,
     CheckLeaderResponse,
+    ClaimBatchRequest,
+    ClaimBatchResponse,
     ClaimRequest,
     ClaimResponse,
     RecordOutcomeRequest,
@@ -30,6 +32,7 @@
 T = TypeVar("T")
 
 _MAX_TIMEOUT_S = 5.0
+_MAX_BATCH_ITEMS = 64
 _STATUS_BY_CODE = {
     CommandError.MALFORMED: Status.INVALID_ARGUMENT,
     CommandError.FULL: Status.RESOURCE_EXHAUSTED,
@@ -70,6 +73,24 @@
         )
         await stream.send_message(result.record_outcome)
 
+    async def Batch(  # noqa: N802
+        self, stream: Stream[ClaimBatchRequest, ClaimBatchResponse]
+    ) -> None:
+        """Answer claims and outcomes that came together, each by itself."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        if not 1 <= len(request.items) <= _MAX_BATCH_ITEMS:
+            message = f"a batch has 1 to {_MAX_BATCH_ITEMS} items"
+            raise GRPCError(Status.INVALID_ARGUMENT, message)
+        timeout_s = _timeout_of(stream)
+        result = _refuse_error(
+            await _translate_errors(
+                self._proposer.propose_claim_batch(request, timeout_s)
+            )
+        )
+        await stream.send_message(result.claim_batch)
+
     async def CheckLeader(  # noqa: N802
         self, stream: Stream[CheckLeaderRequest, CheckLeaderResponse]
     ) -> None:
--- a/src/galenadrum/_internal/control/proposals.py
+++ b/src/galenadrum/_internal/control/proposals.py
@@ -10,6 +10,7 @@
 from galenadrum._internal.control.state.machine import ControlState
 from galenadrum._internal.exceptions import NotLeaderError
 from galenadrum._internal.protocol.claims_pb2 import (
+    ClaimBatchRequest,
     ClaimRequest,
     RecordOutcomeRequest,
 )
@@ -90,6 +91,12 @@
         """Propose the outcome of a claim; see ``_propose`` for the errors."""
         return await self._propose(Command(record_outcome=request), timeout_s)
 
+    async def propose_claim_batch(
+        self, batch: ClaimBatchRequest, timeout_s: float
+    ) -> CommandResult:
+        """Propose claims and outcomes as one command; see ``_propose``."""
+        return await self._propose(Command(claim_batch=batch), timeout_s)
+
     async def propose_order(
         self, order: EngineOrder, timeout_s: float
     ) -> CommandResult:
--- a/src/galenadrum/_internal/control/state/machine.py
+++ b/src/galenadrum/_internal/control/state/machine.py
@@ -37,6 +37,10 @@
 )
 from galenadrum._internal.models.resources import Kind, Resource, ResourceKey
 from galenadrum._internal.protocol.claims_pb2 import (
+    ClaimBatchAnswer,
+    ClaimBatchItem,
+    ClaimBatchResponse,
+    ClaimFailure,
     ClaimResponse,
     RecordOutcomeResponse,
 )
@@ -57,7 +61,12 @@
 logger = logging.getLogger(__name__)
 
 _Body = (
-    ChangeResult | ClaimResponse | RecordOutcomeResponse | CommandError | OrderResult
+    ChangeResult
+    | ClaimResponse
+    | ClaimBatchResponse
+    | RecordOutcomeResponse
+    | CommandError
+    | OrderResult
 )
 
 
@@ -269,12 +278,38 @@
             return self._claims.record(
                 command.record_outcome, self._time_ms, retention_ms
             )
+        if body == "claim_batch":
+            return ClaimBatchResponse(
+                answers=[
+                    self._answer_item(item, retention_ms)
+                    for item in command.claim_batch.items
+                ]
+            )
         if body == "record_order":
             return self.orders.record(command.record_order, self._time_ms)
         if body == "close_order":
             return self.orders.close(command.close_order)
         return _malformed("the command has no body")
 
+    def _answer_item(self, item: ClaimBatchItem, retention_ms: int) -> ClaimBatchAnswer:
+        """Apply one item of a batch as if it had come alone."""
+        body = item.WhichOneof("body")
+        answer: ClaimResponse | RecordOutcomeResponse | CommandError
+        if body == "claim":
+            answer = self._claims.claim(item.claim, self._time_ms, retention_ms)
+        elif body == "record_outcome":
+            answer = self._claims.record(
+                item.record_outcome, self._time_ms, retention_ms
+            )
+        else:
+            answer = _malformed("the item has no body")
+        if isinstance(answer, CommandError):
+            failure = ClaimFailure(code=int(answer.code), message=answer.message)
+            return ClaimBatchAnswer(failure=failure)
+        if isinstance(answer, ClaimResponse):
+            return ClaimBatchAnswer(claim=answer)
+        return ClaimBatchAnswer(record_outcome=answer)
+
     def _apply_change_set(self, command: Command) -> ChangeResult:
         change_set = command.change_set
         key = (change_set.operator_name, change_set.change_id)
@@ -375,6 +410,8 @@
         result = CommandResult(claim=body)
     elif isinstance(body, RecordOutcomeResponse):
         result = CommandResult(record_outcome=body)
+    elif isinstance(body, ClaimBatchResponse):
+        result = CommandResult(claim_batch=body)
     elif isinstance(body, OrderResult):
         result = CommandResult(order=body)
     else:
--- a/src/galenadrum/_internal/entry/claims_client.py
+++ b/src/galenadrum/_internal/entry/claims_client.py
@@ -12,6 +12,10 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
+from galenadrum._internal.entry.claim_batches import (
+    ClaimBatcher,
+    Message,
+)
 from galenadrum._internal.entry.control_client import ControlClient
 from galenadrum._internal.entry.control_reach import ControlReach
 from galenadrum._internal.exceptions import (
@@ -35,6 +39,7 @@
     CLAIM_STATE_RELEASED,
     CLAIM_STATE_UNKNOWN,
     CheckLeaderRequest,
+    ClaimBatchRequest,
     ClaimRequest,
     ClaimResponse,
     RecordOutcomeRequest,
@@ -50,6 +55,8 @@
 _OUTCOME_MAX_BYTES = 64 * 1024
 _STATUS_BYTES = 2
 _CLAIM_TIMEOUT_S = 2.0
+# Timers of the loop may fire early by its clock's resolution.
+_EARLY_MARGIN_S = 0.01
 _PROBE_TIMEOUT_S = 1.0
 _PROBE_DELAY_S = 0.5
 _PROBE_GIVE_UP_S = 60.0
@@ -216,7 +223,8 @@
         One that came before its deadline had no answer of any member; one that
         waited for less than an election may take says nothing.
         """
-        is_early = asyncio.get_running_loop().time() < deadline
+        now = asyncio.get_running_loop().time()
+        is_early = now < deadline - _EARLY_MARGIN_S
         if is_early or deadline - began >= _CLAIM_TIMEOUT_S:
             self._reach.failed()
             self._start_probe()
@@ -309,20 +317,23 @@
 ) -> ClaimsClient:
     """Return a claims client that calls the leader through ``client``."""
 
-    async def send_claim(message: ClaimRequest, deadline: float) -> Any:
-        return await client.call(
-            _claim_method, message, deadline, stop_when_silent=True
+    async def call(select: Any, message: Any, deadline: float) -> Any:
+        return await client.call(select, message, deadline, stop_when_silent=True)
+
+    async def send_one(message: Message, deadline: float) -> Any:
+        is_claim = isinstance(message, ClaimRequest)
+        return await call(
+            _claim_method if is_claim else _record_method, message, deadline
         )
 
-    async def send_outcome(message: RecordOutcomeRequest, deadline: float) -> Any:
-        return await client.call(_record_method, message, deadline)
+    async def send_batch(message: ClaimBatchRequest, deadline: float) -> Any:
+        return await call(_batch_method, message, deadline)
 
     async def send_probe(deadline: float) -> Any:
-        return await client.call(
-            _check_method, CheckLeaderRequest(), deadline, stop_when_silent=True
-        )
+        return await call(_check_method, CheckLeaderRequest(), deadline)
 
-    return ClaimsClient(host_id, send_claim, send_outcome, send_probe, watch_age_s)
+    batcher = ClaimBatcher(send_one, send_batch)
+    return ClaimsClient(host_id, batcher.send, batcher.send, send_probe, watch_age_s)
 
 
 def _claim_method(channel: Any) -> Any:
@@ -333,6 +344,10 @@
     return ClaimsStub(channel).RecordOutcome
 
 
+def _batch_method(channel: Any) -> Any:
+    return ClaimsStub(channel).Batch
+
+
 def _check_method(channel: Any) -> Any:
     return ClaimsStub(channel).CheckLeader
 
--- a/src/galenadrum/_internal/protocol/claims_grpc.py
+++ b/src/galenadrum/_internal/protocol/claims_grpc.py
@@ -22,6 +22,10 @@
     async def RecordOutcome(self, stream: 'grpclib.server.Stream[galenadrum._internal.protocol.claims_pb2.RecordOutcomeRequest, galenadrum._internal.protocol.claims_pb2.RecordOutcomeResponse]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Batch(self, stream: 'grpclib.server.Stream[galenadrum._internal.protocol.claims_pb2.ClaimBatchRequest, galenadrum._internal.protocol.claims_pb2.ClaimBatchResponse]') -> None:
+        pass
+
     @abc.abstractmethod
     async def CheckLeader(self, stream: 'grpclib.server.Stream[galenadrum._internal.protocol.claims_pb2.CheckLeaderRequest, galenadrum._internal.protocol.claims_pb2.CheckLeaderResponse]') -> None:
         pass
@@ -40,6 +44,12 @@
                 galenadrum._internal.protocol.claims_pb2.RecordOutcomeRequest,
                 galenadrum._internal.protocol.claims_pb2.RecordOutcomeResponse,
             ),
+            '/galenadrum.v1.Claims/Batch': grpclib.const.Handler(
+                self.Batch,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                galenadrum._internal.protocol.claims_pb2.ClaimBatchRequest,
+                galenadrum._internal.protocol.claims_pb2.ClaimBatchResponse,
+            ),
             '/galenadrum.v1.Claims/CheckLeader': grpclib.const.Handler(
                 self.CheckLeader,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -64,6 +74,12 @@
             galenadrum._internal.protocol.claims_pb2.RecordOutcomeRequest,
             galenadrum._internal.protocol.claims_pb2.RecordOutcomeResponse,
         )
+        self.Batch = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/galenadrum.v1.Claims/Batch',
+            galenadrum._internal.protocol.claims_pb2.ClaimBatchRequest,
+            galenadrum._internal.protocol.claims_pb2.ClaimBatchResponse,
+        )
         self.CheckLeader = grpclib.client.UnaryUnaryMethod(
             channel,
             '/galenadrum.v1.Claims/CheckLeader',
--- a/tests/functional/test_control_services.py
+++ b/tests/functional/test_control_services.py
@@ -151,6 +151,36 @@
 
         asyncio.run(run())
 
+    def test_claims_at_the_same_time_share_a_command(self):
+        async def run():
+            leader = _Member()
+            async with _serving(leader.handlers) as addresses:
+                client = ControlClient(addresses, random.Random(3))
+                claims = build_claims_client("e1", client, lambda: 0.0)
+                requests = [_request(f"r{n}", f"k{n}") for n in range(20)]
+                granted = await asyncio.gather(
+                    *(claims.acquire(request, b"f" * 32) for request in requests)
+                )
+                assert granted == [None] * 20
+                answers = [RecordedAnswer(200, b"%d" % n) for n in range(20)]
+                await asyncio.gather(
+                    *(
+                        claims.record(*pair)
+                        for pair in zip(requests, answers, strict=True)
+                    )
+                )
+                repeats = await asyncio.gather(
+                    *(
+                        claims.acquire(_request(f"s{n}", f"k{n}"), b"f" * 32)
+                        for n in range(20)
+                    )
+                )
+                assert repeats == answers
+                assert leader.state.applied_index == 3
+                client.close()
+
+        asyncio.run(run())
+
     def test_without_a_leader_a_claim_is_refused_as_not_run(self):
         async def run():
             member = _Member(is_leader=False)
--- a/tests/lib/control_commands.py
+++ b/tests/lib/control_commands.py
@@ -3,7 +3,12 @@
 import json
 
 from galenadrum._internal.control.state.machine import ControlState
-from galenadrum._internal.protocol.claims_pb2 import ClaimRequest, RecordOutcomeRequest
+from galenadrum._internal.protocol.claims_pb2 import (
+    ClaimBatchItem,
+    ClaimBatchRequest,
+    ClaimRequest,
+    RecordOutcomeRequest,
+)
 from galenadrum._internal.protocol.commands_pb2 import (
     Change,
     ChangeSet,
@@ -62,11 +67,22 @@
     )
 
 
+def batch(*bodies):
+    items = [
+        ClaimBatchItem(claim=body)
+        if isinstance(body, ClaimRequest)
+        else ClaimBatchItem(record_outcome=body)
+        for body in bodies
+    ]
+    return ClaimBatchRequest(items=items)
+
+
 def encode(body, time_ms=0):
     fields = {
         ChangeSet: "change_set",
         ClaimRequest: "claim",
         RecordOutcomeRequest: "record_outcome",
+        ClaimBatchRequest: "claim_batch",
     }
     return Command(
         time_ms=time_ms,
--- a/tests/unit/control/test_state_machine.py
+++ b/tests/unit/control/test_state_machine.py
@@ -18,6 +18,7 @@
     DIGESTS,
     RETENTION_MS,
     Replica,
+    batch,
     change_set,
     claim,
     delete,
@@ -139,6 +140,21 @@
     def record(self, request, state):
         self.send(outcome(request, state, request.encode()))
 
+    @rule(
+        requests=st.lists(st.sampled_from(["r1", "r2", "r3"]), max_size=4),
+        state=st.sampled_from([0, CLAIM_STATE_COMPLETED, CLAIM_STATE_RELEASED]),
+    )
+    def claim_batch(self, requests, state):
+        bodies = [
+            outcome(request, state, request.encode()) if state else claim(request)
+            for request in requests
+        ]
+        single = self.replicas[0].restored()
+        answers = self.send(batch(*bodies)).answers
+        for body, answer in zip(bodies, answers, strict=True):
+            expected = single.send(body, self.time_ms)
+            assert getattr(answer, answer.WhichOneof("body")) == expected
+
     @rule(step_ms=st.sampled_from([-500, 1, 2_000, RETENTION_MS // 10]))
     def pass_time(self, step_ms):
         # Kept within the retention, so that each resend must be recognised.
