Run claims through expiry, batches and full tables in the seeded runs

Cause: the runs stopped the clock at the end of the retention, so that no key was ever forgotten; a member that restarts was compared with none. Change: six keys with retentions of 1 s to 1,000 s, batches, full tables and a second member that never restarts; the invariants say when a key may be dispatched again. The same steps as a hypothesis state machine. The present test of 60 seeds keeps its seeds and steps and asserts more.

--- a/tests/unit/control/test_claim_memory.py
+++ b/tests/unit/control/test_claim_memory.py
@@ -129,17 +129,20 @@
         assert replica.state.snapshot() == restored.state.snapshot()
         assert replica.state.claim_count == 1
 
-    @pytest.mark.parametrize("ended", [True, False])
-    def test_a_claim_is_remembered_for_the_retention_that_it_carries(self, ended):
+    @pytest.mark.parametrize("outcome_after_ms", [None, 0, 5_000])
+    def test_a_claim_is_remembered_for_the_retention_that_it_carries(
+        self, outcome_after_ms
+    ):
         replica = Replica()
-        lease_ms = 1_000 + claims.LEASE_MARGIN_MS
+        end_ms = 1_000 + claims.LEASE_MARGIN_MS
         replica.send(claim("r1", retention_s=7))
-        if ended:
-            replica.send(outcome("r1", CLAIM_STATE_UNKNOWN), lease_ms)
+        if outcome_after_ms is not None:
+            end_ms += outcome_after_ms
+            assert replica.send(outcome("r1", CLAIM_STATE_UNKNOWN), end_ms).accepted
         replica = replica.restored()
-        before = replica.send(claim("r2"), lease_ms + 6_999)
+        before = replica.send(claim("r2"), end_ms + 6_999)
         assert before.state == CLAIM_STATE_UNKNOWN
-        after = replica.send(claim("r3"), lease_ms + 7_000)
+        after = replica.send(claim("r3"), end_ms + 7_000)
         assert after.state == CLAIM_STATE_GRANTED
 
     def test_a_retention_above_its_bound_is_refused(self):
--- a/tests/unit/control/test_claims.py
+++ b/tests/unit/control/test_claims.py
@@ -1,10 +1,18 @@
 """Claims under lost, doubled, late messages and crashes at each step."""
 
+import os
 import random
+from collections import Counter
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from galenadrum._internal.control.state.claims import OUTCOME_MAX_BYTES
+from galenadrum._internal.control.state.claims import (
+    LEASE_MARGIN_MS,
+    OUTCOME_MAX_BYTES,
+)
 from galenadrum._internal.exceptions import InvariantError
 from galenadrum._internal.protocol.claims_pb2 import (
     CLAIM_STATE_COMPLETED,
@@ -13,128 +21,248 @@
     CLAIM_STATE_MISMATCH,
     CLAIM_STATE_RELEASED,
     CLAIM_STATE_UNKNOWN,
+    ClaimFailure,
     ClaimRequest,
 )
 from galenadrum._internal.protocol.commands_pb2 import CommandError
-from lib.control_commands import RETENTION_MS, Replica, claim, outcome
+from lib.control_commands import RETENTION_MS, Replica, batch, claim, outcome
 
 _LEASE_MS = 3_000
+_DEADLINE_MS = 1_000
+# The last is longer than released ids are remembered.
+_RETENTION_S_BY_KEY = {"a": 1, "b": 1, "c": 2, "d": 3, "e": 30, "f": 1_000}
+EXAMPLES = int(os.environ.get("GALENADRUM_EXAMPLES", "40"))
+
+
+class _Request:
+    """A request as its entry host and its caller know it."""
+
+    def __init__(self, name, key, started_ms):
+        self.name = name
+        self.key = key
+        self.deadline_ms = started_ms + _DEADLINE_MS
+        self.phase = "claiming"
+        self.granted_ms = None
 
 
 class _Simulation:
-    """Requests of entry hosts that race for keys over a faulty network."""
+    """Requests of entry hosts that race for keys over a faulty network.
 
-    def __init__(self, seed):
-        self.rng = random.Random(seed)
-        self.replica = Replica()
+    Keys are forgotten after the retention that their claims carry and are then
+    used again. A member that restarts from snapshots answers like one that
+    never does. Outcomes may come at any time, claims for as long as a call
+    lasts.
+    """
+
+    def __init__(self, rng, **limits):
+        self.rng = rng
+        self.replica, self.mirror = Replica(**limits), Replica(**limits)
         self.time_ms = 0
         self.network = []
-        self.phase_by_request = {}
-        self.dispatches_by_key = {}
-        self.answers_by_key = {}
+        self.requests = {}
+        self.open = {}
+        self.remembered_until_ms = {}
+        self.answer_by_key = {}
+        self.old_answers = set()
         self.refused_not_run = set()
         self.dispatched = set()
-
-    def key_of(self, request):
-        return f"k{int(request[1:]) // 5}"
+        self.counts = Counter()
 
     def start(self):
-        request = f"r{len(self.phase_by_request)}"
-        self.phase_by_request[request] = "claiming"
-        self.network.append(claim(request, self.key_of(request)))
+        name = f"r{len(self.requests)}"
+        key = self.rng.choice(list(_RETENTION_S_BY_KEY))
+        request = _Request(name, key, self.time_ms)
+        self.requests[name] = self.open[name] = request
+        self.send_claim(request)
+
+    def send_claim(self, request):
+        left_ms = max(0, request.deadline_ms - self.time_ms)
+        retention_s = _RETENTION_S_BY_KEY[request.key]
+        body = claim(
+            request.name, request.key, deadline_ms=left_ms, retention_s=retention_s
+        )
+        self.send(body)
+
+    def send(self, body):
+        is_open = self.network and isinstance(self.network[-1][1], list)
+        if is_open and self.rng.random() < 0.4:
+            self.network[-1][1].append(body)
+        else:
+            self.network.append((self.time_ms, [body]))
 
     def give_up(self):
-        request = self.pick("claiming", "granted")
+        self.end_not_run(self.pick("claiming", "granted"))
+
+    def end_not_run(self, request):
         if request:
-            self.phase_by_request[request] = "over"
-            self.refused_not_run.add(request)
+            self.end(request)
+            self.refused_not_run.add(request.name)
             self.record(request, CLAIM_STATE_RELEASED)
 
     def crash(self):
         request = self.pick("claiming", "granted", "dispatched")
         if request:
-            self.phase_by_request[request] = "over"
+            self.end(request)
 
     def claim_again(self):
         request = self.pick("claiming")
         if request:
-            self.network.append(claim(request, self.key_of(request)))
+            self.send_claim(request)
 
     def dispatch(self):
         request = self.pick("granted")
-        if request:
-            self.phase_by_request[request] = "dispatched"
-            self.dispatched.add(request)
-            key = self.key_of(request)
-            self.dispatches_by_key[key] = self.dispatches_by_key.get(key, 0) + 1
-            assert self.dispatches_by_key[key] == 1
+        if not request:
+            return
+        if self.time_ms > request.deadline_ms:
+            self.end_not_run(request)
+            return
+        until_ms = self.remembered_until_ms.get(request.key)
+        assert until_ms is None or request.granted_ms >= until_ms
+        self.counts["dispatches"] += 1
+        self.counts["dispatches of a forgotten key"] += until_ms is not None
+        request.phase = "dispatched"
+        self.dispatched.add(request.name)
+        end_ms = request.deadline_ms + LEASE_MARGIN_MS
+        self.remember(request.key, end_ms)
+
+    def remember(self, key, end_ms):
+        until_ms = end_ms + _RETENTION_S_BY_KEY[key] * 1_000
+        before_ms = self.remembered_until_ms.get(key, 0)
+        self.remembered_until_ms[key] = max(before_ms, until_ms)
 
     def finish(self):
         request = self.pick("dispatched")
         if request:
-            self.phase_by_request[request] = "over"
+            self.end(request)
             state = self.rng.choice([CLAIM_STATE_COMPLETED, CLAIM_STATE_UNKNOWN])
             self.record(request, state)
 
     def record(self, request, state):
-        key = self.key_of(request)
-        self.network.append(outcome(request, state, request.encode(), key))
+        self.send(outcome(request.name, state, request.name.encode(), request.key))
+
+    def end(self, request):
+        request.phase = "over"
+        del self.open[request.name]
 
     def deliver(self):
         if not self.network:
             return
         index = self.rng.randrange(len(self.network))
-        message = self.network[index]
+        sent_ms, bodies = self.network[index]
+        # What was delivered once takes nothing more in.
+        bodies = tuple(bodies)
+        self.network[index] = sent_ms, bodies
         fate = self.rng.random()
         if fate < 0.7:
             self.network.pop(index)
-        if fate < 0.2:
+        is_late = self.time_ms > sent_ms + LEASE_MARGIN_MS
+        if is_late:
+            bodies = [body for body in bodies if not isinstance(body, ClaimRequest)]
+        if fate < 0.2 or not bodies:
             return
+        self.counts["batches"] += len(bodies) > 1
+        for body, response in zip(bodies, self.apply(bodies), strict=True):
+            if isinstance(body, ClaimRequest):
+                if fate < 0.85:
+                    self.answer(self.requests[body.request_id], response)
+            elif response.accepted and body.state != CLAIM_STATE_RELEASED:
+                self.counts["outcomes"] += 1
+                self.remember(body.idempotency_key, self.time_ms)
+
+    def apply(self, bodies):
+        message = bodies[0] if len(bodies) == 1 else batch(*bodies)
         response = self.replica.send(message, self.time_ms)
-        if isinstance(message, ClaimRequest) and fate < 0.85:
-            self.answer(message.request_id, response)
+        assert self.mirror.send(message, self.time_ms) == response
+        if len(bodies) == 1:
+            return [response]
+        return [
+            getattr(answer, answer.WhichOneof("body")) for answer in response.answers
+        ]
 
     def answer(self, request, response):
-        key = self.key_of(request)
+        if isinstance(response, (CommandError, ClaimFailure)):
+            self.counts["full"] += 1
+            if request.phase == "claiming":
+                self.end_not_run(request)
+            return
         if response.state == CLAIM_STATE_COMPLETED:
-            first = self.answers_by_key.setdefault(key, response.outcome)
-            assert first == response.outcome
-        if self.phase_by_request[request] == "claiming":
-            granted = response.state == CLAIM_STATE_GRANTED
-            self.phase_by_request[request] = "granted" if granted else "over"
+            self.check_outcome(request.key, response.outcome.decode())
+        if request.phase != "claiming":
+            return
+        if response.state == CLAIM_STATE_GRANTED:
+            request.phase = "granted"
+            request.granted_ms = self.time_ms
+        else:
+            self.end(request)
+
+    def check_outcome(self, key, answer):
+        """A key has one answer at a time, of a request that was sent."""
+        before = self.answer_by_key.get(key)
+        if answer != before:
+            self.old_answers.add(before)
+            self.answer_by_key[key] = answer
+        assert answer in self.dispatched
+        assert answer not in self.old_answers
 
     def pick(self, *phases):
-        found = [
-            name for name, is_in in self.phase_by_request.items() if is_in in phases
-        ]
+        found = [request for request in self.open.values() if request.phase in phases]
         return self.rng.choice(found) if found else None
 
-    def step(self):
-        self.rng.choice(
-            [
-                self.start,
-                self.give_up,
-                self.crash,
-                self.claim_again,
-                self.dispatch,
-                self.finish,
-                *[self.deliver] * 6,
-            ]
-        )()
-        # Within the retention: a claim that is forgotten may be granted again.
+    def act(self, name):
+        getattr(self, name)()
         passed_ms = self.rng.choice([0, 0, 1, 200])
-        self.time_ms = min(self.time_ms + passed_ms, RETENTION_MS)
+        if self.rng.random() < 0.01:
+            passed_ms = self.rng.choice([4_000, 700_000])
+        self.time_ms += passed_ms
         if self.rng.random() < 0.02:
             self.replica = self.replica.restored()
         assert not self.refused_not_run & self.dispatched
 
 
+_ACTIONS = ("start", "give_up", "crash", "claim_again", "dispatch", "finish")
+
+
+def run_steps(seed, steps):
+    """Run a simulation; return what it counted."""
+    rng = random.Random(seed)
+    limits = {"max_claims": 4} if seed % 3 == 0 else {}
+    simulation = _Simulation(rng, **limits)
+    for _ in range(steps):
+        simulation.act(rng.choice([*_ACTIONS, *["deliver"] * 6]))
+    return simulation.counts
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    @initialize(rng=st.randoms(use_true_random=False))
+    def begin(self, rng):
+        self.simulation = _Simulation(rng)
+
+    @rule(action=st.sampled_from([*_ACTIONS, "deliver", "deliver"]))
+    def act(self, action):
+        self.simulation.act(action)
+
+
+ClaimsMachine.TestCase.settings = settings(
+    max_examples=EXAMPLES, stateful_step_count=60
+)
+TestClaimsMachine = ClaimsMachine.TestCase
+
+
 class TestClaims:
     @pytest.mark.parametrize("seed", range(60))
     def test_a_claim_is_dispatched_at_most_once(self, seed):
-        simulation = _Simulation(seed)
-        for _ in range(200):
-            simulation.step()
+        run_steps(seed, 200)
+
+    def test_the_runs_reach_what_they_are_for(self):
+        counts = sum((run_steps(seed, 1_000) for seed in range(6)), Counter())
+        assert set(counts) == {
+            "dispatches",
+            "dispatches of a forgotten key",
+            "outcomes",
+            "batches",
+            "full",
+        }
+        assert min(counts.values()) > 0
 
     def test_a_repeat_hears_how_the_claim_stands(self):
         replica = Replica()
