--- a/src/galenadrum/_internal/control/proposals.py
+++ b/src/galenadrum/_internal/control/proposals.py
@@ -10,6 +10,7 @@
 from galenadrum._internal.control.state.machine import ControlState
 from galenadrum._internal.exceptions import NotLeaderError
 from galenadrum._internal.protocol.claims_pb2 import (
+    ClaimBatchRequest,
     ClaimRequest,
     RecordOutcomeRequest,
 )
@@ -65,6 +66,15 @@
         self._change_id_retention_ms = change_id_retention_s * 1_000
         self._claim_retention_ms = claim_retention_s * 1_000
 
+    async def check_leader(self, timeout_s: float) -> None:
+        """Wait until a majority confirmed that this member leads.
+
+        Raises:
+            NotLeaderError: This member doesn't lead.
+            OutcomeUnknownError: No majority confirmed it in time.
+        """
+        await self._log.read_barrier(timeout_s)
+
     async def propose_change(
         self, change_set: ChangeSet, timeout_s: float
     ) -> CommandResult:
@@ -83,6 +93,12 @@
         """Propose the outcome of a claim; see ``_propose`` for the errors."""
         return await self._propose(Command(record_outcome=request), timeout_s)
 
+    async def propose_claim_batch(
+        self, batch: ClaimBatchRequest, timeout_s: float
+    ) -> CommandResult:
+        """Propose claims and outcomes as one command; see ``_propose``."""
+        return await self._propose(Command(claim_batch=batch), timeout_s)
+
     async def propose_order(
         self, order: EngineOrder, timeout_s: float
     ) -> CommandResult:
