--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -6,7 +6,14 @@
 
 import urllib3
 
-from lib.processes import Process, free_address, get_json, wait_until, write_settings
+from lib.processes import (
+    ROOT,
+    Process,
+    free_address,
+    get_json,
+    wait_until,
+    write_settings,
+)
 
 TOKEN = "operator-token"
 KEY = "caller-key"
@@ -36,10 +43,15 @@
 
 
 class Deployment:
-    """Starts processes and keeps what is needed to talk to them."""
+    """Starts processes and keeps what is needed to talk to them.
 
-    def __init__(self, folder):
+    Args:
+        source: Folder that the daemons' packages are imported from.
+    """
+
+    def __init__(self, folder, source=ROOT / "src"):
         self.folder = folder
+        self.source = source
         self.processes = {}
         self.control_settings = {}
         self.entry_settings = {}
@@ -53,11 +65,15 @@
         for process in self.processes.values():
             process.kill()
 
-    def start_process(self, name, arguments):
-        process = Process(name, arguments, self.folder)
+    def start_process(self, name, arguments, source=ROOT / "src"):
+        process = Process(name, arguments, self.folder, source)
         self.processes[name] = process
         return process
 
+    def start_daemon(self, role, name, settings):
+        path = write_settings(self.folder, name, settings)
+        return self.start_process(name, ["galenadrum", role, str(path)], self.source)
+
     def start_controls(self, count=1, **extra):
         names = [f"control-{number}" for number in range(1, count + 1)]
         peers = {name: free_address() for name in names}
@@ -83,8 +99,7 @@
         self.wait_leader()
 
     def start_control(self, name):
-        path = write_settings(self.folder, name, self.control_settings[name])
-        return self.start_process(name, ["galenadrum", "control", str(path)])
+        return self.start_daemon("control", name, self.control_settings[name])
 
     def replace_control(self, old_name, new_name):
         """Start a member with an empty disk in place of one whose disk is lost."""
@@ -190,8 +205,7 @@
         return list(zones)
 
     def start_entry(self, name):
-        path = write_settings(self.folder, name, self.entry_settings[name])
-        return self.start_process(name, ["galenadrum", "entry", str(path)])
+        return self.start_daemon("entry", name, self.entry_settings[name])
 
     def start_backend(self, name, stages, entries, zone="zone-1", **options):
         arguments = ["galenadrum._internal.demo.backend_server"]
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -62,12 +62,16 @@
 
 
 class Process:
-    """A process of the system that a test started."""
+    """A process of the system that a test started.
 
-    def __init__(self, name, arguments, folder):
+    Args:
+        source: Folder that its packages are imported from.
+    """
+
+    def __init__(self, name, arguments, folder, source=ROOT / "src"):
         self.name = name
         self.log_path = folder / f"{name}.log"
-        environment = os.environ | {"PYTHONPATH": str(ROOT / "src")}
+        environment = os.environ | {"PYTHONPATH": str(source)}
         self._log = self.log_path.open("ab")
         self.popen = subprocess.Popen(
             [sys.executable, "-m", *arguments],
