Count the stage attempts that fail under each failure

Cause: rows of zeros did not show whether a failure had struck any call. Change: the traces of the entry hosts give the attempts that did not complete.

--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -12,6 +12,7 @@
 
 import json
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
@@ -36,6 +37,8 @@
 _EARLIEST_STRIKE_S = 2.0
 _LATEST_STRIKE_S = 4.0
 _DETAILS = 4
+# Traces are written within this time.
+_TRACES_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +48,7 @@
     Attributes:
         doubled: Inputs that may not be repeated and ran more than once.
         unfounded: Answers to such inputs that no run stands behind.
+        failed_attempts: Stage attempts that entry hosts saw fail.
         retried: Requests that were sent more than once by their callers.
         p99_s: Time within which 99 of 100 answers came.
         gap_s: Longest time without an answer, of any load.
@@ -59,29 +63,44 @@
     wrong: int
     doubled: int
     unfounded: int
+    failed_attempts: int
     retried: int
     p99_s: float
     gap_s: float
     details: dict[str, int]
 
 
-def measure(failure: Failure, seeds: Sequence[int], seconds: float, source: Path):
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """What one load brought."""
+
+    ended: list[Ended]
+    runs: Counter[str]
+    failed_attempts: int
+
+    @property
+    def doubled(self) -> int:
+        return sum(count > 1 for count in self.runs.values())
+
+    @property
+    def unfounded(self) -> int:
+        return sum(not self.runs[e.planned.input] for e in self.ended if _is_once(e))
+
+
+def measure(
+    failure: Failure, seeds: Sequence[int], seconds: float, source: Path
+) -> Row:
     """Return the row of one failure over all seeds."""
-    ended: list[Ended] = []
-    doubled = unfounded = 0
-    gap_s = 0.0
+    loads = []
     for seed in seeds:
         with (
             tempfile.TemporaryDirectory(prefix="galenadrum-failures-") as folder,
             open_world(failure, Path(folder), source) as world,
         ):
-            of_seed = _run(world, failure, seed, seconds)
-            runs = world.runs()
-        ended.extend(of_seed)
-        doubled += sum(count > 1 for count in runs.values())
-        unfounded += sum(not runs[e.planned.input] for e in of_seed if _is_once(e))
-        gap_s = max(gap_s, _longest_gap(of_seed, seconds))
-    return _row(failure, ended, doubled, unfounded, gap_s)
+            ended = _run(world, failure, seed, seconds)
+            time.sleep(_TRACES_S)
+            loads.append(_Load(ended, world.runs(), world.failed_attempts()))
+    return _row(failure, loads, seconds)
 
 
 def _run(world: World, failure: Failure, seed: int, seconds: float) -> list[Ended]:
@@ -112,13 +131,8 @@
     return times[int(0.99 * (len(times) - 1))] if times else 0.0
 
 
-def _row(
-    failure: Failure,
-    ended: Sequence[Ended],
-    doubled: int,
-    unfounded: int,
-    gap_s: float,
-) -> Row:
+def _row(failure: Failure, loads: Sequence[_Load], seconds: float) -> Row:
+    ended = [e for load in loads for e in load.ended]
     ends = Counter(e.end for e in ended)
     details = Counter(
         f"{e.planned.kind} {e.end}: {e.detail}"
@@ -132,11 +146,12 @@
         late=ends[End.LATE],
         refused=ends[End.REFUSED],
         wrong=ends[End.WRONG],
-        doubled=doubled,
-        unfounded=unfounded,
+        doubled=sum(load.doubled for load in loads),
+        unfounded=sum(load.unfounded for load in loads),
+        failed_attempts=sum(load.failed_attempts for load in loads),
         retried=sum(e.tries > 1 for e in ended),
         p99_s=round(_p99_s(ended), 2),
-        gap_s=round(gap_s, 2),
+        gap_s=round(max(_longest_gap(load.ended, seconds) for load in loads), 2),
         details=dict(details.most_common(_DETAILS)),
     )
 
@@ -146,7 +161,8 @@
         f"{row.failure:18} {row.requests:5}"
         f"  {row.lost / row.requests:7.2%} {row.late / row.requests:7.2%}"
         f" {row.refused / row.requests:7.2%}"
-        f"  {row.wrong:5} {row.doubled:7} {row.unfounded:9}  {row.retried:7}"
+        f"  {row.wrong:5} {row.doubled:7} {row.unfounded:9}"
+        f"  {row.failed_attempts:8} {row.retried:7}"
         f" {row.p99_s:5.2f} s {row.gap_s:5.2f} s"
         f"  {row.details or ''}"
     )
@@ -167,7 +183,7 @@
         raise click.BadParameter(f"{sorted(unknown)} not in {names}", param_hint="only")
     click.echo(
         "failure            count     lost    late refused"
-        "  wrong doubled unfounded  retried     p99     gap"
+        "  wrong doubled unfounded  attempts retried     p99     gap"
     )
     seeds = range(seed, seed + repetitions)
     rows = []
--- a/benchmarks/failures_world.py
+++ b/benchmarks/failures_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import time
 from collections import Counter
@@ -61,6 +62,22 @@
             return Counter()
         return Counter(self.runs_file.read_text().splitlines())
 
+    def failed_attempts(self) -> int:
+        """Return how many stage attempts of entry hosts did not complete."""
+        # The last line of a host that was killed may have no end.
+        spans = [
+            json.loads(line)
+            for file in self.deployment.folder.glob("*.traces")
+            for line in file.read_text().splitlines(keepends=True)
+            if line.endswith("\n")
+        ]
+        outcomes = [
+            span["attributes"].get("outcome", "")
+            for span in spans
+            if span["name"].startswith("stage ")
+        ]
+        return sum(outcome != "completed" for outcome in outcomes)
+
     def balancer(self) -> Balancer:
         """Return a balancer over all entry hosts."""
         deployment = self.deployment
