Keep an attempt unknown whose second sending did not run

Cause: a call sent again over a new connection gave that sending's outcome; a refused connect made a certain not_run of an attempt whose first sending may have run. Change: not run becomes unknown for an attempt that was sent before. Measured: test_never_makes_what_was_sent_before_a_certain_not_run failed (not_run), and passes. Conclusion: the refusal's word on the work holds again.

--- a/src/galenadrum/_internal/network/stage_client.py
+++ b/src/galenadrum/_internal/network/stage_client.py
@@ -113,7 +113,8 @@
             return sent.reply
         self.resent_calls += 1
         fresh = replace(limits, fresh_connection=True)
-        return self._send_once(dispatch, payload, traceparent, fresh, on_delta).reply
+        again = self._send_once(dispatch, payload, traceparent, fresh, on_delta)
+        return _after_unresolved(again.reply)
 
     def _send_once(
         self,
@@ -197,6 +198,16 @@
             exchange.connection.close()
 
 
+def _after_unresolved(reply: StageReply) -> StageReply:
+    """Return a second sending's reply as that of the whole attempt.
+
+    That the second one did not run tells nothing of the first.
+    """
+    if reply.result.outcome is not Outcome.NOT_RUN:
+        return reply
+    return replace(reply, result=replace(reply.result, outcome=Outcome.UNKNOWN))
+
+
 def _as_attempt_error(error: Exception, exchange: Exchange) -> AttemptError:
     if isinstance(error, AttemptError):
         return error
--- a/tests/functional/failures/test_stale_connections.py
+++ b/tests/functional/failures/test_stale_connections.py
@@ -87,6 +87,14 @@
         assert client.resent_calls == 0
         assert server.runs_by_request_id == {}
 
+    def test_never_makes_what_was_sent_before_a_certain_not_run(self, silent_pool):
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+            client = StageClient(silent_pool(address, 1))
+            assert call(client, dispatch_to(address)).outcome is Outcome.UNKNOWN
+            assert client.resent_calls == 1
+
     def test_ends_while_new_connections_bring_no_answer_either(self, silent_pool):
         with socket.create_server(("127.0.0.1", 0)) as listener:
             address = f"127.0.0.1:{listener.getsockname()[1]}"
