Give concurrent test runs different ports

A port was probed, released, and taken by the other run. Change: a run holds a file lock for each port that it was given. Conclusion: a fault of the test library, not of the daemons.

--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -1,12 +1,14 @@
 """Daemons and backend servers as separate processes on loopback ports."""
 
 import contextlib
+import fcntl
 import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from pathlib import Path
 
@@ -24,7 +26,7 @@
     while True:
         for offset in range(size):
             port = PORTS.start + (start + offset) % size
-            if _is_free(port):
+            if _is_free(port) and _claim(port):
                 yield port
 
 
@@ -37,6 +39,21 @@
     return True
 
 
+def _claim(port):
+    """Return whether no other run was given the port; held until this one ends."""
+    folder = Path(tempfile.gettempdir()) / "galenadrum-test-ports"
+    folder.mkdir(exist_ok=True)
+    claim = (folder / str(port)).open("w")
+    try:
+        fcntl.flock(claim, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    return True
+
+
+_claims = []
 _ports = _free_ports()
 
 
