Send a stage only to engines that announce its model

Cause: a stage that names a model went to every server of the stage. In a functional run with the filter taken out, an engine with another model refused 6 calls, and a stage whose model nobody holds was answered with 200. A switch that was under way in an engine that no longer announced the model counted as a missing replica, so that a spare engine could be loaded for it. Change: the list of servers that routing gets leaves out stages whose model or adapter the engine doesn't announce, and old versions once the zone has the replicas of the new one. Planning counts a switch under way as held. The demonstration engine serves stages and drains before it switches. One version for all attempts of a request was ruled out.

--- a/src/galenadrum/_internal/control/orders/planning.py
+++ b/src/galenadrum/_internal/control/orders/planning.py
@@ -219,7 +219,7 @@
         rank = (serving / desired if desired else 1.0,)
         short = desired - len(new) - coming
         held = sum(self._version(e) is not None for e in engines) + sum(
-            order.action is OrderAction.LOAD
+            order.action in (OrderAction.LOAD, OrderAction.SWITCH)
             and self._version(self._situation.engines_by_id[order.engine_id]) is None
             for order in orders
         )
--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -58,6 +58,7 @@
         "repeatable": fields.boolean,
         "streams": fields.boolean,
         "model": fields.optional(fields.name),
+        "adapter": fields.optional(fields.name),
         "expected_service_ms": fields.integer_between(1, DEADLINE_MAX_MS),
     },
     PipelineSpec: {
--- a/src/galenadrum/_internal/demo/engine.py
+++ b/src/galenadrum/_internal/demo/engine.py
@@ -1,7 +1,8 @@
 """A stand-in for a model engine that takes orders over HTTP.
 
 It holds models by name, takes a set time for each load, and checks fencing
-numbers or ignores them. It serves no stages: only orders and queries.
+numbers or ignores them. It serves the calls of its stages with the model that
+it is told; an output names the version that gave it.
 """
 
 from __future__ import annotations
@@ -25,6 +26,16 @@
     ORDERS_PATH,
 )
 from galenadrum._internal.network.http_server import HttpServer
+from galenadrum._internal.network.stage_protocol import (
+    ATTEMPT_HEADER,
+    NOT_RUN,
+    REQUEST_ID_HEADER,
+    RUN_HEADER,
+    STAGE_HEADER,
+    STAGES_PREFIX,
+)
+
+CALLS_PATH = "/v1/calls"
 
 _ANNOUNCE_TIMEOUT_S = 1.0
 _MAX_REMEMBERED_ORDERS = 100
@@ -39,6 +50,9 @@
         models: Pairs of model and version that it holds from the start.
         load_ms: Time that each load takes.
         failing_versions: Versions whose load fails.
+        serves: Model with which it serves its stages; empty for none.
+        service_ms: Time that each call takes.
+        capacity: Calls that it serves at once.
     """
 
     server_id: str
@@ -51,6 +65,9 @@
     load_ms: float = 50.0
     ttl_s: float = 3.0
     failing_versions: frozenset[str] = frozenset()
+    serves: str = ""
+    service_ms: float = 5.0
+    capacity: int = 1
 
 
 @dataclass(slots=True)
@@ -60,6 +77,9 @@
     Attributes:
         orders_by_id: The orders taken and how far each is, oldest first.
         runs: Orders as they began: id, fencing, action, version.
+        stopped_models: Models that take no work, since an order changes them.
+        running_calls: Calls under way.
+        refused_calls: Calls refused for want of the model.
     """
 
     versions_by_model: dict[str, str]
@@ -68,6 +88,9 @@
     highest_fencing: int = 0
     orders_by_id: OrderedDict[str, dict[str, str]] = field(default_factory=OrderedDict)
     runs: list[tuple[str, int, str, str]] = field(default_factory=list)
+    stopped_models: set[str] = field(default_factory=set)
+    running_calls: int = 0
+    refused_calls: int = 0
 
 
 class EngineServer:
@@ -78,10 +101,15 @@
         self.state = EngineState(dict(options.models))
         self._lock = threading.Lock()
         self._http = HttpServer(
-            options.listen, self._application, CallerLimits(workers=8), "engine"
+            options.listen,
+            self._application,
+            CallerLimits(workers=8 + options.capacity),
+            "engine",
         )
         self._pool = urllib3.PoolManager(retries=False, timeout=_ANNOUNCE_TIMEOUT_S)
         self._stopping = threading.Event()
+        self._changed = threading.Event()
+        self._calls_ended = threading.Condition(self._lock)
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         self._threads: list[threading.Thread] = []
@@ -100,6 +128,7 @@
     def stop(self) -> None:
         """Stop at once."""
         self._stopping.set()
+        self._changed.set()
         for thread in self._threads:
             thread.join()
         self._http.stop()
@@ -120,7 +149,8 @@
                     continue
                 if response.status == 200:
                     break
-            self._stopping.wait(self._options.ttl_s / 3)
+            self._changed.wait(self._options.ttl_s / 3)
+            self._changed.clear()
 
     def _announcement(self) -> dict[str, Any]:
         options = self._options
@@ -133,10 +163,14 @@
                 "address": self.address,
                 "zone": options.zone,
                 "stages": list(options.stages),
-                "capacity": 1,
+                "capacity": options.capacity,
                 "ttl_s": options.ttl_s,
                 "state": "serving",
-                "model_versions": list(self.state.versions_by_model.items()),
+                "model_versions": [
+                    pair
+                    for pair in self.state.versions_by_model.items()
+                    if pair[0] not in self.state.stopped_models
+                ],
                 "adapters": sorted(self.state.adapters),
                 "role": self.state.role,
                 "checks_fencing": options.checks_fencing,
@@ -149,13 +183,48 @@
         route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
         if route == ("GET", MODELS_PATH):
             return _send(start_response, "200 OK", self._describe(fencing))
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        if route[0] == "POST" and route[1].startswith(STAGES_PREFIX):
+            return self._serve(environ, start_response, json.loads(body))
+        if route == ("GET", CALLS_PATH):
+            counts = {"refused": self.state.refused_calls}
+            return _send(start_response, "200 OK", counts)
         if route != ("POST", ORDERS_PATH):
             return _send(start_response, "404 Not Found", {"message": "no such path"})
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        order = json.loads(environ["wsgi.input"].read(length))
-        status, message = self._take(order, fencing)
+        status, message = self._take(json.loads(body), fencing)
         return _send(start_response, status, {"message": message})
 
+    def _serve(
+        self, environ: dict[str, Any], start_response: Any, call: dict[str, Any]
+    ) -> Iterable[bytes]:
+        headers = [
+            (name, environ.get("HTTP_" + name.upper().replace("-", "_"), ""))
+            for name in (REQUEST_ID_HEADER, STAGE_HEADER, ATTEMPT_HEADER)
+        ]
+        version = self._begin_call()
+        if version is None:
+            refused = [*headers, (RUN_HEADER, NOT_RUN)]
+            return _send(start_response, "503 Service Unavailable", {}, refused)
+        time.sleep(self._options.service_ms / 1_000)
+        with self._calls_ended:
+            self.state.running_calls -= 1
+            self._calls_ended.notify_all()
+        stage = environ["PATH_INFO"].removeprefix(STAGES_PREFIX)
+        output = {"output": f"{stage}-{version}({call['input']})"}
+        return _send(start_response, "200 OK", output, headers)
+
+    def _begin_call(self) -> str | None:
+        """Count a call in; return the version that serves it, if any does."""
+        model = self._options.serves
+        with self._lock:
+            version = self.state.versions_by_model.get(model)
+            if version is None or model in self.state.stopped_models:
+                self.state.refused_calls += 1
+                return None
+            self.state.running_calls += 1
+            return version
+
     def _describe(self, fencing: int) -> dict[str, Any]:
         with self._lock:
             state = self.state
@@ -199,8 +268,12 @@
         return is_current
 
     def _carry_out(self, order: dict[str, Any]) -> None:
+        if order["action"] != "load":
+            self._stop_work(order["model"])
         self._stopping.wait(self._options.load_ms / 1_000)
         with self._lock:
+            self.state.stopped_models.discard(order["model"])
+            self._changed.set()
             result = self.state.orders_by_id[order["order_id"]]
             loads = order["action"] in ("load", "switch")
             if loads and order["version"] in self._options.failing_versions:
@@ -209,6 +282,13 @@
             self._change(order)
             result["state"] = "done"
 
+    def _stop_work(self, model: str) -> None:
+        """Take no new work on a model, and let what is in flight end."""
+        with self._calls_ended:
+            self.state.stopped_models.add(model)
+            self._changed.set()
+            self._calls_ended.wait_for(lambda: not self.state.running_calls)
+
     def _change(self, order: dict[str, Any]) -> None:
         state = self.state
         match order["action"]:
@@ -221,13 +301,19 @@
                 state.role = order["role"]
 
 
-def _send(start_response: Any, status: str, body: dict[str, Any]) -> Iterable[bytes]:
+def _send(
+    start_response: Any,
+    status: str,
+    body: dict[str, Any],
+    headers: Iterable[tuple[str, str]] = (),
+) -> Iterable[bytes]:
     encoded = json.dumps(body).encode()
     start_response(
         status,
         [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(encoded))),
+            *headers,
         ],
     )
     return [encoded]
@@ -242,6 +328,9 @@
 @click.option("--model", "models", multiple=True, help="model=version")
 @click.option("--checks-fencing", default=False, type=bool)
 @click.option("--load-ms", default=50.0)
+@click.option("--serves", default="", help="model that serves the stages")
+@click.option("--service-ms", default=5.0)
+@click.option("--capacity", default=1)
 @click.option("--failing-version", "failing", multiple=True)
 def main(
     stages: tuple[str, ...],
--- a/src/galenadrum/_internal/entry/backends.py
+++ b/src/galenadrum/_internal/entry/backends.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from galenadrum._internal.entry.execution import Action, PipelineExecutor
+from galenadrum._internal.entry.loaded_models import LoadedModels
 from galenadrum._internal.membership.digests import StageLoad
 from galenadrum._internal.membership.zone_service import ZoneService
 from galenadrum._internal.models.servers import Announcement, ZoneDigest
@@ -23,6 +24,7 @@
         policy: Takes the servers and what they report.
         executor: Turns the policy's decisions into actions.
         carry_out: Carries the actions out.
+        loaded_models: Says which stages each server may be sent.
     """
 
     def __init__(
@@ -30,10 +32,12 @@
         policy: Policy,
         executor: PipelineExecutor,
         carry_out: Callable[[tuple[Action, ...]], None],
+        loaded_models: LoadedModels,
     ) -> None:
         self._policy = policy
         self._executor = executor
         self._carry_out = carry_out
+        self._loaded_models = loaded_models
         self._seen_version = -1
 
     def take_changes(self, zone: ZoneService) -> None:
@@ -45,6 +49,11 @@
         if zone.registry.version != self._seen_version:
             self.refresh(zone)
 
+    def take_declarations(self, zone: ZoneService) -> None:
+        """Work out anew which stages servers may be sent."""
+        self._seen_version = -1
+        self.refresh(zone)
+
     def refresh(self, zone: ZoneService) -> None:
         """Tell the policy what servers there are and what they reported."""
         now = asyncio.get_running_loop().time()
@@ -58,7 +67,8 @@
             reports_by_id.get(server.server_id) or _without_reports(server)
             for server in registry.servers(now)
         ]
-        decisions = self._policy.update_servers(servers, now)
+        offered = self._loaded_models.offered(servers)
+        decisions = self._policy.update_servers(offered, now)
         self._carry_out(self._executor.carry_out(decisions, now))
 
     async def run(self, zone: ZoneService) -> None:
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -28,6 +28,7 @@
     ForwardedStagesApp,
     peer_ips,
 )
+from galenadrum._internal.entry.loaded_models import LoadedModels
 from galenadrum._internal.entry.platform_app import EntryStatus, build_platform_app
 from galenadrum._internal.entry.request_service import RequestService
 from galenadrum._internal.entry.request_telemetry import RequestTelemetry
@@ -78,7 +79,10 @@
             self.executor, self.view, self.claims, max_in_flight
         )
         self.directory = BackendDirectory(
-            self.policy, self.executor, self.service.carry_out
+            self.policy,
+            self.executor,
+            self.service.carry_out,
+            LoadedModels(lambda: (self.view.stages_by_name, self.view.models_by_name)),
         )
         self.zone = ZoneService(
             settings,
@@ -223,6 +227,7 @@
             self.view.policy,
             self._loop.time(),
         )
+        self.directory.take_declarations(self.zone)
         self.zone.set_revision(applied.revision)
         logger.info("serving from revision %d", applied.revision)
 
--- a/src/galenadrum/_internal/models/resources.py
+++ b/src/galenadrum/_internal/models/resources.py
@@ -59,12 +59,14 @@
         repeatable: Whether a call may be sent again after an unknown outcome.
         streams: Whether the reply is a stream of server-sent events.
         model: Name of the model that must be loaded, for engine stages.
+        adapter: Name of the adapter that must be loaded beside it.
         expected_service_ms: Service time assumed until calls were observed.
     """
 
     repeatable: bool = True
     streams: bool = False
     model: str | None = None
+    adapter: str | None = None
     expected_service_ms: int = 100
 
 
--- /dev/null
+++ b/tests/functional/test_loaded_models.py
@@ -0,0 +1,101 @@
+import threading
+
+import pytest
+
+from galenadrum._internal.demo.engine import CALLS_PATH
+from lib.deployment import Deployment, put, standard_changes
+from lib.processes import get_json, wait_until
+
+CALLERS = 6
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    deployment = Deployment(tmp_path)
+    try:
+        yield deployment
+    finally:
+        deployment.close()
+
+
+def model_change(version):
+    return put("model", "m", {"version": version, "replicas_by_zone": {"zone-1": 2}})
+
+
+def start(deployment):
+    """Start a control host, an entry host and engines: two of m, one of other."""
+    deployment.start_controls(1)
+    changes = [
+        model_change("1"),
+        put("model", "absent", {"version": "1"}),
+        put("stage", "answer", {"model": "m"}),
+        put("stage", "vanish", {"model": "absent"}),
+        put("pipeline", "ask", {"stages": ["answer"], "deadline_ms": 20_000}),
+        put("pipeline", "lose", {"stages": ["vanish"], "deadline_ms": 20_000}),
+    ]
+    deployment.apply([*standard_changes(), *changes], "first")
+    [entry] = deployment.start_entries(1)
+    for name, held in (("e1", "m=1"), ("e2", "m=1"), ("e3", "other=1")):
+        arguments = ["galenadrum._internal.demo.engine", "--zone", "zone-1"]
+        arguments += ["--server-id", name, "--model", held, "--serves", "m"]
+        arguments += ["--stage", "answer", "--stage", "vanish", "--capacity", "8"]
+        arguments += ["--entry", deployment.callers[entry], "--load-ms", "300"]
+        process = deployment.start_process(name, arguments)
+        deployment.backends[name] = process.popen.stdout.readline().decode().strip()
+    deployment.wait_ready([entry], servers=3)
+    return entry
+
+
+def refused_calls(deployment, name):
+    return get_json(f"http://{deployment.backends[name]}{CALLS_PATH}")[1]["refused"]
+
+
+class Load:
+    """Callers that ask until they are told to stop."""
+
+    def __init__(self, deployment, entry):
+        self._ask = lambda: deployment.call(entry, "ask", "x")
+        self._stop = threading.Event()
+        self.answers = []
+        self._threads = [threading.Thread(target=self._run) for _ in range(CALLERS)]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self):
+        while not self._stop.is_set():
+            response = self._ask()
+            self.answers.append((response.status, response.json().get("output")))
+
+    def stop(self):
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+
+class TestRoutingByLoadedModel:
+    def test_a_version_changes_under_load_and_no_request_is_lost(self, deployment):
+        entry = start(deployment)
+        load = Load(deployment, entry)
+        try:
+            wait_until(lambda: len(load.answers) > 50, "answers of version 1")
+            deployment.apply([model_change("2")], "second")
+            answers = load.answers
+            wait_until(lambda: (200, "answer-2(x)") in answers, "version 2")
+            wait_until(
+                lambda: {a for _, a in answers[-100:]} == {"answer-2(x)"},
+                "version 2 only",
+            )
+        finally:
+            load.stop()
+        assert set(load.answers) == {(200, "answer-1(x)"), (200, "answer-2(x)")}
+        assert refused_calls(deployment, "e3") == 0
+
+    def test_a_stage_whose_model_no_engine_holds_is_refused_as_not_run(
+        self, deployment
+    ):
+        entry = start(deployment)
+        response = deployment.call(entry, "lose", "x")
+        assert response.status == 503
+        assert response.json()["error"]["run"] == "not_run"
+        assert int(response.headers["Retry-After"]) >= 1
+        assert sum(refused_calls(deployment, name) for name in ("e1", "e2", "e3")) == 0
