Let operators declare which engines check fencing

Cause: only the announcement said it. An engine whose word changed between the end of an old leader's order and its next order broke an invariant: with the new waits taken out, both cases of test_a_word_that_changes fail. Change: `fencing` of a stage and `fencing_by_engine` of the policy; the more careful of announcement and declaration counts, and the status shows all three. An engine gets no order while one of an earlier term can still reach it, whenever its word changed.

--- a/src/galenadrum/_internal/control/operator_api/documents.py
+++ b/src/galenadrum/_internal/control/operator_api/documents.py
@@ -53,6 +53,9 @@
                 "adapters": list(engine.adapters),
                 "role": engine.role,
                 "order": engine.order,
+                "fencing": engine.fencing,
+                "announces_fencing": engine.announces_fencing,
+                "declared_fencing": engine.declared_fencing,
             }
             for engine in status.engines[:_MAX_LISTED_ENGINES]
         ],
--- a/src/galenadrum/_internal/control/orders/driver.py
+++ b/src/galenadrum/_internal/control/orders/driver.py
@@ -295,17 +295,23 @@
 def declared_in(state: ControlState) -> Declared:
     """Return what the state declares about models."""
     models: dict[str, ModelSpec] = {}
-    model_by_stage: dict[str, str] = {}
+    stages: dict[str, StageSpec] = {}
     policy = PolicySpec()
     for resource in state.resources():
         match resource.key.kind, resource.spec:
             case Kind.MODEL, ModelSpec():
                 models[resource.key.name] = resource.spec
-            case Kind.STAGE, StageSpec(model=str(model)):
-                model_by_stage[resource.key.name] = model
+            case Kind.STAGE, StageSpec():
+                stages[resource.key.name] = resource.spec
             case Kind.POLICY, PolicySpec():
                 policy = resource.spec
-    return Declared(models, model_by_stage, policy.loads_per_minute)
+    return Declared(
+        models,
+        {name: spec.model for name, spec in stages.items() if spec.model is not None},
+        policy.loads_per_minute,
+        {name: spec.fencing for name, spec in stages.items() if spec.fencing},
+        policy.fencing_by_engine,
+    )
 
 
 async def _is_accepted(proposal: Awaitable[CommandResult], order: Order) -> bool:
--- a/src/galenadrum/_internal/control/orders/messages.py
+++ b/src/galenadrum/_internal/control/orders/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from galenadrum._internal.models.resources import ModelSpec
+from galenadrum._internal.models.resources import Fencing, ModelSpec
 
 ROLE_BOTH = "both"
 ROLE_PREFILL = "prefill"
@@ -117,11 +117,15 @@
 
     Attributes:
         model_by_stage: Name of the model that a stage needs.
+        fencing_by_stage: What operators say of the engines of a stage.
+        fencing_by_engine: What they say of single engines.
     """
 
     models_by_name: dict[str, ModelSpec] = field(default_factory=dict)
     model_by_stage: dict[str, str] = field(default_factory=dict)
     loads_per_minute: int = 12
+    fencing_by_stage: dict[str, Fencing] = field(default_factory=dict)
+    fencing_by_engine: dict[str, Fencing] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/control/orders/reconciler.py
+++ b/src/galenadrum/_internal/control/orders/reconciler.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 
 from galenadrum._internal.control.orders.engines import Engine, EngineTable
+from galenadrum._internal.control.orders.fencing import fencing_of
 from galenadrum._internal.control.orders.messages import (
     Action,
     Declared,
@@ -47,6 +48,7 @@
     touched_models,
 )
 from galenadrum._internal.exceptions import InvariantError
+from galenadrum._internal.models.resources import Fencing
 
 logger = logging.getLogger(__name__)
 
@@ -241,7 +243,7 @@
         that it refuses the orders of earlier ones.
         """
         is_earlier = opened.order.fencing < self._term
-        if is_earlier and engine.reported.checks_fencing:
+        if is_earlier and self._checks_fencing(engine):
             return True
         return opened.lost_from is not None and engine.answered_at >= opened.lost_from
 
@@ -350,6 +352,10 @@
         if opened.attempts >= _MAX_SEND_ATTEMPTS:
             self._end(opened, OrderOutcome.LOST, "it could not be sent")
             return []
+        held_until = self._held_until(engine, now)
+        if now < held_until:
+            opened.due_at = held_until
+            return []
         opened.attempts += 1
         self._check_alone(order, engine, now)
         opened.phase = Phase.SENDING
@@ -363,14 +369,24 @@
             raise InvariantError(
                 f"order {order.order_id} of term {order.fencing} in {self._term}"
             )
-        if engine.reported.checks_fencing:
-            return
-        if now < self._hold_until_by_engine.get(order.engine_id, now):
+        if now < self._held_until(engine, now):
             raise InvariantError(
                 f"engine {order.engine_id} ignores fencing and may still get an"
                 " order of an earlier term"
             )
 
+    def _checks_fencing(self, engine: Engine) -> bool:
+        return fencing_of(self._declared, engine.reported) is Fencing.CHECKED
+
+    def _held_until(self, engine: Engine, now: float) -> float:
+        """Return when no order of an earlier term can reach the engine any more.
+
+        What is announced and declared of an engine may change meanwhile.
+        """
+        if self._checks_fencing(engine):
+            return now
+        return self._hold_until_by_engine.get(engine.reported.engine_id, now)
+
     def _give_up_on_gone(self, opened: OpenOrder, now: float) -> None:
         engine = self.engines.by_id.get(opened.order.engine_id)
         is_gone = engine is None or not engine.is_live(now)
@@ -397,6 +413,8 @@
         engine = self.engines.by_id[wanted.engine_id]
         if wanted.engine_id in self.orders_by_engine:
             return False
+        if now < self._held_until(engine, now):
+            return False
         if wanted.takes_weights and not self._has_load_left(now):
             return False
         if not engine.is_fresh(now):
--- a/src/galenadrum/_internal/control/orders/status.py
+++ b/src/galenadrum/_internal/control/orders/status.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 
 from galenadrum._internal.control.orders.engines import Engine
+from galenadrum._internal.control.orders.fencing import declared_fencing, fencing_of
 from galenadrum._internal.control.orders.reconciler import OpenOrder, Reconciler
+from galenadrum._internal.models.resources import Fencing
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +17,9 @@
     Attributes:
         version: What it has loaded, or None.
         order: The order under way, such as ``switch to 2 (sending)``.
+        fencing: Whether it counts as one that refuses old fencing numbers.
+        announces_fencing: Whether it announces that it does.
+        declared_fencing: What operators declare of it, if anything.
     """
 
     engine_id: str
@@ -23,6 +28,9 @@
     adapters: tuple[str, ...]
     role: str
     order: str | None
+    fencing: Fencing
+    announces_fencing: bool
+    declared_fencing: Fencing | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +72,8 @@
         is_ordered = opened is not None and opened.order.model == model
         if not engine.is_live(now) or (held is None and not is_ordered):
             continue
-        engines.append(_engine_status(engine, held, opened if is_ordered else None))
+        shown = opened if is_ordered else None
+        engines.append(_engine_status(reconciler, engine, held, shown))
         if held == version:
             zone = engine.reported.zone
             replicas_by_zone[zone] = replicas_by_zone.get(zone, 0) + 1
@@ -73,7 +82,7 @@
 
 
 def _engine_status(
-    engine: Engine, held: str | None, opened: OpenOrder | None
+    reconciler: Reconciler, engine: Engine, held: str | None, opened: OpenOrder | None
 ) -> EngineStatus:
     return EngineStatus(
         engine_id=engine.reported.engine_id,
@@ -82,6 +91,9 @@
         adapters=tuple(sorted(engine.contents.adapters)),
         role=engine.contents.role,
         order=_describe_order(opened) if opened is not None else None,
+        fencing=fencing_of(reconciler.declared, engine.reported),
+        announces_fencing=engine.reported.checks_fencing,
+        declared_fencing=declared_fencing(reconciler.declared, engine.reported),
     )
 
 
--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -19,6 +19,7 @@
 from galenadrum._internal.models.findings import Finding
 from galenadrum._internal.models.resources import (
     SPEC_CLASS_BY_KIND,
+    Fencing,
     Kind,
     ModelSpec,
     Objective,
@@ -39,6 +40,8 @@
 _MAX_ZONES = 64
 _MAX_REPLICAS = 10_000
 _MAX_LOADS_PER_MINUTE = 10_000
+_MAX_ENGINES = 512
+_ENGINE_ID_MAX_CHARACTERS = 128
 _MAX_WEIGHT = 1e6
 _MAX_PRIORITY = 9
 _VERSION_MAX_CHARACTERS = 128
@@ -60,6 +63,7 @@
         "model": fields.optional(fields.name),
         "adapter": fields.optional(fields.name),
         "expected_service_ms": fields.integer_between(1, DEADLINE_MAX_MS),
+        "fencing": fields.optional(fields.one_of(Fencing)),
     },
     PipelineSpec: {
         # A reply echoes its stage, so that a stage may stand only once.
@@ -78,6 +82,11 @@
     PolicySpec: {
         "objective": fields.one_of(Objective),
         "loads_per_minute": fields.integer_between(1, _MAX_LOADS_PER_MINUTE),
+        "fencing_by_engine": fields.map_of(
+            fields.text_up_to(_ENGINE_ID_MAX_CHARACTERS),
+            fields.one_of(Fencing),
+            _MAX_ENGINES,
+        ),
     },
 }
 
@@ -122,7 +131,8 @@
 
 def _build_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
-    converter.register_unstructure_hook(Objective, lambda value: value.value)
+    for words in (Objective, Fencing):
+        converter.register_unstructure_hook(words, lambda value: value.value)
     for cls, hook_by_field in _HOOKS_BY_CLASS.items():
         overrides = {
             name: override(struct_hook=hook) for name, hook in hook_by_field.items()
--- a/src/galenadrum/_internal/models/resources.py
+++ b/src/galenadrum/_internal/models/resources.py
@@ -23,6 +23,13 @@
     COST = "cost"
 
 
+class Fencing(StrEnum):
+    """Whether engines refuse orders with an old fencing number."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class ResourceKey:
     """The identity of a resource, unique in a deployment."""
@@ -61,6 +68,7 @@
         model: Name of the model that must be loaded, for engine stages.
         adapter: Name of the adapter that must be loaded beside it.
         expected_service_ms: Service time assumed until calls were observed.
+        fencing: What its engines do with old fencing numbers, if it is known.
     """
 
     repeatable: bool = True
@@ -68,6 +76,7 @@
     model: str | None = None
     adapter: str | None = None
     expected_service_ms: int = 100
+    fencing: Fencing | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,10 +122,12 @@
     Attributes:
         loads_per_minute: Loads of model weights that the weight store allows
             in any minute, for all engines together.
+        fencing_by_engine: What single engines do with old fencing numbers.
     """
 
     objective: Objective = Objective.ATTAINMENT
     loads_per_minute: int = 12
+    fencing_by_engine: dict[str, Fencing] = field(default_factory=dict)
 
 
 Spec = OrganisationSpec | StageSpec | PipelineSpec | ModelSpec | PolicySpec
