End a control host that stood still before it sends an order

Cause: a leader stopped between its last look at the lease and the write sent its order whenever it went on. Change: an interval timer over check and write, whose SIGALRM ends the process before it goes on; one time for a whole answer. The demonstration engine shows the orders that it received.

--- a/src/galenadrum/_internal/demo/engine.py
+++ b/src/galenadrum/_internal/demo/engine.py
@@ -77,6 +77,7 @@
     Attributes:
         orders_by_id: The orders taken and how far each is, oldest first.
         runs: Orders as they began: id, fencing, action, version.
+        received: Orders as they came: id, fencing, and why they were refused.
         stopped_models: Models that take no work, since an order changes them.
         running_calls: Calls under way.
         refused_calls: Calls refused for want of the model.
@@ -88,6 +89,7 @@
     highest_fencing: int = 0
     orders_by_id: OrderedDict[str, dict[str, str]] = field(default_factory=OrderedDict)
     runs: list[tuple[str, int, str, str]] = field(default_factory=list)
+    received: list[tuple[str, int, str]] = field(default_factory=list)
     stopped_models: set[str] = field(default_factory=set)
     running_calls: int = 0
     refused_calls: int = 0
@@ -188,11 +190,16 @@
         if route[0] == "POST" and route[1].startswith(STAGES_PREFIX):
             return self._serve(environ, start_response, json.loads(body))
         if route == ("GET", CALLS_PATH):
-            counts = {"refused": self.state.refused_calls}
-            return _send(start_response, "200 OK", counts)
+            record = {
+                "refused": self.state.refused_calls,
+                "orders": self.state.received,
+            }
+            return _send(start_response, "200 OK", record)
         if route != ("POST", ORDERS_PATH):
             return _send(start_response, "404 Not Found", {"message": "no such path"})
-        status, message = self._take(json.loads(body), fencing)
+        order = json.loads(body)
+        status, message = self._take(order, fencing)
+        self.state.received.append((order["order_id"], fencing, message))
         return _send(start_response, status, {"message": message})
 
     def _serve(
--- a/src/galenadrum/_internal/network/engine_client.py
+++ b/src/galenadrum/_internal/network/engine_client.py
@@ -8,6 +8,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -20,6 +21,8 @@
     OrderProgress,
 )
 from galenadrum._internal.exceptions import GalenadrumError
+from galenadrum._internal.network.deadline_socket import DeadlineSocket
+from galenadrum._internal.network.write_guard import guarded_write
 from galenadrum._internal.utils.addresses import split_address
 
 ORDERS_PATH = "/v1/orders"
@@ -72,14 +75,16 @@
     body = json.dumps(_order_document(order)).encode()
     connection = _connect(address, remaining_s)
     is_done = False
+    headers = {
+        "Content-Type": "application/json",
+        FENCING_HEADER: str(order.fencing),
+    }
     try:
-        timeout_s = _positive(remaining_s())
-        _bound(connection.sock, timeout_s)
-        headers = {
-            "Content-Type": "application/json",
-            FENCING_HEADER: str(order.fencing),
-        }
-        answer = _exchange(connection, "POST", ORDERS_PATH, body, headers)
+        with guarded_write():
+            timeout_s = _positive(remaining_s())
+            _bound(connection, timeout_s)
+            _write(connection, "POST", ORDERS_PATH, body, headers)
+        answer = _read(connection)
         is_done = True
     finally:
         _close(connection, is_done)
@@ -92,13 +97,17 @@
     Raises:
         EngineUnreachableError: It gave no answer that can be understood.
     """
+    until = time.monotonic() + timeout_s
     try:
         connection = _connect(address, lambda: timeout_s)
     except OrderNotSentError as error:
         raise EngineUnreachableError(str(error)) from error
     try:
         headers = {FENCING_HEADER: str(fencing)}
-        status, document = _exchange(connection, "GET", MODELS_PATH, None, headers)
+        connection.sock = DeadlineSocket(connection.sock, until)
+        connection.sock.settimeout(timeout_s)
+        _write(connection, "GET", MODELS_PATH, None, headers)
+        status, document = _read(connection)
     finally:
         connection.close()
     if status != 200:
@@ -126,12 +135,14 @@
     return remaining_s
 
 
-def _bound(sock: socket.socket, timeout_s: float) -> None:
-    """Have the kernel give up on bytes that are not acknowledged in time.
+def _bound(connection: urllib3.connection.HTTPConnection, timeout_s: float) -> None:
+    """Bound the whole exchange, and have the kernel drop what is not acknowledged.
 
-    Without it, what was written to a network that is cut off is delivered long
-    after, even if this process stands still.
+    Without the latter, what was written to a network that is cut off is delivered
+    long after, even if this process stands still.
     """
+    sock = DeadlineSocket(connection.sock, time.monotonic() + timeout_s)
+    connection.sock = sock
     sock.settimeout(timeout_s)
     timeout_ms = max(1, round(timeout_s * 1_000))
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
@@ -144,17 +155,23 @@
     connection.close()
 
 
-def _exchange(
+def _write(
     connection: urllib3.connection.HTTPConnection,
     method: str,
     path: str,
     body: bytes | None,
     headers: dict[str, str],
-) -> tuple[int, Any]:
+) -> None:
     try:
         connection.request(
             method, path, body=body, headers=headers, preload_content=False
         )
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise EngineUnreachableError(f"{connection.host}: {error}") from error
+
+
+def _read(connection: urllib3.connection.HTTPConnection) -> tuple[int, Any]:
+    try:
         response = connection.getresponse()
         data = response.read(_ANSWER_MAX_BYTES)
     except (urllib3.exceptions.HTTPError, OSError) as error:
--- a/tests/functional/test_engine_orders.py
+++ b/tests/functional/test_engine_orders.py
@@ -1,3 +1,4 @@
+import signal
 import socket
 import threading
 from contextlib import contextmanager
@@ -5,7 +6,7 @@
 import pytest
 
 from galenadrum._internal.control.orders.messages import Order, OrderAction
-from galenadrum._internal.demo.engine import EngineOptions, EngineServer
+from galenadrum._internal.demo.engine import CALLS_PATH, EngineOptions, EngineServer
 from galenadrum._internal.network.engine_client import (
     EngineUnreachableError,
     OrderNotSentError,
@@ -13,7 +14,7 @@
     send_order,
 )
 from lib.deployment import Deployment, put
-from lib.processes import wait_until
+from lib.processes import get_json, wait_until
 
 
 def build_order(order_id, fencing, version="1"):
@@ -85,8 +86,9 @@
         deployment.close()
 
 
-def model_change(version):
-    spec = {"version": version, "adapters": ["a"], "replicas_by_zone": {"zone-1": 2}}
+def model_change(version, replicas=2):
+    zones = {"zone-1": replicas}
+    spec = {"version": version, "adapters": ["a"], "replicas_by_zone": zones}
     return put("model", "m", spec)
 
 
@@ -100,11 +102,11 @@
     return answer["resources"][0]["status"] if code == 200 else {}
 
 
-def has_loaded(deployment, version):
+def has_loaded(deployment, version, replicas=2):
     status = model_status(deployment)
     held = [row["version"] for row in status.get("engines", ())]
     orders = [row["order"] for row in status.get("engines", ())]
-    return held == [version] * 2 and orders == [None] * 2
+    return held == [version] * replicas and orders == [None] * replicas
 
 
 class TestOrdersOfAControlHost:
@@ -134,3 +136,52 @@
         deployment.processes[leader].kill()
         wait_until(lambda: deployment.find_leader() is not None, "another leader")
         wait_until(lambda: has_loaded(deployment, "2"), "version 2 loaded")
+
+
+class TestFrozenLeader:
+    def test_engines_of_both_kinds_meet_no_order_of_it(self, deployment):
+        deployment.start_controls(3)
+        stage = put("stage", "generate", {"model": "m"})
+        deployment.apply([model_change("1", 4), stage], "first")
+        [entry] = deployment.start_entries(1)
+        for number in range(4):
+            name = f"engine-{number}"
+            arguments = ["galenadrum._internal.demo.engine", "--zone", "zone-1"]
+            arguments += ["--server-id", name, "--stage", "generate"]
+            arguments += ["--checks-fencing", str(number < 2), "--load-ms", "1500"]
+            arguments += ["--entry", deployment.callers[entry]]
+            process = deployment.start_process(name, arguments)
+            deployment.backends[name] = process.popen.stdout.readline().decode().strip()
+        wait_until(lambda: has_loaded(deployment, "1", 4), "version 1 loaded")
+        deployment.apply([model_change("2", 4)], "second")
+        wait_until(lambda: terms_of_orders(deployment, 5), "an order for version 2")
+        frozen = deployment.find_leader()
+        address = deployment.operators.pop(frozen)
+        deployment.processes[frozen].signal(signal.SIGSTOP)
+        wait_until(lambda: deployment.find_leader() is not None, "another leader")
+        before = len(terms_of_orders(deployment))
+        wait_until(lambda: terms_of_orders(deployment, before + 1), "its order")
+        deployment.processes[frozen].signal(signal.SIGCONT)
+        deployment.operators[frozen] = address
+        wait_until(lambda: has_loaded(deployment, "2", 4), "version 2 loaded")
+        assert len(set(terms_of_orders(deployment))) == 2
+        for name in deployment.backends:
+            orders = received_orders(deployment, name)
+            terms = [term for _, term, _ in orders]
+            assert terms == sorted(terms)
+            # An engine refuses an order that comes while another one runs.
+            assert [refusal for _, _, refusal in orders if refusal] == []
+
+
+def received_orders(deployment, name):
+    return get_json(f"http://{deployment.backends[name]}{CALLS_PATH}")[1]["orders"]
+
+
+def terms_of_orders(deployment, at_least=0):
+    """Return the terms of all orders that engines got, once there are so many."""
+    orders = [
+        term
+        for name in deployment.backends
+        for _, term, _ in received_orders(deployment, name)
+    ]
+    return orders if len(orders) >= at_least else []
--- a/tests/unit/control/orders/test_fencing.py
+++ b/tests/unit/control/orders/test_fencing.py
@@ -1,6 +1,7 @@
 import pytest
 
 from galenadrum._internal.control.orders.fencing import fencing_of
+from galenadrum._internal.control.orders.lease import SEND_TIMEOUT_S
 from galenadrum._internal.control.orders.messages import (
     Declared,
     EngineContents,
@@ -8,6 +9,7 @@
 )
 from galenadrum._internal.control.orders.status import describe_model
 from galenadrum._internal.models.resources import Fencing
+from galenadrum._internal.network.write_guard import GUARD_LIMIT_S
 from lib.engine_world import DELIVERY_S, LEASE_S, MODEL, EngineWorld, FakeEngine
 from lib.engine_world import declared as declared_world
 
@@ -49,6 +51,10 @@
     world.elect(world.hosts[1])
 
 
+def test_a_stopped_leader_is_ended_before_a_new_one_sends():
+    assert GUARD_LIMIT_S + SEND_TIMEOUT_S < DELIVERY_S
+
+
 class TestChangedWord:
     def test_an_engine_declared_to_ignore_fencing_is_waited_for(self):
         declared = declared_world("1", z0=1)
