--- a/tests/functional/test_order_sockets.py
+++ b/tests/functional/test_order_sockets.py
@@ -73,13 +73,16 @@
             arguments = [sys.executable, "-c", FROZEN_SENDER, address, str(limit_s)]
             environment = os.environ | {"PYTHONPATH": str(ROOT / "src")}
             process = subprocess.Popen(arguments, env=environment)
-            _, status = os.waitpid(process.pid, os.WUNTRACED)
-            assert os.WIFSTOPPED(status)
-            # The timer's signal has come once it is listed as pending.
-            if not arrives:
-                wait_until(lambda: has_pending_alarm(process.pid), "the signal", 10)
-            process.send_signal(signal.SIGCONT)
-            code = process.wait()
+            try:
+                _, status = os.waitpid(process.pid, os.WUNTRACED)
+                assert os.WIFSTOPPED(status)
+                # The timer's signal has come once it is listed as pending.
+                if not arrives:
+                    wait_until(lambda: has_pending_alarm(process.pid), "the signal", 10)
+                process.send_signal(signal.SIGCONT)
+                code = process.wait()
+            finally:
+                process.kill()
         assert code == (0 if arrives else -signal.SIGALRM)
         assert bool(received[0]) is arrives
 
