--- a/src/galenadrum/_internal/control/orders/driver.py
+++ b/src/galenadrum/_internal/control/orders/driver.py
@@ -6,7 +6,7 @@
 import logging
 import random
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 
 from galenadrum._internal.control.orders.lease import Lease, send_time_s
@@ -42,6 +42,7 @@
     OutcomeUnknownError,
 )
 from galenadrum._internal.models.resources import (
+    Fencing,
     Kind,
     ModelSpec,
     PolicySpec,
@@ -296,7 +297,7 @@
     """Return what the state declares about models."""
     models: dict[str, ModelSpec] = {}
     stages: dict[str, StageSpec] = {}
-    policy = PolicySpec()
+    policies: list[PolicySpec] = []
     for resource in state.resources():
         match resource.key.kind, resource.spec:
             case Kind.MODEL, ModelSpec():
@@ -304,16 +305,28 @@
             case Kind.STAGE, StageSpec():
                 stages[resource.key.name] = resource.spec
             case Kind.POLICY, PolicySpec():
-                policy = resource.spec
+                policies.append(resource.spec)
+    # All operators load from one store: the most careful of them counts.
+    rates = [policy.loads_per_minute for policy in policies]
     return Declared(
         models,
         {name: spec.model for name, spec in stages.items() if spec.model is not None},
-        policy.loads_per_minute,
+        min(rates, default=PolicySpec().loads_per_minute),
         {name: spec.fencing for name, spec in stages.items() if spec.fencing},
-        policy.fencing_by_engine,
+        _merge_fencing(policies),
     )
 
 
+def _merge_fencing(policies: Iterable[PolicySpec]) -> dict[str, Fencing]:
+    """Return what operators say of single engines, the most careful of each."""
+    merged: dict[str, Fencing] = {}
+    for policy in policies:
+        for engine_id, word in policy.fencing_by_engine.items():
+            if merged.get(engine_id) is not Fencing.IGNORED:
+                merged[engine_id] = word
+    return merged
+
+
 async def _is_accepted(proposal: Awaitable[CommandResult], order: Order) -> bool:
     """Return whether the command is certainly in the replicated state."""
     try:
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -224,7 +224,7 @@
         self.policy.update_declarations(
             self.view.stages_by_name,
             self.view.organisations_by_name,
-            self.view.policy,
+            self.view.objectives(),
             self._loop.time(),
         )
         self.directory.take_declarations(self.zone)
--- a/tests/unit/control/orders/test_fencing.py
+++ b/tests/unit/control/orders/test_fencing.py
@@ -1,5 +1,8 @@
+from types import SimpleNamespace
+
 import pytest
 
+from galenadrum._internal.control.orders.driver import declared_in
 from galenadrum._internal.control.orders.fencing import fencing_of
 from galenadrum._internal.control.orders.lease import SEND_TIMEOUT_S
 from galenadrum._internal.control.orders.messages import (
@@ -8,7 +11,13 @@
     ReportedEngine,
 )
 from galenadrum._internal.control.orders.status import describe_model
-from galenadrum._internal.models.resources import Fencing
+from galenadrum._internal.models.resources import (
+    Fencing,
+    Kind,
+    PolicySpec,
+    Resource,
+    ResourceKey,
+)
 from galenadrum._internal.network.write_guard import GUARD_LIMIT_S
 from lib.engine_world import DELIVERY_S, LEASE_S, MODEL, EngineWorld, FakeEngine
 from lib.engine_world import declared as declared_world
@@ -86,3 +95,19 @@
         world.slow_ids.clear()
         world.run_fairly(30)
         assert not world.unsettled()
+
+
+def test_of_several_operators_the_more_careful_one_counts():
+    policies = [
+        Resource(
+            ResourceKey(Kind.POLICY, name),
+            name,
+            1,
+            1,
+            PolicySpec(fencing_by_engine={"e": word, name: CHECKED}),
+        )
+        for name, word in (("a", CHECKED), ("b", IGNORED), ("c", CHECKED))
+    ]
+    declared = declared_in(SimpleNamespace(resources=lambda: policies))
+    expected = {"e": IGNORED, "a": CHECKED, "b": CHECKED, "c": CHECKED}
+    assert declared.fencing_by_engine == expected
