Let a lone replica switch in place where that is declared; say what engines wait for

Cause: a model with one engine kept its old version for ever, and the status did not say why. Loads that waited for the weight store's rate were not shown either. Change: `switch_in_place` of a model lets a change of version take the last replica; the last replica is kept otherwise, as before. The reconciler keeps why each helpful order isn't given, and the status shows it as `waits_for`.

--- a/src/galenadrum/_internal/control/operator_api/documents.py
+++ b/src/galenadrum/_internal/control/operator_api/documents.py
@@ -53,6 +53,7 @@
                 "adapters": list(engine.adapters),
                 "role": engine.role,
                 "order": engine.order,
+                "waits_for": engine.waits_for,
                 "fencing": engine.fencing,
                 "announces_fencing": engine.announces_fencing,
                 "declared_fencing": engine.declared_fencing,
--- a/src/galenadrum/_internal/control/orders/planning.py
+++ b/src/galenadrum/_internal/control/orders/planning.py
@@ -115,13 +115,14 @@
     A load on an engine that holds other models counts as touching them: the
     engine may need their room. Adapters are loaded beside a model that goes on
     serving. A model that isn't declared, or that no zone is to hold, may lose its
-    last replica.
+    last replica, and so may one whose version changes in place.
     """
     engine = situation.engines_by_id[wanted.engine_id]
     return tuple(
         model
         for model, version in engine.contents.versions_by_model.items()
         if not _loads_adapters_only(wanted, model, version)
+        and not _switches_in_place(situation.declared, wanted, model)
         and _is_protected(situation.declared, model)
     )
 
@@ -134,6 +135,16 @@
     )
 
 
+def _switches_in_place(declared: Declared, wanted: Wanted, model: str) -> bool:
+    spec = declared.models_by_name.get(model)
+    return (
+        wanted.action is OrderAction.SWITCH
+        and wanted.model == model
+        and spec is not None
+        and spec.switch_in_place
+    )
+
+
 def _is_protected(declared: Declared, model: str) -> bool:
     """Return whether the model is declared, and not to be unloaded everywhere."""
     spec = declared.models_by_name.get(model)
--- a/src/galenadrum/_internal/control/orders/reconciler.py
+++ b/src/galenadrum/_internal/control/orders/reconciler.py
@@ -66,6 +66,16 @@
 _ORDER_ID_BITS = 64
 
 
+class WaitReason(StrEnum):
+    """Why an order that would help isn't given yet."""
+
+    LIMIT = "too many orders are open"
+    FENCING = "an order of an earlier leader may still come"
+    RATE = "the rate of the weight store"
+    SILENT = "an answer of the engine"
+    LAST_REPLICA = "another engine that serves what this one holds"
+
+
 class Phase(StrEnum):
     """How far an order is."""
 
@@ -115,12 +125,14 @@
     Attributes:
         engines: What is known of engines.
         orders_by_engine: Open orders, one an engine.
+        waiting_by_engine: Orders that would help and wait, one an engine.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self.engines = EngineTable()
         self.orders_by_engine: dict[str, OpenOrder] = {}
+        self.waiting_by_engine: dict[str, tuple[Wanted, WaitReason]] = {}
         self._declared = Declared()
         self._term: int | None = None
         self._hold_until_by_engine: dict[str, float] = {}
@@ -159,6 +171,7 @@
             case LeadershipLost():
                 self._term = None
                 self.orders_by_engine.clear()
+                self.waiting_by_engine.clear()
             case Declared():
                 self._declared = event
             case EnginesReported():
@@ -400,27 +413,34 @@
         actions: list[Action] = []
         found = plan(self._situation(now))
         self._plan_at = now if found else now + _SETTLED_PLAN_INTERVAL_S
+        self.waiting_by_engine.clear()
         for wanted in found:
-            if len(self.orders_by_engine) >= _MAX_OPEN_ORDERS:
-                break
-            if not self._may_give(wanted, now):
+            if wanted.engine_id in self.orders_by_engine:
+                continue
+            reason = self._reason_to_wait(wanted, now)
+            if reason is not None:
+                waiting = (wanted, reason)
+                self.waiting_by_engine.setdefault(wanted.engine_id, waiting)
                 continue
+            self.waiting_by_engine.pop(wanted.engine_id, None)
             opened = self._open(wanted, now)
             actions.extend(self._advance(opened, now))
         return actions
 
-    def _may_give(self, wanted: Wanted, now: float) -> bool:
+    def _reason_to_wait(self, wanted: Wanted, now: float) -> WaitReason | None:
         engine = self.engines.by_id[wanted.engine_id]
-        if wanted.engine_id in self.orders_by_engine:
-            return False
+        if len(self.orders_by_engine) >= _MAX_OPEN_ORDERS:
+            return WaitReason.LIMIT
         if now < self._held_until(engine, now):
-            return False
+            return WaitReason.FENCING
         if wanted.takes_weights and not self._has_load_left(now):
-            return False
+            return WaitReason.RATE
         if not engine.is_fresh(now):
             engine.answered_at = None
-            return False
-        return self._leaves_replicas(wanted, now)
+            return WaitReason.SILENT
+        if not self._leaves_replicas(wanted, now):
+            return WaitReason.LAST_REPLICA
+        return None
 
     def _leaves_replicas(self, wanted: Wanted, now: float) -> bool:
         """Return whether each model that the order touches goes on elsewhere.
--- a/src/galenadrum/_internal/control/orders/status.py
+++ b/src/galenadrum/_internal/control/orders/status.py
@@ -17,6 +17,7 @@
     Attributes:
         version: What it has loaded, or None.
         order: The order under way, such as ``switch to 2 (sending)``.
+        waits_for: What keeps the engine from its next order, if it needs one.
         fencing: Whether it counts as one that refuses old fencing numbers.
         announces_fencing: Whether it announces that it does.
         declared_fencing: What operators declare of it, if anything.
@@ -28,6 +29,7 @@
     adapters: tuple[str, ...]
     role: str
     order: str | None
+    waits_for: str | None
     fencing: Fencing
     announces_fencing: bool
     declared_fencing: Fencing | None
@@ -70,10 +72,12 @@
         opened = reconciler.orders_by_engine.get(engine_id)
         held = engine.contents.versions_by_model.get(model)
         is_ordered = opened is not None and opened.order.model == model
-        if not engine.is_live(now) or (held is None and not is_ordered):
+        is_waiting = _waits_for(reconciler, model, engine) is not None
+        is_concerned = held is not None or is_ordered or is_waiting
+        if not engine.is_live(now) or not is_concerned:
             continue
         shown = opened if is_ordered else None
-        engines.append(_engine_status(reconciler, engine, held, shown))
+        engines.append(_engine_status(reconciler, model, engine, shown))
         if held == version:
             zone = engine.reported.zone
             replicas_by_zone[zone] = replicas_by_zone.get(zone, 0) + 1
@@ -81,16 +85,36 @@
     return ModelStatus(replicas_by_zone, tuple(engines), failure)
 
 
+def _waits_for(reconciler: Reconciler, model: str, engine: Engine) -> str | None:
+    engine_id = engine.reported.engine_id
+    if engine_id in reconciler.orders_by_engine:
+        return None
+    if engine_id in reconciler.waiting_by_engine:
+        wanted, reason = reconciler.waiting_by_engine[engine_id]
+        if wanted.model != model:
+            return None
+        target = wanted.role or wanted.version
+        return f"{wanted.action.value} {target}: {reason.value}"
+    spec = reconciler.declared.models_by_name.get(model)
+    held = engine.contents.versions_by_model.get(model)
+    if spec is None or not spec.replicas_by_zone or held in (None, spec.version):
+        return None
+    if reconciler.delay(model, spec.version) is not None:
+        return f"{spec.version}: another attempt after a failed load"
+    return f"{spec.version}: its turn"
+
+
 def _engine_status(
-    reconciler: Reconciler, engine: Engine, held: str | None, opened: OpenOrder | None
+    reconciler: Reconciler, model: str, engine: Engine, opened: OpenOrder | None
 ) -> EngineStatus:
     return EngineStatus(
         engine_id=engine.reported.engine_id,
         zone=engine.reported.zone,
-        version=held,
+        version=engine.contents.versions_by_model.get(model),
         adapters=tuple(sorted(engine.contents.adapters)),
         role=engine.contents.role,
         order=_describe_order(opened) if opened is not None else None,
+        waits_for=_waits_for(reconciler, model, engine),
         fencing=fencing_of(reconciler.declared, engine.reported),
         announces_fencing=engine.reported.checks_fencing,
         declared_fencing=declared_fencing(reconciler.declared, engine.reported),
--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -77,6 +77,7 @@
         ),
         "prefill_replicas": fields.integer_between(0, _MAX_REPLICAS),
         "decode_replicas": fields.integer_between(0, _MAX_REPLICAS),
+        "switch_in_place": fields.boolean,
     },
     PolicySpec: {
         "objective": fields.one_of(Objective),
--- a/src/galenadrum/_internal/models/resources.py
+++ b/src/galenadrum/_internal/models/resources.py
@@ -106,6 +106,8 @@
         prefill_replicas: Replicas of each zone that only prefill.
         decode_replicas: Replicas of each zone that only decode; those that are
             left do both.
+        switch_in_place: Whether a change of version may take the last serving
+            replica, so that none serves meanwhile.
     """
 
     version: str
@@ -113,6 +115,7 @@
     replicas_by_zone: dict[str, int] = field(default_factory=dict)
     prefill_replicas: int = 0
     decode_replicas: int = 0
+    switch_in_place: bool = False
 
 
 @dataclass(frozen=True, slots=True)
