Count orders in the metrics of control hosts

Cause: control hosts had no metrics, and `register_gauge` no caller. Change: `GET /metrics` for operators; counters of orders sent, unknown and ended, a gauge of open and waiting ones, by action. The gauge reads a count that is replaced as a whole, so that the reader's thread never walks the reconciler's tables. Measured: tests/unit/control, tests/functional/test_engine_orders.py green.

--- a/src/galenadrum/_internal/control/daemon.py
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -22,6 +22,7 @@
 from galenadrum._internal.network.bridge import LoopBridge
 from galenadrum._internal.network.grpc_server import GrpcServer
 from galenadrum._internal.network.http_server import HttpServer
+from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.supervision.daemons import run_daemon
 from galenadrum._internal.supervision.supervisor import Supervisor
 
@@ -37,6 +38,7 @@
         self._settings = settings
         rng = random.Random()
         self.state = ControlState()
+        self.metrics = Metrics()
         self.log = ReplicatedLog(
             settings, self.state, rng, on_leadership=self._note_leadership
         )
@@ -48,6 +50,7 @@
             proposer,
             settings.election_timeout_ms / 1_000,
             rng,
+            self.metrics,
         )
         declarations = DeclarationsService(self.log, self.state, self.in_force)
         claims = ClaimsService(proposer)
@@ -64,6 +67,7 @@
                 self._operator_calls,
                 settings.operators,
                 _operator_addresses(settings).get,
+                self.metrics.render_text,
             ),
             _OPERATOR_LIMITS,
             f"{settings.member_id}-operators",
--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -34,6 +34,7 @@
     refuse,
     send_error,
     send_json,
+    send_text,
     start_json_lines,
 )
 from galenadrum._internal.exceptions import (
@@ -78,6 +79,7 @@
     calls: OperatorCalls,
     operators: Sequence[Operator],
     operator_address_of: OperatorAddress = lambda peer_address: None,
+    render_metrics: Callable[[], str] = lambda: "",
 ) -> Handler:
     """Return the application that answers operators.
 
@@ -87,6 +89,7 @@
         operators: Who may call, with the digests of their tokens.
         operator_address_of: Returns the operators' address of the control host
             with a peer address, when it is known.
+        render_metrics: Returns the metrics as text; called in worker threads.
     """
     app = OperatorApp(bridge, calls, operators, operator_address_of)
     return build_routes(
@@ -96,6 +99,7 @@
             ("GET", "/v1/watch"): app.guard(app.watch),
             ("GET", "/v1/status"): app.guard(app.status),
             ("GET", "/v1/export"): app.guard(app.export),
+            ("GET", "/metrics"): app.guard(_metrics(operators, render_metrics)),
         }
     )
 
@@ -256,6 +260,16 @@
         )
 
 
+def _metrics(operators: Sequence[Operator], render: Callable[[], str]) -> _Serve:
+    def serve(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        authenticate(environ, operators)
+        return send_text(start_response, render(), "text/plain; version=0.0.4")
+
+    return serve
+
+
 class _WatchLines:
     """Lines of a watch; gives its place back even if it was never read."""
 
--- a/src/galenadrum/_internal/control/operator_api/responses.py
+++ b/src/galenadrum/_internal/control/operator_api/responses.py
@@ -85,6 +85,16 @@
     return _send(start_response, "200 OK", document)
 
 
+def send_text(
+    start_response: StartResponse, text: str, content_type: str
+) -> Iterable[bytes]:
+    """Answer with plain text."""
+    body = text.encode()
+    headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    start_response("200 OK", headers)
+    return [body]
+
+
 def send_error(start_response: StartResponse, error: ApiError) -> Iterable[bytes]:
     """Answer with an error."""
     body: dict[str, Any] = {
--- a/src/galenadrum/_internal/control/orders/driver.py
+++ b/src/galenadrum/_internal/control/orders/driver.py
@@ -30,6 +30,7 @@
     RecordUnknown,
     SendOrder,
 )
+from galenadrum._internal.control.orders.order_metrics import OrderMetrics
 from galenadrum._internal.control.orders.reconciler import Reconciler
 from galenadrum._internal.control.orders.status import ModelStatus, describe_model
 from galenadrum._internal.control.proposals import Log, Proposer
@@ -55,6 +56,7 @@
     query_engine,
     send_order,
 )
+from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.commands_pb2 import CommandResult
 from galenadrum._internal.protocol.engines_pb2 import OrderClosing
 
@@ -81,6 +83,7 @@
         proposer: Proposes commands while this member leads.
         lease_s: Longest lease that any leader holds without a quorum, in seconds.
         rng: Draws the ids of orders.
+        metrics: Counts orders.
         send: Sends an order; blocks.
         query: Asks an engine what it holds; blocks.
     """
@@ -92,6 +95,7 @@
         proposer: Proposer,
         lease_s: float,
         rng: random.Random,
+        metrics: Metrics,
         send: SendCall = send_order,
         query: QueryCall = query_engine,
     ) -> None:
@@ -100,6 +104,7 @@
         self._proposer = proposer
         self._lease_s = lease_s
         self._rng = rng
+        self._metrics = OrderMetrics(metrics)
         self._send_call = send
         self._query_call = query
         self._reconciler = Reconciler(rng)
@@ -162,6 +167,7 @@
             self._reconciler.receive(report, now)
         for action in self._reconciler.tick(now):
             self._start(action)
+        self._metrics.take(self._reconciler)
 
     async def _wait(self) -> None:
         """Wait for the next tick; events that come close together share one."""
@@ -250,6 +256,7 @@
                 action.outcome,
                 action.message,
             )
+            self._metrics.count_outcome(order, action.outcome)
         event = OutcomeRecorded if is_recorded else RecordUnknown
         self._take(event(order.order_id))
 
@@ -268,8 +275,10 @@
             self._take(OrderNotSent(order.order_id))
         except EngineUnreachableError as error:
             logger.warning("order %s may have been lost: %s", order.order_id, error)
+            self._metrics.count_sent(order, is_answered=False)
             self._take(OrderSent(order.order_id))
         else:
+            self._metrics.count_sent(order, is_answered=True)
             self._take(OrderSent(order.order_id, answer.refusal, answer.failure))
 
     async def _query(self, action: QueryEngine) -> None:
--- /dev/null
+++ b/src/galenadrum/_internal/control/orders/order_metrics.py
@@ -0,0 +1,80 @@
+"""Counts orders for the metrics of a control host."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from enum import StrEnum
+
+from galenadrum._internal.control.orders.messages import (
+    Order,
+    OrderAction,
+    OrderOutcome,
+)
+from galenadrum._internal.control.orders.reconciler import (
+    Phase,
+    Reconciler,
+    WaitReason,
+)
+from galenadrum._internal.observability.metrics import Metrics
+
+
+class OrderState(StrEnum):
+    """Where an order is that has no outcome yet; a label of the gauge."""
+
+    WAITING_FOR_RATE = "waiting_for_rate"
+    WAITING = "waiting"
+    QUEUED = "queued"
+    UNDER_WAY = "under_way"
+
+
+_QUEUED_PHASES = frozenset((Phase.RECORDING, Phase.RECORDED))
+
+
+class OrderMetrics:
+    """Counts orders by action.
+
+    Args:
+        metrics: All metrics of the control host.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        # Replaced as a whole: other threads read it.
+        self._open: Counter[tuple[OrderState, OrderAction]] = Counter()
+        for state in OrderState:
+            for action in OrderAction:
+                metrics.register_gauge(
+                    "orders_open",
+                    self._reader(state, action),
+                    state=state.value,
+                    action=action.value,
+                )
+
+    def count_sent(self, order: Order, is_answered: bool) -> None:
+        """Count an order that may have reached its engine."""
+        self._metrics.increment("orders_sent_total", action=order.action.value)
+        if not is_answered:
+            self._metrics.increment("orders_unknown_total", action=order.action.value)
+
+    def count_outcome(self, order: Order, outcome: OrderOutcome) -> None:
+        """Count an order whose outcome is recorded."""
+        self._metrics.increment(
+            "orders_ended_total", action=order.action.value, outcome=outcome.value
+        )
+
+    def take(self, reconciler: Reconciler) -> None:
+        """Take over how many orders are open or wait."""
+        opened: Counter[tuple[OrderState, OrderAction]] = Counter()
+        for order in reconciler.orders_by_engine.values():
+            is_queued = order.phase in _QUEUED_PHASES
+            state = OrderState.QUEUED if is_queued else OrderState.UNDER_WAY
+            opened[state, order.order.action] += 1
+        for wanted, reason in reconciler.waiting_by_engine.values():
+            is_rate = reason is WaitReason.RATE
+            state = OrderState.WAITING_FOR_RATE if is_rate else OrderState.WAITING
+            opened[state, wanted.action] += 1
+        self._open = opened
+
+    def _reader(self, state: OrderState, action: OrderAction) -> Callable[[], float]:
+        return lambda: self._open[state, action]
--- a/tests/functional/test_engine_orders.py
+++ b/tests/functional/test_engine_orders.py
@@ -13,7 +13,7 @@
     query_engine,
     send_order,
 )
-from lib.deployment import Deployment, put
+from lib.deployment import TOKEN, Deployment, put
 from lib.processes import get_json, wait_until
 
 
@@ -136,6 +136,17 @@
         deployment.processes[leader].kill()
         wait_until(lambda: deployment.find_leader() is not None, "another leader")
         wait_until(lambda: has_loaded(deployment, "2"), "version 2 loaded")
+        metrics = read_metrics(deployment)
+        ended = 'galenadrum_orders_ended_total{action="switch",outcome="done"}'
+        assert ended in metrics
+        assert 'galenadrum_orders_open{action="switch",state="queued"} 0' in metrics
+
+
+def read_metrics(deployment):
+    address = deployment.operators[deployment.find_leader()]
+    headers = {"Authorization": f"Bearer {TOKEN}"}
+    url = f"http://{address}/metrics"
+    return deployment.pool.request("GET", url, headers=headers).data.decode()
 
 
 class TestFrozenLeader:
--- a/tests/unit/control/test_operator_api.py
+++ b/tests/unit/control/test_operator_api.py
@@ -44,6 +44,7 @@
             self.calls,
             operators,
             {"127.0.0.1:1": "127.0.0.1:2"}.get,
+            lambda: "orders 1",
         )
 
     def open(self, method, path, body=b"", token="vatu"):
@@ -217,3 +218,10 @@
         assert (status["missing"], status["silent"]) == (["e1"], ["e2"])
         hosts = api.call("GET", "/v1/status")[1]["hosts"]
         assert [host["revision"] for host in hosts] == [1, 1]
+
+
+class TestMetrics:
+    def test_they_are_shown_to_operators_only(self, api):
+        statuses, lines = api.open("GET", "/metrics")
+        assert (statuses, b"".join(lines)) == (["200 OK"], b"orders 1")
+        assert api.call("GET", "/metrics", token="nobody")[0] == 401
