Accept plain renewals of backend servers without the event loop

Cause: an idle entry host with ten servers that renew each second spent 2.2% of a core; per-thread figures gave 0.9% to the event loop (10 wakeups a second at 0.58 ms) and the rest to the worker threads, which parsed each announcement whole and waited for the loop. Change: a body that differs from the last one of its server in sequence and load only, over the same IP number and with half the lease left, is answered by the worker; the loop takes what waits each 0.25 s, before the policy's refresh, and the registry decides on it as on a renewal from a peer. Leaves, joins, changes, cache events, leases under 3 s and everything doubtful go the whole way as before. Ruled out: comparing parsed members, which takes 1 and true for the same.

--- a/src/galenadrum/_internal/entry/announcements_app.py
+++ b/src/galenadrum/_internal/entry/announcements_app.py
@@ -37,27 +37,37 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one backend server, as WSGI asks for."""
+        peer_ip = environ.get("REMOTE_ADDR")
         try:
-            announcement = parse_announcement(read_body(environ, MAX_BODY_BYTES))
+            body = read_body(environ, MAX_BODY_BYTES)
+            renew_after_s = self._zone.renewals.take(body, peer_ip)
+            if renew_after_s is not None:
+                return _send_accepted(start_response, renew_after_s)
+            announcement = parse_announcement(body)
         except RequestRefusedError as error:
             return send_refusal(start_response, error.refusal, "")
         except CheckFailedError as error:
             return send_json(start_response, 422, _findings(error))
-        peer_ip = environ.get("REMOTE_ADDR")
         verdict = self._bridge.call(
-            self._announce(announcement, peer_ip), _LOOP_TIMEOUT_S
+            self._announce(announcement, body, peer_ip), _LOOP_TIMEOUT_S
         )
         if verdict.rejection is not None:
             rejection = verdict.rejection
             error_body = {"code": str(rejection.reason), "message": rejection.message}
             return send_json(start_response, 409, {"error": error_body})
-        accepted = {"accepted": True, "renew_after_s": verdict.renew_after_s}
-        return send_json(start_response, 200, accepted)
+        return _send_accepted(start_response, verdict.renew_after_s)
 
     async def _announce(
-        self, announcement: Announcement, peer_ip: str | None
+        self, announcement: Announcement, body: bytes, peer_ip: str | None
     ) -> Verdict:
-        return self._zone.announce(announcement, peer_ip)
+        return self._zone.announce_body(announcement, body, peer_ip)
+
+
+def _send_accepted(
+    start_response: StartResponse, renew_after_s: float
+) -> Iterable[bytes]:
+    accepted = {"accepted": True, "renew_after_s": renew_after_s}
+    return send_json(start_response, 200, accepted)
 
 
 def _findings(error: CheckFailedError) -> dict[str, Any]:
--- a/src/galenadrum/_internal/entry/backends.py
+++ b/src/galenadrum/_internal/entry/backends.py
@@ -8,12 +8,13 @@
 
 from galenadrum._internal.entry.execution import Action, PipelineExecutor
 from galenadrum._internal.membership.digests import StageLoad
+from galenadrum._internal.membership.renewal_inbox import DRAIN_INTERVAL_S
 from galenadrum._internal.membership.zone_service import ZoneService
 from galenadrum._internal.models.servers import Announcement, ZoneDigest
 from galenadrum._internal.routing.policy import Policy
 
 # Reports of many servers and digests of zones are handed on together.
-_REFRESH_INTERVAL_S = 0.25
+_REFRESH_INTERVAL_S = DRAIN_INTERVAL_S
 
 
 class BackendDirectory:
@@ -65,6 +66,7 @@
         """Expire leases and pass reports and digests on until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
+            zone.take_renewals()
             zone.registry.tick(loop.time())
             self.refresh(zone)
             self._policy.update_digests(_all_digests(zone), loop.time())
--- a/src/galenadrum/_internal/membership/announcement_codec.py
+++ b/src/galenadrum/_internal/membership/announcement_codec.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from galenadrum._internal.exceptions import CheckFailedError
@@ -16,6 +17,8 @@
 )
 
 MAX_BODY_BYTES = 256 * 1024
+# Larger contents aren't kept for comparison.
+_MAX_CONTENT_CHARACTERS = 8 * 1024
 _MISSING = object()
 
 
@@ -33,6 +36,46 @@
     return announcement
 
 
+@dataclass(frozen=True, slots=True)
+class RenewalBody:
+    """A body without cache events, split for comparison with the one before.
+
+    Attributes:
+        content: The text of all members but the sequence and the load; it
+            tells apart values that Python takes for equal, such as 1 and true.
+    """
+
+    server_id: str
+    content: str
+    sequence: int
+    load: LoadReport | None
+
+
+def read_renewal(body: bytes) -> RenewalBody | None:
+    """Split the body of an announcement; None when it has to be parsed whole."""
+    reader = _Reader()
+    try:
+        document = _load_object(body, reader)
+    except CheckFailedError:
+        return None
+    sequence = reader.member(document, "", "sequence", reader.count)
+    load = reader.member(document, "", "load", reader.load, None)
+    server_id = document.get("server_id")
+    if reader.findings or not isinstance(server_id, str):
+        return None
+    if document.pop("cache_events", []) != []:
+        return None
+    del document["sequence"]
+    document.pop("load", None)
+    try:
+        content = repr(document)
+    except RecursionError:
+        return None
+    if len(content) > _MAX_CONTENT_CHARACTERS:
+        return None
+    return RenewalBody(server_id, content, sequence, load)
+
+
 def dump_announcement(announcement: Announcement) -> bytes:
     """Return the JSON body that ``parse_announcement`` reads back."""
     load = announcement.load
--- a/src/galenadrum/_internal/membership/exchange.py
+++ b/src/galenadrum/_internal/membership/exchange.py
@@ -91,6 +91,19 @@
             self._queue_events(PeerCacheEvents(entry.ref, verdict.cache_events))
         return verdict
 
+    def renew(self, renewal: PeerRenewal, now: float) -> bool:
+        """Take a renewal that a backend server made to this host.
+
+        Returns:
+            Whether the registry still holds what it renews.
+        """
+        verdict = self.registry.merge_renewal(renewal, now)
+        if verdict is None or not verdict.accepted:
+            return False
+        entry = self.registry.entry_by_id(verdict.server_id)
+        self._spread_renewal(entry.announcement, now)
+        return True
+
     def update_host(
         self,
         now: float,
--- a/src/galenadrum/_internal/membership/registry.py
+++ b/src/galenadrum/_internal/membership/registry.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, KeysView
 from dataclasses import dataclass, replace
 
 from galenadrum._internal.exceptions import InvariantError
@@ -165,6 +165,10 @@
         server_id = self._id_by_ref.get(ref)
         return None if server_id is None else self._entries_by_id[server_id]
 
+    def ids(self) -> KeysView[str]:
+        """Return the ids of all servers that are known."""
+        return self._entries_by_id.keys()
+
     def refs(self) -> tuple[int, ...]:
         """Return the references of all entries."""
         return tuple(self._id_by_ref)
--- a/src/galenadrum/_internal/membership/validation.py
+++ b/src/galenadrum/_internal/membership/validation.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 
 from galenadrum._internal.membership.verdicts import Rejection, RejectReason
-from galenadrum._internal.models.servers import Announcement
+from galenadrum._internal.models.servers import Announcement, LoadReport
 from galenadrum._internal.utils.addresses import split_address
 
 MIN_TTL_S = 1.0
@@ -95,13 +95,18 @@
         yield "stages names a stage twice"
 
 
+def load_problems(load: LoadReport | None) -> Iterator[str]:
+    """Yield what is wrong with a load report."""
+    if load is None:
+        return
+    if not (0 <= load.running <= MAX_COUNTER and 0 <= load.queued <= MAX_COUNTER):
+        yield "load.running and load.queued must be 0 or more"
+    if not (math.isfinite(load.age_s) and load.age_s >= 0):
+        yield "load.age_s must be 0 or more seconds"
+
+
 def _report_problems(announcement: Announcement) -> Iterator[str]:
-    load = announcement.load
-    if load is not None:
-        if not (0 <= load.running <= MAX_COUNTER and 0 <= load.queued <= MAX_COUNTER):
-            yield "load.running and load.queued must be 0 or more"
-        if not (math.isfinite(load.age_s) and load.age_s >= 0):
-            yield "load.age_s must be 0 or more seconds"
+    yield from load_problems(announcement.load)
     if len(announcement.cache_events) > MAX_CACHE_EVENTS:
         yield f"cache_events has more than {MAX_CACHE_EVENTS} members"
     for event in announcement.cache_events:
--- a/src/galenadrum/_internal/membership/zone_service.py
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -30,11 +30,12 @@
 from galenadrum._internal.membership.messages import CloseReason
 from galenadrum._internal.membership.registry import ServerRegistry
 from galenadrum._internal.membership.relay import choose_reporter
+from galenadrum._internal.membership.renewal_inbox import RenewalInbox
 from galenadrum._internal.membership.verdicts import RejectReason, Verdict
 from galenadrum._internal.membership.zone_codec import decode_digest, encode_digest
 from galenadrum._internal.membership.zone_dialer import ZoneDialer
 from galenadrum._internal.membership.zone_driver import ZoneDriver, ZoneStream
-from galenadrum._internal.models.servers import Announcement, ZoneDigest
+from galenadrum._internal.models.servers import Announcement, ServerState, ZoneDigest
 from galenadrum._internal.models.settings import EntrySettings
 from galenadrum._internal.network.peer_link import ServerStream, open_stream
 from galenadrum._internal.protocol import zone_pb2
@@ -111,6 +112,7 @@
             open_link or open_zone_link,
             rng,
         )
+        self.renewals = RenewalInbox(asyncio.get_running_loop().time)
         self._rejected_by_reason: Counter[RejectReason] = Counter()
         self._channels_by_address: dict[str, grpclib.client.Channel] = {}
         self._digest_peers = DigestPeers(settings.other_zone_addresses, rng)
@@ -131,6 +133,7 @@
         self, announcement: Announcement, peer_ip: str | None = None
     ) -> Verdict:
         """Take an announcement that a backend server made to this host."""
+        self.take_renewals()
         verdict = self.exchange.announce(announcement, self._now(), peer_ip)
         if not verdict.accepted:
             self._rejected_by_reason[verdict.rejection.reason] += 1
@@ -143,6 +146,39 @@
         self.driver.wake()
         return verdict
 
+    def announce_body(
+        self, announcement: Announcement, body: bytes, peer_ip: str | None
+    ) -> Verdict:
+        """Take an announcement; renewals of it may go by ``renewals`` after that.
+
+        Args:
+            announcement: What was parsed from ``body``.
+            body: The body as it came.
+            peer_ip: IP number of the connection's other end.
+        """
+        self.renewals.forget(announcement.server_id)
+        verdict = self.announce(announcement, peer_ip)
+        if verdict.accepted and announcement.state is ServerState.SERVING:
+            entry = self.registry.entry_by_id(announcement.server_id)
+            self.renewals.hold(
+                body, peer_ip, entry.ref, announcement.ttl_s, verdict.renew_after_s
+            )
+        return verdict
+
+    def take_renewals(self) -> None:
+        """Pass on the renewals that worker threads accepted.
+
+        It has to be called each ``DRAIN_INTERVAL_S``.
+        """
+        now = self._now()
+        renewals_by_id = self.renewals.drain()
+        for server_id, renewal in renewals_by_id.items():
+            if not self.exchange.renew(renewal, now):
+                self.renewals.forget(server_id)
+        if renewals_by_id:
+            self.renewals.trim(self.registry.ids(), self.registry.size)
+            self.driver.wake()
+
     def set_revision(self, revision: int) -> None:
         """Tell the zone the revision that this host serves from."""
         self.exchange.update_host(self._now(), revision=revision)
--- a/tests/unit/membership/test_zone_driver.py
+++ b/tests/unit/membership/test_zone_driver.py
@@ -3,10 +3,11 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
+from galenadrum._internal.membership.announcement_codec import dump_announcement
 from galenadrum._internal.membership.links import SILENCE_LIMIT_S
 from galenadrum._internal.membership.topology import dial_offsets, order_targets
 from galenadrum._internal.membership.zone_service import ZoneService
-from galenadrum._internal.models.servers import Announcement
+from galenadrum._internal.models.servers import Announcement, ServerState
 from galenadrum._internal.models.settings import EntrySettings
 from galenadrum._internal.network.peer_link import LinkLostError
 from galenadrum._internal.protocol import zone_pb2
@@ -121,6 +122,30 @@
 
         _run(2, scenario)
 
+    def test_renewals_past_the_loop_keep_a_server_but_do_not_undo_its_leave(self):
+        async def scenario(network):
+            first, second = network.services.values()
+            server = replace(_SERVER, ttl_s=6.0)
+            ip = server.address.partition(":")[0]
+            first.announce_body(server, dump_announcement(server), ip)
+            for sequence in range(2, 6):
+                await asyncio.sleep(2)
+                renewed = replace(server, sequence=sequence)
+                assert first.renewals.take(dump_announcement(renewed), ip) == 2.0
+                first.take_renewals()
+            await asyncio.sleep(1)
+            assert len(network.holders()) == 2
+            second.announce(replace(server, sequence=6, state=ServerState.LEAVING))
+            await asyncio.sleep(0.2)
+            late = dump_announcement(replace(server, sequence=7))
+            assert first.renewals.take(late, ip) == 2.0
+            first.take_renewals()
+            assert not network.holders()
+            later = dump_announcement(replace(server, sequence=8))
+            assert first.renewals.take(later, ip) is None
+
+        _run(2, scenario)
+
     def test_a_malformed_message_costs_only_its_link(self):
         async def scenario(network):
             broken = zone_pb2.ZoneMessage(
