Send work to zones of the own region before other regions

Cause: the setting region had no effect. A stage call that its zone couldn't take was drawn among all zones by their free capacity, so that most of it went to far regions, and a prefix had its home anywhere. Change: digests carry the region; near zones with room come first, and homes of prefixes are near.

--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -69,7 +69,8 @@
         self._rng = random.Random()
         self.metrics = Metrics()
         self.view = DeclarationsView()
-        self.policy = Policy(settings.zone, random.Random(self._rng.random()))
+        rng = random.Random(self._rng.random())
+        self.policy = Policy(settings.zone, rng, region=settings.region)
         self.executor = PipelineExecutor(self.policy)
         self._control = ControlClient(settings.control_addresses, self._rng)
         self.claims = build_claims_client(
--- a/src/galenadrum/_internal/membership/digests.py
+++ b/src/galenadrum/_internal/membership/digests.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 
-from galenadrum._internal.models.servers import ZoneDigest
+from galenadrum._internal.models.servers import DEFAULT_REGION, ZoneDigest
 
 DIGEST_TTL_S = 30.0
 MAX_STAGES = 256
@@ -43,6 +43,7 @@
     Attributes:
         serial: Identifies the digest; only compared for equality.
         age_s: Seconds since the zone made it.
+        region: Region of the zone.
     """
 
     zone: str
@@ -50,6 +51,7 @@
     serial: int
     age_s: float
     stages: tuple[StageLoad, ...]
+    region: str = DEFAULT_REGION
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +123,7 @@
                         capacity=load.capacity,
                         service_s=load.service_s,
                         failure_share=load.failure_share,
+                        region=held.digest.region,
                     )
                 )
         return {stage: tuple(items) for stage, items in digests.items()}
--- a/src/galenadrum/_internal/membership/zone_codec.py
+++ b/src/galenadrum/_internal/membership/zone_codec.py
@@ -111,6 +111,7 @@
         capacities=[load.capacity for load in loads],
         service_times_ms=[_to_ms(load.service_s) for load in loads],
         failure_percents=[round(load.failure_share * 100) for load in loads],
+        region=digest.region,
     )
 
 
@@ -162,6 +163,7 @@
         entry_address=record.entry_address,
         serial=record.serial,
         age_s=record.age_ms / _MS_PER_S,
+        region=record.region,
         stages=tuple(
             StageLoad(
                 stage=stage,
--- a/src/galenadrum/_internal/membership/zone_service.py
+++ b/src/galenadrum/_internal/membership/zone_service.py
@@ -313,6 +313,7 @@
             serial=self._rng.getrandbits(64),
             age_s=0.0,
             stages=tuple(self._local_loads())[:MAX_STAGES],
+            region=self._settings.region,
         )
 
     def _now(self) -> float:
--- a/src/galenadrum/_internal/models/servers.py
+++ b/src/galenadrum/_internal/models/servers.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+# The region of zones whose settings name none.
+DEFAULT_REGION = "default"
+
 
 class ServerState(StrEnum):
     """Whether a backend server takes new work."""
@@ -89,6 +92,7 @@
         capacity: Calls that the zone's servers run at once.
         service_s: Recent mean service time of the stage, 0 when not known.
         failure_share: Recent share of the zone's calls that failed, 0 to 1.
+        region: Region of the zone.
     """
 
     zone: str
@@ -100,3 +104,4 @@
     capacity: int = 0
     service_s: float = 0.0
     failure_share: float = 0.0
+    region: str = DEFAULT_REGION
--- a/src/galenadrum/_internal/models/settings.py
+++ b/src/galenadrum/_internal/models/settings.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from pathlib import Path
 
+from galenadrum._internal.models.servers import DEFAULT_REGION
+
 
 class LogFormat(StrEnum):
     """How log records are written; AUTO is text on a terminal, else JSON."""
@@ -71,7 +73,7 @@
     operator_address: str
     peer_address: str
     control_addresses: tuple[str, ...]
-    region: str = "default"
+    region: str = DEFAULT_REGION
     zone_peer_addresses: tuple[str, ...] = ()
     other_zone_addresses: tuple[str, ...] = ()
     drain_timeout_ms: int = 10_000
--- a/src/galenadrum/_internal/routing/placement.py
+++ b/src/galenadrum/_internal/routing/placement.py
@@ -195,7 +195,7 @@
 
     def _home_digest(self, call: StageCall, now: float) -> ZoneDigest | None:
         digests_by_zone = {
-            digest.zone: digest for digest in self._digests.fresh(call.stage, now)
+            digest.zone: digest for digest in self._digests.near(call.stage, now)
         }
         capacity_by_zone = {
             zone: digest.capacity
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -28,7 +28,11 @@
     OrganisationSpec,
     StageSpec,
 )
-from galenadrum._internal.models.servers import Announcement, ZoneDigest
+from galenadrum._internal.models.servers import (
+    DEFAULT_REGION,
+    Announcement,
+    ZoneDigest,
+)
 from galenadrum._internal.routing.admission import RefusalRate
 from galenadrum._internal.routing.catalog import StageCatalog
 from galenadrum._internal.routing.counters import (
@@ -73,10 +77,15 @@
         zone: The availability zone of the entry host.
         random: Source of all random choices.
         mechanisms: Which parts are in force; all of them in daemons.
+        region: The region of the zone.
     """
 
     def __init__(
-        self, zone: str, random: Random, mechanisms: Mechanisms | None = None
+        self,
+        zone: str,
+        random: Random,
+        mechanisms: Mechanisms | None = None,
+        region: str = DEFAULT_REGION,
     ) -> None:
         self._mechanisms = mechanisms or Mechanisms()
         self._zone = zone
@@ -87,7 +96,7 @@
         self._catalog = StageCatalog()
         self._times = ServiceTimes(self._mechanisms.speeds)
         self._pool = ServerPool(self._times, self._mechanisms, self.counters, random)
-        self._digests = ZoneDigests(zone)
+        self._digests = ZoneDigests(zone, region)
         self._ledger = RequestLedger()
         self._forecast = Forecast(
             self._catalog,
--- a/src/galenadrum/_internal/routing/spill.py
+++ b/src/galenadrum/_internal/routing/spill.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from galenadrum._internal.models.servers import ZoneDigest
+from galenadrum._internal.models.servers import DEFAULT_REGION, ZoneDigest
 from galenadrum._internal.routing.counters import CallKey
 
 # What a digest may be old when one comes each second; it may be older by the rest
@@ -52,10 +52,15 @@
 
 
 class ZoneDigests:
-    """What other zones told of their stages, and what was sent there since."""
+    """What other zones told of their stages, and what was sent there since.
 
-    def __init__(self, own_zone: str) -> None:
+    Zones of the own region are near; those of others are taken when no near one
+    will do.
+    """
+
+    def __init__(self, own_zone: str, own_region: str = DEFAULT_REGION) -> None:
         self._own_zone = own_zone
+        self._own_region = own_region
         self._by_stage: dict[str, dict[str, _ZoneStage]] = {}
 
     def update(self, digests: tuple[ZoneDigest, ...]) -> None:
@@ -77,6 +82,10 @@
         """Return the digests of a stage that are not outdated."""
         return [entry.digest for entry in self._fresh(stage, now)]
 
+    def near(self, stage: str, now: float) -> list[ZoneDigest]:
+        """Return those of them that come from the own region."""
+        return [entry.digest for entry in self._near(self._fresh(stage, now))]
+
     def best(
         self,
         stage: str,
@@ -105,11 +114,13 @@
             if zone_server_id(entry.digest.zone) not in tried_server_ids
         ]
         roomy = [entry for entry in entries if _free(entry, now) >= 1.0]
+        roomy = self._near(roomy) or roomy
         if roomy:
             weights = [_free(entry, now) for entry in roomy]
             return random.choices(roomy, weights)[0].digest
         if not (even_full and entries):
             return None
+        entries = self._near(entries) or entries
         return min(entries, key=lambda e: _full_delay_s(e, random)).digest
 
     def delay_s(self, stage: str, zone: str) -> float:
@@ -137,6 +148,9 @@
             entry.failed_at = now
         entry.failure_share += _FAILURE_STEP * (float(failed) - entry.failure_share)
 
+    def _near(self, entries: list[_ZoneStage]) -> list[_ZoneStage]:
+        return [e for e in entries if e.digest.region == self._own_region]
+
     def _fresh(self, stage: str, now: float) -> list[_ZoneStage]:
         return [
             entry
--- a/tests/unit/membership/test_zone_codec.py
+++ b/tests/unit/membership/test_zone_codec.py
@@ -97,7 +97,9 @@
 
     def test_digests_share_one_list_of_names(self):
         loads = tuple(StageLoad(name, 1, 0.0) for name in ("encode", "generate"))
-        digests = tuple(PeerDigest(z, "a:1", 1, 0.0, loads) for z in ("ba", "nadi"))
+        digests = tuple(
+            PeerDigest(z, "a:1", 1, 0.0, loads, f"of-{z}") for z in ("ba", "nadi")
+        )
         encoded = encode_message(ZoneMessage(0, digests=digests))
         assert list(encoded.stage_names) == ["encode", "generate"]
         assert decode_message(encoded).digests == digests
--- a/tests/unit/routing/test_parts.py
+++ b/tests/unit/routing/test_parts.py
@@ -232,6 +232,20 @@
         assert digests.best("s", frozenset(), 0.2, random, even_full=False)
         assert digests.best("s", frozenset(), 9.0, random, even_full=True) is None
 
+    def test_zones_of_the_own_region_are_taken_first(self):
+        digests = ZoneDigests("own", "west")
+        near = ZoneDigest("near", "s", 4, 0.0, "a:1", 0.0, 8, 0.1, region="west")
+        far = ZoneDigest("far", "s", 400, 0.0, "b:1", 0.0, 800, 0.1, region="east")
+        digests.update((near, far))
+        assert digests.near("s", 0.1) == [near]
+        random = Random(1)
+        taken = []
+        for index in range(3):
+            found = digests.best("s", frozenset(), 0.1, random, even_full=False)
+            digests.sent("s", found.zone, ("r", index, 1), 0.1)
+            taken.append(found.zone)
+        assert taken == ["near", "near", "far"]
+
     def test_rare_digests_count_for_longer_and_for_less_as_they_age(self):
         digests = ZoneDigests("own")
         first = ZoneDigest("a", "s", 40, 0.0, "a:1", 0.0, 80, 0.1)
