--- a/tests/functional/failures/test_stale_connections.py
+++ b/tests/functional/failures/test_stale_connections.py
@@ -11,11 +11,12 @@
 from galenadrum._internal.demo.backend_server import BackendOptions, BackendServer
 from galenadrum._internal.entry.execution import Complete, PipelineExecutor, SendCall
 from galenadrum._internal.models.requests import Dispatch, Outcome, Request, StageCall
-from galenadrum._internal.models.resources import PolicySpec, StageSpec
+from galenadrum._internal.models.resources import StageSpec
 from galenadrum._internal.models.servers import Announcement
 from galenadrum._internal.network.connection_pool import ConnectionPool
 from galenadrum._internal.network.stage_client import StageClient
 from galenadrum._internal.network.stage_replies import AttemptLimits
+from galenadrum._internal.routing.objectives import Objectives
 from galenadrum._internal.routing.policy import Policy
 
 FAR_S = 30.0
@@ -116,7 +117,7 @@
         self, server, silent_pool
     ):
         policy = Policy("zone", Random(1))
-        policy.update_declarations({"encode": StageSpec()}, {}, PolicySpec(), 0.0)
+        policy.update_declarations({"encode": StageSpec()}, {}, Objectives(), 0.0)
         announcement = Announcement(
             "backend-1", 1, 1, server.address, "zone", ("encode",), CAPACITY, FAR_S
         )
