--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -62,11 +62,14 @@
         names = [f"control-{number}" for number in range(1, count + 1)]
         peers = {name: free_address() for name in names}
         members = [
-            {"member_id": name, "peer_address": address}
+            {
+                "member_id": name,
+                "peer_address": address,
+                "operator_address": self.operators.setdefault(name, free_address()),
+            }
             for name, address in peers.items()
         ]
         for name in names:
-            self.operators[name] = free_address()
             settings = {
                 "role": "control",
                 "member_id": name,
@@ -209,7 +212,13 @@
         return process
 
     def wait_leader(self):
-        wait_until(lambda: self.find_leader() is not None, "a leader")
+        def has_leader():
+            if all(self.processes[n].popen.poll() is not None for n in self.operators):
+                for name in self.operators:
+                    self.processes[name].assert_running()
+            return self.find_leader() is not None
+
+        wait_until(has_leader, "a leader")
 
     def find_leader(self):
         for name, address in self.operators.items():
@@ -245,6 +254,7 @@
             wait_until(lambda name=name: self.is_ready(name, servers), f"{name} ready")
 
     def is_ready(self, name, servers):
+        self.processes[name].assert_running()
         status, body = get_json(f"http://{self.platforms[name]}/v1/status")
         return status == 200 and body["ready"] and len(body["server_ids"]) >= servers
 
