Let the watch move to another source before it says that control is lost

Cause: a relay that goes silent lets the age of the watch of the hosts behind it grow to 11 s before they follow another source; above 8 s they refused claims that control would have taken. Change: 14 s: a heartbeat, the silence, a connection and a second. Tests hold the follower's age under it, and that the declared retention reaches the claim.

--- a/src/galenadrum/_internal/entry/control_reach.py
+++ b/src/galenadrum/_internal/entry/control_reach.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
-# Longer than two heartbeats of the watch, over a relay, and an election.
-LOST_AFTER_S = 8.0
+# Longer than an election, and than the watch takes to move to another source when
+# its relay goes silent: a heartbeat of 3 s, 8 s of silence, up to 2 s to connect.
+LOST_AFTER_S = 14.0
 
 
 class ControlReach:
--- a/tests/unit/entry/test_declarations_follower.py
+++ b/tests/unit/entry/test_declarations_follower.py
@@ -4,6 +4,7 @@
 import random
 from contextlib import asynccontextmanager
 
+from galenadrum._internal.entry.control_reach import LOST_AFTER_S, ControlReach
 from galenadrum._internal.entry.declarations import DeclarationsView
 from galenadrum._internal.entry.declarations_follower import (
     SILENCE_TIMEOUT_S,
@@ -126,6 +127,30 @@
 
         _run(network, [("e0", True), ("c1", False)], ["e0", "e2"], scenario)
 
+    def test_a_relay_that_goes_silent_doesnt_pass_for_control_out_of_reach(self):
+        network = _Network(Replica(), "e0", "c1")
+        network.age_ms_by_address["e0"] = round(HEARTBEAT_INTERVAL_S * 1_000)
+
+        async def scenario(view, follower):
+            loop = asyncio.get_running_loop()
+            reach = ControlReach()
+            await asyncio.sleep(1)
+            for _ in range(5):
+                network.down.add("e0")
+                began = loop.time()
+                while loop.time() < began + 2 * LOST_AFTER_S:
+                    assert not reach.is_lost(
+                        loop.time(), follower.source_age_ms() / 1_000
+                    )
+                    await asyncio.sleep(0.1)
+                network.down.clear()
+                await asyncio.sleep(90)
+            network.down.update(("e0", "c1"))
+            await asyncio.sleep(LOST_AFTER_S + HEARTBEAT_INTERVAL_S)
+            assert reach.is_lost(loop.time(), follower.source_age_ms() / 1_000)
+
+        _run(network, [("e0", True), ("c1", False)], [], scenario)
+
     def test_with_nothing_around_it_isnt_ready_and_asks_at_a_bounded_rate(self):
         network = _Network(Replica(), "c1")
         network.down.add("c1")
--- a/tests/unit/test_request_service.py
+++ b/tests/unit/test_request_service.py
@@ -7,7 +7,7 @@
 from galenadrum._internal.entry.request_service import RequestService
 from galenadrum._internal.exceptions import RequestRefusedError
 from galenadrum._internal.models.callers import CallerRequest
-from galenadrum._internal.models.requests import RefusalReason, RunState
+from galenadrum._internal.models.requests import Refusal, RefusalReason, RunState
 from galenadrum._internal.models.resources import (
     OrganisationSpec,
     PipelineSpec,
@@ -40,22 +40,39 @@
         self.ended += 1
 
 
-def build_service(policy):
+class RefusingClaims:
+    """Notes the retention of claims and refuses them."""
+
+    def __init__(self):
+        self.retentions_s = []
+
+    async def acquire(self, request, fingerprint, retention_s):
+        self.retentions_s.append(retention_s)
+        raise RequestRefusedError(
+            Refusal(RefusalReason.OVERLOADED, RunState.NOT_RUN, "full")
+        )
+
+
+def build_service(policy, claims=None, repeatable=True):
     view = SimpleNamespace(
         is_ready=True,
         organisation_by_key_digest=lambda digest: (
             "office",
             OrganisationSpec((digest,)),
         ),
-        pipeline_by_name=lambda name: PipelineSpec(("encode",), DEADLINE_MS),
-        stage_by_name=lambda name: StageSpec(),
+        pipeline_by_name=lambda name: PipelineSpec(
+            ("encode",), DEADLINE_MS, claim_retention_s=600
+        ),
+        stage_by_name=lambda name: StageSpec(repeatable=repeatable),
     )
-    return RequestService(PipelineExecutor(policy), view, None, max_in_flight=2)
+    return RequestService(PipelineExecutor(policy), view, claims, max_in_flight=2)
 
 
-def caller_request():
+def caller_request(idempotency_key=None):
     now = asyncio.get_running_loop().time()
-    return CallerRequest("key", "plan", "x", '"x"', arrived=now)
+    return CallerRequest(
+        "key", "plan", "x", '"x"', arrived=now, idempotency_key=idempotency_key
+    )
 
 
 class TestRequestService:
@@ -77,6 +94,18 @@
         assert in_flight == 0
         assert (policy.withdrawn, policy.ended) == (1, 1)
 
+    def test_a_claim_carries_the_retention_that_its_pipeline_declares(self):
+        claims = RefusingClaims()
+
+        async def scenario():
+            service = build_service(SilentPolicy(), claims, repeatable=False)
+            with pytest.raises(RequestRefusedError):
+                await service.open(caller_request("k"), TRACEPARENT)
+            return service.in_flight
+
+        assert run_paused(scenario()) == 0
+        assert claims.retentions_s == [600]
+
     def test_a_caller_who_leaves_takes_the_waiting_call_back(self):
         policy = SilentPolicy()
 
