--- a/src/galenadrum/_internal/control/state/machine.py
+++ b/src/galenadrum/_internal/control/state/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import logging
 from collections.abc import Callable
 
@@ -214,13 +215,12 @@
             orders=self.orders.snapshot(),
         )
         # Serialised messages joined are one message: claims are never all held
-        # as messages beside their bytes.
-        parts = [snapshot.SerializeToString(deterministic=True)]
-        parts.extend(
-            StateSnapshot(packed_claims=[block]).SerializeToString()
-            for block in self._claims.packed_snapshot()
-        )
-        return b"".join(parts)
+        # as messages, nor twice, beside their bytes.
+        data = io.BytesIO()
+        data.write(snapshot.SerializeToString(deterministic=True))
+        for block in self._claims.packed_snapshot():
+            data.write(StateSnapshot(packed_claims=[block]).SerializeToString())
+        return data.getvalue()
 
     def restore(self, data: bytes) -> None:
         """Take over a snapshot in place of everything held so far.
