Let the orders' state machine change what is known of fencing; end leases in its world

Cause: the state machine did not vary who checks fencing. With the two new rules its derandomised run failed once: an order was sent outside a lease, with the steps elect(host=1) after tick(host=0). The fault was in the world of the test: a leader that wasn't frozen renewed its lease while the next election waited for its end. A leader of the program gives its lease up when it steps down. Change: engines restart as the other kind, operators declare engines to ignore fencing, and no lease is renewed while an election waits for it. ORDERS_EXAMPLES and ORDERS_STEPS lengthen the run.

--- a/tests/lib/engine_world.py
+++ b/tests/lib/engine_world.py
@@ -134,8 +134,10 @@
         """Make ``host`` the leader once no other lease can stand."""
         if host.is_frozen or host is self.leader:
             return
-        if self.leader is not None:
-            self.advance(max(0.0, self.leader.lease.until - self.now))
+        old_leader, self.leader = self.leader, None
+        if old_leader is not None:
+            # It renews its lease no more, frozen or not.
+            self.advance(max(0.0, old_leader.lease.until - self.now))
         self.term += 1
         self.leader = host
         host.lease = Lease(self.term, self.now + LEASE_S)
--- a/tests/unit/control/orders/test_reconciler.py
+++ b/tests/unit/control/orders/test_reconciler.py
@@ -1,3 +1,6 @@
+import os
+from dataclasses import replace
+
 import hypothesis.strategies as st
 import pytest
 from hypothesis import settings
@@ -5,6 +8,7 @@
 
 from galenadrum._internal.control.orders.reconciler import WaitReason
 from galenadrum._internal.control.orders.status import describe_model
+from galenadrum._internal.models.resources import Fencing
 from lib.engine_world import (
     DELIVERY_S,
     LEASE_S,
@@ -94,9 +98,14 @@
     def fail_loads(self, failing):
         self.world.failing_version = failing
 
-    @rule(number=st.integers(0, 4), version=st.one_of(st.none(), VERSION))
-    def restart_engine(self, number, version):
+    @rule(
+        number=st.integers(0, 4),
+        version=st.one_of(st.none(), VERSION),
+        checks_fencing=st.booleans(),
+    )
+    def restart_engine(self, number, version, checks_fencing):
         engine = self.world.engines[f"e{number}"]
+        engine.checks_fencing = checks_fencing
         versions = {MODEL: version} if version else {"other": "1"}
         self.world.restart_engine(engine, versions)
 
@@ -123,6 +132,11 @@
     def declare(self, version, in_place, z0, z1):
         self.world.declare(declared(version, 6, in_place, z0=z0, z1=z1))
 
+    @rule(numbers=st.sets(st.integers(0, 4)))
+    def declare_fencing(self, numbers):
+        words = {f"e{number}": Fencing.IGNORED for number in numbers}
+        self.world.declare(replace(self.world.declared, fencing_by_engine=words))
+
     @rule(seconds=st.sampled_from((1, 3, 8, 15)))
     def work(self, seconds):
         self.world.run_fairly(seconds)
@@ -154,7 +168,11 @@
 
 
 TestOrders = OrdersMachine.TestCase
-TestOrders.settings = settings(max_examples=60, stateful_step_count=50)
+# Raised for long runs, with --hypothesis-seed.
+TestOrders.settings = settings(
+    max_examples=int(os.environ.get("ORDERS_EXAMPLES", "60")),
+    stateful_step_count=int(os.environ.get("ORDERS_STEPS", "50")),
+)
 
 
 def build_world(kinds, version, wanted, **replicas):
