Give daemons of an older version settings of its form

Cause: members of the log are getting a field that the first version refuses. Change: the benchmark drops it for another source.

--- a/benchmarks/failures_world.py
+++ b/benchmarks/failures_world.py
@@ -10,11 +10,12 @@
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from benchmarks.failures_backend import ONCE_STAGE
 from benchmarks.failures_load import DEADLINE_S, Balancer
 from lib.deployment import STAGES, Deployment, standard_changes
-from lib.processes import free_address
+from lib.processes import ROOT, free_address
 from lib.silent_relay import SilentRelay
 
 ZONE = "zone-1"
@@ -169,7 +170,8 @@
 @contextmanager
 def open_world(failure: Failure, folder: Path, source: Path) -> Iterator[World]:
     """Start all processes and wait until each entry host serves."""
-    deployment = Deployment(folder, source)
+    is_own = source == ROOT / "src"
+    deployment = Deployment(folder, source, dict if is_own else _older_form)
     zones = (ZONE, OTHER_ZONE) if failure.relayed == "zone" else (ZONE,)
     world = World(deployment, zones, folder / "runs")
     with ExitStack() as stack:
@@ -186,6 +188,15 @@
         yield world
 
 
+def _older_form(settings: dict[str, Any]) -> dict[str, Any]:
+    """Return settings without what the first version did not know."""
+    if "members" not in settings:
+        return settings
+    known = ("member_id", "peer_address")
+    members = [{key: member[key] for key in known} for member in settings["members"]]
+    return settings | {"members": members}
+
+
 def _close(world: World) -> None:
     for name in world.stopped:
         if world.deployment.processes[name].popen.poll() is None:
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -47,11 +47,13 @@
 
     Args:
         source: Folder that the daemons' packages are imported from.
+        adapt_settings: Returns daemons' settings in the form of that source.
     """
 
-    def __init__(self, folder, source=ROOT / "src"):
+    def __init__(self, folder, source=ROOT / "src", adapt_settings=dict):
         self.folder = folder
         self.source = source
+        self.adapt_settings = adapt_settings
         self.processes = {}
         self.control_settings = {}
         self.entry_settings = {}
@@ -71,7 +73,7 @@
         return process
 
     def start_daemon(self, role, name, settings):
-        path = write_settings(self.folder, name, settings)
+        path = write_settings(self.folder, name, self.adapt_settings(settings))
         return self.start_process(name, ["galenadrum", role, str(path)], self.source)
 
     def start_controls(self, count=1, **extra):
