--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
+import contextlib
+import itertools
 import json
 import statistics
 import tempfile
+import threading
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
 import click
+import urllib3
 
 from benchmarks.process_figures import Figures, read_figures
 from galenadrum._internal.entry.declarations_follower import HEARTBEAT_INTERVAL_S
@@ -27,6 +31,7 @@
 _IN_FORCE_LIMIT_S = 18.0
 
 _SETTLE_S = 5.0
+_FIRST_LIGHT_PORT = 20_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,16 +52,24 @@
     in_force_most_s: float = 0.0
 
 
-def measure(hosts: int, servers: int, seconds: float, changes: int) -> list[Row]:
+def measure(
+    hosts: int, servers: int, seconds: float, changes: int, light_renewal_s: float
+) -> list[Row]:
     """Return the idle and the busy row of one size."""
     with tempfile.TemporaryDirectory(prefix="galenadrum-bench-") as folder:
         deployment = Deployment(Path(folder))
+        announcers = None
         try:
             deployment.start_controls(1)
             deployment.apply(standard_changes(), "first")
             names = deployment.start_entries(hosts, callers={"workers": 16})
-            for number in range(servers):
-                deployment.start_backend(f"encode-{number}", ["encode"], names)
+            if light_renewal_s:
+                addresses = [deployment.callers[name] for name in names]
+                announcers = LightServers(addresses, servers, light_renewal_s)
+                announcers.start()
+            else:
+                for number in range(servers):
+                    deployment.start_backend(f"encode-{number}", ["encode"], names)
             deployment.wait_ready(names, servers=servers)
             time.sleep(_SETTLE_S)
             idle = _row(deployment, names, "idle", lambda: time.sleep(seconds))
@@ -68,10 +81,57 @@
                 lambda: latencies.extend(_apply_changes(deployment, names, changes)),
             )
         finally:
+            if announcers is not None:
+                announcers.stop()
             deployment.close()
     return [idle, _with_latencies(busy, latencies)]
 
 
+class LightServers:
+    """Announces servers that don't exist, with leases of three renewals."""
+
+    def __init__(self, addresses: list[str], count: int, renewal_s: float) -> None:
+        self._addresses = addresses
+        self._renewal_s = renewal_s
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._announce, args=(number,), daemon=True)
+            for number in range(count)
+        ]
+
+    def start(self) -> None:
+        """Begin to announce."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End all announcements; the leases run out."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _announce(self, number: int) -> None:
+        url = f"http://{self._addresses[number % len(self._addresses)]}"
+        pool = urllib3.PoolManager(retries=False)
+        self._stopping.wait(self._renewal_s * number / len(self._threads))
+        for sequence in itertools.count(1):
+            body = {
+                "server_id": f"light-{number}",
+                "incarnation": 1,
+                "sequence": sequence,
+                "address": f"127.0.0.1:{_FIRST_LIGHT_PORT + number}",
+                "zone": "zone-1",
+                "stages": ["encode"],
+                "capacity": 16,
+                "ttl_s": 3 * self._renewal_s,
+                "load": {"running": sequence % 3, "queued": 0, "age_s": 0.0},
+            }
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                pool.request("POST", f"{url}/v1/announcements", json=body)
+            if self._stopping.wait(self._renewal_s):
+                return
+
+
 def _row(deployment, names, state, act) -> Row:
     pids = {name: deployment.processes[name].popen.pid for name in names}
     control_pid = deployment.processes["control-1"].popen.pid
@@ -143,11 +203,18 @@
 @click.option("--servers", default=10)
 @click.option("--seconds", default=20.0)
 @click.option("--changes", default=20)
-def main(host_counts: str, servers: int, seconds: float, changes: int) -> None:
+@click.option(
+    "--light-renewal-s",
+    default=0.0,
+    help="Announce from threads of this process, each so many seconds.",
+)
+def main(
+    host_counts: str, servers: int, seconds: float, changes: int, light_renewal_s: float
+) -> None:
     """Measure each number of hosts and print the table."""
     rows: list[Row] = []
     for hosts in host_counts.split(","):
-        rows.extend(measure(int(hosts), servers, seconds, changes))
+        rows.extend(measure(int(hosts), servers, seconds, changes, light_renewal_s))
     for row in rows:
         click.echo(
             f"{row.hosts:3} hosts {row.state:5}"
