--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -11,7 +11,7 @@
 
 from galenadrum._internal.control.operator_api.authentication import authenticate
 from galenadrum._internal.control.operator_api.calls import (
-    ModelStatusOf,
+    CALL_TIMEOUT_S,
     OperatorCalls,
 )
 from galenadrum._internal.control.operator_api.change_requests import (
@@ -36,12 +36,10 @@
     send_json,
     start_json_lines,
 )
-from galenadrum._internal.control.proposals import Log, Proposer
-from galenadrum._internal.control.state.in_force import InForce
-from galenadrum._internal.control.state.machine import ControlState
 from galenadrum._internal.exceptions import (
     ControlUnreachableError,
     LogBusyError,
+    MembershipError,
     NotLeaderError,
     OutcomeUnknownError,
 )
@@ -54,7 +52,6 @@
 
 logger = logging.getLogger(__name__)
 
-_CALL_TIMEOUT_S = 10.0
 # The loop's own timeout ends a call first, with the truer error.
 _BRIDGE_MARGIN_S = 2.0
 _WATCH_HEARTBEAT_S = 5.0
@@ -79,31 +76,19 @@
 
 def build_operator_app(
     bridge: LoopBridge,
-    log: Log,
-    state: ControlState,
-    in_force: InForce,
+    calls: OperatorCalls,
     operators: Sequence[Operator],
-    proposer: Proposer,
     operator_address_of: OperatorAddress = lambda peer_address: None,
-    model_status_of: ModelStatusOf = lambda model: None,
 ) -> Handler:
     """Return the application that answers operators.
 
     Args:
         bridge: The way to the loop.
-        log: The replicated log.
-        state: The state of this member.
-        in_force: Confirmations of entry hosts.
+        calls: What operators' calls do on the loop.
         operators: Who may call, with the digests of their tokens.
-        proposer: Proposes changes while this member leads.
         operator_address_of: Returns the operators' address of the control host
             with a peer address, when it is known.
-        model_status_of: Returns how the engines run a model, when it is known;
-            called on the loop.
     """
-    calls = OperatorCalls(
-        log, state, in_force, proposer, _CALL_TIMEOUT_S, model_status_of
-    )
     app = OperatorApp(bridge, calls, operators, operator_address_of)
     return build_routes(
         {
@@ -112,6 +97,7 @@
             ("GET", "/v1/watch"): app.guard(app.watch),
             ("GET", "/v1/status"): app.guard(app.status),
             ("GET", "/v1/export"): app.guard(app.export),
+            ("DELETE", "/v1/members"): app.guard(app.remove_member),
         }
     )
 
@@ -147,6 +133,9 @@
             except OutcomeUnknownError as error:
                 unknown = ApiError(ErrorCode.UNKNOWN, str(error))
                 return send_error(start_response, unknown)
+            except MembershipError as error:
+                refused = ApiError(ErrorCode.BAD_REQUEST, str(error))
+                return send_error(start_response, refused)
             except LogBusyError as error:
                 return send_error(start_response, ApiError(ErrorCode.BUSY, str(error)))
             except (BridgeTimeoutError, ControlUnreachableError) as error:
@@ -224,13 +213,23 @@
     ) -> Iterable[bytes]:
         """Answer ``GET /v1/export``."""
         authenticate(environ, self._operators)
-        query = _parse_query(environ, frozenset(("owner",)))
-        if "owner" not in query:
-            finding = Finding("", 0, 0, "owner", "required parameter missing")
-            raise refuse(ErrorCode.BAD_REQUEST, "name the owner", [finding])
-        _, found = self._call(self._calls.read(None, query["owner"]))
+        owner = _required_parameter(environ, "owner")
+        _, found = self._call(self._calls.read(None, owner))
         return send_json(start_response, export_document(found))
 
+    def remove_member(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer ``DELETE /v1/members``."""
+        operator_name = authenticate(environ, self._operators)
+        member_id = _required_parameter(environ, "member_id")
+        try:
+            self._call(self._calls.remove_member(member_id))
+        except BridgeTimeoutError as error:
+            raise OutcomeUnknownError(str(error)) from error
+        logger.info("operator %s removed member %s", operator_name, member_id)
+        return send_json(start_response, {"removed": member_id})
+
     def _lines(self, revision: int, start_response: StartResponse) -> Iterator[bytes]:
         start_json_lines(start_response)
         wait_s = 0.0
@@ -239,6 +238,8 @@
                 event = self._call(self._calls.next_event(revision, wait_s))
             except BridgeTimeoutError:
                 return
+            if event is None:
+                return
             yield json.dumps(event_document(event)).encode() + b"\n"
             revision = max(revision, event.revision)
             wait_s = _WATCH_HEARTBEAT_S
@@ -260,7 +261,7 @@
         ]
 
     def _call(self, coroutine: Any) -> Any:
-        return self._bridge.call(coroutine, _CALL_TIMEOUT_S + _BRIDGE_MARGIN_S)
+        return self._bridge.call(coroutine, CALL_TIMEOUT_S + _BRIDGE_MARGIN_S)
 
     def _redirect(self, error: NotLeaderError) -> ApiError:
         peer_address = error.leader_address
@@ -319,6 +320,14 @@
     return {name: given[0] for name, given in values.items()}
 
 
+def _required_parameter(environ: dict[str, Any], name: str) -> str:
+    query = _parse_query(environ, frozenset((name,)))
+    if not query.get(name):
+        finding = Finding("", 0, 0, name, "required parameter missing")
+        raise refuse(ErrorCode.BAD_REQUEST, f"name the {name}", [finding])
+    return query[name]
+
+
 def _kind_of(query: Query) -> Kind | None:
     if "kind" not in query:
         return None
