--- a/src/galenadrum/_internal/control/orders/driver.py
+++ b/src/galenadrum/_internal/control/orders/driver.py
@@ -6,7 +6,7 @@
 import logging
 import random
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 
 from galenadrum._internal.control.orders.lease import Lease, send_time_s
@@ -30,6 +30,7 @@
     RecordUnknown,
     SendOrder,
 )
+from galenadrum._internal.control.orders.order_metrics import OrderMetrics
 from galenadrum._internal.control.orders.reconciler import Reconciler
 from galenadrum._internal.control.orders.status import ModelStatus, describe_model
 from galenadrum._internal.control.proposals import Log, Proposer
@@ -42,6 +43,7 @@
     OutcomeUnknownError,
 )
 from galenadrum._internal.models.resources import (
+    Fencing,
     Kind,
     ModelSpec,
     PolicySpec,
@@ -54,6 +56,7 @@
     query_engine,
     send_order,
 )
+from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.commands_pb2 import CommandResult
 from galenadrum._internal.protocol.engines_pb2 import OrderClosing
 
@@ -80,6 +83,7 @@
         proposer: Proposes commands while this member leads.
         lease_s: Longest lease that any leader holds without a quorum, in seconds.
         rng: Draws the ids of orders.
+        metrics: Counts orders.
         send: Sends an order; blocks.
         query: Asks an engine what it holds; blocks.
     """
@@ -91,6 +95,7 @@
         proposer: Proposer,
         lease_s: float,
         rng: random.Random,
+        metrics: Metrics,
         send: SendCall = send_order,
         query: QueryCall = query_engine,
     ) -> None:
@@ -99,6 +104,7 @@
         self._proposer = proposer
         self._lease_s = lease_s
         self._rng = rng
+        self._metrics = OrderMetrics(metrics)
         self._send_call = send
         self._query_call = query
         self._reconciler = Reconciler(rng)
@@ -161,6 +167,7 @@
             self._reconciler.receive(report, now)
         for action in self._reconciler.tick(now):
             self._start(action)
+        self._metrics.take(self._reconciler)
 
     async def _wait(self) -> None:
         """Wait for the next tick; events that come close together share one."""
@@ -249,6 +256,7 @@
                 action.outcome,
                 action.message,
             )
+            self._metrics.count_outcome(order, action.outcome)
         event = OutcomeRecorded if is_recorded else RecordUnknown
         self._take(event(order.order_id))
 
@@ -267,8 +275,10 @@
             self._take(OrderNotSent(order.order_id))
         except EngineUnreachableError as error:
             logger.warning("order %s may have been lost: %s", order.order_id, error)
+            self._metrics.count_sent(order, is_answered=False)
             self._take(OrderSent(order.order_id))
         else:
+            self._metrics.count_sent(order, is_answered=True)
             self._take(OrderSent(order.order_id, answer.refusal, answer.failure))
 
     async def _query(self, action: QueryEngine) -> None:
@@ -295,19 +305,35 @@
 def declared_in(state: ControlState) -> Declared:
     """Return what the state declares about models."""
     models: dict[str, ModelSpec] = {}
-    model_by_stage: dict[str, str] = {}
-    loads_per_minute: list[int] = []
+    stages: dict[str, StageSpec] = {}
+    policies: list[PolicySpec] = []
     for resource in state.resources():
         match resource.key.kind, resource.spec:
             case Kind.MODEL, ModelSpec():
                 models[resource.key.name] = resource.spec
-            case Kind.STAGE, StageSpec(model=str(model)):
-                model_by_stage[resource.key.name] = model
+            case Kind.STAGE, StageSpec():
+                stages[resource.key.name] = resource.spec
             case Kind.POLICY, PolicySpec():
-                loads_per_minute.append(resource.spec.loads_per_minute)
+                policies.append(resource.spec)
     # All operators load from one store: the most careful of them counts.
-    rate = min(loads_per_minute, default=PolicySpec().loads_per_minute)
-    return Declared(models, model_by_stage, rate)
+    rates = [policy.loads_per_minute for policy in policies]
+    return Declared(
+        models,
+        {name: spec.model for name, spec in stages.items() if spec.model is not None},
+        min(rates, default=PolicySpec().loads_per_minute),
+        {name: spec.fencing for name, spec in stages.items() if spec.fencing},
+        _merge_fencing(policies),
+    )
+
+
+def _merge_fencing(policies: Iterable[PolicySpec]) -> dict[str, Fencing]:
+    """Return what operators say of single engines, the most careful of each."""
+    merged: dict[str, Fencing] = {}
+    for policy in policies:
+        for engine_id, word in policy.fencing_by_engine.items():
+            if merged.get(engine_id) is not Fencing.IGNORED:
+                merged[engine_id] = word
+    return merged
 
 
 async def _is_accepted(proposal: Awaitable[CommandResult], order: Order) -> bool:
--- a/src/galenadrum/_internal/declarations/specs.py
+++ b/src/galenadrum/_internal/declarations/specs.py
@@ -19,6 +19,7 @@
 from galenadrum._internal.models.findings import Finding
 from galenadrum._internal.models.resources import (
     SPEC_CLASS_BY_KIND,
+    Fencing,
     Kind,
     ModelSpec,
     Objective,
@@ -32,12 +33,16 @@
 
 PIPELINE_MAX_STAGES = 8
 DEADLINE_MAX_MS = 600_000
+CLAIM_RETENTION_MIN_S = 60
+CLAIM_RETENTION_MAX_S = 86_400
 _MAX_KEYS = 32
 _MAX_PIPELINES = 256
 _MAX_ADAPTERS = 256
 _MAX_ZONES = 64
 _MAX_REPLICAS = 10_000
 _MAX_LOADS_PER_MINUTE = 10_000
+_MAX_ENGINES = 512
+_ENGINE_ID_MAX_CHARACTERS = 128
 _MAX_WEIGHT = 1e6
 _MAX_PRIORITY = 9
 _VERSION_MAX_CHARACTERS = 128
@@ -57,12 +62,17 @@
         "repeatable": fields.boolean,
         "streams": fields.boolean,
         "model": fields.optional(fields.name),
+        "adapter": fields.optional(fields.name),
         "expected_service_ms": fields.integer_between(1, DEADLINE_MAX_MS),
+        "fencing": fields.optional(fields.one_of(Fencing)),
     },
     PipelineSpec: {
         # A reply echoes its stage, so that a stage may stand only once.
         "stages": fields.distinct_list(fields.name, 1, PIPELINE_MAX_STAGES),
         "deadline_ms": fields.integer_between(1, DEADLINE_MAX_MS),
+        "claim_retention_s": fields.integer_between(
+            CLAIM_RETENTION_MIN_S, CLAIM_RETENTION_MAX_S
+        ),
     },
     ModelSpec: {
         "version": fields.text_up_to(_VERSION_MAX_CHARACTERS),
@@ -72,10 +82,16 @@
         ),
         "prefill_replicas": fields.integer_between(0, _MAX_REPLICAS),
         "decode_replicas": fields.integer_between(0, _MAX_REPLICAS),
+        "switch_in_place": fields.boolean,
     },
     PolicySpec: {
         "objective": fields.one_of(Objective),
         "loads_per_minute": fields.integer_between(1, _MAX_LOADS_PER_MINUTE),
+        "fencing_by_engine": fields.map_of(
+            fields.text_up_to(_ENGINE_ID_MAX_CHARACTERS),
+            fields.one_of(Fencing),
+            _MAX_ENGINES,
+        ),
     },
 }
 
@@ -117,7 +133,8 @@
 
 def _build_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
-    converter.register_unstructure_hook(Objective, lambda value: value.value)
+    for words in (Objective, Fencing):
+        converter.register_unstructure_hook(words, lambda value: value.value)
     for cls, hook_by_field in _HOOKS_BY_CLASS.items():
         overrides = {
             name: override(struct_hook=hook) for name, hook in hook_by_field.items()
--- a/tests/lib/control_commands.py
+++ b/tests/lib/control_commands.py
@@ -3,7 +3,12 @@
 import json
 
 from galenadrum._internal.control.state.machine import ControlState
-from galenadrum._internal.protocol.claims_pb2 import ClaimRequest, RecordOutcomeRequest
+from galenadrum._internal.protocol.claims_pb2 import (
+    ClaimBatchItem,
+    ClaimBatchRequest,
+    ClaimRequest,
+    RecordOutcomeRequest,
+)
 from galenadrum._internal.protocol.commands_pb2 import (
     Change,
     ChangeSet,
@@ -33,20 +38,28 @@
     return ChangeSet(operator_name=operator, change_id=change_id, changes=changes)
 
 
-def claim(request_id, key="key", fingerprint=b"f" * 32, deadline_ms=1_000):
+def claim(
+    request_id,
+    key="key",
+    fingerprint=b"f" * 32,
+    deadline_ms=1_000,
+    retention_s=0,
+    organisation="suva",
+):
     return ClaimRequest(
-        organisation="suva",
+        organisation=organisation,
         idempotency_key=key,
         fingerprint=fingerprint,
         request_id=request_id,
         host_id="e1",
         deadline_in_ms=deadline_ms,
+        retention_s=retention_s,
     )
 
 
-def outcome(request_id, state, answer=b"", key="key"):
+def outcome(request_id, state, answer=b"", key="key", organisation="suva"):
     return RecordOutcomeRequest(
-        organisation="suva",
+        organisation=organisation,
         idempotency_key=key,
         request_id=request_id,
         state=state,
@@ -54,11 +67,22 @@
     )
 
 
+def batch(*bodies):
+    items = [
+        ClaimBatchItem(claim=body)
+        if isinstance(body, ClaimRequest)
+        else ClaimBatchItem(record_outcome=body)
+        for body in bodies
+    ]
+    return ClaimBatchRequest(items=items)
+
+
 def encode(body, time_ms=0):
     fields = {
         ChangeSet: "change_set",
         ClaimRequest: "claim",
         RecordOutcomeRequest: "record_outcome",
+        ClaimBatchRequest: "claim_batch",
     }
     return Command(
         time_ms=time_ms,
