--- a/src/galenadrum/_internal/control/state/machine.py
+++ b/src/galenadrum/_internal/control/state/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import logging
 from collections.abc import Callable
 
@@ -17,7 +18,16 @@
     outcome_word,
     result_of,
 )
-from galenadrum._internal.control.state.claims import MAX_CLAIMS, ClaimTable
+from galenadrum._internal.control.state.claim_records import (
+    PACKED_VERSION,
+    split_blocks,
+    unpack,
+)
+from galenadrum._internal.control.state.claims import (
+    MAX_CLAIMS,
+    MAX_CLAIMS_BYTES,
+    ClaimTable,
+)
 from galenadrum._internal.control.state.orders import OrderTable
 from galenadrum._internal.declarations.records import key_of, resource_of
 from galenadrum._internal.declarations.table import MAX_DELETIONS, ResourceTable
@@ -28,6 +38,10 @@
 )
 from galenadrum._internal.models.resources import Kind, Resource, ResourceKey
 from galenadrum._internal.protocol.claims_pb2 import (
+    ClaimBatchAnswer,
+    ClaimBatchItem,
+    ClaimBatchResponse,
+    ClaimFailure,
     ClaimResponse,
     RecordOutcomeResponse,
 )
@@ -48,7 +62,12 @@
 logger = logging.getLogger(__name__)
 
 _Body = (
-    ChangeResult | ClaimResponse | RecordOutcomeResponse | CommandError | OrderResult
+    ChangeResult
+    | ClaimResponse
+    | ClaimBatchResponse
+    | RecordOutcomeResponse
+    | CommandError
+    | OrderResult
 )
 
 
@@ -65,14 +84,17 @@
     """
 
     def __init__(
-        self, max_claims: int = MAX_CLAIMS, max_deletions: int = MAX_DELETIONS
+        self,
+        max_claims: int = MAX_CLAIMS,
+        max_deletions: int = MAX_DELETIONS,
+        max_claims_bytes: int = MAX_CLAIMS_BYTES,
     ) -> None:
         self._applied_index = 0
         self._time_ms = 0
         self._table = ResourceTable(max_deletions)
         self._holders = KeyHolders()
         self._change_ids = ChangeIds()
-        self._claims = ClaimTable(max_claims)
+        self._claims = ClaimTable(max_claims, max_claims_bytes)
         self.orders = OrderTable()
         self._listeners: list[Callable[[], None]] = []
 
@@ -101,6 +123,11 @@
         """Number of claims that are remembered."""
         return len(self._claims)
 
+    @property
+    def claims_bytes(self) -> int:
+        """Estimate of the memory that the claims take."""
+        return self._claims.held_bytes
+
     @property
     def change_id_count(self) -> int:
         """Number of changes whose outcome is remembered."""
@@ -184,9 +211,16 @@
             change_ids=self._change_ids.snapshot(),
             change_id_sequence=self._change_ids.sequence,
             claims=self._claims.snapshot(),
+            packed_claims_version=PACKED_VERSION,
             orders=self.orders.snapshot(),
         )
-        return snapshot.SerializeToString(deterministic=True)
+        # Serialised messages joined are one message: claims are never all held
+        # as messages, nor twice, beside their bytes.
+        data = io.BytesIO()
+        data.write(snapshot.SerializeToString(deterministic=True))
+        for block in self._claims.packed_snapshot():
+            data.write(StateSnapshot(packed_claims=[block]).SerializeToString())
+        return data.getvalue()
 
     def restore(self, data: bytes) -> None:
         """Take over a snapshot in place of everything held so far.
@@ -196,18 +230,19 @@
         """
         try:
             snapshot = StateSnapshot.FromString(data)
+            _check_packed_claims(snapshot)
             resources = [resource_of(record) for record in snapshot.resources]
             deletions = [
                 (key_of(row.id.kind, row.id.name), row.revision)
                 for row in snapshot.deletions
             ]
-        except (DecodeError, CheckFailedError) as error:
+        except (DecodeError, CheckFailedError, ValueError) as error:
             raise StorageError(f"the snapshot can't be read: {error}") from error
         self._applied_index = snapshot.applied_index
         self._time_ms = snapshot.time_ms
         self._restore_table(snapshot, resources, deletions)
         self._change_ids.restore(snapshot.change_ids, snapshot.change_id_sequence)
-        self._claims.restore(snapshot.claims)
+        self._claims.restore(snapshot.claims, snapshot.packed_claims)
         self.orders.restore(snapshot.orders)
         self._notify()
 
@@ -243,12 +278,38 @@
             return self._claims.record(
                 command.record_outcome, self._time_ms, retention_ms
             )
+        if body == "claim_batch":
+            return ClaimBatchResponse(
+                answers=[
+                    self._answer_item(item, retention_ms)
+                    for item in command.claim_batch.items
+                ]
+            )
         if body == "record_order":
             return self.orders.record(command.record_order, self._time_ms)
         if body == "close_order":
             return self.orders.close(command.close_order)
         return _malformed("the command has no body")
 
+    def _answer_item(self, item: ClaimBatchItem, retention_ms: int) -> ClaimBatchAnswer:
+        """Apply one item of a batch as if it had come alone."""
+        body = item.WhichOneof("body")
+        answer: ClaimResponse | RecordOutcomeResponse | CommandError
+        if body == "claim":
+            answer = self._claims.claim(item.claim, self._time_ms, retention_ms)
+        elif body == "record_outcome":
+            answer = self._claims.record(
+                item.record_outcome, self._time_ms, retention_ms
+            )
+        else:
+            answer = _malformed("the item has no body")
+        if isinstance(answer, CommandError):
+            failure = ClaimFailure(code=int(answer.code), message=answer.message)
+            return ClaimBatchAnswer(failure=failure)
+        if isinstance(answer, ClaimResponse):
+            return ClaimBatchAnswer(claim=answer)
+        return ClaimBatchAnswer(record_outcome=answer)
+
     def _apply_change_set(self, command: Command) -> ChangeResult:
         change_set = command.change_set
         key = (change_set.operator_name, change_set.change_id)
@@ -308,6 +369,21 @@
             listener()
 
 
+def _check_packed_claims(snapshot: StateSnapshot) -> None:
+    """Read all packed claims once, before the state they replace is dropped.
+
+    Raises:
+        ValueError: If one can't be read.
+    """
+    if snapshot.packed_claims_version > PACKED_VERSION:
+        raise ValueError(
+            f"claims are packed in version {snapshot.packed_claims_version},"
+            f" known is {PACKED_VERSION}"
+        )
+    for _, record in split_blocks(snapshot.packed_claims):
+        unpack(record)
+
+
 def _name_order(resource: Resource) -> tuple[str, str]:
     return resource.key.kind, resource.key.name
 
@@ -334,6 +410,8 @@
         result = CommandResult(claim=body)
     elif isinstance(body, RecordOutcomeResponse):
         result = CommandResult(record_outcome=body)
+    elif isinstance(body, ClaimBatchResponse):
+        result = CommandResult(claim_batch=body)
     elif isinstance(body, OrderResult):
         result = CommandResult(order=body)
     else:
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -28,6 +28,7 @@
     ForwardedStagesApp,
     peer_ips,
 )
+from galenadrum._internal.entry.loaded_models import LoadedModels
 from galenadrum._internal.entry.platform_app import EntryStatus, build_platform_app
 from galenadrum._internal.entry.request_service import RequestService
 from galenadrum._internal.entry.request_telemetry import RequestTelemetry
@@ -68,17 +69,25 @@
         self._rng = random.Random()
         self.metrics = Metrics()
         self.view = DeclarationsView()
-        self.policy = Policy(settings.zone, random.Random(self._rng.random()))
+        rng = random.Random(self._rng.random())
+        self.policy = Policy(settings.zone, rng, region=settings.region)
         self.executor = PipelineExecutor(self.policy)
         self._control = ControlClient(settings.control_addresses, self._rng)
-        self.claims = build_claims_client(settings.host_id, self._control)
+        self.claims = build_claims_client(
+            settings.host_id,
+            self._control,
+            lambda: self.follower.source_age_ms() / 1_000,
+        )
         workers = settings.callers.workers
         max_in_flight = max(1, workers - workers // _SPARE_WORKER_SHARE)
         self.service = RequestService(
             self.executor, self.view, self.claims, max_in_flight
         )
         self.directory = BackendDirectory(
-            self.policy, self.executor, self.service.carry_out
+            self.policy,
+            self.executor,
+            self.service.carry_out,
+            LoadedModels(lambda: (self.view.stages_by_name, self.view.models_by_name)),
         )
         self.zone = ZoneService(
             settings,
@@ -220,9 +229,10 @@
         self.policy.update_declarations(
             self.view.stages_by_name,
             self.view.organisations_by_name,
-            self.view.policy,
+            self.view.objectives(),
             self._loop.time(),
         )
+        self.directory.take_declarations(self.zone)
         self.zone.set_revision(applied.revision)
         logger.info("serving from revision %d", applied.revision)
 
--- a/src/galenadrum/_internal/models/resources.py
+++ b/src/galenadrum/_internal/models/resources.py
@@ -23,6 +23,13 @@
     COST = "cost"
 
 
+class Fencing(StrEnum):
+    """Whether engines refuse orders with an old fencing number."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class ResourceKey:
     """The identity of a resource, unique in a deployment."""
@@ -59,13 +66,17 @@
         repeatable: Whether a call may be sent again after an unknown outcome.
         streams: Whether the reply is a stream of server-sent events.
         model: Name of the model that must be loaded, for engine stages.
+        adapter: Name of the adapter that must be loaded beside it.
         expected_service_ms: Service time assumed until calls were observed.
+        fencing: What its engines do with old fencing numbers, if it is known.
     """
 
     repeatable: bool = True
     streams: bool = False
     model: str | None = None
+    adapter: str | None = None
     expected_service_ms: int = 100
+    fencing: Fencing | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,10 +88,13 @@
             of the next.
         deadline_ms: Deadline for callers that name none, and the upper limit
             for those that do.
+        claim_retention_s: For how many seconds after its end a request that
+            may not be repeated is remembered.
     """
 
     stages: tuple[str, ...]
     deadline_ms: int
+    claim_retention_s: int = 86_400
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +109,8 @@
         prefill_replicas: Replicas of each zone that only prefill.
         decode_replicas: Replicas of each zone that only decode; those that are
             left do both.
+        switch_in_place: Whether a change of version may take the last serving
+            replica, so that none serves meanwhile.
     """
 
     version: str
@@ -102,19 +118,22 @@
     replicas_by_zone: dict[str, int] = field(default_factory=dict)
     prefill_replicas: int = 0
     decode_replicas: int = 0
+    switch_in_place: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class PolicySpec:
-    """The objective of a deployment; the one resource is named ``default``.
+    """How the pipelines of one operator are served; each has at most one policy.
 
     Attributes:
         loads_per_minute: Loads of model weights that the weight store allows
             in any minute, for all engines together.
+        fencing_by_engine: What single engines do with old fencing numbers.
     """
 
     objective: Objective = Objective.ATTAINMENT
     loads_per_minute: int = 12
+    fencing_by_engine: dict[str, Fencing] = field(default_factory=dict)
 
 
 Spec = OrganisationSpec | StageSpec | PipelineSpec | ModelSpec | PolicySpec
--- a/tests/functional/failures/test_control_hosts.py
+++ b/tests/functional/failures/test_control_hosts.py
@@ -6,8 +6,9 @@
 import threading
 
 import pytest
+import urllib3
 
-from lib.deployment import Deployment, put, standard_changes
+from lib.deployment import TOKEN, Deployment, put, standard_changes
 from lib.processes import wait_until
 
 KILLS = 6
@@ -109,6 +110,44 @@
         for number in range(CHANGES_AFTER_A_LOSS + 1):
             assert deployment.declared(f"numbered-{number}") == 1_000 + number
 
+    def test_a_leader_that_shuts_down_lets_another_lead_first(self, deployment):
+        old = deployment.find_leader()
+        process = deployment.processes[old]
+        _, before = deployment.operate("GET", "/v1/status")
+        assert process.stop() == 0
+        assert "is asked to lead" in process.read_log()
+        assert "no other member took the lead" not in process.read_log()
+        deployment.operators.pop(old)
+        deployment.wait_leader()
+        _, after = deployment.operate("GET", "/v1/status")
+        assert after["leader"] != old
+        assert after["term"] == before["term"] + 1
+
+    def test_a_removed_member_is_out_for_good_and_the_others_go_on(self, deployment):
+        leader = deployment.find_leader()
+        address = deployment.operators[leader]
+        removed = next(name for name in deployment.operators if name != leader)
+        path = f"/v1/members?member_id={removed}"
+        for _ in range(2):
+            assert deployment.operate("DELETE", path, address=address)[0] == 200
+        deployment.processes[removed].kill()
+        deployment.operators.pop(removed)
+        assert len(deployment.members()) == 2
+        submit_numbered(deployment, 1)
+        restarted = deployment.start_control(removed)
+        assert restarted.popen.wait(60) != 0
+        assert f"{removed} was removed" in restarted.read_log()
+
+    def test_a_member_with_an_open_watch_stops_when_asked(self, deployment):
+        name = deployment.find_leader()
+        url = f"http://{deployment.operators[name]}/v1/watch?from=0"
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        answer = urllib3.request("GET", url, headers=headers, preload_content=False)
+        lines = iter(answer)
+        next(lines)
+        assert deployment.processes[name].stop() == 0
+        assert list(lines) == []
+
     def test_an_old_member_with_an_empty_disk_is_refused(self, deployment):
         self.lose_disk(deployment, "control-3")
         deployment.start_control("control-3")
--- a/tests/lib/engine_world.py
+++ b/tests/lib/engine_world.py
@@ -134,8 +134,10 @@
         """Make ``host`` the leader once no other lease can stand."""
         if host.is_frozen or host is self.leader:
             return
-        if self.leader is not None:
-            self.advance(max(0.0, self.leader.lease.until - self.now))
+        old_leader, self.leader = self.leader, None
+        if old_leader is not None:
+            # It renews its lease no more, frozen or not.
+            self.advance(max(0.0, old_leader.lease.until - self.now))
         self.term += 1
         self.leader = host
         host.lease = Lease(self.term, self.now + LEASE_S)
@@ -259,6 +261,9 @@
             return
         if not any(self.declared.models_by_name[MODEL].replicas_by_zone.values()):
             return
+        may_pause = self.declared.models_by_name[MODEL].switch_in_place
+        if may_pause and order.action == "switch":
+            return
         others = [
             other
             for other in self.engines.values()
@@ -361,6 +366,8 @@
         return found
 
 
-def declared(version="1", loads_per_minute=12, **replicas_by_zone):
-    spec = ModelSpec(version, replicas_by_zone=replicas_by_zone)
+def declared(version="1", loads_per_minute=12, in_place=False, **replicas_by_zone):
+    spec = ModelSpec(
+        version, replicas_by_zone=replicas_by_zone, switch_in_place=in_place
+    )
     return m.Declared({MODEL: spec}, {"generate": MODEL}, loads_per_minute)
