Run tests four at a time

Cause: the suite grew past five minutes, most of which functional tests spend waiting for leases, silences and elections of processes that they started. Ruled out: shorter waits, which would be other limits than the daemons have.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 PYTHON ?= python3
 VENV ?= .venv
+# Most tests wait for processes that they started; more runs at once load the host.
+TEST_PROCESSES ?= 4
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PROTOS := $(wildcard src/galenadrum/_internal/protocol/*.proto)
@@ -10,7 +12,7 @@
 	$(BIN)/galenadrum demo
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
 
 format: $(STAMP)
 	$(BIN)/ruff format src tests benchmarks
