--- a/tests/unit/control/orders/test_reconciler.py
+++ b/tests/unit/control/orders/test_reconciler.py
@@ -3,7 +3,7 @@
 
 import hypothesis.strategies as st
 import pytest
-from hypothesis import settings
+from hypothesis import seed, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from galenadrum._internal.control.orders.reconciler import WaitReason
@@ -168,7 +168,9 @@
 
 
 TestOrders = OrdersMachine.TestCase
-# Raised for long runs, with --hypothesis-seed.
+# Set for long runs; without a seed each run is the same one.
+if "ORDERS_SEED" in os.environ:
+    seed(int(os.environ["ORDERS_SEED"]))(OrdersMachine)
 TestOrders.settings = settings(
     max_examples=int(os.environ.get("ORDERS_EXAMPLES", "60")),
     stateful_step_count=int(os.environ.get("ORDERS_STEPS", "50")),
