Record no order of an earlier term in a later one

A host that led in term 4 and again in term 6 recorded an order of term 4 in term 6: it stayed open in the replicated state, and the reconciler of term 6 didn't know it. Change: the driver proposes an order only under the lease of its own term; the world of the state machine does the same. An outcome that was decided in an earlier term can still be recorded late; that closes an order which its engine is asked about anyway.

--- a/src/galenadrum/_internal/control/orders/driver.py
+++ b/src/galenadrum/_internal/control/orders/driver.py
@@ -224,6 +224,10 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _record(self, order: Order) -> None:
+        if self._lease is None or self._lease.term != order.fencing:
+            # Recorded in a later term, it would be open with nobody to end it.
+            self._take(RecordUnknown(order.order_id))
+            return
         message = message_of(order)
         proposal = self._proposer.propose_order(message, _PROPOSE_TIMEOUT_S)
         is_recorded = await _is_accepted(proposal, order)
--- a/tests/lib/engine_world.py
+++ b/tests/lib/engine_world.py
@@ -201,7 +201,8 @@
         if host is self.leader and order.fencing <= self.term and fault != "lost":
             if isinstance(message, OrderClosing):
                 accepted = self.table.close(message).accepted
-            else:
+            elif order.fencing == host.lease.term:
+                # The driver proposes no order of an earlier term.
                 accepted = self._record(order, message)
         if not accepted or fault:
             event = m.RecordUnknown(order.order_id)
