--- a/src/galenadrum/_internal/control/operator_api/app.py
+++ b/src/galenadrum/_internal/control/operator_api/app.py
@@ -100,8 +100,8 @@
             ("GET", "/v1/watch"): app.guard(app.watch),
             ("GET", "/v1/status"): app.guard(app.status),
             ("GET", "/v1/export"): app.guard(app.export),
-            ("GET", "/metrics"): app.guard(_metrics(operators, render_metrics)),
             ("DELETE", "/v1/members"): app.guard(app.remove_member),
+            ("GET", "/metrics"): app.guard(_metrics(operators, render_metrics)),
         }
     )
 
--- a/src/galenadrum/_internal/routing/spill.py
+++ b/src/galenadrum/_internal/routing/spill.py
@@ -7,10 +7,15 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from galenadrum._internal.models.servers import ZoneDigest
+from galenadrum._internal.models.servers import DEFAULT_REGION, ZoneDigest
 from galenadrum._internal.routing.counters import CallKey
 
+# What a digest may be old when one comes each second; it may be older by the rest
+# of the interval, up to a limit, where they come more rarely.
 _DIGEST_MAX_AGE_S = 3.0
+_SHORT_INTERVAL_S = 1.0
+_LATE_SHARE = 1.2
+_OLDEST_DIGEST_S = 25.0
 _FAILURE_STEP = 0.2
 _MAX_FAILURE_SHARE = 0.5
 _FAILURE_FADE_S = 5.0
@@ -30,19 +35,32 @@
 
     Attributes:
         sent_at_by_key: When the calls that are there now were forwarded.
+        interval_s: Seconds between the last two digests, 0 before the second.
     """
 
     digest: ZoneDigest
     sent_at_by_key: dict[CallKey, float] = field(default_factory=dict)
     failure_share: float = 0.0
     failed_at: float = 0.0
+    interval_s: float = 0.0
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the digest is no older than usual when the next one comes."""
+        late_s = _LATE_SHARE * max(0.0, self.interval_s - _SHORT_INTERVAL_S)
+        limit_s = min(_DIGEST_MAX_AGE_S + late_s, _OLDEST_DIGEST_S)
+        return now - self.digest.sent_at <= limit_s
 
 
 class ZoneDigests:
-    """What other zones told of their stages, and what was sent there since."""
+    """What other zones told of their stages, and what was sent there since.
+
+    Zones of the own region are near; those of others are taken when no near one
+    will do.
+    """
 
-    def __init__(self, own_zone: str) -> None:
+    def __init__(self, own_zone: str, own_region: str = DEFAULT_REGION) -> None:
         self._own_zone = own_zone
+        self._own_region = own_region
         self._by_stage: dict[str, dict[str, _ZoneStage]] = {}
 
     def update(self, digests: tuple[ZoneDigest, ...]) -> None:
@@ -55,12 +73,19 @@
             if known is None:
                 by_zone[digest.zone] = _ZoneStage(digest)
             elif digest.sent_at > known.digest.sent_at:
+                interval_s = digest.sent_at - known.digest.sent_at
+                # A longer one was an interruption.
+                known.interval_s = interval_s if interval_s < _OLDEST_DIGEST_S else 0.0
                 known.digest = digest
 
     def fresh(self, stage: str, now: float) -> list[ZoneDigest]:
         """Return the digests of a stage that are not outdated."""
         return [entry.digest for entry in self._fresh(stage, now)]
 
+    def near(self, stage: str, now: float) -> list[ZoneDigest]:
+        """Return those of them that come from the own region."""
+        return [entry.digest for entry in self._near(self._fresh(stage, now))]
+
     def best(
         self,
         stage: str,
@@ -89,11 +114,13 @@
             if zone_server_id(entry.digest.zone) not in tried_server_ids
         ]
         roomy = [entry for entry in entries if _free(entry, now) >= 1.0]
+        roomy = self._near(roomy) or roomy
         if roomy:
             weights = [_free(entry, now) for entry in roomy]
             return random.choices(roomy, weights)[0].digest
         if not (even_full and entries):
             return None
+        entries = self._near(entries) or entries
         return min(entries, key=lambda e: _full_delay_s(e, random)).digest
 
     def delay_s(self, stage: str, zone: str) -> float:
@@ -121,11 +148,14 @@
             entry.failed_at = now
         entry.failure_share += _FAILURE_STEP * (float(failed) - entry.failure_share)
 
+    def _near(self, entries: list[_ZoneStage]) -> list[_ZoneStage]:
+        return [e for e in entries if e.digest.region == self._own_region]
+
     def _fresh(self, stage: str, now: float) -> list[_ZoneStage]:
         return [
             entry
             for entry in self._by_stage.get(stage, {}).values()
-            if now - entry.digest.sent_at <= _DIGEST_MAX_AGE_S
+            if entry.is_fresh(now)
         ]
 
 
@@ -134,7 +164,10 @@
     fade = math.exp(-max(0.0, now - entry.failed_at) / _FAILURE_FADE_S)
     if entry.failure_share * fade > _MAX_FAILURE_SHARE:
         return 0.0
-    return entry.digest.free_capacity * _USABLE_SHARE - _sent_since(entry)
+    # What is free becomes less certain with each second that nothing is heard.
+    age_s = max(_DIGEST_MAX_AGE_S, now - entry.digest.sent_at)
+    usable = _USABLE_SHARE * _DIGEST_MAX_AGE_S / age_s
+    return entry.digest.free_capacity * usable - _sent_since(entry)
 
 
 def _sent_since(entry: _ZoneStage) -> int:
--- a/tests/functional/test_control_services.py
+++ b/tests/functional/test_control_services.py
@@ -131,7 +131,7 @@
             async with _serving(leader.handlers, other.handlers) as addresses:
                 other.log.leader_address = addresses[0]
                 client = ControlClient(addresses, random.Random(seed))
-                claims = build_claims_client("e1", client)
+                claims = build_claims_client("e1", client, lambda: 0.0)
                 answer = RecordedAnswer(200, b"paid")
                 assert await claims.acquire(_request("r1"), b"f" * 32) is None
                 await claims.record(_request("r1"), answer)
@@ -151,13 +151,43 @@
 
         asyncio.run(run())
 
+    def test_claims_at_the_same_time_share_a_command(self):
+        async def run():
+            leader = _Member()
+            async with _serving(leader.handlers) as addresses:
+                client = ControlClient(addresses, random.Random(3))
+                claims = build_claims_client("e1", client, lambda: 0.0)
+                requests = [_request(f"r{n}", f"k{n}") for n in range(20)]
+                granted = await asyncio.gather(
+                    *(claims.acquire(request, b"f" * 32) for request in requests)
+                )
+                assert granted == [None] * 20
+                answers = [RecordedAnswer(200, b"%d" % n) for n in range(20)]
+                await asyncio.gather(
+                    *(
+                        claims.record(*pair)
+                        for pair in zip(requests, answers, strict=True)
+                    )
+                )
+                repeats = await asyncio.gather(
+                    *(
+                        claims.acquire(_request(f"s{n}", f"k{n}"), b"f" * 32)
+                        for n in range(20)
+                    )
+                )
+                assert repeats == answers
+                assert leader.state.applied_index == 3
+                client.close()
+
+        asyncio.run(run())
+
     def test_without_a_leader_a_claim_is_refused_as_not_run(self):
         async def run():
             member = _Member(is_leader=False)
             member.log.leader_address = None
             async with _serving(member.handlers) as addresses:
                 client = ControlClient(addresses, random.Random(3))
-                claims = build_claims_client("e1", client)
+                claims = build_claims_client("e1", client, lambda: 0.0)
                 for _ in range(2):
                     with pytest.raises(RequestRefusedError) as caught:
                         await claims.acquire(_request("r1"), b"f" * 32)
@@ -168,3 +198,26 @@
                 client.close()
 
         asyncio.run(run())
+
+    def test_members_that_dont_answer_are_found_out_before_the_deadline(self):
+        async def run():
+            async with _serving([]) as addresses:
+                pass
+            client = ControlClient(addresses, random.Random(3))
+            claims = build_claims_client("e1", client, lambda: 0.0)
+            attempts = []
+            connect = client._connect
+
+            async def count(address, timeout_s):
+                attempts.append(address)
+                return await connect(address, timeout_s)
+
+            client._connect = count
+            with pytest.raises(RequestRefusedError) as caught:
+                await claims.acquire(_request("r1"), b"f" * 32)
+            assert caught.value.refusal.run is RunState.NOT_RUN
+            assert attempts == addresses
+            await claims.drain(0)
+            client.close()
+
+        asyncio.run(run())
