Learn how much longer a long answer takes

The ridge term held the time for output tokens near 0: answers are some 60 tokens, 0.06 thousand, and differ by 0.025, so 67 remembered calls weighed as much as the pull. Change: the pull on the output coefficient is 0.001 in place of 0.04.

--- a/src/galenadrum/_internal/routing/service_times.py
+++ b/src/galenadrum/_internal/routing/service_times.py
@@ -12,7 +12,10 @@
 from dataclasses import dataclass
 
 _FORGETTING = 0.985
-_RIDGE = 2.0
+# Pull on the declared base time and, towards 0, on the times for a thousand
+# tokens of input and of output. Calls generate far less than a thousand tokens:
+# a strong pull on output would hide how much longer a long answer takes.
+_RIDGES = (0.1, 0.04, 0.001)
 _TOKENS_UNIT = 1000.0
 _CLIP_RATIO = 4.0
 _QUANTILE = 0.9
@@ -93,8 +96,8 @@
         matrix = [list(row) for row in self._moments]
         targets = list(self._targets)
         for i in range(3):
-            matrix[i][i] += _RIDGE * (0.05 if i == 0 else 0.02)
-        targets[0] += _RIDGE * 0.05 * self.declared_s
+            matrix[i][i] += _RIDGES[i]
+        targets[0] += _RIDGES[0] * self.declared_s
         self.coefficients = _solve_non_negative(matrix, targets)
 
 
--- a/tests/unit/routing/test_parts.py
+++ b/tests/unit/routing/test_parts.py
@@ -101,6 +101,17 @@
         true_s = 0.1 + 2000 * prefill_s + 3.0
         assert 0.5 * true_s < expected < 2.0 * true_s
 
+    def test_a_long_answer_is_expected_to_take_longer_than_the_usual_ones(self):
+        times = ServiceTimes()
+        times.declare("generate", 1.5)
+        random = Random(1)
+        for _ in range(40):
+            output = random.randrange(40, 81)
+            seconds = (0.1 + output * 0.02) * random.uniform(0.9, 1.1)
+            times.observe("generate", CallSize(500, output), "s0", seconds, 1.0)
+        expected = times.expected("generate", CallSize(500, 200))
+        assert 0.8 * 4.1 < expected < 1.2 * 4.1
+
     def test_slowness_is_found_and_fades_when_the_server_is_not_used(self):
         times = ServiceTimes()
         times.declare("encode", 0.1)
