Weigh sizes fully only from a longer wait on, under the attainment objective

Change: the wait from which sizes count fully is a weight of the objective: 3 s for attainment, 1 s for cost as before.

--- a/src/galenadrum/_internal/routing/forecast.py
+++ b/src/galenadrum/_internal/routing/forecast.py
@@ -10,13 +10,13 @@
 from galenadrum._internal.routing.catalog import StageCatalog
 from galenadrum._internal.routing.ledger import RequestLedger
 from galenadrum._internal.routing.mechanisms import Mechanisms
+from galenadrum._internal.routing.objectives import Weights
 from galenadrum._internal.routing.pool import ServerPool, StageCapacity
 from galenadrum._internal.routing.service_times import CallSize, ServiceTimes
 from galenadrum._internal.routing.spill import ZONE_HOP_S, ZoneDigests
 
 _MIN_SIZE_FACTOR = 0.3
 _MAX_SIZE_FACTOR = 4.0
-_FULL_PRESSURE_S = 1.0
 
 
 class Forecast:
@@ -61,13 +61,13 @@
         self,
         request: Request,
         costs: dict[int, float],
-        size_exponent: float,
+        weights: Weights,
         now: float,
         loaded: bool = True,
     ) -> list[StageOutlook]:
         """Return what a new request meets at each of its stages."""
         return [
-            self._outlook(request, stage, costs[index], size_exponent, now, loaded)
+            self._outlook(request, stage, costs[index], weights, now, loaded)
             for index, stage in enumerate(request.stages)
         ]
 
@@ -75,12 +75,12 @@
         self,
         request: Request,
         costs: dict[int, float],
-        size_exponent: float,
+        weights: Weights,
         now: float,
         loaded: bool = True,
     ) -> float:
         """Return the expected seconds until a new request completes."""
-        outlooks = self.outlooks(request, costs, size_exponent, now, loaded)
+        outlooks = self.outlooks(request, costs, weights, now, loaded)
         return expected_completion_s(outlooks)
 
     def queue_delay_s(self, stage: str, now: float) -> float:
@@ -91,15 +91,16 @@
         return first_s + backlog_s / max(capacity.slots, 0.1)
 
     def size_factor(
-        self, stage: str, cost_s: float, exponent: float, wait_s: float
+        self, stage: str, cost_s: float, weights: Weights, wait_s: float
     ) -> float:
         """Return by how much the queue counts as longer for a large request.
 
-        Short queues pass by themselves; sizes count fully from a wait of a
-        second on.
+        Short queues pass by themselves; sizes count fully from a wait of
+        ``full_pressure_s`` on.
         """
         ratio = cost_s / self._times.mean(stage)
-        exponent *= min(1.0, wait_s / _FULL_PRESSURE_S)
+        pressure = min(1.0, wait_s / weights.full_pressure_s)
+        exponent = weights.size_exponent * pressure
         return min(_MAX_SIZE_FACTOR, max(_MIN_SIZE_FACTOR, ratio**exponent))
 
     def _outlook(
@@ -107,7 +108,7 @@
         request: Request,
         stage: str,
         cost_s: float,
-        size_exponent: float,
+        weights: Weights,
         now: float,
         loaded: bool,
     ) -> StageOutlook:
@@ -123,7 +124,7 @@
         )
         if self._mechanisms.small_first:
             wait_s = ahead_s / max(slots, 0.1)
-            ahead_s *= self.size_factor(stage, cost_s, size_exponent, wait_s)
+            ahead_s *= self.size_factor(stage, cost_s, weights, wait_s)
         first_s = self._first_free_s(stage, capacity)
         if elsewhere >= 1.0:
             first_s = min(first_s, ZONE_HOP_S)
--- a/src/galenadrum/_internal/routing/objectives.py
+++ b/src/galenadrum/_internal/routing/objectives.py
@@ -20,6 +20,8 @@
         size_exponent: How strongly a request that costs more than the mean
             counts the queue before it as longer, and one that costs less as
             shorter; 0 admits all sizes alike.
+        full_pressure_s: Wait in seconds from which on sizes count fully; below
+            it queues are taken as passing by themselves.
     """
 
     prefill: float
@@ -27,14 +29,25 @@
     admission_margin: float
     home_wait_s: float
     size_exponent: float
+    full_pressure_s: float
 
 
 _WEIGHTS_BY_OBJECTIVE = {
     Objective.ATTAINMENT: Weights(
-        prefill=1.0, load=0.5, admission_margin=1.0, home_wait_s=0.1, size_exponent=3.0
+        prefill=1.0,
+        load=0.5,
+        admission_margin=1.0,
+        home_wait_s=0.1,
+        size_exponent=3.0,
+        full_pressure_s=3.0,
     ),
     Objective.COST: Weights(
-        prefill=2.0, load=0.5, admission_margin=1.1, home_wait_s=0.3, size_exponent=3.0
+        prefill=2.0,
+        load=0.5,
+        admission_margin=1.1,
+        home_wait_s=0.3,
+        size_exponent=3.0,
+        full_pressure_s=1.0,
     ),
 }
 
--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -259,13 +259,12 @@
             return None
         weights = weights_for(self._objective)
         margin = weights.admission_margin
-        exponent = weights.size_exponent
         left_s = request.deadline - now
-        loaded_s = self._forecast.completion_s(request, costs, exponent, now)
+        loaded_s = self._forecast.completion_s(request, costs, weights, now)
         if margin * loaded_s <= left_s:
             return None
         unloaded_s = self._forecast.completion_s(
-            request, costs, exponent, now, loaded=False
+            request, costs, weights, now, loaded=False
         )
         if margin * unloaded_s > left_s:
             return None if self._allow_trial(left_s, now) else RefusalReason.DEADLINE
@@ -320,9 +319,9 @@
             return now
         if not self._mechanisms.small_first:
             return give_up_at
-        exponent = weights_for(self._objective).size_exponent
+        weights = weights_for(self._objective)
         wait_s = self._forecast.queue_delay_s(call.stage, now)
-        factor = self._forecast.size_factor(call.stage, service_s, exponent, wait_s)
+        factor = self._forecast.size_factor(call.stage, service_s, weights, wait_s)
         return now + (give_up_at - now) * factor
 
     def _may_repeat(self, call: StageCall, result: AttemptResult) -> bool:
