Tighten the bound by the order of the stages

Cause: the bound let each stage use the whole time from arrival to deadline, as if all stages of a request could run at once. Change: a call's window begins when the earlier stages have done their work and ends when the later ones still can; requests whose stages alone take longer than the deadline are not attainable. Why it still is an upper bound: a stage can't begin before the answers of those before it, a plain call takes its work in slot seconds, and an engine generates at most one token of a call in an iteration, of at least the iteration's own time and one call's; prompts and messages count as taking no time here. A prefix is charged to the call that can begin first; another call that computes it instead begins later, so the work stays within every interval that holds the first one's window. Hopeless requests still count as having cached their prefixes.

--- a/benchmarks/policy/bound.py
+++ b/benchmarks/policy/bound.py
@@ -1,15 +1,23 @@
 """The attainment that full knowledge of all requests could reach at most.
 
-For a stage and an interval of time, the requests that arrive and are due
-within the interval compete for the work the stage's servers can do in it. If
-it does not suffice, the largest are dropped until the rest fits. The largest
-number dropped over all intervals and stages can't be served by any policy.
-Prompts count as computed once for each distinct prefix, wherever it is needed
-again.
+A call can't begin before the earlier stages of its request have done their
+work, and must end early enough for the later ones to do theirs. For a stage
+and an interval of time, the calls that can't begin before it and are due within
+it compete for the work the stage's servers can do in it. If it does not
+suffice, the largest are dropped until the rest fits. The largest number dropped
+over all intervals and stages can't be served by any policy, nor can requests
+whose stages alone take longer than the deadline.
+
+A prefix counts as computed once, by the call that can begin first; in caches
+without limit no call needs it again. Whichever call computes it in its place
+does so after that one could begin and before it ends, so the work falls within
+the same intervals.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from benchmarks.policy.scenarios import Scenario
 from benchmarks.policy.servers import BLOCK_TOKENS, work_of_engine_call
 from benchmarks.policy.sites import ENGINE_STAGE, Site
@@ -23,13 +31,14 @@
     measured = [a for a in arrivals if a.request.arrived >= site.warm_up_s]
     if not measured:
         return 1.0
+    hopeless = {id(a) for a in measured if _least_s(site, a) > _allowed_s(a)}
     dropped = 0
     for stage, capacity in _capacities(site).items():
-        jobs = _jobs(site, stage, arrivals)
+        jobs = _jobs(site, stage, arrivals, hopeless)
         lost_from = site.fault_start_s if scenario.slow_engine > 1.0 else None
         lost = 1.0 - 1.0 / scenario.slow_engine if stage == ENGINE_STAGE else 0.0
         dropped = max(dropped, _most_dropped(jobs, capacity, lost, lost_from))
-    return 1.0 - dropped / len(measured)
+    return 1.0 - (len(hopeless) + dropped) / len(measured)
 
 
 def _capacities(site: Site) -> dict[str, float]:
@@ -38,19 +47,52 @@
     return capacities
 
 
+def _allowed_s(arrival: Arrival) -> float:
+    return arrival.request.deadline - arrival.request.arrived
+
+
+def _least_s(
+    site: Site, arrival: Arrival, stages: Iterable[str] | None = None
+) -> float:
+    """Return the seconds that stages take one after another, alone on servers.
+
+    An engine generates at most one token of a call in each iteration.
+    """
+    token_s = site.engine.iteration_s + site.engine.decode_s
+    return sum(
+        token_s * max(1, arrival.output_tokens)
+        if stage == ENGINE_STAGE
+        else arrival.work_by_stage[stage]
+        for stage in (arrival.request.stages if stages is None else stages)
+    )
+
+
+def _window(site: Site, stage: str, arrival: Arrival) -> tuple[float, float]:
+    """Return when a call can begin and when it must have ended, in seconds."""
+    request = arrival.request
+    index = request.stages.index(stage)
+    begin = request.arrived + _least_s(site, arrival, request.stages[:index])
+    end = request.deadline - _least_s(site, arrival, request.stages[index + 1 :])
+    return begin, end
+
+
 def _jobs(
-    site: Site, stage: str, arrivals: list[Arrival]
+    site: Site, stage: str, arrivals: list[Arrival], hopeless: set[int]
 ) -> list[tuple[float, float, float]]:
-    """Return arrival, deadline and work of each measured call to a stage.
+    """Return begin, end and work of each measured call to a stage.
 
-    Prefixes of the warm-up count as cached.
+    Prefixes of the warm-up, and of hopeless requests, count as cached.
     """
     jobs = []
     seen: set[str] = set()
-    for arrival in arrivals:
+    calls = [
+        (*_window(site, stage, arrival), arrival)
+        for arrival in arrivals
+        if stage in arrival.request.stages
+    ]
+    calls.sort(key=lambda call: call[0])
+    for begin, end, arrival in calls:
         request = arrival.request
-        if stage not in request.stages:
-            continue
         if stage == ENGINE_STAGE:
             new = [h for h in request.prefix_hashes if h not in seen]
             reused = BLOCK_TOKENS * (len(request.prefix_hashes) - len(new))
@@ -59,8 +101,8 @@
             work = work_of_engine_call(site.engine, prefill, arrival.output_tokens)
         else:
             work = arrival.work_by_stage[stage]
-        if request.arrived >= site.warm_up_s:
-            jobs.append((request.arrived, request.deadline, work))
+        if request.arrived >= site.warm_up_s and id(arrival) not in hopeless:
+            jobs.append((begin, end, work))
     return jobs
 
 
