Spread callers that come back over the slots that new requests leave

Cause: a refusal's retry-after spread the refused callers over the time that all slots take to serve them. They came back while new requests used 0.6 of the slots, so the offered load stayed above capacity for 8 to 9 s after a burst. Change: the spread counts a third of the slots as spare. The new test fails with the spread before.

--- a/src/galenadrum/_internal/routing/admission.py
+++ b/src/galenadrum/_internal/routing/admission.py
@@ -17,6 +17,9 @@
 _MIN_RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 30.0
 _MAX_REFUSALS = 4096
+# Callers that come back share the slots with new requests. They must fit into
+# the part that new requests leave after an overload.
+_SPARE_SHARE = 1.0 / 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +124,7 @@
         while refused_at and refused_at[0] < now - _REFUSAL_WINDOW_S:
             refused_at.popleft()
         refused_at.append(now)
-        spread_s = len(refused_at) * cost_s / max(slots, 0.1)
+        spare_slots = _SPARE_SHARE * max(slots, 0.1)
+        spread_s = len(refused_at) * cost_s / spare_slots
         delay_s = backlog_s + random.uniform(0.0, max(1.0, spread_s))
         return min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, delay_s))
--- a/tests/unit/routing/test_parts.py
+++ b/tests/unit/routing/test_parts.py
@@ -5,7 +5,11 @@
 
 from galenadrum._internal.models.servers import CacheEvent, LoadReport, ZoneDigest
 from galenadrum._internal.routing import ejection
-from galenadrum._internal.routing.admission import StageOutlook, expected_completion_s
+from galenadrum._internal.routing.admission import (
+    RefusalRate,
+    StageOutlook,
+    expected_completion_s,
+)
 from galenadrum._internal.routing.concurrency import ConcurrencyLimit
 from galenadrum._internal.routing.ejection import PeerView, ServerHealth
 from galenadrum._internal.routing.prefix_cache import PREFIX_BLOCK_TOKENS, PrefixHints
@@ -255,3 +259,15 @@
         expected = expected_completion_s(outlooks)
         assert expected >= sum(s for s, _, _ in stages) - 1e-9
         assert expected_completion_s(longer) >= expected
+
+
+class TestRetryAfter:
+    def test_callers_that_come_back_leave_most_slots_to_new_requests(self):
+        refusals = RefusalRate()
+        slots, cost_s = 10.0, 1.0
+        delays = [
+            refusals.retry_after_s(0.0, cost_s, slots, 0.01 * index, Random(index))
+            for index in range(200)
+        ]
+        early = sum(delay < 5.0 for delay in delays[100:])
+        assert early * cost_s < 0.5 * 5.0 * slots
