Charge a retry by the time that the failed call took

Change: a retry withdraws the failed call's time over the mean service time, 0.1 to 1. The budget so bounds the work added to a tenth, not the number of retries.

--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -342,8 +342,9 @@
             return True
         if self._mechanisms.spare_retries and self._has_spare(call.stage, now):
             return True
-        certain = result.outcome is Outcome.NOT_RUN
-        return self._budget(call.stage).withdraw(did_run=not certain)
+        share = result.service_s / self._times.mean(call.stage)
+        did_run = result.outcome is not Outcome.NOT_RUN
+        return self._budget(call.stage).withdraw(share, did_run)
 
     def _has_spare(self, stage: str, now: float) -> bool:
         if len(self._queue(stage)):
--- a/src/galenadrum/_internal/routing/retry_budget.py
+++ b/src/galenadrum/_internal/routing/retry_budget.py
@@ -12,6 +12,7 @@
 _MAX_BALANCE = 10.0
 _FIRST_BALANCE = 3.0
 _COST_NOT_RUN = 0.25
+_MIN_COST = 0.1
 MAX_ATTEMPTS = 4
 
 
@@ -30,12 +31,17 @@
         """Count a first attempt."""
         self._balance = min(_MAX_BALANCE, self._balance + _DEPOSIT)
 
-    def withdraw(self, did_run: bool) -> bool:
+    def withdraw(self, share: float, did_run: bool) -> bool:
         """Take one retry out if there is one; return whether there was.
 
-        A call that certainly did not run cost no work and so costs less here.
+        What a failed call cost is what may amplify an overload: one that failed
+        early, or certainly did not run, costs less here.
+
+        Args:
+            share: Time that the failed call took over that of a usual call.
+            did_run: Whether it may have run.
         """
-        cost = 1.0 if did_run else _COST_NOT_RUN
+        cost = min(1.0, max(_MIN_COST, share)) if did_run else _COST_NOT_RUN
         if self._balance < cost:
             return False
         self._balance -= cost
