--- a/src/galenadrum/_internal/control/orders/reconciler.py
+++ b/src/galenadrum/_internal/control/orders/reconciler.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 
 from galenadrum._internal.control.orders.engines import Engine, EngineTable
+from galenadrum._internal.control.orders.fencing import fencing_of
 from galenadrum._internal.control.orders.messages import (
     Action,
     Declared,
@@ -47,6 +48,7 @@
     touched_models,
 )
 from galenadrum._internal.exceptions import InvariantError
+from galenadrum._internal.models.resources import Fencing
 
 logger = logging.getLogger(__name__)
 
@@ -64,6 +66,16 @@
 _ORDER_ID_BITS = 64
 
 
+class WaitReason(StrEnum):
+    """Why an order that would help isn't given yet."""
+
+    LIMIT = "too many orders are open"
+    FENCING = "an order of an earlier leader may still come"
+    RATE = "the rate of the weight store"
+    SILENT = "an answer of the engine"
+    LAST_REPLICA = "another engine that serves what this one holds"
+
+
 class Phase(StrEnum):
     """How far an order is."""
 
@@ -113,12 +125,14 @@
     Attributes:
         engines: What is known of engines.
         orders_by_engine: Open orders, one an engine.
+        waiting_by_engine: Orders that would help and wait, one an engine.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self.engines = EngineTable()
         self.orders_by_engine: dict[str, OpenOrder] = {}
+        self.waiting_by_engine: dict[str, tuple[Wanted, WaitReason]] = {}
         self._declared = Declared()
         self._term: int | None = None
         self._hold_until_by_engine: dict[str, float] = {}
@@ -157,6 +171,7 @@
             case LeadershipLost():
                 self._term = None
                 self.orders_by_engine.clear()
+                self.waiting_by_engine.clear()
             case Declared():
                 self._declared = event
             case EnginesReported():
@@ -241,7 +256,7 @@
         that it refuses the orders of earlier ones.
         """
         is_earlier = opened.order.fencing < self._term
-        if is_earlier and engine.reported.checks_fencing:
+        if is_earlier and self._checks_fencing(engine):
             return True
         return opened.lost_from is not None and engine.answered_at >= opened.lost_from
 
@@ -350,6 +365,10 @@
         if opened.attempts >= _MAX_SEND_ATTEMPTS:
             self._end(opened, OrderOutcome.LOST, "it could not be sent")
             return []
+        held_until = self._held_until(engine, now)
+        if now < held_until:
+            opened.due_at = held_until
+            return []
         opened.attempts += 1
         self._check_alone(order, engine, now)
         opened.phase = Phase.SENDING
@@ -363,14 +382,24 @@
             raise InvariantError(
                 f"order {order.order_id} of term {order.fencing} in {self._term}"
             )
-        if engine.reported.checks_fencing:
-            return
-        if now < self._hold_until_by_engine.get(order.engine_id, now):
+        if now < self._held_until(engine, now):
             raise InvariantError(
                 f"engine {order.engine_id} ignores fencing and may still get an"
                 " order of an earlier term"
             )
 
+    def _checks_fencing(self, engine: Engine) -> bool:
+        return fencing_of(self._declared, engine.reported) is Fencing.CHECKED
+
+    def _held_until(self, engine: Engine, now: float) -> float:
+        """Return when no order of an earlier term can reach the engine any more.
+
+        What is announced and declared of an engine may change meanwhile.
+        """
+        if self._checks_fencing(engine):
+            return now
+        return self._hold_until_by_engine.get(engine.reported.engine_id, now)
+
     def _give_up_on_gone(self, opened: OpenOrder, now: float) -> None:
         engine = self.engines.by_id.get(opened.order.engine_id)
         is_gone = engine is None or not engine.is_live(now)
@@ -384,25 +413,34 @@
         actions: list[Action] = []
         found = plan(self._situation(now))
         self._plan_at = now if found else now + _SETTLED_PLAN_INTERVAL_S
+        self.waiting_by_engine.clear()
         for wanted in found:
-            if len(self.orders_by_engine) >= _MAX_OPEN_ORDERS:
-                break
-            if not self._may_give(wanted, now):
+            if wanted.engine_id in self.orders_by_engine:
+                continue
+            reason = self._reason_to_wait(wanted, now)
+            if reason is not None:
+                waiting = (wanted, reason)
+                self.waiting_by_engine.setdefault(wanted.engine_id, waiting)
                 continue
+            self.waiting_by_engine.pop(wanted.engine_id, None)
             opened = self._open(wanted, now)
             actions.extend(self._advance(opened, now))
         return actions
 
-    def _may_give(self, wanted: Wanted, now: float) -> bool:
+    def _reason_to_wait(self, wanted: Wanted, now: float) -> WaitReason | None:
         engine = self.engines.by_id[wanted.engine_id]
-        if wanted.engine_id in self.orders_by_engine:
-            return False
+        if len(self.orders_by_engine) >= _MAX_OPEN_ORDERS:
+            return WaitReason.LIMIT
+        if now < self._held_until(engine, now):
+            return WaitReason.FENCING
         if wanted.takes_weights and not self._has_load_left(now):
-            return False
+            return WaitReason.RATE
         if not engine.is_fresh(now):
             engine.answered_at = None
-            return False
-        return self._leaves_replicas(wanted, now)
+            return WaitReason.SILENT
+        if not self._leaves_replicas(wanted, now):
+            return WaitReason.LAST_REPLICA
+        return None
 
     def _leaves_replicas(self, wanted: Wanted, now: float) -> bool:
         """Return whether each model that the order touches goes on elsewhere.
