--- a/src/galenadrum/_internal/routing/policy.py
+++ b/src/galenadrum/_internal/routing/policy.py
@@ -266,13 +266,12 @@
             return None
         weights = self._objectives.weights_of(request)
         margin = weights.admission_margin
-        exponent = weights.size_exponent
         left_s = request.deadline - now
-        loaded_s = self._forecast.completion_s(request, costs, exponent, now)
+        loaded_s = self._forecast.completion_s(request, costs, weights, now)
         if margin * loaded_s <= left_s:
             return None
         unloaded_s = self._forecast.completion_s(
-            request, costs, exponent, now, loaded=False
+            request, costs, weights, now, loaded=False
         )
         if margin * unloaded_s > left_s:
             return None if self._allow_trial(left_s, now) else RefusalReason.DEADLINE
@@ -327,9 +326,9 @@
             return now
         if not self._mechanisms.small_first:
             return give_up_at
-        exponent = self._objectives.weights_of(call.request).size_exponent
+        weights = self._objectives.weights_of(call.request)
         wait_s = self._forecast.queue_delay_s(call.stage, now)
-        factor = self._forecast.size_factor(call.stage, service_s, exponent, wait_s)
+        factor = self._forecast.size_factor(call.stage, service_s, weights, wait_s)
         return now + (give_up_at - now) * factor
 
     def _may_repeat(self, call: StageCall, result: AttemptResult) -> bool:
@@ -350,8 +349,9 @@
             return True
         if self._mechanisms.spare_retries and self._has_spare(call.stage, now):
             return True
-        certain = result.outcome is Outcome.NOT_RUN
-        return self._budget(call.stage).withdraw(did_run=not certain)
+        share = result.service_s / self._times.mean(call.stage)
+        did_run = result.outcome is not Outcome.NOT_RUN
+        return self._budget(call.stage).withdraw(share, did_run)
 
     def _has_spare(self, stage: str, now: float) -> bool:
         if len(self._queue(stage)):
--- a/tests/unit/routing/test_parts.py
+++ b/tests/unit/routing/test_parts.py
@@ -7,7 +7,11 @@
 
 from galenadrum._internal.models.servers import CacheEvent, LoadReport, ZoneDigest
 from galenadrum._internal.routing import ejection
-from galenadrum._internal.routing.admission import StageOutlook, expected_completion_s
+from galenadrum._internal.routing.admission import (
+    RefusalRate,
+    StageOutlook,
+    expected_completion_s,
+)
 from galenadrum._internal.routing.concurrency import ConcurrencyLimit
 from galenadrum._internal.routing.ejection import PeerView, ServerHealth
 from galenadrum._internal.routing.prefix_cache import PREFIX_BLOCK_TOKENS, PrefixHints
@@ -103,6 +107,17 @@
         true_s = 0.1 + 2000 * prefill_s + 3.0
         assert 0.5 * true_s < expected < 2.0 * true_s
 
+    def test_a_long_answer_is_expected_to_take_longer_than_the_usual_ones(self):
+        times = ServiceTimes()
+        times.declare("generate", 1.5)
+        random = Random(1)
+        for _ in range(40):
+            output = random.randrange(40, 81)
+            seconds = (0.1 + output * 0.02) * random.uniform(0.9, 1.1)
+            times.observe("generate", CallSize(500, output), "s0", seconds, 1.0)
+        expected = times.expected("generate", CallSize(500, 200))
+        assert 0.8 * 4.1 < expected < 1.2 * 4.1
+
     def test_slowness_is_found_and_fades_when_the_server_is_not_used(self):
         times = ServiceTimes()
         times.declare("encode", 0.1)
@@ -203,9 +218,17 @@
                 first += 1
             else:
                 did_run = event == "ran"
-                retries += budget.withdraw(did_run) and did_run
+                retries += budget.withdraw(1.0, did_run) and did_run
         assert retries <= 3 + 0.1 * first
 
+    def test_retries_of_calls_that_failed_early_are_bounded_by_their_time(self):
+        budget = RetryBudget()
+        shares = 0.0
+        for _ in range(200):
+            budget.deposit()
+            shares += 0.2 * budget.withdraw(0.2, did_run=True)
+        assert 0.05 * 200 < shares <= 3.0 + 0.1 * 200
+
 
 class TestSpill:
     def test_a_zone_keeps_its_prefixes_when_another_zone_is_lost(self):
@@ -283,3 +306,15 @@
         expected = expected_completion_s(outlooks)
         assert expected >= sum(s for s, _, _ in stages) - 1e-9
         assert expected_completion_s(longer) >= expected
+
+
+class TestRetryAfter:
+    def test_callers_that_come_back_leave_most_slots_to_new_requests(self):
+        refusals = RefusalRate()
+        slots, cost_s = 10.0, 1.0
+        delays = [
+            refusals.retry_after_s(0.0, cost_s, slots, 0.01 * index, Random(index))
+            for index in range(200)
+        ]
+        early = sum(delay < 5.0 for delay in delays[100:])
+        assert early * cost_s < 0.5 * 5.0 * slots
