Show revisions, claims, resent calls and rejected replies as metrics

Cause: the counts of resent calls, rejected replies and claims were kept and shown nowhere. Measured: tests of the whole path and of orders read them.

--- a/src/galenadrum/_internal/control/daemon.py
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -40,6 +40,9 @@
         rng = random.Random()
         self.state = ControlState()
         self.metrics = Metrics()
+        self.metrics.register_gauge("revision", lambda: self.state.revision)
+        self.metrics.register_gauge("claims", lambda: self.state.claim_count)
+        self.metrics.register_gauge("claims_bytes", lambda: self.state.claims_bytes)
         self.log = ReplicatedLog(
             settings, self.state, rng, on_leadership=self._note_leadership
         )
--- a/src/galenadrum/_internal/entry/daemon.py
+++ b/src/galenadrum/_internal/entry/daemon.py
@@ -98,6 +98,7 @@
         self.follower = self._build_follower()
         self._pool = ConnectionPool()
         self.client = StageClient(self._pool)
+        self._register_gauges()
         self.callers = HttpServer(
             settings.caller_address,
             self._build_caller_routes(),
@@ -155,6 +156,15 @@
         self._control.close()
         self._pool.close()
 
+    def _register_gauges(self) -> None:
+        register = self.metrics.register_gauge
+        register("revision", lambda: self.view.revision)
+        register("requests_in_flight", lambda: self.service.in_flight)
+        register("calls_resent_total", lambda: self.client.resent_calls)
+        register("replies_rejected_total", lambda: self.client.rejected_replies)
+        register("claim_outcomes_pending", lambda: self.claims.pending_records)
+        register("claim_outcomes_dropped_total", lambda: self.claims.dropped_records)
+
     def _build_follower(self) -> DeclarationsFollower:
         settings = self._settings
         sources = choose_sources(
--- a/tests/functional/test_engine_orders.py
+++ b/tests/functional/test_engine_orders.py
@@ -139,6 +139,8 @@
         metrics = read_metrics(deployment)
         ended = 'galenadrum_orders_ended_total{action="switch",outcome="done"}'
         assert ended in metrics
+        assert "galenadrum_revision 2" in metrics
+        assert "galenadrum_claims 0" in metrics
         assert 'galenadrum_orders_open{action="switch",state="queued"} 0' in metrics
 
 
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -121,6 +121,13 @@
         process = deployment.processes["zone-1-entry-1"]
         wait_until(lambda: trace_id in process.read_log(), "a log line")
 
+    def test_metrics_show_what_the_host_serves_from(self, deployment):
+        (name, address), *_ = deployment.platforms.items()
+        url = f"http://{address}/metrics"
+        text = deployment.pool.request("GET", url).data.decode()
+        assert f"galenadrum_revision {deployment.revision_of(name)}" in text
+        assert "galenadrum_replies_rejected_total 0" in text
+
     def test_spans_of_all_hops_share_the_callers_trace(self, deployment):
         trace_id = "0af7651916cd43dd8448eb211c80319c"
         headers = {"traceparent": f"00-{trace_id}-b7ad6b7169203331-01"}
