Let declared fencing count for engines that announce nothing of it

Cause: an announcement couldn't tell an engine that says nothing of fencing from one that says it ignores it, so that an operator's word of an engine that checks it changed nothing. Change: checks_fencing has a third value in announcements, between entry hosts and in reports; where the engine says nothing the operator's word counts. Measured: the new cases of the table fail before the change.

--- a/src/galenadrum/_internal/control/orders/fencing.py
+++ b/src/galenadrum/_internal/control/orders/fencing.py
@@ -9,12 +9,14 @@
 def fencing_of(declared: Declared, engine: ReportedEngine) -> Fencing:
     """Return what counts: the more careful of announcement and declaration.
 
-    An engine that announces nothing ignores fencing. A wrong ``ignored`` costs
-    a wait after a change of the leader, a wrong ``checked`` orders of two terms.
+    An engine of which neither says anything ignores fencing. A wrong ``ignored``
+    costs a wait after a change of the leader, a wrong ``checked`` orders of two
+    terms.
     """
-    if not engine.checks_fencing:
+    if engine.checks_fencing is False:
         return Fencing.IGNORED
-    return declared_fencing(declared, engine) or Fencing.CHECKED
+    usual = Fencing.CHECKED if engine.checks_fencing else Fencing.IGNORED
+    return declared_fencing(declared, engine) or usual
 
 
 def declared_fencing(declared: Declared, engine: ReportedEngine) -> Fencing | None:
--- a/src/galenadrum/_internal/control/orders/messages.py
+++ b/src/galenadrum/_internal/control/orders/messages.py
@@ -90,7 +90,7 @@
     zone: str
     stages: tuple[str, ...]
     contents: EngineContents
-    checks_fencing: bool = False
+    checks_fencing: bool | None = None
     load: int = 0
 
 
--- a/src/galenadrum/_internal/control/orders/reports.py
+++ b/src/galenadrum/_internal/control/orders/reports.py
@@ -90,6 +90,8 @@
             adapters=frozenset(record.adapters),
             role=record.role,
         ),
-        checks_fencing=record.checks_fencing,
+        checks_fencing=record.checks_fencing
+        if record.HasField("checks_fencing")
+        else None,
         load=load,
     )
--- a/src/galenadrum/_internal/control/orders/status.py
+++ b/src/galenadrum/_internal/control/orders/status.py
@@ -19,7 +19,8 @@
         order: The order under way, such as ``switch to 2 (sending)``.
         waits_for: What keeps the engine from its next order, if it needs one.
         fencing: Whether it counts as one that refuses old fencing numbers.
-        announces_fencing: Whether it announces that it does.
+        announces_fencing: Whether it announces that it does; None when it says
+            nothing of it.
         declared_fencing: What operators declare of it, if anything.
     """
 
@@ -31,7 +32,7 @@
     order: str | None
     waits_for: str | None
     fencing: Fencing
-    announces_fencing: bool
+    announces_fencing: bool | None
     declared_fencing: Fencing | None
 
 
--- a/src/galenadrum/_internal/membership/announcement_codec.py
+++ b/src/galenadrum/_internal/membership/announcement_codec.py
@@ -106,6 +106,8 @@
             for event in announcement.cache_events
         ],
     }
+    if announcement.checks_fencing is None:
+        del document["checks_fencing"]
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -251,7 +253,7 @@
         "model_versions": (reader.pairs, ()),
         "adapters": (reader.texts, ()),
         "role": (reader.text, "both"),
-        "checks_fencing": (reader.flag, False),
+        "checks_fencing": (reader.flag, None),
         "checks_orderer": (reader.flag, False),
         "load": (reader.load, None),
         "cache_events": (reader.cache_events, ()),
--- a/src/galenadrum/_internal/membership/zone_codec.py
+++ b/src/galenadrum/_internal/membership/zone_codec.py
@@ -229,7 +229,9 @@
         ),
         adapters=tuple(record.adapters),
         role=record.role,
-        checks_fencing=record.checks_fencing,
+        checks_fencing=record.checks_fencing
+        if record.HasField("checks_fencing")
+        else None,
         checks_orderer=record.checks_orderer,
         load=_decode_load(record.running_plus_one, record.queued, record.load_age_ms),
     )
--- a/src/galenadrum/_internal/models/servers.py
+++ b/src/galenadrum/_internal/models/servers.py
@@ -59,7 +59,8 @@
         capacity: Calls that it serves at once, at least 1.
         ttl_s: Seconds for which the announcement stands without renewal.
         model_versions: Pairs of model name and version that are loaded.
-        checks_fencing: Whether it refuses orders with an old fencing number.
+        checks_fencing: Whether it refuses orders with an old fencing number; None
+            when it says nothing of it.
     """
 
     server_id: str
@@ -74,7 +75,7 @@
     model_versions: tuple[tuple[str, str], ...] = ()
     adapters: tuple[str, ...] = ()
     role: str = "both"
-    checks_fencing: bool = False
+    checks_fencing: bool | None = None
     checks_orderer: bool = False
     load: LoadReport | None = None
     cache_events: tuple[CacheEvent, ...] = ()
--- a/tests/unit/control/orders/test_fencing.py
+++ b/tests/unit/control/orders/test_fencing.py
@@ -37,6 +37,10 @@
             (True, {"e": CHECKED}, {}, CHECKED),
             (False, {"e": CHECKED}, {"s": CHECKED}, IGNORED),
             (True, {"other": IGNORED}, {"other": IGNORED}, CHECKED),
+            (None, {}, {}, IGNORED),
+            (None, {"e": CHECKED}, {}, CHECKED),
+            (None, {}, {"s": CHECKED}, CHECKED),
+            (None, {"e": CHECKED}, {"s": IGNORED}, IGNORED),
         ],
     )
     def test_the_more_careful_word_wins(self, announced, by_engine, by_stage, expected):
--- a/tests/unit/membership/test_zone_codec.py
+++ b/tests/unit/membership/test_zone_codec.py
@@ -42,7 +42,7 @@
     model_versions=st.lists(st.tuples(_TEXT, _TEXT), max_size=2).map(tuple),
     adapters=_TEXTS,
     role=_TEXT,
-    checks_fencing=st.booleans(),
+    checks_fencing=st.none() | st.booleans(),
     checks_orderer=st.booleans(),
     load=_LOAD,
     cache_events=st.just(()),
