Write what links and stand-ins do alike once

Both sides of a link sent and received with the same code, both stand-ins answered JSON with the same function, and the check of a sender looked for removed members beside the method that says so. One piece of code serves each; behaviour and tests stay as they were.

--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -164,8 +164,7 @@
 
     def _reason_against(self, message: Message) -> str:
         state = self._state
-        committed = state.log.membership_at(state.commit_index)
-        if message.sender_id in committed.removed_ids:
+        if self.is_removed(message.sender_id):
             return f"member {message.sender_id} was removed from the cluster"
         if not state.membership.has_disk(message.sender_id, message.sender_disk_id):
             return (
--- a/src/galenadrum/_internal/demo/backend_server.py
+++ b/src/galenadrum/_internal/demo/backend_server.py
@@ -22,6 +22,7 @@
 import click
 import urllib3
 
+from galenadrum._internal.demo.answers import send_json
 from galenadrum._internal.models.settings import CallerLimits
 from galenadrum._internal.network.http_server import HttpServer
 from galenadrum._internal.network.stage_protocol import (
@@ -162,7 +163,7 @@
     ) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         if path == "/v1/runs":
-            return _send_json(start_response, dict(self.runs_by_request_id), [])
+            return send_json(start_response, dict(self.runs_by_request_id), [])
         stage = path.removeprefix("/v1/stages/")
         length = int(environ.get("CONTENT_LENGTH") or 0)
         payload = json.loads(environ["wsgi.input"].read(length))
@@ -188,17 +189,17 @@
         headers = _echo(environ, crossed=_is_due(number, options.cross_every))
         if _is_due(number, options.refuse_every) or stage not in options.stages:
             refused = [*headers, (RUN_HEADER, NOT_RUN)]
-            return _send_json(start_response, {}, refused, "503 Service Unavailable")
+            return send_json(start_response, {}, refused, "503 Service Unavailable")
         with self._lock:
             self.runs_by_request_id[environ.get("HTTP_GALENADRUM_REQUEST_ID", "")] += 1
         time.sleep(options.service_ms / 1_000)
         if _is_due(number, options.fail_every):
-            return _send_json(start_response, {}, headers, "500 Internal Server Error")
+            return send_json(start_response, {}, headers, "500 Internal Server Error")
         output = _output(stage, payload["input"])
         if stage in options.streamed_stages:
             truncated = _is_due(number, options.truncate_every)
             return _send_stream(start_response, output, headers, truncated)
-        return _send_json(start_response, {"output": output}, headers)
+        return send_json(start_response, {"output": output}, headers)
 
 
 def _is_due(number: int, every: int) -> bool:
@@ -221,24 +222,6 @@
     return f"{stage}({text})"
 
 
-def _send_json(
-    start_response: Any,
-    body: dict[str, Any],
-    headers: list[tuple[str, str]],
-    status: str = "200 OK",
-) -> Iterable[bytes]:
-    encoded = json.dumps(body).encode()
-    start_response(
-        status,
-        [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(encoded))),
-            *headers,
-        ],
-    )
-    return [encoded]
-
-
 def _send_stream(
     start_response: Any, output: str, headers: list[tuple[str, str]], truncated: bool
 ) -> Iterable[bytes]:
--- a/src/galenadrum/_internal/demo/engine.py
+++ b/src/galenadrum/_internal/demo/engine.py
@@ -19,6 +19,7 @@
 import click
 import urllib3
 
+from galenadrum._internal.demo.answers import send_json
 from galenadrum._internal.models.settings import CallerLimits
 from galenadrum._internal.network.engine_client import (
     FENCING_HEADER,
@@ -184,7 +185,7 @@
         fencing = int(environ.get(_FENCING_KEY) or 0)
         route = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
         if route == ("GET", MODELS_PATH):
-            return _send(start_response, "200 OK", self._describe(fencing))
+            return send_json(start_response, self._describe(fencing))
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = environ["wsgi.input"].read(length)
         if route[0] == "POST" and route[1].startswith(STAGES_PREFIX):
@@ -194,13 +195,14 @@
                 "refused": self.state.refused_calls,
                 "orders": self.state.received,
             }
-            return _send(start_response, "200 OK", record)
+            return send_json(start_response, record)
         if route != ("POST", ORDERS_PATH):
-            return _send(start_response, "404 Not Found", {"message": "no such path"})
+            missing = {"message": "no such path"}
+            return send_json(start_response, missing, status="404 Not Found")
         order = json.loads(body)
         status, message = self._take(order, fencing)
         self.state.received.append((order["order_id"], fencing, message))
-        return _send(start_response, status, {"message": message})
+        return send_json(start_response, {"message": message}, status=status)
 
     def _serve(
         self, environ: dict[str, Any], start_response: Any, call: dict[str, Any]
@@ -212,14 +214,14 @@
         version = self._begin_call()
         if version is None:
             refused = [*headers, (RUN_HEADER, NOT_RUN)]
-            return _send(start_response, "503 Service Unavailable", {}, refused)
+            return send_json(start_response, {}, refused, "503 Service Unavailable")
         time.sleep(self._options.service_ms / 1_000)
         with self._calls_ended:
             self.state.running_calls -= 1
             self._calls_ended.notify_all()
         stage = environ["PATH_INFO"].removeprefix(STAGES_PREFIX)
         output = {"output": f"{stage}-{version}({call['input']})"}
-        return _send(start_response, "200 OK", output, headers)
+        return send_json(start_response, output, headers)
 
     def _begin_call(self) -> str | None:
         """Count a call in; return the version that serves it, if any does."""
@@ -308,24 +310,6 @@
                 state.role = order["role"]
 
 
-def _send(
-    start_response: Any,
-    status: str,
-    body: dict[str, Any],
-    headers: Iterable[tuple[str, str]] = (),
-) -> Iterable[bytes]:
-    encoded = json.dumps(body).encode()
-    start_response(
-        status,
-        [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(encoded))),
-            *headers,
-        ],
-    )
-    return [encoded]
-
-
 @click.command()
 @click.option("--server-id", required=True)
 @click.option("--zone", required=True)
--- a/src/galenadrum/_internal/network/peer_link.py
+++ b/src/galenadrum/_internal/network/peer_link.py
@@ -27,11 +27,10 @@
     """Raised when a link can't be opened or its connection breaks."""
 
 
-class ClientStream:
-    """The dialling side of a stream, alone on its connection."""
+class _LinkStream:
+    """What both sides of a stream do alike."""
 
-    def __init__(self, channel: grpclib.client.Channel, stream: Any) -> None:
-        self._channel = channel
+    def __init__(self, stream: Any) -> None:
         self._stream = stream
 
     async def send(self, message: Any) -> None:
@@ -48,31 +47,22 @@
         except _LINK_ERRORS as error:
             raise LinkLostError(str(error)) from error
 
+
+class ClientStream(_LinkStream):
+    """The dialling side of a stream, alone on its connection."""
+
+    def __init__(self, channel: grpclib.client.Channel, stream: Any) -> None:
+        super().__init__(stream)
+        self._channel = channel
+
     def close(self) -> None:
         """Drop the connection at once."""
         self._channel.close()
 
 
-class ServerStream:
+class ServerStream(_LinkStream):
     """The accepting side of a stream, alone on its connection."""
 
-    def __init__(self, stream: grpclib.server.Stream[Any, Any]) -> None:
-        self._stream = stream
-
-    async def send(self, message: Any) -> None:
-        """Send one message."""
-        try:
-            await self._stream.send_message(message)
-        except _LINK_ERRORS as error:
-            raise LinkLostError(str(error)) from error
-
-    async def receive(self) -> Any | None:
-        """Return the next message, or None at the end of the stream."""
-        try:
-            return await self._stream.recv_message()
-        except _LINK_ERRORS as error:
-            raise LinkLostError(str(error)) from error
-
     def close(self) -> None:
         """Drop the connection at once.
 
