--- /dev/null
+++ b/src/galenadrum/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Routing configurations: checks, the replicated state, look-ups."""
--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -241,6 +241,20 @@
         committed = self._state.log.membership_at(self._state.commit_index)
         return member_id in committed.removed_ids
 
+    def silences_by_id(self, now: float) -> dict[str, float]:
+        """Return how long each other member has not answered, in seconds.
+
+        Empty where this member doesn't lead. One that never answered counts
+        from the start of the leadership.
+        """
+        leader_state = self._state.leader
+        if leader_state is None:
+            return {}
+        return {
+            member_id: now - max(progress.answered_at or 0.0, leader_state.since)
+            for member_id, progress in leader_state.progress_by_id.items()
+        }
+
     def transfer_leadership(self, now: float) -> str | None:
         """Step down and let the member that is furthest along take the lead.
 
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -289,6 +289,12 @@
         index, term = core.remove_member(member_id, self._loop.time())
         await self._wait_committed(index, term, timeout_s)
 
+    def silences_by_id(self) -> dict[str, float]:
+        """Return how long each other member has not answered this leader."""
+        if not self._is_running():
+            return {}
+        return self._current_core().silences_by_id(self._loop.time())
+
     @property
     def is_leader(self) -> bool:
         """Whether this member leads, now, by its clock."""
--- a/src/galenadrum/_internal/control/replication/joining.py
+++ b/src/galenadrum/_internal/control/replication/joining.py
@@ -50,7 +50,7 @@
 
 
 def _add(core: ReplicaCore, request: pb.JoinRequest, now: float) -> pb.JoinResponse:
-    replaces = request.replaces
+    replaces = request.replaces or _former_id(core, request)
     if replaces in core.membership.removed_ids:
         replaces = ""
     member = Member(
@@ -65,6 +65,14 @@
     return pb.JoinResponse(accepted=True)
 
 
+def _former_id(core: ReplicaCore, request: pb.JoinRequest) -> str:
+    """Return the member whose address the new one has: its disk was lost."""
+    for member in core.membership.members:
+        if member.address == request.address:
+            return member.member_id
+    return ""
+
+
 async def join(
     addresses: tuple[str, ...], request: pb.JoinRequest, is_member: Callable[[], bool]
 ) -> None:
--- /dev/null
+++ b/src/galenadrum/_internal/control/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Control hosts of a routing configuration."""
--- /dev/null
+++ b/src/galenadrum/_internal/directory/__init__.py
@@ -0,0 +1,1 @@
+"""The directory of backend servers: announcements, their spread and their age."""
--- /dev/null
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -0,0 +1,77 @@
+"""Whether a request can still be served, and when to come back if not.
+
+Load pattern: a burst of one kind at two or more times what the stages can take.
+A queue in front of the stages then grows past what callers wait for, and all
+that is served is late; so a request whose first event would come after its
+caller has given up is refused while it costs nothing.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from galenadrum._internal.dispatch.engine_pool import EnginePool
+from galenadrum._internal.dispatch.messages import PlacementRequest
+from galenadrum._internal.dispatch.stage_pool import StagePool
+
+# A caller that comes back finds the queue shorter by what was over the limit;
+# sooner than this nothing has changed.
+_MIN_RETRY_AFTER_S = 0.3
+_MAX_RETRY_AFTER_S = 5.0
+# Without any server: about the time in which a lost one comes back.
+_RETRY_AFTER_NO_SERVER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """When a request's first event is expected.
+
+    Attributes:
+        first_event_s: Seconds from now; infinite where a service has no server.
+        reason: Why it might not be served, for the refusal.
+        retry_after_s: When to come back, should it be refused.
+    """
+
+    first_event_s: float
+    reason: str
+    retry_after_s: float
+
+
+def forecast(
+    request: PlacementRequest,
+    stage_pools_by_service: Mapping[str, StagePool],
+    engines: EnginePool | None,
+    now: float,
+) -> Forecast:
+    """Follow the request's stages through the queues as they stand."""
+    urgency = (
+        now > request.objective_at,
+        request.objective_at,
+    )
+    done_s: list[float] = []
+    for index, stage in enumerate(request.route.stages):
+        count = request.pieces[index] if index < len(request.pieces) else 0
+        start_s = max((done_s[earlier] for earlier in stage.after), default=0.0)
+        if not count:
+            done_s.append(start_s)
+            continue
+        pool = stage_pools_by_service.get(stage.service)
+        took_s = pool.predicted_time(count, urgency, now) if pool else math.inf
+        done_s.append(start_s + took_s)
+    stages_s = max(done_s, default=0.0)
+    engine_s = math.inf
+    if engines is not None:
+        engine_s = engines.best_delay(request.prompt, request.prompt_tokens, now)
+    total_s = stages_s + engine_s
+    reason = "overloaded" if math.isfinite(total_s) else "no_server"
+    excess_s = total_s - max(0.0, request.objective_at - now)
+    return Forecast(total_s, reason, _retry_after_s(excess_s))
+
+
+def _retry_after_s(excess_s: float) -> float:
+    if not math.isfinite(excess_s):
+        return _RETRY_AFTER_NO_SERVER_S
+    return min(max(excess_s, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
+
--- /dev/null
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -0,0 +1,343 @@
+"""The servers of one stage service and the pieces that wait for them.
+
+Load pattern: many requests of few pieces each, against calls whose fixed time
+is far longer than that of a piece. A server that is sent each piece by itself
+serves a fifth of what it could; so pieces of all requests wait in one queue,
+and a server that becomes free takes as many as a call may hold, the most
+urgent first.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from galenadrum._internal.models.announcements import Announcement
+from galenadrum._internal.models.routing import StageLimits
+
+# A rank of priority weighs as much as this much time to the objective.
+PRIORITY_WEIGHT_S = 0.35
+# Results are kept for the time of their way; a little room stays for results
+# whose release is on its way.
+_ROOM_SHARE = 0.9
+# A call that takes this much longer than expected is given up, and its pieces
+# are made elsewhere.
+_OVERDUE_FACTOR = 2.5
+_OVERDUE_SLACK_S = 0.3
+_SLOWNESS_WEIGHT = 0.4
+_SLOWNESS_HALF_LIFE_S = 5.0
+# Pause before a server that refused, broke off or could not be reached is tried
+# again; doubled with each failure in a row.
+_FIRST_PAUSE_S = 0.1
+_MAX_PAUSE_S = 2.0
+# A server of another zone is worth its way only where the own ones are behind.
+OTHER_ZONE_DELAY_S = 0.5
+_WARM_UP_FACTOR = 1.5
+
+
+@dataclass(slots=True)
+class WaitingPiece:
+    """A piece in the queue.
+
+    Attributes:
+        objective_at: Loop time in seconds by which the request's first event
+            is due.
+        remaining_s: Time from the piece's call to that event, at best.
+        failures: Calls for it that brought no result.
+    """
+
+    request_id: str
+    stage: int
+    number: int
+    priority: int
+    objective_at: float
+    remaining_s: float
+    result_bytes: float
+    failures: int = 0
+
+    def urgency(self, now: float) -> tuple[bool, float]:
+        """Return the place in the queue: pieces that are late go last."""
+        start_by = self.objective_at - self.remaining_s
+        return now > start_by, start_by + self.priority * PRIORITY_WEIGHT_S
+
+
+@dataclass(slots=True)
+class StageServer:
+    """One server of the pool.
+
+    Attributes:
+        slowness: Observed over expected time of its calls.
+        busy_until: Loop time in seconds at which its last call should end.
+        making_bytes: Results of its calls under way.
+        results_by_handle: Size in bytes and loop time of expiry of each result
+            that it holds.
+        paused_until: Loop time in seconds before which it is left alone.
+    """
+
+    announcement: Announcement
+    is_silent: bool = False
+    slowness: float = 1.0
+    slowness_at: float = 0.0
+    calls: set[int] = field(default_factory=set)
+    busy_until: float = 0.0
+    making_bytes: float = 0.0
+    results_by_handle: dict[str, tuple[float, float]] = field(default_factory=dict)
+    failures_in_row: int = 0
+    paused_until: float = 0.0
+
+    @property
+    def held_bytes(self) -> float:
+        """Memory that results take, those being made included."""
+        results = self.results_by_handle.values()
+        return self.making_bytes + sum(size for size, _ in results)
+
+    def forget_expired(self, now: float) -> None:
+        """Forget results whose lifetime has passed."""
+        for handle, (_, expires_at) in list(self.results_by_handle.items()):
+            if now >= expires_at:
+                del self.results_by_handle[handle]
+
+    def current_slowness(self, now: float) -> float:
+        """Return the slowness, which is forgotten over time."""
+        age_s = max(0.0, now - self.slowness_at)
+        return 1.0 + (self.slowness - 1.0) * math.exp2(-age_s / _SLOWNESS_HALF_LIFE_S)
+
+
+@dataclass(slots=True)
+class RunningCall:
+    """A call that has no answer yet."""
+
+    call_id: int
+    server_id: str
+    pieces: list[WaitingPiece]
+    started_at: float
+    expected_s: float
+    is_overdue: bool = False
+
+    @property
+    def overdue_at(self) -> float:
+        """Loop time in seconds from which its pieces are made elsewhere."""
+        return self.started_at + self.expected_s * _OVERDUE_FACTOR + _OVERDUE_SLACK_S
+
+
+class StagePool:
+    """Queue and servers of one service in one zone's dispatcher."""
+
+    def __init__(self, service: str, zone: str, limits: StageLimits) -> None:
+        self.service = service
+        self.limits = limits
+        self._zone = zone
+        self.servers_by_id: dict[str, StageServer] = {}
+        self._server_id_by_address: dict[str, str] = {}
+        self.waiting: list[WaitingPiece] = []
+        self.calls_by_id: dict[int, RunningCall] = {}
+
+    def put_server(self, announcement: Announcement, is_silent: bool) -> None:
+        """Add a server or note what changed of it."""
+        known = self.servers_by_id.get(announcement.server_id)
+        if known is None or (
+            known.announcement.incarnation_ms != announcement.incarnation_ms
+        ):
+            self.servers_by_id[announcement.server_id] = StageServer(announcement)
+        else:
+            known.announcement = announcement
+        self.servers_by_id[announcement.server_id].is_silent = is_silent
+        self._server_id_by_address[announcement.address] = announcement.server_id
+
+    def remove_server(self, server_id: str) -> None:
+        """Send nothing more to a server; calls under way go on."""
+        server = self.servers_by_id.pop(server_id, None)
+        if server is not None:
+            self._server_id_by_address.pop(server.announcement.address, None)
+
+    def add(self, piece: WaitingPiece) -> None:
+        """Queue a piece."""
+        self.waiting.append(piece)
+
+    def discard(self, request_id: str) -> None:
+        """Drop the queued pieces of a request."""
+        self.waiting = [p for p in self.waiting if p.request_id != request_id]
+
+    def drop_piece(self, request_id: str, stage: int, number: int) -> None:
+        """Drop a queued piece that was made meanwhile."""
+        self.waiting = [
+            p
+            for p in self.waiting
+            if (p.request_id, p.stage, p.number) != (request_id, stage, number)
+        ]
+
+    def call_time(self, pieces: int) -> float:
+        """Return the usual time of a call of that many pieces, in seconds."""
+        return self.limits.call_s + pieces * self.limits.piece_s
+
+    def next_call(self, now: float) -> tuple[StageServer, list[WaitingPiece]] | None:
+        """Return a server that should be called now and its pieces."""
+        if not self.waiting:
+            return None
+        server = self._choose_server(now)
+        if server is None:
+            return None
+        self.waiting.sort(key=lambda piece: piece.urgency(now))
+        taken = self._fit(server, now)
+        if not taken:
+            return None
+        # Pieces are distinct objects; equal ones can't be queued twice.
+        chosen = {id(piece) for piece in taken}
+        self.waiting = [p for p in self.waiting if id(p) not in chosen]
+        return server, taken
+
+    def _fit(self, server: StageServer, now: float) -> list[WaitingPiece]:
+        server.forget_expired(now)
+        held_bytes = server.held_bytes
+        room = self.limits.room_bytes * _ROOM_SHARE - held_bytes
+        taken: list[WaitingPiece] = []
+        for piece in self.waiting:
+            if len(taken) >= self.limits.batch_size:
+                break
+            if piece.result_bytes <= room or (not taken and not held_bytes):
+                taken.append(piece)
+                room -= piece.result_bytes
+        return taken
+
+    def _choose_server(self, now: float) -> StageServer | None:
+        candidates = self._usable(now)
+        best: tuple[float, StageServer] | None = None
+        for server in candidates:
+            finish_at = self._start_at(server, now) + self._expected(server, now)
+            if best is None or finish_at < best[0]:
+                best = (finish_at, server)
+        if best is None or len(best[1].calls) >= self.limits.concurrency:
+            return None
+        server = best[1]
+        if server.announcement.zone != self._zone and not self._own_are_behind(now):
+            return None
+        return server
+
+    def _own_are_behind(self, now: float) -> bool:
+        own = [s for s in self._usable(now) if s.announcement.zone == self._zone]
+        if not own:
+            return True
+        wait_s = min(self._start_at(s, now) for s in own) - now
+        calls = math.ceil(len(self.waiting) / self.limits.batch_size)
+        return wait_s + (calls - 1) * self.call_time(self.limits.batch_size) > (
+            OTHER_ZONE_DELAY_S
+        )
+
+    def _usable(self, now: float) -> list[StageServer]:
+        usable = [s for s in self.servers_by_id.values() if now >= s.paused_until]
+        heard = [s for s in usable if not s.is_silent]
+        return heard or usable
+
+    def _start_at(self, server: StageServer, now: float) -> float:
+        start_at = max(now, server.busy_until) if server.calls else now
+        if server.announcement.zone != self._zone:
+            start_at += OTHER_ZONE_DELAY_S
+        return start_at
+
+    def _expected(self, server: StageServer, now: float) -> float:
+        pieces = min(len(self.waiting), self.limits.batch_size)
+        return self.call_time(pieces) * server.current_slowness(now)
+
+    def start_call(
+        self, call_id: int, server: StageServer, pieces: list[WaitingPiece], now: float
+    ) -> RunningCall:
+        """Note that a call is sent."""
+        expected_s = self.call_time(len(pieces)) * server.current_slowness(now)
+        server_id = server.announcement.server_id
+        call = RunningCall(call_id, server_id, pieces, now, expected_s)
+        self.calls_by_id[call_id] = call
+        server.calls.add(call_id)
+        server.busy_until = max(now, server.busy_until) + expected_s
+        server.making_bytes += sum(piece.result_bytes for piece in pieces)
+        return call
+
+    def end_call(self, call_id: int, now: float) -> RunningCall | None:
+        """Note that a call was answered; returns it."""
+        call = self.calls_by_id.pop(call_id, None)
+        if call is None:
+            return None
+        server = self.servers_by_id.get(call.server_id)
+        if server is not None and call_id in server.calls:
+            server.calls.discard(call_id)
+            server.busy_until = now
+            server.failures_in_row = 0
+            server.making_bytes -= sum(piece.result_bytes for piece in call.pieces)
+            usual_s = self.call_time(len(call.pieces))
+            observed = (now - call.started_at) / usual_s
+            slowness = server.current_slowness(now)
+            server.slowness = slowness + _SLOWNESS_WEIGHT * (observed - slowness)
+            server.slowness_at = now
+        return call
+
+    def fail_call(self, call_id: int, now: float) -> RunningCall | None:
+        """Note that a call brought nothing; its server rests for a while."""
+        call = self.calls_by_id.pop(call_id, None)
+        if call is None:
+            return None
+        server = self.servers_by_id.get(call.server_id)
+        if server is not None and call_id in server.calls:
+            server.calls.discard(call_id)
+            server.busy_until = now
+            server.making_bytes -= sum(piece.result_bytes for piece in call.pieces)
+            pause_s = _FIRST_PAUSE_S * 2**server.failures_in_row
+            server.paused_until = now + min(pause_s, _MAX_PAUSE_S)
+            server.failures_in_row += 1
+        return call
+
+    def take_overdue(self, now: float) -> list[RunningCall]:
+        """Return calls that have become overdue, once each."""
+        overdue = []
+        for call in self.calls_by_id.values():
+            if call.is_overdue or now < call.overdue_at:
+                continue
+            call.is_overdue = True
+            overdue.append(call)
+            server = self.servers_by_id.get(call.server_id)
+            if server is not None:
+                observed = (now - call.started_at) / self.call_time(len(call.pieces))
+                server.slowness = max(server.current_slowness(now), observed)
+                server.slowness_at = now
+        return overdue
+
+    def hold(self, handle: str, result_bytes: float, now: float) -> None:
+        """Note a result that its server keeps."""
+        server = self._server_at(handle)
+        if server is not None:
+            expires_at = now + self.limits.result_ttl_s
+            server.results_by_handle[handle] = (result_bytes, expires_at)
+
+    def release(self, handle: str) -> str | None:
+        """Note that a result is given up; returns its server's address."""
+        server = self._server_at(handle)
+        if server is None or server.results_by_handle.pop(handle, None) is None:
+            return None
+        return server.announcement.address
+
+    def _server_at(self, handle: str) -> StageServer | None:
+        server_id = self._server_id_by_address.get(handle.partition("/")[0])
+        return self.servers_by_id.get(server_id) if server_id else None
+
+    def predicted_time(self, pieces: int, urgency: tuple[bool, float], now: float) -> float:
+        """Return when pieces that join the queue now should be made.
+
+        Args:
+            urgency: As `WaitingPiece.urgency` would give it.
+
+        Returns:
+            Seconds from now; infinite where there is no server.
+        """
+        usable = self._usable(now)
+        if not usable:
+            return math.inf
+        own = [s for s in usable if s.announcement.zone == self._zone] or usable
+        ahead = sum(p.urgency(now) <= urgency for p in self.waiting)
+        batch = self.limits.batch_size
+        calls = math.ceil((ahead + pieces) / batch)
+        rounds = math.ceil(calls / len(own))
+        first_free_s = min(
+            max(0.0, s.busy_until - now) if s.calls else 0.0 for s in own
+        )
+        slowness = min(s.current_slowness(now) for s in own)
+        last_call_s = self.call_time(min(batch, ahead + pieces))
+        full_call_s = self.call_time(batch)
+        return first_free_s + slowness * ((rounds - 1) * full_call_s + last_call_s)
--- /dev/null
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -0,0 +1,502 @@
+"""Takes requests through their stages to a model engine; no input or output.
+
+Events go in with the loop's time, actions come out of `collect`. A request is
+refused at once when it can't be served before its caller gives up.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.dispatch.admission import Forecast, forecast
+from galenadrum._internal.dispatch.engine_pool import EnginePool
+from galenadrum._internal.dispatch.messages import (
+    Action,
+    CallFailure,
+    PieceFailure,
+    PieceResult,
+    Placement,
+    PlacementOutcome,
+    PlacementRefusal,
+    PlacementRequest,
+    ResultsRelease,
+    StageCall,
+    StagePiece,
+)
+from galenadrum._internal.dispatch.stage_graph import StageGraph
+from galenadrum._internal.dispatch.stage_pool import (
+    RunningCall,
+    StagePool,
+    WaitingPiece,
+)
+from galenadrum._internal.models.routing import Service
+
+logger = logging.getLogger(__name__)
+
+# How often the results of a request may be lost before it is refused.
+_MAX_REMAKES = 2
+# Calls that may fail for one piece before its request is refused.
+_MAX_PIECE_FAILURES = 4
+# A stage call may take this long beyond the time at which it is overdue.
+_CALL_TIMEOUT_S = 5.0
+# Releases gather for this time, so that one call gives up many results.
+RELEASE_INTERVAL_S = 0.05
+
+
+@dataclass(slots=True)
+class _Work:
+    """A request in the dispatcher.
+
+    Attributes:
+        server_id: Where it is placed; empty while it isn't.
+        excluded: Engines that rejected it.
+    """
+
+    request: PlacementRequest
+    graph: StageGraph
+    submitted_at: float
+    server_id: str = ""
+    excluded: set[str] = field(default_factory=set)
+    remakes: int = 0
+
+
+class ZoneDispatcher:
+    """Decides for the requests of one zone.
+
+    Args:
+        zone: Whose servers are preferred.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self._services_by_name: Mapping[str, Service] = {}
+        self._stage_pools_by_service: dict[str, StagePool] = {}
+        self._engine_pools_by_service: dict[str, EnginePool] = {}
+        self._work_by_request: dict[str, _Work] = {}
+        self._unplaced: list[str] = []
+        self._entries_by_id: dict[str, ServerEntry] = {}
+        self._call_ids = itertools.count(1)
+        self._actions: list[Action] = []
+        self._released: dict[str, list[str]] = defaultdict(list)
+        self._release_at = math.inf
+
+    @property
+    def request_count(self) -> int:
+        """Requests that were taken and have not ended."""
+        return len(self._work_by_request)
+
+    @property
+    def waiting_piece_count(self) -> int:
+        """Pieces that wait for a call."""
+        return sum(len(p.waiting) for p in self._stage_pools_by_service.values())
+
+    def configure(self, services_by_name: Mapping[str, Service]) -> None:
+        """Use the services of a newer configuration."""
+        if services_by_name is self._services_by_name:
+            return
+        self._services_by_name = services_by_name
+        for name, pool in list(self._stage_pools_by_service.items()):
+            service = services_by_name.get(name)
+            if service is not None and service.stage is not None:
+                pool.limits = service.stage
+        for entry in self._entries_by_id.values():
+            self._route_entry(entry)
+
+    def put_server(self, entry: ServerEntry) -> None:
+        """Take what is known of a server."""
+        self._entries_by_id[entry.server_id] = entry
+        self._route_entry(entry)
+
+    def _route_entry(self, entry: ServerEntry) -> None:
+        announcement = entry.announcement
+        pools = [*self._stage_pools_by_service.values()]
+        pools += [*self._engine_pools_by_service.values()]
+        for pool in pools:
+            if pool.service != announcement.service or not entry.takes_work:
+                pool.remove_server(announcement.server_id)
+        if not entry.takes_work:
+            return
+        service = self._services_by_name.get(announcement.service)
+        if service is None:
+            return
+        if service.stage is not None:
+            pool = self._stage_pool(service)
+            pool.put_server(announcement, entry.is_silent)
+        else:
+            engines = self._engine_pool(service)
+            engines.put_server(announcement, entry.is_silent, entry.warm_until)
+
+    def _stage_pool(self, service: Service) -> StagePool:
+        pool = self._stage_pools_by_service.get(service.name)
+        if pool is None:
+            pool = StagePool(service.name, self.zone, service.stage)
+            self._stage_pools_by_service[service.name] = pool
+        return pool
+
+    def _engine_pool(self, service: Service) -> EnginePool:
+        pool = self._engine_pools_by_service.get(service.name)
+        if pool is None:
+            pool = EnginePool(service.name, self.zone, service.engine)
+            self._engine_pools_by_service[service.name] = pool
+        return pool
+
+    def submit(self, request: PlacementRequest, now: float) -> None:
+        """Take a request, or refuse it at once."""
+        expected = self.forecast(request, now)
+        if now + expected.first_event_s > request.give_up_at:
+            self._refuse(request.request_id, expected.reason, expected.retry_after_s)
+            return
+        graph = StageGraph(request.route.stages, request.pieces)
+        work = _Work(request, graph, now)
+        self._work_by_request[request.request_id] = work
+        logger.debug(
+            "took request %s: first event expected in %.3f s, due in %.3f s",
+            request.request_id,
+            expected.first_event_s,
+            request.objective_at - now,
+        )
+        self._advance(work, now)
+
+    def forecast(self, request: PlacementRequest, now: float) -> Forecast:
+        """Return when the request's first event should come if it came in now."""
+        return forecast(
+            request,
+            self._stage_pools_by_service,
+            self._engine_pools_by_service.get(request.service),
+            now,
+        )
+
+    def cancel(self, request_id: str) -> None:
+        """Drop a request whose caller has left."""
+        work = self._work_by_request.get(request_id)
+        if work is not None:
+            self._end(work)
+
+    def report(
+        self, request_id: str, server_id: str, outcome: PlacementOutcome, now: float
+    ) -> None:
+        """Learn what became of a placement."""
+        work = self._work_by_request.get(request_id)
+        if work is None:
+            return
+        pool = self._engine_pools_by_service.get(work.request.service)
+        if outcome is PlacementOutcome.STARTED:
+            if pool is not None:
+                pool.note_started(server_id, request_id, now)
+            self._release(work.graph.held_handles())
+            return
+        if outcome in (PlacementOutcome.FINISHED, PlacementOutcome.CANCELLED):
+            self._end(work)
+        elif outcome is PlacementOutcome.FAILED:
+            if pool is not None:
+                pool.note_failed(server_id, request_id, now)
+            self._end(work)
+        else:
+            self._place_again(work, pool, server_id, outcome, now)
+        self._place_waiting(now)
+
+    def _place_again(
+        self,
+        work: _Work,
+        pool: EnginePool | None,
+        server_id: str,
+        outcome: PlacementOutcome,
+        now: float,
+    ) -> None:
+        request_id = work.request.request_id
+        work.server_id = ""
+        if outcome is PlacementOutcome.INPUTS_GONE:
+            if pool is not None:
+                pool.note_ended(server_id, request_id)
+            self._remake(work, work.graph.drop_final(), now)
+            return
+        if pool is not None:
+            pool.note_failed(server_id, request_id, now)
+        work.excluded.add(server_id)
+        self._advance(work, now)
+
+    def stage_call_done(
+        self, service: str, call_id: int, results: tuple[PieceResult, ...], now: float
+    ) -> None:
+        """Take the answer to a stage call."""
+        pool = self._stage_pools_by_service.get(service)
+        call = pool.end_call(call_id, now) if pool else None
+        if call is None:
+            return
+        for piece, result in zip(call.pieces, results, strict=True):
+            self._take_result(pool, call, piece, result, now)
+        self._advance_all({piece.request_id for piece in call.pieces}, now)
+        self._start_calls(now)
+
+    def _take_result(
+        self,
+        pool: StagePool,
+        call: RunningCall,
+        piece: WaitingPiece,
+        result: PieceResult,
+        now: float,
+    ) -> None:
+        work = self._work_by_request.get(piece.request_id)
+        if result.handle:
+            pool.hold(result.handle, piece.result_bytes, now)
+            if work is None or work.graph.has_result(piece.stage, piece.number):
+                self._release((result.handle,))
+            else:
+                work.graph.record(piece.stage, piece.number, result.handle)
+                if call.is_overdue:
+                    pool.drop_piece(piece.request_id, piece.stage, piece.number)
+            return
+        if work is None or call.is_overdue:
+            return
+        if result.failure is PieceFailure.LATE:
+            self._refuse_work(work, "stage_late", now)
+        elif result.failure is PieceFailure.INPUT_GONE:
+            work.graph.request_again(piece.stage, piece.number)
+            self._remake(work, work.graph.drop_inputs_of(piece.stage), now)
+        else:
+            self._retry_piece(work, pool, piece, now)
+
+    def _retry_piece(
+        self, work: _Work, pool: StagePool, piece: WaitingPiece, now: float
+    ) -> None:
+        piece.failures += 1
+        if piece.failures >= _MAX_PIECE_FAILURES:
+            self._refuse_work(work, "stage_failed", now)
+        else:
+            pool.add(piece)
+
+    def _remake(self, work: _Work, dropped: tuple[str, ...], now: float) -> None:
+        self._release(dropped)
+        work.remakes += 1
+        if work.remakes > _MAX_REMAKES:
+            self._refuse_work(work, "results_lost", now)
+        else:
+            self._advance(work, now)
+
+    def stage_call_failed(
+        self, service: str, call_id: int, failure: CallFailure, now: float
+    ) -> None:
+        """Take that a stage call brought no results."""
+        pool = self._stage_pools_by_service.get(service)
+        call = pool.fail_call(call_id, now) if pool else None
+        if call is None:
+            return
+        if failure is CallFailure.MISDIRECTED:
+            pool.remove_server(call.server_id)
+        if not call.is_overdue:
+            for piece in call.pieces:
+                work = self._work_by_request.get(piece.request_id)
+                if work is not None:
+                    if failure is CallFailure.FULL:
+                        pool.add(piece)
+                    else:
+                        self._retry_piece(work, pool, piece, now)
+        self._start_calls(now)
+
+    def tick(self, now: float) -> None:
+        """Do what time calls for; due every 50 ms or so."""
+        for pool in self._stage_pools_by_service.values():
+            for call in pool.take_overdue(now):
+                self._requeue_overdue(pool, call, now)
+        self._refuse_hopeless(now)
+        self._start_calls(now)
+        self._place_waiting(now)
+        if now >= self._release_at:
+            self._flush_releases()
+
+    def _requeue_overdue(self, pool: StagePool, call: RunningCall, now: float) -> None:
+        logger.info(
+            "call %d to %s is overdue after %.3f s; its %d pieces are made elsewhere",
+            call.call_id,
+            call.server_id,
+            now - call.started_at,
+            len(call.pieces),
+        )
+        for piece in call.pieces:
+            work = self._work_by_request.get(piece.request_id)
+            if work is not None and not work.graph.has_result(piece.stage, piece.number):
+                self._retry_piece(work, pool, piece, now)
+
+    def _refuse_hopeless(self, now: float) -> None:
+        for work in list(self._work_by_request.values()):
+            if not work.server_id and now >= work.request.give_up_at:
+                self._refuse_work(work, "deadline", now)
+
+    def collect(self, now: float) -> tuple[Action, ...]:
+        """Return the actions that the events so far call for, in order."""
+        if self._released and self._release_at is math.inf:
+            self._release_at = now + RELEASE_INTERVAL_S
+        actions = tuple(self._actions)
+        self._actions.clear()
+        return actions
+
+    def _advance_all(self, request_ids: set[str], now: float) -> None:
+        for request_id in request_ids:
+            work = self._work_by_request.get(request_id)
+            if work is not None:
+                self._release(work.graph.consumed())
+                self._advance(work, now)
+
+    def _advance(self, work: _Work, now: float) -> None:
+        """Queue what has become due, or place the request."""
+        if work.server_id or work.request.request_id not in self._work_by_request:
+            return
+        if work.graph.is_complete:
+            if work.request.request_id not in self._unplaced:
+                self._unplaced.append(work.request.request_id)
+            self._place_waiting(now)
+            return
+        for stage, number in work.graph.take_due():
+            service = work.request.route.stages[stage].service
+            pool = self._stage_pools_by_service.get(service)
+            if pool is None:
+                self._refuse_work(work, "no_server", now)
+                return
+            pool.add(self._waiting_piece(work, stage, number))
+        self._start_calls(now)
+
+    def _waiting_piece(self, work: _Work, stage: int, number: int) -> WaitingPiece:
+        request = work.request
+        return WaitingPiece(
+            request.request_id,
+            stage,
+            number,
+            request.priority,
+            request.objective_at,
+            self._remaining_s(work, stage),
+            request.route.stages[stage].result_bytes,
+        )
+
+    def _remaining_s(self, work: _Work, stage: int) -> float:
+        """Return the time from a stage's call to the first event, at best."""
+        request = work.request
+        remaining_s = 0.0
+        frontier = {stage}
+        while frontier:
+            longest_s = 0.0
+            for index in frontier:
+                pool = self._stage_pools_by_service.get(
+                    request.route.stages[index].service
+                )
+                if pool is not None:
+                    pieces = min(work.graph.pieces[index], pool.limits.batch_size)
+                    longest_s = max(longest_s, pool.call_time(pieces))
+            remaining_s += longest_s
+            frontier = {
+                i
+                for i, spec in enumerate(request.route.stages)
+                if frontier & set(spec.after) and work.graph.pieces[i]
+            }
+        pool = self._engine_pools_by_service.get(request.service)
+        if pool is not None:
+            remaining_s += pool.overhead_s
+            remaining_s += request.prompt_tokens / pool.read_tokens_per_s
+        return remaining_s
+
+    def _start_calls(self, now: float) -> None:
+        for pool in self._stage_pools_by_service.values():
+            while (chosen := pool.next_call(now)) is not None:
+                server, pieces = chosen
+                call_id = next(self._call_ids)
+                call = pool.start_call(call_id, server, pieces, now)
+                timeout_s = call.overdue_at - now + _CALL_TIMEOUT_S
+                self._actions.append(
+                    StageCall(
+                        call_id,
+                        server.announcement,
+                        tuple(self._stage_piece(piece, now) for piece in pieces),
+                        timeout_s,
+                    )
+                )
+
+    def _stage_piece(self, piece: WaitingPiece, now: float) -> StagePiece:
+        work = self._work_by_request[piece.request_id]
+        return StagePiece(
+            piece.request_id,
+            piece.stage,
+            piece.number,
+            work.request.piece_key,
+            work.graph.inputs_of(piece.stage),
+            work.request.give_up_at - now,
+        )
+
+    def _place_waiting(self, now: float) -> None:
+        """Place requests whose stages are made, the most urgent first."""
+        if not self._unplaced:
+            return
+        ready = [
+            work
+            for request_id in self._unplaced
+            if (work := self._work_by_request.get(request_id)) is not None
+        ]
+        ready.sort(key=lambda w: (w.request.priority, w.request.objective_at))
+        self._unplaced = [
+            work.request.request_id for work in ready if not self._try_place(work, now)
+        ]
+
+    def _try_place(self, work: _Work, now: float) -> bool:
+        request = work.request
+        pool = self._engine_pools_by_service.get(request.service)
+        if pool is None:
+            return False
+        engine = pool.choose(
+            request.prompt, request.prompt_tokens, frozenset(work.excluded), now
+        )
+        if engine is None:
+            return False
+        pool.place(
+            engine, request.request_id, request.prompt, request.prompt_tokens, now
+        )
+        work.server_id = engine.announcement.server_id
+        self._actions.append(
+            Placement(
+                request.request_id,
+                work.server_id,
+                engine.announcement.address,
+                work.graph.final_handles(),
+            )
+        )
+        return True
+
+    def _refuse_work(self, work: _Work, reason: str, now: float) -> None:
+        if work.request.request_id not in self._work_by_request:
+            return
+        retry_after_s = self.forecast(work.request, now).retry_after_s
+        self._end(work)
+        self._refuse(work.request.request_id, reason, retry_after_s)
+
+    def _refuse(self, request_id: str, reason: str, retry_after_s: float) -> None:
+        self._actions.append(PlacementRefusal(request_id, reason, retry_after_s))
+
+    def _end(self, work: _Work) -> None:
+        request_id = work.request.request_id
+        if self._work_by_request.pop(request_id, None) is None:
+            return
+        if request_id in self._unplaced:
+            self._unplaced.remove(request_id)
+        for pool in self._stage_pools_by_service.values():
+            pool.discard(request_id)
+        pool = self._engine_pools_by_service.get(work.request.service)
+        if pool is not None and work.server_id:
+            pool.note_ended(work.server_id, request_id)
+        self._release(work.graph.held_handles())
+
+    def _release(self, handles: tuple[str, ...]) -> None:
+        for handle in handles:
+            for pool in self._stage_pools_by_service.values():
+                address = pool.release(handle)
+                if address is not None:
+                    self._released[address].append(handle)
+                    break
+
+    def _flush_releases(self) -> None:
+        for address, handles in self._released.items():
+            self._actions.append(ResultsRelease(address, tuple(handles)))
+        self._released.clear()
+        self._release_at = math.inf
--- /dev/null
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -0,0 +1,158 @@
+"""Translation between values and the messages of links."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.dispatch.messages import (
+    Placement,
+    PlacementOutcome,
+    PlacementRefusal,
+    PlacementRequest,
+    PromptPart,
+)
+from galenadrum._internal.models.announcements import Announcement, ServerState
+from galenadrum._internal.models.routing import Route
+from galenadrum._internal.protocol import gateway_pb2 as pb
+
+_MS = 1_000
+
+
+def encode_entry(entry: ServerEntry, now: float) -> pb.LinkMessage:
+    """Encode what is known of a server."""
+    announcement = entry.announcement
+    return pb.LinkMessage(
+        server=pb.ServerAnnouncement(
+            server_id=announcement.server_id,
+            incarnation_ms=announcement.incarnation_ms,
+            sequence=announcement.sequence,
+            service=announcement.service,
+            address=announcement.address,
+            zone=announcement.zone,
+            concurrency=announcement.concurrency,
+            state=announcement.state.value,
+            warm_up_ms=max(0, int((entry.warm_until - now) * _MS)),
+            is_silent=entry.is_silent,
+        )
+    )
+
+
+def decode_announcement(record: pb.ServerAnnouncement) -> Announcement:
+    """Decode the announcement of a server."""
+    return Announcement(
+        record.server_id,
+        record.incarnation_ms,
+        record.sequence,
+        record.service,
+        record.address,
+        record.zone,
+        record.concurrency,
+        ServerState(record.state),
+        record.warm_up_ms / _MS,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class RemotePlacementRequest:
+    """A placement request before its route was looked up.
+
+    Attributes:
+        zone: Of the dispatcher that is asked for.
+        version: Configuration that the sender serves from.
+    """
+
+    record: pb.PlacementRequest
+
+    @property
+    def route_name(self) -> str:
+        """Name of the request's route."""
+        return self.record.route
+
+    def resolve(self, route: Route, now: float) -> PlacementRequest:
+        """Return the request with its route and on this host's clock."""
+        record = self.record
+        return PlacementRequest(
+            request_id=record.request_id,
+            route=route,
+            service=record.service,
+            pieces=tuple(record.pieces),
+            piece_key=record.piece_key,
+            prompt=tuple(PromptPart(p.part_id, p.tokens) for p in record.prompt),
+            prompt_tokens=record.prompt_tokens,
+            output_tokens=record.output_tokens,
+            priority=record.priority,
+            objective_at=now + record.objective_left_ms / _MS,
+            give_up_at=now + record.give_up_left_ms / _MS,
+        )
+
+
+def encode_request(
+    request: PlacementRequest, zone: str, version: int, now: float
+) -> pb.LinkMessage:
+    """Encode a placement request; times become durations."""
+    return pb.LinkMessage(
+        place=pb.PlacementRequest(
+            request_id=request.request_id,
+            route=request.route.name,
+            service=request.service,
+            pieces=request.pieces,
+            piece_key=request.piece_key,
+            prompt=[
+                pb.PromptPart(part_id=p.part_id, tokens=p.tokens)
+                for p in request.prompt
+            ],
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            priority=request.priority,
+            objective_left_ms=int((request.objective_at - now) * _MS),
+            give_up_left_ms=int((request.give_up_at - now) * _MS),
+            zone=zone,
+            version=version,
+        )
+    )
+
+
+def encode_answer(answer: Placement | PlacementRefusal) -> pb.LinkMessage:
+    """Encode the answer to a placement request."""
+    if isinstance(answer, Placement):
+        return pb.LinkMessage(
+            placement=pb.Placement(
+                request_id=answer.request_id,
+                server_id=answer.server_id,
+                address=answer.address,
+                inputs=answer.inputs,
+            )
+        )
+    return pb.LinkMessage(
+        refusal=pb.PlacementRefusal(
+            request_id=answer.request_id,
+            reason=answer.reason,
+            retry_after_ms=int(answer.retry_after_s * _MS),
+        )
+    )
+
+
+def decode_placement(record: pb.Placement) -> Placement:
+    """Decode a placement."""
+    return Placement(
+        record.request_id, record.server_id, record.address, tuple(record.inputs)
+    )
+
+
+def decode_refusal(record: pb.PlacementRefusal) -> PlacementRefusal:
+    """Decode a refusal."""
+    return PlacementRefusal(
+        record.request_id, record.reason, record.retry_after_ms / _MS
+    )
+
+
+def encode_report(
+    request_id: str, server_id: str, outcome: PlacementOutcome
+) -> pb.LinkMessage:
+    """Encode what became of a placement."""
+    return pb.LinkMessage(
+        report=pb.PlacementReport(
+            request_id=request_id, server_id=server_id, outcome=outcome.value
+        )
+    )
--- /dev/null
+++ b/src/galenadrum/_internal/gateway/placements.py
@@ -0,0 +1,195 @@
+"""Asks dispatchers for places on behalf of an entry host's requests.
+
+The dispatcher of the own zone is asked first. When the link to it goes down, its
+requests are asked for anew at the next one; without any, the host dispatches
+for itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from galenadrum._internal.dispatch.driver import DispatchDriver
+from galenadrum._internal.dispatch.messages import (
+    Placement,
+    PlacementOutcome,
+    PlacementRefusal,
+    PlacementRequest,
+)
+from galenadrum._internal.gateway.link_codec import (
+    decode_placement,
+    decode_refusal,
+    encode_report,
+    encode_request,
+)
+from galenadrum._internal.network.frame_link import HostLink
+from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
+
+logger = logging.getLogger(__name__)
+
+# Reasons of a refusal for which the dispatcher of another zone may have room.
+_ELSEWHERE_REASONS = frozenset({"overloaded", "no_server"})
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A request at a dispatcher.
+
+    Attributes:
+        link: None where this host dispatches for itself.
+        zone: Whose servers are preferred.
+        answer: The next placement or refusal.
+    """
+
+    request: PlacementRequest
+    link: HostLink | None
+    zone: str
+    answer: asyncio.Future[Placement | PlacementRefusal]
+    server_id: str = ""
+    tried_zones: tuple[str, ...] = ()
+
+
+class Placements:
+    """Requests of this host that are placed or wait for it.
+
+    Args:
+        zone: The host's own.
+        links: Returns the links that are up.
+        local: Dispatches here when there is no link.
+        version: Returns the version of the configuration in force.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        links: Callable[[], list[HostLink]],
+        local: DispatchDriver,
+        version: Callable[[], int],
+    ) -> None:
+        self._zone = zone
+        self._links = links
+        self._local = local
+        self._version = version
+        self._pending_by_request: dict[str, _Pending] = {}
+        self._loop = asyncio.get_running_loop()
+
+    async def place(self, request: PlacementRequest) -> Placement | PlacementRefusal:
+        """Return where a request is to be sent, once its stages are made."""
+        pending = _Pending(request, None, self._zone, self._loop.create_future())
+        self._pending_by_request[request.request_id] = pending
+        self._submit(pending)
+        answer = await pending.answer
+        if isinstance(answer, PlacementRefusal):
+            answer = await self._try_elsewhere(pending, answer)
+        return self._taken(pending, answer)
+
+    async def place_again(
+        self, request_id: str, outcome: PlacementOutcome
+    ) -> Placement | PlacementRefusal:
+        """Report that a placement came to nothing and wait for the next."""
+        pending = self._pending_by_request.get(request_id)
+        if pending is None:
+            return PlacementRefusal(request_id, "unknown", 0.0)
+        pending.answer = self._loop.create_future()
+        server_id, pending.server_id = pending.server_id, ""
+        self._report(pending, server_id, outcome)
+        return self._taken(pending, await pending.answer)
+
+    def _taken(
+        self, pending: _Pending, answer: Placement | PlacementRefusal
+    ) -> Placement | PlacementRefusal:
+        if isinstance(answer, Placement):
+            pending.server_id = answer.server_id
+        else:
+            self._pending_by_request.pop(answer.request_id, None)
+        return answer
+
+    async def _try_elsewhere(
+        self, pending: _Pending, refusal: PlacementRefusal
+    ) -> Placement | PlacementRefusal:
+        """Ask the dispatcher of one other zone, if there may be room."""
+        if refusal.reason not in _ELSEWHERE_REASONS:
+            return refusal
+        others = [
+            link
+            for link in self._links()
+            if link.peer.zone not in (self._zone, pending.zone)
+        ]
+        if not others or self._loop.time() >= pending.request.give_up_at:
+            return refusal
+        # Hosts of one zone spread over the others by the request's id.
+        link = others[zlib.crc32(pending.request.request_id.encode()) % len(others)]
+        pending.answer = self._loop.create_future()
+        pending.link = link
+        pending.zone = link.peer.zone
+        self._send(pending)
+        return await pending.answer
+
+    def report(self, request_id: str, outcome: PlacementOutcome) -> None:
+        """Report the start or the end of a placement."""
+        pending = self._pending_by_request.get(request_id)
+        if pending is None:
+            return
+        self._report(pending, pending.server_id, outcome)
+        if outcome is not PlacementOutcome.STARTED:
+            del self._pending_by_request[request_id]
+
+    def _report(
+        self, pending: _Pending, server_id: str, outcome: PlacementOutcome
+    ) -> None:
+        request_id = pending.request.request_id
+        if pending.link is None:
+            self._local.report(request_id, server_id, outcome)
+        elif pending.link.is_up:
+            pending.link.send(encode_report(request_id, server_id, outcome))
+
+    def take_message(self, link: HostLink, message: LinkMessage) -> None:
+        """Take a dispatcher's answer."""
+        body = message.WhichOneof("body")
+        if body == "placement":
+            self._take_answer(link, decode_placement(message.placement))
+        elif body == "refusal":
+            self._take_answer(link, decode_refusal(message.refusal))
+
+    def _take_answer(
+        self, link: HostLink | None, answer: Placement | PlacementRefusal
+    ) -> None:
+        pending = self._pending_by_request.get(answer.request_id)
+        if pending is None or pending.link is not link:
+            return
+        if not pending.answer.done():
+            pending.answer.set_result(answer)
+
+    def link_lost(self, link: HostLink) -> None:
+        """Ask anew for what waited at a dispatcher that is lost."""
+        for pending in list(self._pending_by_request.values()):
+            if pending.link is link and not pending.answer.done():
+                self._submit(pending)
+
+    def _submit(self, pending: _Pending) -> None:
+        pending.zone = self._zone
+        pending.link = self._choose_link()
+        self._send(pending)
+
+    def _send(self, pending: _Pending) -> None:
+        if pending.link is None:
+            self._local.submit(
+                pending.request, pending.zone, lambda a: self._take_answer(None, a)
+            )
+            return
+        now = self._loop.time()
+        pending.link.send(
+            encode_request(pending.request, pending.zone, self._version(), now)
+        )
+
+    def _choose_link(self) -> HostLink | None:
+        """Return the link to the zone's dispatcher, the same on all its hosts."""
+        links = self._links()
+        own = [link for link in links if link.peer.zone == self._zone]
+        if own:
+            return own[0]
+        return links[0] if links else None
--- /dev/null
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -0,0 +1,268 @@
+"""Forwards requests whose whole answer is read before it is sent on."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.gateway.answers import Answers
+from galenadrum._internal.gateway.attempts import Attempts, RequestContext
+from galenadrum._internal.gateway.balancer import PlainBalancer
+from galenadrum._internal.gateway.dialect import Dialect, Forwarding, ReplyFacts
+from galenadrum._internal.gateway.retries import RetryBudgets
+from galenadrum._internal.network.http1.client import (
+    BackendConnection,
+    BrokenResponseError,
+    ConnectError,
+    ConnectionPool,
+)
+from galenadrum._internal.network.http1.heads import (
+    ResponseHead,
+    encode_request,
+    end_to_end,
+)
+from galenadrum._internal.network.http1.server import Exchange
+from galenadrum._internal.observability.metrics import Metrics
+
+logger = logging.getLogger(__name__)
+
+_CONNECT_TIMEOUT_S = 0.4
+# A connection that was idle for longer may be closed by its server as the
+# request leaves; a request that may not be repeated would be lost with it.
+_MAX_IDLE_UNREPEATABLE_S = 0.5
+# A server without an answer for this many usual latencies is given up, if the
+# request may be repeated.
+_HANG_FACTOR = 4.0
+_MIN_HANG_S = 0.25
+_RETRY_AFTER_S = 0.3
+_UNSENT_MARGIN_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """A whole response of a backend server."""
+
+    head: ResponseHead
+    body: bytes
+    facts: ReplyFacts
+
+
+class PlainForwarder:
+    """Sends a request to one server after the other until one answers."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        balancer: PlainBalancer,
+        budgets: RetryBudgets,
+        answers: Answers,
+        metrics: Metrics,
+    ) -> None:
+        self._dialect = dialect
+        self._pool = pool
+        self._balancer = balancer
+        self._budgets = budgets
+        self._answers = answers
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+
+    async def forward(self, exchange: Exchange, context: RequestContext) -> None:
+        """Answer a request."""
+        attempts = Attempts(context.route)
+        self._budgets.deposit(context.service)
+        failure = "no_server"
+        while attempts.may_send:
+            now = self._loop.time()
+            if now + _UNSENT_MARGIN_S >= context.deadline_at:
+                failure = "deadline"
+                break
+            entry = self._balancer.choose(context.service, attempts.excluded, now)
+            if entry is None:
+                break
+            if not attempts.is_first and not self._budgets.withdraw(context.service):
+                failure = "retry_budget"
+                break
+            attempts.excluded.add(entry.server_id)
+            reply, failure = await self._attempt(context, entry, attempts)
+            if reply is not None and not self._is_retried(reply, attempts):
+                self._pass_on(exchange, context, reply, entry)
+                return
+        self._give_up(exchange, context, attempts, failure)
+
+    def _is_retried(self, reply: _Reply, attempts: Attempts) -> bool:
+        """Return whether a failure of the server's own may be tried elsewhere."""
+        return reply.head.status >= 500 and attempts.may_send
+
+    def _give_up(
+        self,
+        exchange: Exchange,
+        context: RequestContext,
+        attempts: Attempts,
+        failure: str,
+    ) -> None:
+        detail = f"servers={','.join(sorted(attempts.excluded))}"
+        if not attempts.may_have_run:
+            self._answers.refuse(
+                exchange, context.facts, failure, _RETRY_AFTER_S, detail
+            )
+            return
+        is_late = self._loop.time() >= context.deadline_at - _UNSENT_MARGIN_S
+        status = 504 if is_late else 502
+        self._answers.fail(exchange, context.facts, status, failure, detail)
+
+    def _pass_on(
+        self,
+        exchange: Exchange,
+        context: RequestContext,
+        reply: _Reply,
+        entry: ServerEntry,
+    ) -> None:
+        status = reply.head.status
+        elapsed_s = self._loop.time() - context.received_at
+        self._metrics.increment("answers", route=context.route.name, status=str(status))
+        self._metrics.record_duration("answer_seconds", elapsed_s)
+        logger.info(
+            "answered %d from %s after %.3f s",
+            status,
+            entry.server_id,
+            elapsed_s,
+            extra={"request_id": context.facts.request_id},
+        )
+        if exchange.is_gone:
+            return
+        headers = [
+            (name, value)
+            for name, value in end_to_end(reply.head.headers)
+            if name.lower() != b"content-length"
+        ]
+        exchange.respond(status, headers, reply.body)
+
+    async def _attempt(
+        self, context: RequestContext, entry: ServerEntry, attempts: Attempts
+    ) -> tuple[_Reply | None, str]:
+        """Send the request to one server.
+
+        Returns:
+            The response, or None and the reason why there is none.
+        """
+        server_id = entry.server_id
+        self._balancer.started(server_id)
+        started_at = self._loop.time()
+        try:
+            connection = await self._connect(context, entry)
+        except ConnectError as error:
+            attempts.rejections += 1
+            self._balancer.rejected(server_id, None, self._loop.time())
+            logger.info(
+                "could not reach %s: %s",
+                server_id,
+                error,
+                extra={"request_id": context.facts.request_id},
+            )
+            return None, "unreachable"
+        try:
+            reply = await self._exchange(context, entry, connection, attempts)
+        except (BrokenResponseError, TimeoutError) as error:
+            connection.close()
+            attempts.may_have_run += 1
+            now = self._loop.time()
+            self._balancer.ended(server_id, True, now - started_at, None, now)
+            logger.info(
+                "no answer from %s after %.3f s: %s",
+                server_id,
+                now - started_at,
+                error or "timed out",
+                extra={"request_id": context.facts.request_id},
+            )
+            return None, "timeout" if isinstance(error, TimeoutError) else "broken"
+        except asyncio.CancelledError:
+            connection.close()
+            self._balancer.ended(
+                server_id, False, self._loop.time() - started_at, None, started_at
+            )
+            raise
+        return self._note_reply(context, entry, reply, attempts, started_at)
+
+    async def _connect(
+        self, context: RequestContext, entry: ServerEntry
+    ) -> BackendConnection:
+        max_idle_s = None if context.route.may_repeat else _MAX_IDLE_UNREPEATABLE_S
+        left_s = context.deadline_at - self._loop.time()
+        return await self._pool.get(
+            entry.announcement.address, min(_CONNECT_TIMEOUT_S, left_s), max_idle_s
+        )
+
+    async def _exchange(
+        self,
+        context: RequestContext,
+        entry: ServerEntry,
+        connection: BackendConnection,
+        attempts: Attempts,
+    ) -> _Reply:
+        now = self._loop.time()
+        left_s = max(0.001, context.deadline_at - now)
+        organisation = context.organisation
+        forwarding = Forwarding(
+            entry.server_id, left_s, organisation.name if organisation else None
+        )
+        head = context.head
+        headers = self._dialect.request_headers(head, forwarding)
+        if context.body or head.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            headers.append((b"Content-Length", b"%d" % len(context.body)))
+        data = encode_request(head.method, head.target, headers) + context.body
+        connection.send(data, head.method == b"HEAD")
+        wait_s = left_s
+        if context.route.may_repeat and attempts.may_have_run + 1 < (
+            context.route.max_attempts
+        ):
+            usual_s = self._balancer.usual_latency_s(context.service)
+            wait_s = min(wait_s, max(_MIN_HANG_S, _HANG_FACTOR * usual_s))
+        async with asyncio.timeout(wait_s):
+            reply = await self._read(connection, context.facts.request_id)
+        self._pool.put(connection)
+        return reply
+
+    async def _read(self, connection: BackendConnection, request_id: str) -> _Reply:
+        while True:
+            head = await connection.read_head()
+            body = await connection.read_body()
+            facts = self._dialect.read_reply(head)
+            if facts.request_id in ("", request_id):
+                return _Reply(head, body, facts)
+            # A late second answer to the request before.
+            logger.info(
+                "discarded an answer to %s",
+                facts.request_id,
+                extra={"request_id": request_id},
+            )
+            connection.discard_response()
+
+    def _note_reply(
+        self,
+        context: RequestContext,
+        entry: ServerEntry,
+        reply: _Reply,
+        attempts: Attempts,
+        started_at: float,
+    ) -> tuple[_Reply | None, str]:
+        now = self._loop.time()
+        server_id = entry.server_id
+        if reply.facts.did_not_run or reply.head.status == 421:
+            attempts.rejections += 1
+            self._balancer.rejected(server_id, reply.facts, now)
+            if reply.head.status == 421:
+                self._balancer.remove_server(server_id)
+            logger.info(
+                "%s did not take the request: %d",
+                server_id,
+                reply.head.status,
+                extra={"request_id": context.facts.request_id},
+            )
+            return None, "overloaded"
+        attempts.may_have_run += 1
+        failed = reply.head.status >= 500
+        self._balancer.ended(server_id, failed, now - started_at, reply.facts, now)
+        return reply, "server_error"
--- /dev/null
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -0,0 +1,136 @@
+"""Checks callers' requests and hands them to a forwarder."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from dataclasses import dataclass
+
+from galenadrum._internal.configuration.route_table import RouteTable, choose_service
+from galenadrum._internal.gateway.answers import Answers
+from galenadrum._internal.gateway.attempts import RequestContext
+from galenadrum._internal.gateway.dialect import Dialect, RequestFacts
+from galenadrum._internal.gateway.lease import ConfigurationLease
+from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
+from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
+from galenadrum._internal.models.routing import OrganisationKeys, Route, RouteKind
+from galenadrum._internal.network.http1.server import Exchange
+
+logger = logging.getLogger(__name__)
+
+_RETRY_AFTER_NO_CONFIGURATION_S = 0.5
+_RETRY_AFTER_NO_LEASE_S = 1.0
+
+
+@dataclass(slots=True)
+class InForce:
+    """The configuration that requests are served from; replaced whole."""
+
+    table: RouteTable | None = None
+
+
+class RequestHandler:
+    """Answers exchanges of the callers' server."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        in_force: InForce,
+        lease: ConfigurationLease,
+        plain: PlainForwarder,
+        streams: StreamForwarder,
+        answers: Answers,
+        rng: random.Random,
+    ) -> None:
+        self._dialect = dialect
+        self._in_force = in_force
+        self._lease = lease
+        self._plain = plain
+        self._streams = streams
+        self._answers = answers
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        facts = self._dialect.read_request(exchange.head)
+        context = self._check(exchange, facts)
+        if context is None:
+            return
+        task = asyncio.current_task()
+        if context.route.kind is not RouteKind.NON_IDEMPOTENT:
+            exchange.on_gone = task.cancel
+        try:
+            if context.route.kind is RouteKind.STREAM:
+                await self._streams.forward(exchange, context)
+            else:
+                await self._plain.forward(exchange, context)
+        except asyncio.CancelledError:
+            if not exchange.is_gone:
+                raise
+            logger.info(
+                "the caller left after %.3f s",
+                self._loop.time() - context.received_at,
+                extra={"request_id": facts.request_id},
+            )
+
+    def _check(
+        self, exchange: Exchange, facts: RequestFacts
+    ) -> RequestContext | None:
+        table = self._in_force.table
+        if table is None:
+            self._answers.refuse(
+                exchange, facts, "no_configuration", _RETRY_AFTER_NO_CONFIGURATION_S
+            )
+            return None
+        host = (exchange.head.get(b"host") or b"").decode("latin-1")
+        route = table.find_route(host, exchange.head.path)
+        if route is None:
+            self._answers.deny(exchange, facts, 404, "no route matches")
+            return None
+        organisation = None
+        if table.configuration.requires_key and not route.is_public:
+            organisation = self._find_organisation(exchange, facts, table)
+            if organisation is None:
+                return None
+        return self._context(exchange, facts, route, organisation)
+
+    def _find_organisation(
+        self, exchange: Exchange, facts: RequestFacts, table: RouteTable
+    ) -> OrganisationKeys | None:
+        now = self._loop.time()
+        if not self._lease.is_valid(now):
+            self._answers.refuse(
+                exchange,
+                facts,
+                "no_lease",
+                _RETRY_AFTER_NO_LEASE_S,
+                f"version={self._lease.version} age={self._lease.age_s(now):.3f}",
+            )
+            return None
+        organisation = table.find_organisation(facts.key) if facts.key else None
+        if organisation is None:
+            self._answers.deny(exchange, facts, 401, "the key is not known")
+        return organisation
+
+    def _context(
+        self,
+        exchange: Exchange,
+        facts: RequestFacts,
+        route: Route,
+        organisation: OrganisationKeys | None,
+    ) -> RequestContext:
+        limit_s = route.timeout_s
+        if facts.deadline_s is not None:
+            limit_s = min(limit_s, facts.deadline_s)
+        return RequestContext(
+            head=exchange.head,
+            body=exchange.body,
+            facts=facts,
+            route=route,
+            organisation=organisation,
+            service=choose_service(route, self._rng),
+            received_at=exchange.received_at,
+            deadline_at=exchange.received_at + limit_s,
+        )
--- /dev/null
+++ b/src/galenadrum/_internal/network/frame_link.py
@@ -0,0 +1,242 @@
+"""Streams of small messages between hosts, many messages to a frame.
+
+All messages that are queued in one pass of the event loop leave as one frame.
+The dialling side sends pings; a stream on which no pong comes back is silent
+and is replaced, since a network may lose track of an open connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from grpclib.server import Stream as GrpcStream
+
+from galenadrum._internal.network.peer_link import LinkLostError, open_stream
+from galenadrum._internal.protocol.gateway_grpc import GatewayControlStub
+from galenadrum._internal.protocol.gateway_pb2 import (
+    LinkFrame,
+    LinkHello,
+    LinkMessage,
+    LinkPing,
+)
+
+logger = logging.getLogger(__name__)
+
+# Four pings fit in the silence: one lost datagram's retransmission doesn't
+# replace the stream.
+PING_INTERVAL_S = 0.4
+SILENCE_S = 1.5
+_CONNECT_TIMEOUT_S = 1.0
+_MIN_RECONNECT_DELAY_S = 0.1
+_MAX_RECONNECT_DELAY_S = 1.0
+# A receiver that takes nothing for long is disconnected, not buffered for.
+_MAX_QUEUED_MESSAGES = 4_096
+
+
+class Outbox:
+    """Messages that wait for the next frame."""
+
+    def __init__(self) -> None:
+        self._messages: list[LinkMessage] = []
+        self._changed = asyncio.Event()
+        self.is_overrun = False
+
+    def add(self, message: LinkMessage) -> None:
+        """Queue a message; beyond the bound the stream is given up."""
+        if len(self._messages) >= _MAX_QUEUED_MESSAGES:
+            self.is_overrun = True
+        else:
+            self._messages.append(message)
+        self._changed.set()
+
+    async def write_to(self, send: Callable) -> None:
+        """Send frames until cancelled.
+
+        Raises:
+            LinkLostError: The stream broke or its receiver is too slow.
+        """
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            if self.is_overrun:
+                raise LinkLostError("the receiver takes messages too slowly")
+            messages, self._messages = self._messages, []
+            if messages:
+                await send(LinkFrame(messages=messages))
+
+
+class HostLink:
+    """The dialling side: a link to one control host, kept open.
+
+    Args:
+        address: IP number and port for other hosts.
+        hello: Returns what this host says of itself.
+        deliver: Called with each message.
+        on_up: Called when the first message of a connection has come.
+        on_down: Called when a connection that was up has ended.
+        rng: Spreads reconnects.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        hello: Callable[[], LinkHello],
+        deliver: Callable[[HostLink, LinkMessage], None],
+        on_up: Callable[[HostLink], None],
+        on_down: Callable[[HostLink], None],
+        rng: random.Random,
+    ) -> None:
+        self.address = address
+        self.is_up = False
+        self.peer: LinkHello | None = None
+        self._hello = hello
+        self._deliver = deliver
+        self._on_up = on_up
+        self._on_down = on_down
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._outbox = Outbox()
+        self._heard_at = 0.0
+        self._ping_token = 0
+        self._sent_at_by_token: dict[int, float] = {}
+
+    def send(self, message: LinkMessage) -> None:
+        """Queue a message; it is lost if the link goes down."""
+        self._outbox.add(message)
+
+    def take_ping_time(self, token: int) -> float | None:
+        """Return the loop time at which a ping was sent, once, in seconds."""
+        sent_at = self._sent_at_by_token.pop(token, None)
+        for older in [t for t in self._sent_at_by_token if t < token]:
+            del self._sent_at_by_token[older]
+        return sent_at
+
+    async def run(self) -> None:
+        """Keep the link open until cancelled."""
+        delay_s = _MIN_RECONNECT_DELAY_S
+        while True:
+            try:
+                await self._run_connection()
+            except LinkLostError as error:
+                logger.debug("link to %s: %s", self.address, error)
+            except TimeoutError:
+                logger.info("link to %s is silent; connecting anew", self.address)
+            if self.is_up:
+                delay_s = _MIN_RECONNECT_DELAY_S
+                self._set_down()
+            else:
+                delay_s = min(delay_s * 2, _MAX_RECONNECT_DELAY_S)
+            await asyncio.sleep(delay_s * (0.5 + self._rng.random() / 2))
+
+    async def _run_connection(self) -> None:
+        self._outbox = Outbox()
+        self._sent_at_by_token.clear()
+        self._heard_at = self._loop.time()
+        self._outbox.add(LinkMessage(hello=self._hello()))
+        async with open_stream(
+            self.address,
+            lambda channel: GatewayControlStub(channel).Link,
+            _CONNECT_TIMEOUT_S,
+        ) as stream:
+            parts = [
+                asyncio.ensure_future(self._outbox.write_to(stream.send)),
+                asyncio.ensure_future(self._read(stream)),
+                asyncio.ensure_future(self._ping()),
+            ]
+            try:
+                await _first_failure(parts)
+            finally:
+                for part in parts:
+                    part.cancel()
+
+    async def _read(self, stream) -> None:
+        while (frame := await stream.receive()) is not None:
+            self._heard_at = self._loop.time()
+            for message in frame.messages:
+                if message.HasField("hello"):
+                    self._set_up(message.hello)
+                else:
+                    self._deliver(self, message)
+        raise LinkLostError("the other side ended the stream")
+
+    async def _ping(self) -> None:
+        while True:
+            now = self._loop.time()
+            if now - self._heard_at > SILENCE_S:
+                raise TimeoutError
+            self._ping_token += 1
+            self._sent_at_by_token[self._ping_token] = now
+            ping = LinkPing(token=self._ping_token, version=self._hello().version)
+            self._outbox.add(LinkMessage(ping=ping))
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    def _set_up(self, peer: LinkHello) -> None:
+        self.peer = peer
+        self.is_up = True
+        logger.info("link to %s (%s) is up", peer.host_id, self.address)
+        self._on_up(self)
+
+    def _set_down(self) -> None:
+        self.is_up = False
+        logger.warning("link to %s is down", self.address)
+        self._on_down(self)
+
+
+class InboundLink:
+    """The accepting side of a link, alive as long as its connection.
+
+    Attributes:
+        peer: What the dialling host said of itself.
+    """
+
+    def __init__(self, stream: GrpcStream) -> None:
+        self._stream = stream
+        self._outbox = Outbox()
+        self.peer = LinkHello()
+
+    def send(self, message: LinkMessage) -> None:
+        """Queue a message; it is lost if the link goes down."""
+        self._outbox.add(message)
+
+    async def serve(self, deliver: Callable[[InboundLink, LinkMessage], None]) -> None:
+        """Hand on messages until the other side ends or falls silent."""
+        writer = asyncio.ensure_future(self._outbox.write_to(self._send))
+        reader = asyncio.ensure_future(self._read(deliver))
+        try:
+            await _first_failure([writer, reader])
+        except (LinkLostError, TimeoutError) as error:
+            logger.debug("inbound link of %s ended: %s", self.peer.host_id, error)
+        finally:
+            writer.cancel()
+            reader.cancel()
+            # Ending the handler would leave a silent connection open.
+            self._stream._stream.connection.close()
+
+    async def _send(self, frame: LinkFrame) -> None:
+        try:
+            await self._stream.send_message(frame)
+        except Exception as error:
+            raise LinkLostError(repr(error)) from error
+
+    async def _read(self, deliver: Callable[[InboundLink, LinkMessage], None]) -> None:
+        while True:
+            async with asyncio.timeout(SILENCE_S * 2):
+                try:
+                    frame = await self._stream.recv_message()
+                except TimeoutError:
+                    raise
+                except Exception as error:
+                    raise LinkLostError(repr(error)) from error
+            if frame is None:
+                raise LinkLostError("ended")
+            for message in frame.messages:
+                deliver(self, message)
+
+
+async def _first_failure(parts: list[asyncio.Future]) -> None:
+    done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
+    for part in done:
+        part.result()
--- /dev/null
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -0,0 +1,350 @@
+"""Connections to back ends, and a pool of idle ones.
+
+A connection carries one request at a time. The body of a response is read in
+parts as they come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import defaultdict, deque
+from collections.abc import Callable
+
+import httptools
+
+from galenadrum._internal.exceptions import GalenadrumError
+from galenadrum._internal.network.http1.heads import Headers, ResponseHead
+from galenadrum._internal.utils.addresses import split_address
+
+logger = logging.getLogger(__name__)
+
+# Idle connections kept for one back end.
+_MAX_IDLE_PER_ADDRESS = 8
+# Back ends close idle connections after a time that they tell in whole seconds;
+# one that is about to be closed may reset what is sent on it.
+_KEEP_ALIVE_MARGIN_S = 1.0
+_DEFAULT_MAX_IDLE_S = 3.0
+# A body that grows faster than it is read stops the reading of the socket.
+_MAX_UNREAD_BYTES = 256 * 1024
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class BackendError(GalenadrumError):
+    """The root of the errors of a call to a back end."""
+
+
+class ConnectError(BackendError):
+    """Raised when no connection could be made; nothing was sent."""
+
+
+class BrokenResponseError(BackendError):
+    """Raised when a response can't be read to its end.
+
+    The request may have run.
+    """
+
+
+class BackendConnection(asyncio.Protocol):
+    """One connection to one back end.
+
+    Attributes:
+        address: IP number and port.
+        idle_since: Loop time in seconds since which it carries no request.
+        is_fresh: Whether it has not carried a request yet.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._loop = asyncio.get_running_loop()
+        self.idle_since = self._loop.time()
+        self.is_fresh = True
+        self.max_idle_s = _DEFAULT_MAX_IDLE_S
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head: ResponseHead | None = None
+        self._parts: deque[bytes] = deque()
+        self._unread_bytes = 0
+        self._is_complete = False
+        self._has_length = True
+        self._error: str | None = None
+        self._is_paused = False
+        self._waiter: asyncio.Future[None] | None = None
+        self._is_busy = False
+        self._is_head_request = False
+        self._leftover = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._error is None:
+            if exc is None and self._head is not None and not self._has_length:
+                self._is_complete = True
+            self._error = f"the connection ended: {exc or 'closed by the back end'}"
+        self._wake()
+
+    def data_received(self, data: bytes) -> None:
+        if not self._is_busy:
+            # Bytes after a complete response belong to no request.
+            self._leftover = True
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail("the back end wants another protocol")
+        except httptools.HttpParserError as error:
+            if self._is_complete:
+                self._leftover = True
+            else:
+                self._fail(f"the response can't be parsed: {error}")
+        self._wake()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        if self._head is not None:
+            self._leftover = True
+            return
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if self._leftover:
+            return
+        if 100 <= status < 200:
+            self._headers = []
+            return
+        headers: Headers = tuple(self._headers)
+        head = ResponseHead(status, headers, self._parser.should_keep_alive())
+        self._has_length = (
+            head.get(b"content-length") is not None
+            or head.get(b"transfer-encoding") is not None
+            or status in _NO_BODY_STATUSES
+        )
+        self._head = head
+        if self._is_head_request:
+            self._is_complete = True
+
+    def on_body(self, data: bytes) -> None:
+        if self._leftover or self._is_complete:
+            return
+        self._parts.append(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > _MAX_UNREAD_BYTES and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        if self._head is not None and not self._leftover:
+            self._is_complete = True
+
+    # What callers use.
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent on it."""
+        return self._error is None and not self._leftover and not self._is_busy
+
+    def send(self, data: bytes, is_head_request: bool = False) -> None:
+        """Send a whole request."""
+        self._is_busy = True
+        self._is_head_request = is_head_request
+        self._head = None
+        self._is_complete = False
+        self._parts.clear()
+        self._unread_bytes = 0
+        self._transport.write(data)
+
+    async def read_head(self) -> ResponseHead:
+        """Wait for the head of the response.
+
+        Raises:
+            BrokenResponseError: The response can't be read.
+        """
+        while self._head is None:
+            if self._error is not None:
+                raise BrokenResponseError(f"{self.address}: {self._error}")
+            await self._wait()
+        return self._head
+
+    async def read_part(self) -> bytes:
+        """Return the next part of the body; empty at its end.
+
+        Raises:
+            BrokenResponseError: The body is not whole.
+        """
+        while not self._parts:
+            if self._is_complete:
+                return b""
+            if self._error is not None:
+                raise BrokenResponseError(f"{self.address}: {self._error}")
+            await self._wait()
+        data = self._parts.popleft() if len(self._parts) == 1 else b"".join(self._parts)
+        self._parts.clear()
+        self._unread_bytes = 0
+        if self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+        return data
+
+    async def read_body(self) -> bytes:
+        """Return the whole body; raises as `read_part` does."""
+        parts = []
+        while part := await self.read_part():
+            parts.append(part)
+        return b"".join(parts)
+
+    def discard_response(self) -> None:
+        """Expect another response to the request that was sent.
+
+        For a response that answers another request than this one.
+        """
+        self._head = None
+        self._is_complete = False
+        self._parts.clear()
+
+    def finish(self) -> None:
+        """Note that the response was read to its end."""
+        self._is_busy = False
+        self.is_fresh = False
+        self.idle_since = self._loop.time()
+        head = self._head
+        if head is None or not head.keep_alive or not self._has_length:
+            self.close()
+        elif self._transport.get_write_buffer_size():
+            # The back end answered before it had read the whole request.
+            self.close()
+        else:
+            self.max_idle_s = _max_idle_s(head)
+
+    def close(self) -> None:
+        """Drop the connection at once."""
+        if self._error is None:
+            self._error = "closed"
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, reason: str) -> None:
+        if self._error is None:
+            self._error = reason
+        self._transport.abort()
+
+    async def _wait(self) -> None:
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def _max_idle_s(head: ResponseHead) -> float:
+    value = head.get(b"keep-alive") or b""
+    for part in value.split(b","):
+        name, _, text = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and text.isdigit():
+            return max(0.0, int(text) - _KEEP_ALIVE_MARGIN_S)
+    return _DEFAULT_MAX_IDLE_S
+
+
+class ConnectionPool:
+    """Idle connections by back end.
+
+    Args:
+        on_connected: Called with the address for each new connection.
+    """
+
+    def __init__(self, on_connected: Callable[[str], None] | None = None) -> None:
+        self._idle_by_address: dict[str, list[BackendConnection]] = defaultdict(list)
+        self._on_connected = on_connected
+
+    async def get(
+        self, address: str, timeout_s: float, max_idle_s: float | None = None
+    ) -> BackendConnection:
+        """Return a connection on which a request may be sent.
+
+        Args:
+            timeout_s: For a new connection.
+            max_idle_s: Longest idle time of a connection that is used again.
+
+        Raises:
+            ConnectError: None could be made in time.
+        """
+        connection = self._take_idle(address, max_idle_s)
+        if connection is not None:
+            return connection
+        return await self._connect(address, timeout_s)
+
+    async def _connect(self, address: str, timeout_s: float) -> BackendConnection:
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: BackendConnection(address), host, port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ConnectError(f"{address}: {error or 'timed out'}") from error
+        if self._on_connected is not None:
+            self._on_connected(address)
+        return connection
+
+    def _take_idle(
+        self, address: str, max_idle_s: float | None
+    ) -> BackendConnection | None:
+        idle = self._idle_by_address.get(address)
+        now = asyncio.get_running_loop().time()
+        while idle:
+            connection = idle.pop()
+            limit_s = connection.max_idle_s
+            if max_idle_s is not None:
+                limit_s = min(limit_s, max_idle_s)
+            if connection.is_usable and now - connection.idle_since < limit_s:
+                return connection
+            if max_idle_s is None or not connection.is_usable:
+                connection.close()
+            else:
+                idle.insert(0, connection)
+                return None
+        return None
+
+    def put(self, connection: BackendConnection) -> None:
+        """Take a connection back whose response was read to its end."""
+        connection.finish()
+        if not connection.is_usable:
+            return
+        idle = self._idle_by_address[connection.address]
+        idle.append(connection)
+        if len(idle) > _MAX_IDLE_PER_ADDRESS:
+            idle.pop(0).close()
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a back end."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    def close_expired(self) -> None:
+        """Close connections that were idle for too long."""
+        now = asyncio.get_running_loop().time()
+        for address, idle in list(self._idle_by_address.items()):
+            kept = []
+            for connection in idle:
+                if connection.is_usable and now - connection.idle_since < (
+                    connection.max_idle_s
+                ):
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle_by_address[address] = kept
+            else:
+                del self._idle_by_address[address]
--- a/src/galenadrum/_internal/routing/retry_budget.py
+++ b/src/galenadrum/_internal/routing/retry_budget.py
@@ -17,10 +17,21 @@
 
 
 class RetryBudget:
-    """The retry balance of one stage."""
-
-    def __init__(self) -> None:
-        self._balance = _FIRST_BALANCE
+    """The retry balance of one stage.
+
+    Args:
+        deposit: Share of a retry that each first attempt brings.
+    """
+
+    def __init__(
+        self,
+        deposit: float = _DEPOSIT,
+        max_balance: float = _MAX_BALANCE,
+        first_balance: float = _FIRST_BALANCE,
+    ) -> None:
+        self._deposit = deposit
+        self._max_balance = max_balance
+        self._balance = first_balance
 
     @property
     def balance(self) -> float:
@@ -29,7 +40,7 @@
 
     def deposit(self) -> None:
         """Count a first attempt."""
-        self._balance = min(_MAX_BALANCE, self._balance + _DEPOSIT)
+        self._balance = min(self._max_balance, self._balance + self._deposit)
 
     def withdraw(self, share: float, did_run: bool) -> bool:
         """Take one retry out if there is one; return whether there was.
--- a/src/galenadrum/_internal/supervision/daemons.py
+++ b/src/galenadrum/_internal/supervision/daemons.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from galenadrum._internal.utils.boot_clock import BootClockLoop
 from galenadrum._internal.utils.stop_signals import stop_event
 
 
@@ -31,7 +32,8 @@
     Raises:
         Exception: What made the daemon unable to go on.
     """
-    asyncio.run(_run_until_signal(build))
+    with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+        runner.run(_run_until_signal(build))
 
 
 async def _run_until_signal(build: Callable[[], Daemon]) -> None:
