Share the stage servers of all zones in one dispatcher; admit by the objective

Cause: requests held until their deadline (117 of 1,243): results of requests made in part filled the rooms, and a third of the servers waited for their zone. Change: one dispatcher for small deployments; forecasts count room; pieces of requests made in part go first.

--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -193,7 +193,7 @@
             link.send(encode_answer(answer))
 
         request = remote.resolve(route, self._loop.time())
-        self._dispatch.submit(request, record.zone, reply)
+        self._dispatch.submit(request, record.domain, reply)
 
     def _report(self, link: InboundLink, record: pb.PlacementReport) -> None:
         outcome = PlacementOutcome(record.outcome)
--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -2,8 +2,8 @@
 
 Load pattern: a burst of one kind at two or more times what the stages can take.
 A queue in front of the stages then grows past what callers wait for, and all
-that is served is late; so a request whose first event would come after its
-caller has given up is refused while it costs nothing.
+that is served is late; so a request whose first event would come well after its
+objective is refused while it costs nothing, and what was taken is served.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 from galenadrum._internal.dispatch.engine_pool import EnginePool
 from galenadrum._internal.dispatch.messages import PlacementRequest
-from galenadrum._internal.dispatch.stage_pool import StagePool
+from galenadrum._internal.dispatch.stage_pool import PRIORITY_WEIGHT_S, StagePool
 
 # A caller that comes back finds the queue shorter by what was over the limit;
 # sooner than this nothing has changed.
@@ -24,6 +24,11 @@
 _RETRY_AFTER_NO_SERVER_S = 1.0
 
 
+# Share of its objective by which a request may be forecast to be late: forecasts
+# are pessimistic about calls that are shared.
+LATENESS_SHARE = 0.25
+
+
 @dataclass(frozen=True, slots=True)
 class Forecast:
     """When a request's first event is expected.
@@ -46,10 +51,7 @@
     now: float,
 ) -> Forecast:
     """Follow the request's stages through the queues as they stand."""
-    urgency = (
-        now > request.objective_at,
-        request.objective_at,
-    )
+    due_at = request.objective_at + request.priority * PRIORITY_WEIGHT_S
     done_s: list[float] = []
     for index, stage in enumerate(request.route.stages):
         count = request.pieces[index] if index < len(request.pieces) else 0
@@ -58,12 +60,16 @@
             done_s.append(start_s)
             continue
         pool = stage_pools_by_service.get(stage.service)
-        took_s = pool.predicted_time(count, urgency, now) if pool else math.inf
+        took_s = math.inf
+        if pool is not None:
+            took_s = pool.predicted_time(count, stage.result_bytes, due_at, now)
         done_s.append(start_s + took_s)
     stages_s = max(done_s, default=0.0)
     engine_s = math.inf
     if engines is not None:
-        engine_s = engines.best_delay(request.prompt, request.prompt_tokens, now)
+        engine_s = engines.best_delay(
+            request.prompt, request.prompt_tokens, request.zone, now
+        )
     total_s = stages_s + engine_s
     reason = "overloaded" if math.isfinite(total_s) else "no_server"
     excess_s = total_s - max(0.0, request.objective_at - now)
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -34,7 +34,7 @@
 
 logger = logging.getLogger(__name__)
 
-_TICK_INTERVAL_S = 0.05
+_TICK_INTERVAL_S = 0.02
 _CONNECT_TIMEOUT_S = 0.5
 _RELEASE_TIMEOUT_S = 1.0
 
@@ -66,6 +66,7 @@
         self._replies_by_request: dict[str, tuple[ZoneDispatcher, Reply]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
+        self._active = asyncio.Event()
 
     @property
     def request_count(self) -> int:
@@ -84,8 +85,13 @@
             dispatcher.configure(services_by_name)
 
     def submit(self, request: PlacementRequest, zone: str, reply: Reply) -> None:
-        """Take a request; each placement and the refusal go to ``reply``."""
+        """Take a request; each placement and the refusal go to ``reply``.
+
+        Args:
+            zone: Whose servers are asked for; empty for all.
+        """
         dispatcher = self._dispatcher(zone)
+        self._active.set()
         self._replies_by_request[request.request_id] = (dispatcher, reply)
         dispatcher.submit(request, self._loop.time())
         self._carry_out(dispatcher)
@@ -118,6 +124,9 @@
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
+            await self._active.wait()
+            if not self.request_count:
+                self._active.clear()
             await asyncio.sleep(_TICK_INTERVAL_S)
             now = self._loop.time()
             for dispatcher in self._dispatchers_by_zone.values():
@@ -132,7 +141,7 @@
             for entry in self._servers():
                 dispatcher.put_server(entry)
             self._dispatchers_by_zone[zone] = dispatcher
-            logger.info("dispatching for zone %s", zone)
+            logger.info("dispatching for %s", zone or "all zones")
         return dispatcher
 
     def _carry_out(self, dispatcher: ZoneDispatcher) -> None:
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -24,7 +24,10 @@
 _MIN_LEARN_TOKENS = 2_000
 # Slowdown of the first token by each request that runs beside it.
 _RUNNING_DELAY_S = 0.001
+# What the way from another zone is worth: a dispatcher that owns one zone's
+# engines leaves those of others alone as long as it can.
 _OTHER_ZONE_DELAY_S = 0.15
+_SHARED_ZONE_DELAY_S = 0.03
 _WARM_UP_DELAY_S = 0.2
 # Share of an engine's places that are filled: other dispatchers may place too.
 _PLACES_SHARE = 0.95
@@ -110,7 +113,11 @@
 
 
 class EnginePool:
-    """Model engines of one service in one zone's dispatcher."""
+    """Model engines of one service in one dispatcher.
+
+    Args:
+        zone: Whose engines the dispatcher owns; empty where it owns all.
+    """
 
     def __init__(self, service: str, zone: str, limits: EngineLimits | None) -> None:
         self.service = service
@@ -144,6 +151,7 @@
         prompt: tuple[PromptPart, ...],
         prompt_tokens: int,
         excluded: frozenset[str],
+        zone: str,
         now: float,
     ) -> Engine | None:
         """Return the engine with the earliest first token, None if all are full."""
@@ -151,7 +159,7 @@
         for engine in self._usable(now):
             if engine.announcement.server_id in excluded or self.is_full(engine):
                 continue
-            delay_s = self.first_token_delay(engine, prompt, prompt_tokens, now)
+            delay_s = self.first_token_delay(engine, prompt, prompt_tokens, zone, now)
             if best is None or delay_s < best[0]:
                 best = (delay_s, engine)
         return best[1] if best else None
@@ -173,27 +181,36 @@
         engine: Engine,
         prompt: tuple[PromptPart, ...],
         prompt_tokens: int,
+        zone: str,
         now: float,
     ) -> float:
-        """Return the expected time to the first token, in seconds."""
+        """Return the expected time to the first token, in seconds.
+
+        Args:
+            zone: Where the prompt's inputs are.
+        """
         unread = max(0, prompt_tokens - engine.cache.cached_tokens(prompt))
         to_read = unread + engine.unread_tokens
         delay_s = to_read / self.read_tokens_per_s
         delay_s += len(engine.runs_by_request) * _RUNNING_DELAY_S
         delay_s = (delay_s + self.overhead_s) * engine.current_slowness(now)
-        if engine.announcement.zone != self._zone:
-            delay_s += _OTHER_ZONE_DELAY_S
+        if engine.announcement.zone != (self._zone or zone):
+            delay_s += _OTHER_ZONE_DELAY_S if self._zone else _SHARED_ZONE_DELAY_S
         if now < engine.warm_until:
             delay_s += _WARM_UP_DELAY_S
         return delay_s
 
     def best_delay(
-        self, prompt: tuple[PromptPart, ...], prompt_tokens: int, now: float
+        self,
+        prompt: tuple[PromptPart, ...],
+        prompt_tokens: int,
+        zone: str,
+        now: float,
     ) -> float:
         """Return the shortest expected time to a first token, in seconds."""
         return min(
             (
-                self.first_token_delay(engine, prompt, prompt_tokens, now)
+                self.first_token_delay(engine, prompt, prompt_tokens, zone, now)
                 for engine in self._usable(now)
             ),
             default=math.inf,
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -29,6 +29,7 @@
         priority: Rank; 0 is the most urgent.
         objective_at: Loop time in seconds by which the first event is due.
         give_up_at: Loop time in seconds after which the caller waits no more.
+        zone: Where the caller is.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     priority: int
     objective_at: float
     give_up_at: float
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/dispatch/stage_graph.py
+++ b/src/galenadrum/_internal/dispatch/stage_graph.py
@@ -28,7 +28,7 @@
     def take_due(self) -> Iterator[tuple[int, int]]:
         """Yield the stage and number of each piece that has become due."""
         for stage, count in enumerate(self.pieces):
-            if not self._inputs_are_made(stage):
+            if not self.inputs_are_made(stage):
                 continue
             for number in range(count):
                 key = (stage, number)
@@ -36,7 +36,8 @@
                     self._requested.add(key)
                     yield key
 
-    def _inputs_are_made(self, stage: int) -> bool:
+    def inputs_are_made(self, stage: int) -> bool:
+        """Return whether all that a stage takes in is there."""
         return all(self.is_made(earlier) for earlier in self.stages[stage].after)
 
     def is_made(self, stage: int) -> bool:
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from galenadrum._internal.models.announcements import Announcement
@@ -30,9 +31,13 @@
 # again; doubled with each failure in a row.
 _FIRST_PAUSE_S = 0.1
 _MAX_PAUSE_S = 2.0
-# A server of another zone is worth its way only where the own ones are behind.
+# A server of another zone is worth its way only where those of the dispatcher's
+# own zone are behind.
 OTHER_ZONE_DELAY_S = 0.5
-_WARM_UP_FACTOR = 1.5
+# What the way to another zone is worth where servers of all zones are shared.
+_SHARED_ZONE_DELAY_S = 0.03
+# Results wait for the engine's first event for about this long after their call.
+_RESULT_HOLD_S = 0.25
 
 
 @dataclass(slots=True)
@@ -43,6 +48,7 @@
         objective_at: Loop time in seconds by which the request's first event
             is due.
         remaining_s: Time from the piece's call to that event, at best.
+        zone: Where the request came in.
         failures: Calls for it that brought no result.
     """
 
@@ -53,12 +59,14 @@
     objective_at: float
     remaining_s: float
     result_bytes: float
+    zone: str = ""
     failures: int = 0
 
-    def urgency(self, now: float) -> tuple[bool, float]:
-        """Return the place in the queue: pieces that are late go last."""
+    @property
+    def urgency(self) -> float:
+        """Place in the queue, as the loop time in seconds by which it is due."""
         start_by = self.objective_at - self.remaining_s
-        return now > start_by, start_by + self.priority * PRIORITY_WEIGHT_S
+        return start_by + self.priority * PRIORITY_WEIGHT_S
 
 
 @dataclass(slots=True)
@@ -121,12 +129,17 @@
 
 
 class StagePool:
-    """Queue and servers of one service in one zone's dispatcher."""
+    """Queue and servers of one service in one dispatcher.
+
+    Args:
+        zone: Whose servers the dispatcher owns; empty where it owns all.
+    """
 
     def __init__(self, service: str, zone: str, limits: StageLimits) -> None:
         self.service = service
         self.limits = limits
         self._zone = zone
+        self._half_made: set[tuple[str, int]] = set()
         self.servers_by_id: dict[str, StageServer] = {}
         self._server_id_by_address: dict[str, str] = {}
         self.waiting: list[WaitingPiece] = []
@@ -158,6 +171,20 @@
         """Drop the queued pieces of a request."""
         self.waiting = [p for p in self.waiting if p.request_id != request_id]
 
+    def take_unready(
+        self, request_id: str, is_ready: Callable[[int], bool]
+    ) -> list[WaitingPiece]:
+        """Take queued pieces of a request out whose stage isn't ready."""
+        taken = [
+            p
+            for p in self.waiting
+            if p.request_id == request_id and not is_ready(p.stage)
+        ]
+        if taken:
+            chosen = {id(piece) for piece in taken}
+            self.waiting = [p for p in self.waiting if id(p) not in chosen]
+        return taken
+
     def drop_piece(self, request_id: str, stage: int, number: int) -> None:
         """Drop a queued piece that was made meanwhile."""
         self.waiting = [
@@ -174,18 +201,29 @@
         """Return a server that should be called now and its pieces."""
         if not self.waiting:
             return None
+        self.waiting.sort(key=self._place)
         server = self._choose_server(now)
         if server is None:
             return None
-        self.waiting.sort(key=lambda piece: piece.urgency(now))
         taken = self._fit(server, now)
         if not taken:
             return None
         # Pieces are distinct objects; equal ones can't be queued twice.
         chosen = {id(piece) for piece in taken}
         self.waiting = [p for p in self.waiting if id(p) not in chosen]
+        self._half_made = {(p.request_id, p.stage) for p in taken} & {
+            (p.request_id, p.stage) for p in self.waiting
+        } | {key for key in self._half_made if self._has_waiting(key)}
         return server, taken
 
+    def _has_waiting(self, key: tuple[str, int]) -> bool:
+        return any((p.request_id, p.stage) == key for p in self.waiting)
+
+    def _place(self, piece: WaitingPiece) -> tuple[bool, float]:
+        # Requests whose pieces are made in part hold room until the rest is made.
+        is_new = (piece.request_id, piece.stage) not in self._half_made
+        return is_new, piece.urgency
+
     def _fit(self, server: StageServer, now: float) -> list[WaitingPiece]:
         server.forget_expired(now)
         held_bytes = server.held_bytes
@@ -200,24 +238,28 @@
         return taken
 
     def _choose_server(self, now: float) -> StageServer | None:
-        candidates = self._usable(now)
+        zone = self._zone or self.waiting[0].zone
         best: tuple[float, StageServer] | None = None
-        for server in candidates:
-            finish_at = self._start_at(server, now) + self._expected(server, now)
+        for server in self._usable(now):
+            finish_at = self._start_at(server, zone, now)
+            finish_at += self._expected(server, now)
             if best is None or finish_at < best[0]:
                 best = (finish_at, server)
         if best is None or len(best[1].calls) >= self.limits.concurrency:
             return None
         server = best[1]
-        if server.announcement.zone != self._zone and not self._own_are_behind(now):
+        if self._is_foreign(server) and not self._own_are_behind(now):
             return None
         return server
 
+    def _is_foreign(self, server: StageServer) -> bool:
+        return bool(self._zone) and server.announcement.zone != self._zone
+
     def _own_are_behind(self, now: float) -> bool:
-        own = [s for s in self._usable(now) if s.announcement.zone == self._zone]
+        own = [s for s in self._usable(now) if not self._is_foreign(s)]
         if not own:
             return True
-        wait_s = min(self._start_at(s, now) for s in own) - now
+        wait_s = min(self._start_at(s, self._zone, now) for s in own) - now
         calls = math.ceil(len(self.waiting) / self.limits.batch_size)
         return wait_s + (calls - 1) * self.call_time(self.limits.batch_size) > (
             OTHER_ZONE_DELAY_S
@@ -228,10 +270,10 @@
         heard = [s for s in usable if not s.is_silent]
         return heard or usable
 
-    def _start_at(self, server: StageServer, now: float) -> float:
+    def _start_at(self, server: StageServer, zone: str, now: float) -> float:
         start_at = max(now, server.busy_until) if server.calls else now
-        if server.announcement.zone != self._zone:
-            start_at += OTHER_ZONE_DELAY_S
+        if server.announcement.zone != zone:
+            start_at += OTHER_ZONE_DELAY_S if self._zone else _SHARED_ZONE_DELAY_S
         return start_at
 
     def _expected(self, server: StageServer, now: float) -> float:
@@ -313,15 +355,23 @@
             return None
         return server.announcement.address
 
+    def zone_of(self, handle: str) -> str | None:
+        """Return the zone of the server that holds a result."""
+        server = self._server_at(handle)
+        return server.announcement.zone if server is not None else None
+
     def _server_at(self, handle: str) -> StageServer | None:
         server_id = self._server_id_by_address.get(handle.partition("/")[0])
         return self.servers_by_id.get(server_id) if server_id else None
 
-    def predicted_time(self, pieces: int, urgency: tuple[bool, float], now: float) -> float:
+    def predicted_time(
+        self, pieces: int, result_bytes: float, due_at: float, now: float
+    ) -> float:
         """Return when pieces that join the queue now should be made.
 
         Args:
-            urgency: As `WaitingPiece.urgency` would give it.
+            result_bytes: Size of the result of each.
+            due_at: Their urgency.
 
         Returns:
             Seconds from now; infinite where there is no server.
@@ -329,15 +379,33 @@
         usable = self._usable(now)
         if not usable:
             return math.inf
-        own = [s for s in usable if s.announcement.zone == self._zone] or usable
-        ahead = sum(p.urgency(now) <= urgency for p in self.waiting)
-        batch = self.limits.batch_size
-        calls = math.ceil((ahead + pieces) / batch)
-        rounds = math.ceil(calls / len(own))
+        own = [s for s in usable if not self._is_foreign(s)] or usable
+        ahead = [p for p in self.waiting if p.urgency <= due_at]
+        count = len(ahead) + pieces
+        ahead_bytes = sum(p.result_bytes for p in ahead) + pieces * result_bytes
+        slowness = min(s.current_slowness(now) for s in own)
         first_free_s = min(
             max(0.0, s.busy_until - now) if s.calls else 0.0 for s in own
         )
-        slowness = min(s.current_slowness(now) for s in own)
-        last_call_s = self.call_time(min(batch, ahead + pieces))
-        full_call_s = self.call_time(batch)
-        return first_free_s + slowness * ((rounds - 1) * full_call_s + last_call_s)
+        calls = math.ceil(count / self.limits.batch_size)
+        rounds = math.ceil(calls / len(own))
+        full_call_s = self.call_time(self.limits.batch_size)
+        last_call_s = self.call_time(min(self.limits.batch_size, count))
+        by_calls_s = first_free_s + slowness * (
+            (rounds - 1) * full_call_s + last_call_s
+        )
+        return max(by_calls_s, self._time_for_room(own, ahead_bytes, last_call_s, now))
+
+    def _time_for_room(
+        self, servers: list[StageServer], new_bytes: float, call_s: float, now: float
+    ) -> float:
+        """Return when there was room for results of that size, in seconds."""
+        for server in servers:
+            server.forget_expired(now)
+        room = self.limits.room_bytes * _ROOM_SHARE * len(servers)
+        if room <= 0:
+            return 0.0
+        held = sum(server.held_bytes for server in servers)
+        # Room is free again once a call has ended and its results were taken.
+        turns = max(0.0, (held + new_bytes) / room - 1.0)
+        return call_s + turns * (call_s + _RESULT_HOLD_S)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from galenadrum._internal.directory.registry import ServerEntry
-from galenadrum._internal.dispatch.admission import Forecast, forecast
+from galenadrum._internal.dispatch.admission import LATENESS_SHARE, Forecast, forecast
 from galenadrum._internal.dispatch.engine_pool import EnginePool
 from galenadrum._internal.dispatch.messages import (
     Action,
@@ -45,8 +45,11 @@
 _MAX_PIECE_FAILURES = 4
 # A stage call may take this long beyond the time at which it is overdue.
 _CALL_TIMEOUT_S = 5.0
+# A request that has no engine this long before its caller leaves gets none that
+# would answer in time.
+_LAST_CHANCE_S = 0.25
 # Releases gather for this time, so that one call gives up many results.
-RELEASE_INTERVAL_S = 0.05
+RELEASE_INTERVAL_S = 0.02
 
 
 @dataclass(slots=True)
@@ -67,10 +70,10 @@
 
 
 class ZoneDispatcher:
-    """Decides for the requests of one zone.
+    """Decides for the requests of one zone or of all.
 
     Args:
-        zone: Whose servers are preferred.
+        zone: Whose servers it owns; empty where it owns all.
     """
 
     def __init__(self, zone: str) -> None:
@@ -149,7 +152,10 @@
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Take a request, or refuse it at once."""
         expected = self.forecast(request, now)
-        if now + expected.first_event_s > request.give_up_at:
+        limit_at = request.objective_at + LATENESS_SHARE * max(
+            0.0, request.objective_at - now
+        )
+        if now + expected.first_event_s > min(limit_at, request.give_up_at):
             self._refuse(request.request_id, expected.reason, expected.retry_after_s)
             return
         graph = StageGraph(request.route.stages, request.pieces)
@@ -258,7 +264,9 @@
             self._refuse_work(work, "stage_late", now)
         elif result.failure is PieceFailure.INPUT_GONE:
             work.graph.request_again(piece.stage, piece.number)
-            self._remake(work, work.graph.drop_inputs_of(piece.stage), now)
+            # Other pieces of the call may have said so already.
+            if work.graph.inputs_are_made(piece.stage):
+                self._remake(work, work.graph.drop_inputs_of(piece.stage), now)
         else:
             self._retry_piece(work, pool, piece, now)
 
@@ -274,6 +282,10 @@
     def _remake(self, work: _Work, dropped: tuple[str, ...], now: float) -> None:
         self._release(dropped)
         work.remakes += 1
+        request_id = work.request.request_id
+        for pool in self._stage_pools_by_service.values():
+            for piece in pool.take_unready(request_id, work.graph.inputs_are_made):
+                work.graph.request_again(piece.stage, piece.number)
         if work.remakes > _MAX_REMAKES:
             self._refuse_work(work, "results_lost", now)
         else:
@@ -324,8 +336,11 @@
                 self._retry_piece(work, pool, piece, now)
 
     def _refuse_hopeless(self, now: float) -> None:
+        """Refuse what can't be served any more, without waiting for its end."""
         for work in list(self._work_by_request.values()):
-            if not work.server_id and now >= work.request.give_up_at:
+            if work.server_id:
+                continue
+            if now + _LAST_CHANCE_S >= work.request.give_up_at:
                 self._refuse_work(work, "deadline", now)
 
     def collect(self, now: float) -> tuple[Action, ...]:
@@ -371,6 +386,7 @@
             request.objective_at,
             self._remaining_s(work, stage),
             request.route.stages[stage].result_bytes,
+            request.zone,
         )
 
     def _remaining_s(self, work: _Work, stage: int) -> float:
@@ -446,7 +462,11 @@
         if pool is None:
             return False
         engine = pool.choose(
-            request.prompt, request.prompt_tokens, frozenset(work.excluded), now
+            request.prompt,
+            request.prompt_tokens,
+            frozenset(work.excluded),
+            self._zone_of_inputs(work),
+            now,
         )
         if engine is None:
             return False
@@ -464,6 +484,19 @@
         )
         return True
 
+    def _zone_of_inputs(self, work: _Work) -> str:
+        """Return the zone that holds most of what the engine takes in."""
+        counts: dict[str, int] = defaultdict(int)
+        for handle in work.graph.final_handles():
+            for pool in self._stage_pools_by_service.values():
+                zone = pool.zone_of(handle)
+                if zone is not None:
+                    counts[zone] += 1
+                    break
+        if not counts:
+            return work.request.zone
+        return max(counts, key=counts.__getitem__)
+
     def _refuse_work(self, work: _Work, reason: str, now: float) -> None:
         if work.request.request_id not in self._work_by_request:
             return
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -92,7 +92,11 @@
             rng,
         )
         self.placements = Placements(
-            settings.zone, self.links.up, self.dispatch, lambda: self.lease.version
+            settings.zone,
+            self.links.up,
+            self.dispatch,
+            lambda: self.lease.version,
+            lambda: self.links.entry_hosts,
         )
         budgets = RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, lambda: self.links.entry_hosts
@@ -109,13 +113,16 @@
         self, budgets: RetryBudgets, rng: random.Random
     ) -> RequestHandler:
         dialect, pool, metrics = self._dialect, self._pool, self.metrics
+        zone = self._settings.zone
         answers = Answers(dialect, metrics, rng)
         return RequestHandler(
             dialect,
             self.in_force,
             self.lease,
             PlainForwarder(dialect, pool, self.balancer, budgets, answers, metrics),
-            StreamForwarder(dialect, pool, self.placements, budgets, answers, metrics),
+            StreamForwarder(
+                dialect, pool, self.placements, budgets, answers, metrics, zone
+            ),
             answers,
             rng,
         )
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -55,12 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RemotePlacementRequest:
-    """A placement request before its route was looked up.
-
-    Attributes:
-        zone: Of the dispatcher that is asked for.
-        version: Configuration that the sender serves from.
-    """
+    """A placement request before its route was looked up."""
 
     record: pb.PlacementRequest
 
@@ -84,11 +79,12 @@
             priority=record.priority,
             objective_at=now + record.objective_left_ms / _MS,
             give_up_at=now + record.give_up_left_ms / _MS,
+            zone=record.zone,
         )
 
 
 def encode_request(
-    request: PlacementRequest, zone: str, version: int, now: float
+    request: PlacementRequest, domain: str, version: int, now: float
 ) -> pb.LinkMessage:
     """Encode a placement request; times become durations."""
     return pb.LinkMessage(
@@ -107,8 +103,9 @@
             priority=request.priority,
             objective_left_ms=int((request.objective_at - now) * _MS),
             give_up_left_ms=int((request.give_up_at - now) * _MS),
-            zone=zone,
+            zone=request.zone,
             version=version,
+            domain=domain,
         )
     )
 
--- a/src/galenadrum/_internal/gateway/placements.py
+++ b/src/galenadrum/_internal/gateway/placements.py
@@ -31,6 +31,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Up to this many entry hosts, one dispatcher carries all requests, and the servers
+# of all zones are shared; beyond, each zone has its own.
+_MAX_SHARED_ENTRY_HOSTS = 24
 # Reasons of a refusal for which the dispatcher of another zone may have room.
 _ELSEWHERE_REASONS = frozenset({"overloaded", "no_server"})
 
@@ -41,16 +44,15 @@
 
     Attributes:
         link: None where this host dispatches for itself.
-        zone: Whose servers are preferred.
+        domain: Zone whose servers are asked for, empty for all.
         answer: The next placement or refusal.
     """
 
     request: PlacementRequest
     link: HostLink | None
-    zone: str
+    domain: str
     answer: asyncio.Future[Placement | PlacementRefusal]
     server_id: str = ""
-    tried_zones: tuple[str, ...] = ()
 
 
 class Placements:
@@ -61,6 +63,7 @@
         links: Returns the links that are up.
         local: Dispatches here when there is no link.
         version: Returns the version of the configuration in force.
+        entry_host_count: Returns the number of entry hosts.
     """
 
     def __init__(
@@ -69,17 +72,19 @@
         links: Callable[[], list[HostLink]],
         local: DispatchDriver,
         version: Callable[[], int],
+        entry_host_count: Callable[[], int],
     ) -> None:
         self._zone = zone
         self._links = links
         self._local = local
         self._version = version
+        self._entry_host_count = entry_host_count
         self._pending_by_request: dict[str, _Pending] = {}
         self._loop = asyncio.get_running_loop()
 
     async def place(self, request: PlacementRequest) -> Placement | PlacementRefusal:
         """Return where a request is to be sent, once its stages are made."""
-        pending = _Pending(request, None, self._zone, self._loop.create_future())
+        pending = _Pending(request, None, "", self._loop.create_future())
         self._pending_by_request[request.request_id] = pending
         self._submit(pending)
         answer = await pending.answer
@@ -112,12 +117,12 @@
         self, pending: _Pending, refusal: PlacementRefusal
     ) -> Placement | PlacementRefusal:
         """Ask the dispatcher of one other zone, if there may be room."""
-        if refusal.reason not in _ELSEWHERE_REASONS:
+        if refusal.reason not in _ELSEWHERE_REASONS or not pending.domain:
             return refusal
         others = [
             link
             for link in self._links()
-            if link.peer.zone not in (self._zone, pending.zone)
+            if link.peer.zone not in (self._zone, pending.domain)
         ]
         if not others or self._loop.time() >= pending.request.give_up_at:
             return refusal
@@ -125,7 +130,7 @@
         link = others[zlib.crc32(pending.request.request_id.encode()) % len(others)]
         pending.answer = self._loop.create_future()
         pending.link = link
-        pending.zone = link.peer.zone
+        pending.domain = link.peer.zone
         self._send(pending)
         return await pending.answer
 
@@ -171,25 +176,26 @@
                 self._submit(pending)
 
     def _submit(self, pending: _Pending) -> None:
-        pending.zone = self._zone
-        pending.link = self._choose_link()
+        is_shared = self._entry_host_count() <= _MAX_SHARED_ENTRY_HOSTS
+        pending.domain = "" if is_shared else self._zone
+        pending.link = self._choose_link(pending.domain)
         self._send(pending)
 
     def _send(self, pending: _Pending) -> None:
         if pending.link is None:
             self._local.submit(
-                pending.request, pending.zone, lambda a: self._take_answer(None, a)
+                pending.request, pending.domain, lambda a: self._take_answer(None, a)
             )
             return
         now = self._loop.time()
         pending.link.send(
-            encode_request(pending.request, pending.zone, self._version(), now)
+            encode_request(pending.request, pending.domain, self._version(), now)
         )
 
-    def _choose_link(self) -> HostLink | None:
-        """Return the link to the zone's dispatcher, the same on all its hosts."""
+    def _choose_link(self, domain: str) -> HostLink | None:
+        """Return the link to the domain's dispatcher, the same on all hosts."""
         links = self._links()
-        own = [link for link in links if link.peer.zone == self._zone]
+        own = [link for link in links if link.peer.zone == domain]
         if own:
             return own[0]
         return links[0] if links else None
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -92,7 +92,9 @@
         budgets: RetryBudgets,
         answers: Answers,
         metrics: Metrics,
+        zone: str,
     ) -> None:
+        self._zone = zone
         self._dialect = dialect
         self._pool = pool
         self._placements = placements
@@ -172,6 +174,7 @@
             priority=context.priority,
             objective_at=context.received_at + context.route.objective_s,
             give_up_at=self._give_up_at(context),
+            zone=self._zone,
         )
 
     def _patience_s(self, context: RequestContext) -> float:
