Forecast with pieces that are due later and the time for which results are held

Cause: in a burst of one kind, all its requests were late: forecasts saw only the queue of the stage at hand.

--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -62,7 +62,9 @@
         pool = stage_pools_by_service.get(stage.service)
         took_s = math.inf
         if pool is not None:
-            took_s = pool.predicted_time(count, stage.result_bytes, due_at, now)
+            took_s = pool.predicted_time(
+                count, stage.result_bytes, due_at, start_s, now
+            )
         done_s.append(start_s + took_s)
     stages_s = max(done_s, default=0.0)
     engine_s = math.inf
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -118,7 +118,7 @@
         for request_id in request_ids:
             known = self._replies_by_request.pop(request_id, None)
             if known is not None:
-                known[0].cancel(request_id)
+                known[0].cancel(request_id, self._loop.time())
                 self._carry_out(known[0])
 
     async def run(self) -> None:
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from galenadrum._internal.dispatch.messages import PromptPart
+from galenadrum._internal.dispatch.stage_pool import ZONE_DELAY_S_PER_BYTE
 from galenadrum._internal.models.announcements import Announcement
 from galenadrum._internal.models.routing import EngineLimits
 
@@ -27,7 +28,7 @@
 # What the way from another zone is worth: a dispatcher that owns one zone's
 # engines leaves those of others alone as long as it can.
 _OTHER_ZONE_DELAY_S = 0.15
-_SHARED_ZONE_DELAY_S = 0.03
+_SHARED_ZONE_DELAY_S = 0.02
 _WARM_UP_DELAY_S = 0.2
 # Share of an engine's places that are filled: other dispatchers may place too.
 _PLACES_SHARE = 0.95
@@ -152,14 +153,22 @@
         prompt_tokens: int,
         excluded: frozenset[str],
         zone: str,
+        input_bytes: float,
         now: float,
     ) -> Engine | None:
-        """Return the engine with the earliest first token, None if all are full."""
+        """Return the engine with the earliest first token, None if all are full.
+
+        Args:
+            zone: Where the inputs are, or where the request came in.
+            input_bytes: Size of the inputs.
+        """
         best: tuple[float, Engine] | None = None
         for engine in self._usable(now):
             if engine.announcement.server_id in excluded or self.is_full(engine):
                 continue
             delay_s = self.first_token_delay(engine, prompt, prompt_tokens, zone, now)
+            if not self._zone and engine.announcement.zone != zone:
+                delay_s += input_bytes * ZONE_DELAY_S_PER_BYTE
             if best is None or delay_s < best[0]:
                 best = (delay_s, engine)
         return best[1] if best else None
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -34,10 +34,17 @@
 # A server of another zone is worth its way only where those of the dispatcher's
 # own zone are behind.
 OTHER_ZONE_DELAY_S = 0.5
-# What the way to another zone is worth where servers of all zones are shared.
-_SHARED_ZONE_DELAY_S = 0.03
-# Results wait for the engine's first event for about this long after their call.
-_RESULT_HOLD_S = 0.25
+# What the way to another zone is worth where servers of all zones are shared, and
+# what each byte of inputs that takes it is worth beyond.
+_SHARED_ZONE_DELAY_S = 0.02
+ZONE_DELAY_S_PER_BYTE = 45e-9
+# First guess of the time for which a result is held after its call, until what it
+# is for has taken it in.
+_FIRST_HOLD_S = 0.3
+_HOLD_WEIGHT = 0.05
+# Share of a full call that a piece waits at a busy pool before its call starts,
+# where the queue itself would not delay it.
+_RESIDUAL_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -48,7 +55,8 @@
         objective_at: Loop time in seconds by which the request's first event
             is due.
         remaining_s: Time from the piece's call to that event, at best.
-        zone: Where the request came in.
+        zone: Where its inputs are, or where the request came in.
+        input_bytes: Size of the inputs that it takes in.
         failures: Calls for it that brought no result.
     """
 
@@ -60,6 +68,7 @@
     remaining_s: float
     result_bytes: float
     zone: str = ""
+    input_bytes: float = 0.0
     failures: int = 0
 
     @property
@@ -140,6 +149,9 @@
         self.limits = limits
         self._zone = zone
         self._half_made: set[tuple[str, int]] = set()
+        # Pieces of requests that were taken whose stage is not due yet.
+        self.upcoming = 0
+        self._hold_s = _FIRST_HOLD_S
         self.servers_by_id: dict[str, StageServer] = {}
         self._server_id_by_address: dict[str, str] = {}
         self.waiting: list[WaitingPiece] = []
@@ -205,6 +217,9 @@
         server = self._choose_server(now)
         if server is None:
             return None
+        if not self._zone:
+            zone = server.announcement.zone
+            self.waiting.sort(key=lambda piece: self._place_at(piece, zone))
         taken = self._fit(server, now)
         if not taken:
             return None
@@ -224,6 +239,16 @@
         is_new = (piece.request_id, piece.stage) not in self._half_made
         return is_new, piece.urgency
 
+    def _place_at(self, piece: WaitingPiece, zone: str) -> tuple[bool, float]:
+        is_new, urgency = self._place(piece)
+        return is_new, urgency + self._way_s(piece, zone)
+
+    def _way_s(self, piece: WaitingPiece, zone: str) -> float:
+        """Return what the way of a piece's inputs to a zone is worth in time."""
+        if piece.zone == zone:
+            return 0.0
+        return _SHARED_ZONE_DELAY_S + piece.input_bytes * ZONE_DELAY_S_PER_BYTE
+
     def _fit(self, server: StageServer, now: float) -> list[WaitingPiece]:
         server.forget_expired(now)
         held_bytes = server.held_bytes
@@ -238,10 +263,10 @@
         return taken
 
     def _choose_server(self, now: float) -> StageServer | None:
-        zone = self._zone or self.waiting[0].zone
+        first = self.waiting[0]
         best: tuple[float, StageServer] | None = None
         for server in self._usable(now):
-            finish_at = self._start_at(server, zone, now)
+            finish_at = self._start_at(server, first, now)
             finish_at += self._expected(server, now)
             if best is None or finish_at < best[0]:
                 best = (finish_at, server)
@@ -259,7 +284,7 @@
         own = [s for s in self._usable(now) if not self._is_foreign(s)]
         if not own:
             return True
-        wait_s = min(self._start_at(s, self._zone, now) for s in own) - now
+        wait_s = min(self._start_at(s, self.waiting[0], now) for s in own) - now
         calls = math.ceil(len(self.waiting) / self.limits.batch_size)
         return wait_s + (calls - 1) * self.call_time(self.limits.batch_size) > (
             OTHER_ZONE_DELAY_S
@@ -270,10 +295,12 @@
         heard = [s for s in usable if not s.is_silent]
         return heard or usable
 
-    def _start_at(self, server: StageServer, zone: str, now: float) -> float:
+    def _start_at(self, server: StageServer, piece: WaitingPiece, now: float) -> float:
         start_at = max(now, server.busy_until) if server.calls else now
-        if server.announcement.zone != zone:
-            start_at += OTHER_ZONE_DELAY_S if self._zone else _SHARED_ZONE_DELAY_S
+        if self._is_foreign(server):
+            return start_at + OTHER_ZONE_DELAY_S
+        if not self._zone:
+            start_at += self._way_s(piece, server.announcement.zone)
         return start_at
 
     def _expected(self, server: StageServer, now: float) -> float:
@@ -348,11 +375,14 @@
             expires_at = now + self.limits.result_ttl_s
             server.results_by_handle[handle] = (result_bytes, expires_at)
 
-    def release(self, handle: str) -> str | None:
+    def release(self, handle: str, now: float) -> str | None:
         """Note that a result is given up; returns its server's address."""
         server = self._server_at(handle)
-        if server is None or server.results_by_handle.pop(handle, None) is None:
+        known = server.results_by_handle.pop(handle, None) if server else None
+        if known is None:
             return None
+        held_s = now - (known[1] - self.limits.result_ttl_s)
+        self._hold_s += _HOLD_WEIGHT * (held_s - self._hold_s)
         return server.announcement.address
 
     def zone_of(self, handle: str) -> str | None:
@@ -365,47 +395,46 @@
         return self.servers_by_id.get(server_id) if server_id else None
 
     def predicted_time(
-        self, pieces: int, result_bytes: float, due_at: float, now: float
+        self, pieces: int, result_bytes: float, due_at: float, start_s: float, now: float
     ) -> float:
-        """Return when pieces that join the queue now should be made.
+        """Return the time from when pieces are due until they are made.
+
+        Pieces that are queued or will be due earlier go first; meanwhile the
+        servers work some of them off.
 
         Args:
             result_bytes: Size of the result of each.
             due_at: Their urgency.
+            start_s: Seconds from now at which they are due.
 
         Returns:
-            Seconds from now; infinite where there is no server.
+            Seconds; infinite where there is no server.
         """
         usable = self._usable(now)
         if not usable:
             return math.inf
         own = [s for s in usable if not self._is_foreign(s)] or usable
-        ahead = [p for p in self.waiting if p.urgency <= due_at]
-        count = len(ahead) + pieces
-        ahead_bytes = sum(p.result_bytes for p in ahead) + pieces * result_bytes
         slowness = min(s.current_slowness(now) for s in own)
+        ahead = sum(p.urgency <= due_at for p in self.waiting) + self.upcoming
         first_free_s = min(
             max(0.0, s.busy_until - now) if s.calls else 0.0 for s in own
         )
-        calls = math.ceil(count / self.limits.batch_size)
-        rounds = math.ceil(calls / len(own))
-        full_call_s = self.call_time(self.limits.batch_size)
-        last_call_s = self.call_time(min(self.limits.batch_size, count))
-        by_calls_s = first_free_s + slowness * (
-            (rounds - 1) * full_call_s + last_call_s
+        rate = self._rate(len(own), result_bytes) / slowness
+        wait_s = max(0.0, first_free_s + ahead / rate - start_s)
+        count = min(self.limits.batch_size, ahead + pieces)
+        busy_share = sum(bool(s.calls) for s in own) / len(own)
+        residual_s = _RESIDUAL_SHARE * busy_share * self.call_time(count) / len(own)
+        rounds_s = (math.ceil(pieces / self.limits.batch_size) - 1) * self.call_time(
+            self.limits.batch_size
         )
-        return max(by_calls_s, self._time_for_room(own, ahead_bytes, last_call_s, now))
-
-    def _time_for_room(
-        self, servers: list[StageServer], new_bytes: float, call_s: float, now: float
-    ) -> float:
-        """Return when there was room for results of that size, in seconds."""
-        for server in servers:
-            server.forget_expired(now)
-        room = self.limits.room_bytes * _ROOM_SHARE * len(servers)
-        if room <= 0:
-            return 0.0
-        held = sum(server.held_bytes for server in servers)
-        # Room is free again once a call has ended and its results were taken.
-        turns = max(0.0, (held + new_bytes) / room - 1.0)
-        return call_s + turns * (call_s + _RESULT_HOLD_S)
+        call_s = self.call_time(count) + rounds_s / len(own)
+        return max(wait_s, residual_s) + slowness * call_s
+
+    def _rate(self, servers: int, result_bytes: float) -> float:
+        """Return the pieces that servers make in a second, with full calls."""
+        call_s = self.call_time(self.limits.batch_size)
+        rate = self.limits.batch_size / call_s
+        if result_bytes > 0:
+            room = self.limits.room_bytes * _ROOM_SHARE / result_bytes
+            rate = min(rate, max(1.0, room) / (call_s + self._hold_s))
+        return servers * rate
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -10,7 +10,7 @@
 import logging
 import math
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from galenadrum._internal.directory.registry import ServerEntry
@@ -59,6 +59,8 @@
     Attributes:
         server_id: Where it is placed; empty while it isn't.
         excluded: Engines that rejected it.
+        made_after_s: Stages in the order in which they were made, and when.
+        upcoming: Pieces by stage that are not due yet.
     """
 
     request: PlacementRequest
@@ -67,6 +69,8 @@
     server_id: str = ""
     excluded: set[str] = field(default_factory=set)
     remakes: int = 0
+    made_after_s: list[tuple[int, float]] = field(default_factory=list)
+    upcoming: dict[int, int] = field(default_factory=dict)
 
 
 class ZoneDispatcher:
@@ -161,6 +165,7 @@
         graph = StageGraph(request.route.stages, request.pieces)
         work = _Work(request, graph, now)
         self._work_by_request[request.request_id] = work
+        self._count_upcoming(work, range(len(graph.stages)))
         logger.debug(
             "took request %s: first event expected in %.3f s, due in %.3f s",
             request.request_id,
@@ -178,11 +183,11 @@
             now,
         )
 
-    def cancel(self, request_id: str) -> None:
+    def cancel(self, request_id: str, now: float) -> None:
         """Drop a request whose caller has left."""
         work = self._work_by_request.get(request_id)
         if work is not None:
-            self._end(work)
+            self._end(work, now)
 
     def report(
         self, request_id: str, server_id: str, outcome: PlacementOutcome, now: float
@@ -195,14 +200,14 @@
         if outcome is PlacementOutcome.STARTED:
             if pool is not None:
                 pool.note_started(server_id, request_id, now)
-            self._release(work.graph.held_handles())
+            self._release(work.graph.held_handles(), now)
             return
         if outcome in (PlacementOutcome.FINISHED, PlacementOutcome.CANCELLED):
-            self._end(work)
+            self._end(work, now)
         elif outcome is PlacementOutcome.FAILED:
             if pool is not None:
                 pool.note_failed(server_id, request_id, now)
-            self._end(work)
+            self._end(work, now)
         else:
             self._place_again(work, pool, server_id, outcome, now)
         self._place_waiting(now)
@@ -252,9 +257,12 @@
         if result.handle:
             pool.hold(result.handle, piece.result_bytes, now)
             if work is None or work.graph.has_result(piece.stage, piece.number):
-                self._release((result.handle,))
+                self._release((result.handle,), now)
             else:
                 work.graph.record(piece.stage, piece.number, result.handle)
+                if work.graph.is_made(piece.stage):
+                    made = (piece.stage, now - work.submitted_at)
+                    work.made_after_s.append(made)
                 if call.is_overdue:
                     pool.drop_piece(piece.request_id, piece.stage, piece.number)
             return
@@ -280,7 +288,7 @@
             pool.add(piece)
 
     def _remake(self, work: _Work, dropped: tuple[str, ...], now: float) -> None:
-        self._release(dropped)
+        self._release(dropped, now)
         work.remakes += 1
         request_id = work.request.request_id
         for pool in self._stage_pools_by_service.values():
@@ -355,7 +363,7 @@
         for request_id in request_ids:
             work = self._work_by_request.get(request_id)
             if work is not None:
-                self._release(work.graph.consumed())
+                self._release(work.graph.consumed(), now)
                 self._advance(work, now)
 
     def _advance(self, work: _Work, now: float) -> None:
@@ -367,7 +375,9 @@
                 self._unplaced.append(work.request.request_id)
             self._place_waiting(now)
             return
-        for stage, number in work.graph.take_due():
+        due = list(work.graph.take_due())
+        self._discount_upcoming(work, {stage for stage, _ in due})
+        for stage, number in due:
             service = work.request.route.stages[stage].service
             pool = self._stage_pools_by_service.get(service)
             if pool is None:
@@ -376,8 +386,26 @@
             pool.add(self._waiting_piece(work, stage, number))
         self._start_calls(now)
 
+    def _count_upcoming(self, work: _Work, stages: Iterable[int]) -> None:
+        """Count pieces that will be due later, for forecasts."""
+        for stage in stages:
+            pool = self._stage_pools_by_service.get(work.graph.stages[stage].service)
+            if pool is not None and stage not in work.upcoming:
+                work.upcoming[stage] = work.graph.pieces[stage]
+                pool.upcoming += work.graph.pieces[stage]
+
+    def _discount_upcoming(self, work: _Work, stages: Iterable[int]) -> None:
+        for stage in stages:
+            pool = self._stage_pools_by_service.get(work.graph.stages[stage].service)
+            if pool is not None:
+                pool.upcoming -= work.upcoming.pop(stage, 0)
+
     def _waiting_piece(self, work: _Work, stage: int, number: int) -> WaitingPiece:
         request = work.request
+        spec = request.route.stages[stage]
+        zone, input_bytes = self._place_of_inputs(
+            work, work.graph.inputs_of(stage), spec.after
+        )
         return WaitingPiece(
             request.request_id,
             stage,
@@ -385,8 +413,9 @@
             request.priority,
             request.objective_at,
             self._remaining_s(work, stage),
-            request.route.stages[stage].result_bytes,
-            request.zone,
+            spec.result_bytes,
+            zone,
+            input_bytes,
         )
 
     def _remaining_s(self, work: _Work, stage: int) -> float:
@@ -461,11 +490,15 @@
         pool = self._engine_pools_by_service.get(request.service)
         if pool is None:
             return False
+        zone, input_bytes = self._place_of_inputs(
+            work, work.graph.final_handles(), work.graph.final_stages()
+        )
         engine = pool.choose(
             request.prompt,
             request.prompt_tokens,
             frozenset(work.excluded),
-            self._zone_of_inputs(work),
+            zone,
+            input_bytes,
             now,
         )
         if engine is None:
@@ -474,6 +507,14 @@
             engine, request.request_id, request.prompt, request.prompt_tokens, now
         )
         work.server_id = engine.announcement.server_id
+        logger.info(
+            "placed at %s after %.3f s (objective in %.3f s, stages made: %s)",
+            work.server_id,
+            now - work.submitted_at,
+            request.objective_at - now,
+            " ".join(f"{stage}@{at:.3f}" for stage, at in work.made_after_s),
+            extra={"request_id": request.request_id},
+        )
         self._actions.append(
             Placement(
                 request.request_id,
@@ -484,46 +525,58 @@
         )
         return True
 
-    def _zone_of_inputs(self, work: _Work) -> str:
-        """Return the zone that holds most of what the engine takes in."""
+    def _place_of_inputs(
+        self, work: _Work, handles: tuple[str, ...], stages: tuple[int, ...]
+    ) -> tuple[str, float]:
+        """Return the zone that holds most of a request's results, and their size."""
         counts: dict[str, int] = defaultdict(int)
-        for handle in work.graph.final_handles():
+        for handle in handles:
             for pool in self._stage_pools_by_service.values():
                 zone = pool.zone_of(handle)
                 if zone is not None:
                     counts[zone] += 1
                     break
         if not counts:
-            return work.request.zone
-        return max(counts, key=counts.__getitem__)
+            return work.request.zone, 0.0
+        size = sum(
+            work.graph.pieces[i] * work.graph.stages[i].result_bytes for i in stages
+        )
+        return max(counts, key=counts.__getitem__), size
 
     def _refuse_work(self, work: _Work, reason: str, now: float) -> None:
         if work.request.request_id not in self._work_by_request:
             return
         retry_after_s = self.forecast(work.request, now).retry_after_s
-        self._end(work)
+        self._end(work, now)
         self._refuse(work.request.request_id, reason, retry_after_s)
 
     def _refuse(self, request_id: str, reason: str, retry_after_s: float) -> None:
+        logger.info(
+            "refused: %s, come back in %.3f s",
+            reason,
+            retry_after_s,
+            extra={"request_id": request_id},
+        )
         self._actions.append(PlacementRefusal(request_id, reason, retry_after_s))
 
-    def _end(self, work: _Work) -> None:
+    def _end(self, work: _Work, now: float) -> None:
         request_id = work.request.request_id
         if self._work_by_request.pop(request_id, None) is None:
             return
         if request_id in self._unplaced:
             self._unplaced.remove(request_id)
+        self._discount_upcoming(work, tuple(work.upcoming))
         for pool in self._stage_pools_by_service.values():
             pool.discard(request_id)
         pool = self._engine_pools_by_service.get(work.request.service)
         if pool is not None and work.server_id:
             pool.note_ended(work.server_id, request_id)
-        self._release(work.graph.held_handles())
+        self._release(work.graph.held_handles(), now)
 
-    def _release(self, handles: tuple[str, ...]) -> None:
+    def _release(self, handles: tuple[str, ...], now: float) -> None:
         for handle in handles:
             for pool in self._stage_pools_by_service.values():
-                address = pool.release(handle)
+                address = pool.release(handle, now)
                 if address is not None:
                     self._released[address].append(handle)
                     break
