Refuse what is forecast to be late; serve callers that come back as capacity allows

Cause: in bursts all requests were admitted to a forecast 25% over their objective and most came late.

--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -20,15 +20,12 @@
 # sooner than this nothing has changed.
 _MIN_RETRY_AFTER_S = 0.3
 _MAX_RETRY_AFTER_S = 5.0
+# Returning requests are due this long before their callers leave.
+_RETURN_MARGIN_S = 0.8
 # Without any server: about the time in which a lost one comes back.
 _RETRY_AFTER_NO_SERVER_S = 1.0
 
 
-# Share of its objective by which a request may be forecast to be late: forecasts
-# are pessimistic about calls that are shared.
-LATENESS_SHARE = 0.25
-
-
 @dataclass(frozen=True, slots=True)
 class Forecast:
     """When a request's first event is expected.
@@ -51,7 +48,7 @@
     now: float,
 ) -> Forecast:
     """Follow the request's stages through the queues as they stand."""
-    due_at = request.objective_at + request.priority * PRIORITY_WEIGHT_S
+    due_at = due_time(request) + request.priority * PRIORITY_WEIGHT_S
     done_s: list[float] = []
     for index, stage in enumerate(request.route.stages):
         count = request.pieces[index] if index < len(request.pieces) else 0
@@ -74,10 +71,22 @@
         )
     total_s = stages_s + engine_s
     reason = "overloaded" if math.isfinite(total_s) else "no_server"
-    excess_s = total_s - max(0.0, request.objective_at - now)
+    excess_s = total_s - max(0.0, due_time(request) - now)
     return Forecast(total_s, reason, _retry_after_s(excess_s))
 
 
+def due_time(request: PlacementRequest) -> float:
+    """Return the loop time in seconds by which the first event must come.
+
+    A request that was refused before is late for its objective already. It is
+    due just before its caller leaves, so that it takes no capacity from those
+    that can still be in time, and isn't refused twice.
+    """
+    if request.is_returning:
+        return max(request.objective_at, request.give_up_at - _RETURN_MARGIN_S)
+    return min(request.objective_at, request.give_up_at)
+
+
 def _retry_after_s(excess_s: float) -> float:
     if not math.isfinite(excess_s):
         return _RETRY_AFTER_NO_SERVER_S
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -30,6 +30,7 @@
         objective_at: Loop time in seconds by which the first event is due.
         give_up_at: Loop time in seconds after which the caller waits no more.
         zone: Where the caller is.
+        is_returning: Whether it was refused before and has come back.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     objective_at: float
     give_up_at: float
     zone: str = ""
+    is_returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -14,7 +14,11 @@
 from dataclasses import dataclass, field
 
 from galenadrum._internal.directory.registry import ServerEntry
-from galenadrum._internal.dispatch.admission import LATENESS_SHARE, Forecast, forecast
+from galenadrum._internal.dispatch.admission import (
+    Forecast,
+    due_time,
+    forecast,
+)
 from galenadrum._internal.dispatch.engine_pool import EnginePool
 from galenadrum._internal.dispatch.messages import (
     Action,
@@ -156,10 +160,7 @@
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Take a request, or refuse it at once."""
         expected = self.forecast(request, now)
-        limit_at = request.objective_at + LATENESS_SHARE * max(
-            0.0, request.objective_at - now
-        )
-        if now + expected.first_event_s > min(limit_at, request.give_up_at):
+        if now + expected.first_event_s > due_time(request):
             self._refuse(request.request_id, expected.reason, expected.retry_after_s)
             return
         graph = StageGraph(request.route.stages, request.pieces)
@@ -411,7 +412,7 @@
             stage,
             number,
             request.priority,
-            request.objective_at,
+            due_time(request),
             self._remaining_s(work, stage),
             spec.result_bytes,
             zone,
@@ -480,7 +481,7 @@
             for request_id in self._unplaced
             if (work := self._work_by_request.get(request_id)) is not None
         ]
-        ready.sort(key=lambda w: (w.request.priority, w.request.objective_at))
+        ready.sort(key=lambda w: (w.request.priority, due_time(w.request)))
         self._unplaced = [
             work.request.request_id for work in ready if not self._try_place(work, now)
         ]
--- a/src/galenadrum/_internal/gateway/attempts.py
+++ b/src/galenadrum/_internal/gateway/attempts.py
@@ -8,6 +8,8 @@
 from galenadrum._internal.models.routing import OrganisationKeys, Route
 from galenadrum._internal.network.http1.heads import RequestHead
 
+# Deadlines of first requests differ by less than this from their route's.
+_RETURN_SLACK_S = 0.1
 # Sends that a backend server certainly did not run, beyond the attempts.
 _MAX_REJECTIONS = 3
 
@@ -48,6 +50,8 @@
 
     Attributes:
         received_at: Loop time in seconds.
+        asked_at: Loop time in seconds at which the caller first asked, which may
+            have been refused.
         deadline_at: Loop time in seconds at which the caller or the route
             waits no longer.
         service: The route's service that was drawn for it.
@@ -60,8 +64,14 @@
     organisation: OrganisationKeys | None
     service: str
     received_at: float
+    asked_at: float
     deadline_at: float
 
+    @property
+    def is_returning(self) -> bool:
+        """Whether the caller has asked before."""
+        return self.received_at - self.asked_at > _RETURN_SLACK_S
+
     @property
     def priority(self) -> int:
         """Rank of the request; an organisation's goes before the route's."""
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -80,6 +80,7 @@
             objective_at=now + record.objective_left_ms / _MS,
             give_up_at=now + record.give_up_left_ms / _MS,
             zone=record.zone,
+            is_returning=record.is_returning,
         )
 
 
@@ -106,6 +107,7 @@
             zone=request.zone,
             version=version,
             domain=domain,
+            is_returning=request.is_returning,
         )
     )
 
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -11,6 +11,7 @@
 from galenadrum._internal.gateway.answers import Answers
 from galenadrum._internal.gateway.attempts import RequestContext
 from galenadrum._internal.gateway.dialect import Dialect, RequestFacts
+from galenadrum._internal.gateway.first_deadlines import FirstDeadlines
 from galenadrum._internal.gateway.lease import ConfigurationLease
 from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
@@ -50,6 +51,7 @@
         self._streams = streams
         self._answers = answers
         self._rng = rng
+        self._first_deadlines = FirstDeadlines()
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -122,8 +124,10 @@
         organisation: OrganisationKeys | None,
     ) -> RequestContext:
         limit_s = route.timeout_s
+        asked_at = exchange.received_at
         if facts.deadline_s is not None:
             limit_s = min(limit_s, facts.deadline_s)
+            asked_at -= self._first_deadlines.elapsed_s(route.name, facts.deadline_s)
         return RequestContext(
             head=exchange.head,
             body=exchange.body,
@@ -132,5 +136,6 @@
             organisation=organisation,
             service=choose_service(route, self._rng),
             received_at=exchange.received_at,
+            asked_at=asked_at,
             deadline_at=exchange.received_at + limit_s,
         )
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -172,9 +172,10 @@
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.expected_output_tokens or facts.output_tokens,
             priority=context.priority,
-            objective_at=context.received_at + context.route.objective_s,
+            objective_at=context.asked_at + context.route.objective_s,
             give_up_at=self._give_up_at(context),
             zone=self._zone,
+            is_returning=context.is_returning,
         )
 
     def _patience_s(self, context: RequestContext) -> float:
