--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
 
 format: $(STAMP)
-	$(BIN)/ruff format src tests benchmarks
-	$(BIN)/ruff check --fix src tests benchmarks
+	$(BIN)/ruff format src tests benchmarks platform deploy
+	$(BIN)/ruff check --fix src tests benchmarks platform deploy
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src tests benchmarks
-	$(BIN)/ruff check src tests benchmarks
+	$(BIN)/ruff format --check src tests benchmarks platform deploy
+	$(BIN)/ruff check src tests benchmarks platform deploy
 
 bench: $(STAMP)
 	PYTHONPATH=src $(BIN)/python -m benchmarks.policy
--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -84,7 +84,11 @@
         self.configurations = Configurations(lambda: self.keeper.log, self.state)
         self._pool = ConnectionPool()
         self.dispatch = DispatchDriver(
-            dialect, self._pool, lambda: list(self.registry), self._services, self.metrics
+            dialect,
+            self._pool,
+            lambda: list(self.registry),
+            self._services,
+            self.metrics,
         )
         self.links = LinkService(
             self._hello,
@@ -133,7 +137,9 @@
 
     def _build_supervisor(self, rng: random.Random) -> Supervisor:
         settings = self._settings
-        peers = GrpcServer(settings.peer_address, [CurrentReplication(self.keeper), self.links])
+        peers = GrpcServer(
+            settings.peer_address, [CurrentReplication(self.keeper), self.links]
+        )
         supervisor = Supervisor(settings.host_id, rng)
         supervisor.add("peers", peers.run)
         supervisor.add("log", self.keeper.run)
@@ -240,4 +246,3 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-
--- a/src/galenadrum/_internal/control/routing/identity.py
+++ b/src/galenadrum/_internal/control/routing/identity.py
@@ -51,8 +51,11 @@
     """Return the identity that the folder holds, or a new one.
 
     Args:
+        data_folder: The host's folder; created when it is missing.
+        peer_address: Where other members reach this host.
         founders: Peer addresses of the first members on the first start of the
             whole system; empty later.
+        rng: Must be seeded differently on each host.
 
     Raises:
         StorageError: The folder can't be used.
@@ -68,7 +71,9 @@
             identity = MemberIdentity(_new_id(peer_address, rng), (), 1)
         _write(data_folder, identity)
     except OSError as error:
-        raise StorageError(f"can't use the data folder {data_folder}: {error}") from error
+        raise StorageError(
+            f"can't use the data folder {data_folder}: {error}"
+        ) from error
     return identity
 
 
@@ -85,7 +90,9 @@
         _write(data_folder, identity)
         shutil.rmtree(former.log_folder(data_folder), ignore_errors=True)
     except OSError as error:
-        raise StorageError(f"can't use the data folder {data_folder}: {error}") from error
+        raise StorageError(
+            f"can't use the data folder {data_folder}: {error}"
+        ) from error
     logger.info("%s is now member %s", former.member_id, identity.member_id)
     return identity
 
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -161,8 +161,10 @@
         if self._members():
             link.send(self._hosts_message())
         current = self._state.current
-        if current is not None and not peer.is_control and (
-            peer.version < current.version
+        if (
+            current is not None
+            and not peer.is_control
+            and (peer.version < current.version)
         ):
             link.send(_document_message(current))
         now = self._loop.time()
--- a/src/galenadrum/_internal/control/routing/member_removal.py
+++ b/src/galenadrum/_internal/control/routing/member_removal.py
@@ -23,6 +23,7 @@
     """Return the id of a member that should be removed now.
 
     Args:
+        members: All members, voters or not.
         silences_by_id: Seconds without an answer, as the leader counts them.
     """
     lost = [
--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -85,9 +85,7 @@
             return False
         self._retire_address(announcement)
         self._heard_at_by_id[announcement.server_id] = now
-        entry = ServerEntry(
-            announcement, False, now + announcement.warm_up_s
-        )
+        entry = ServerEntry(announcement, False, now + announcement.warm_up_s)
         self._put(entry, known)
         return True
 
--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from galenadrum._internal.dispatch.engine_pool import EnginePool
+from galenadrum._internal.dispatch.engine_pool import EngineDemand, EnginePool
 from galenadrum._internal.dispatch.messages import PlacementRequest
 from galenadrum._internal.dispatch.stage_pool import PRIORITY_WEIGHT_S, StagePool
 
@@ -66,9 +66,8 @@
     stages_s = max(done_s, default=0.0)
     engine_s = math.inf
     if engines is not None:
-        engine_s = engines.best_delay(
-            request.prompt, request.prompt_tokens, request.zone, now
-        )
+        demand = EngineDemand(request.prompt, request.prompt_tokens, request.zone)
+        engine_s = engines.best_delay(demand, now)
     total_s = stages_s + engine_s
     reason = "overloaded" if math.isfinite(total_s) else "no_server"
     excess_s = total_s - max(0.0, due_time(request) - now)
@@ -91,4 +90,3 @@
     if not math.isfinite(excess_s):
         return _RETRY_AFTER_NO_SERVER_S
     return min(max(excess_s, _MIN_RETRY_AFTER_S), _MAX_RETRY_AFTER_S)
-
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -88,7 +88,9 @@
         """Take a request; each placement and the refusal go to ``reply``.
 
         Args:
+            request: The request, on this host's clock.
             zone: Whose servers are asked for; empty for all.
+            reply: Called on the event loop.
         """
         dispatcher = self._dispatcher(zone)
         self._active.set()
@@ -188,7 +190,9 @@
         took_s: float,
     ) -> None:
         word = outcome.value if isinstance(outcome, CallFailure) else "done"
-        self._metrics.increment("stage_calls", service=call.server.service, outcome=word)
+        self._metrics.increment(
+            "stage_calls", service=call.server.service, outcome=word
+        )
         self._metrics.record_duration("stage_call_seconds", took_s)
         level = logging.DEBUG if word == "done" else logging.INFO
         if not logger.isEnabledFor(level):
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -39,6 +39,21 @@
 _SLOWNESS_HALF_LIFE_S = 6.0
 
 
+@dataclass(frozen=True, slots=True)
+class EngineDemand:
+    """What a request asks of an engine.
+
+    Attributes:
+        zone: Where its inputs are, or where it came in.
+        input_bytes: Size of the inputs.
+    """
+
+    prompt: tuple[PromptPart, ...]
+    prompt_tokens: int
+    zone: str
+    input_bytes: float = 0.0
+
+
 class PrefixCache:
     """Parts of prompts that an engine should hold, the latest used last."""
 
@@ -148,27 +163,14 @@
         self.engines_by_id.pop(server_id, None)
 
     def choose(
-        self,
-        prompt: tuple[PromptPart, ...],
-        prompt_tokens: int,
-        excluded: frozenset[str],
-        zone: str,
-        input_bytes: float,
-        now: float,
+        self, demand: EngineDemand, excluded: frozenset[str], now: float
     ) -> Engine | None:
-        """Return the engine with the earliest first token, None if all are full.
-
-        Args:
-            zone: Where the inputs are, or where the request came in.
-            input_bytes: Size of the inputs.
-        """
+        """Return the engine with the earliest first token, None if all are full."""
         best: tuple[float, Engine] | None = None
         for engine in self._usable(now):
             if engine.announcement.server_id in excluded or self.is_full(engine):
                 continue
-            delay_s = self.first_token_delay(engine, prompt, prompt_tokens, zone, now)
-            if not self._zone and engine.announcement.zone != zone:
-                delay_s += input_bytes * ZONE_DELAY_S_PER_BYTE
+            delay_s = self.first_token_delay(engine, demand, now)
             if best is None or delay_s < best[0]:
                 best = (delay_s, engine)
         return best[1] if best else None
@@ -186,61 +188,50 @@
         return len(engine.runs_by_request) >= max(1, int(places * _PLACES_SHARE))
 
     def first_token_delay(
-        self,
-        engine: Engine,
-        prompt: tuple[PromptPart, ...],
-        prompt_tokens: int,
-        zone: str,
-        now: float,
+        self, engine: Engine, demand: EngineDemand, now: float
     ) -> float:
-        """Return the expected time to the first token, in seconds.
-
-        Args:
-            zone: Where the prompt's inputs are.
-        """
-        unread = max(0, prompt_tokens - engine.cache.cached_tokens(prompt))
-        to_read = unread + engine.unread_tokens
+        """Return the expected time to the first token, in seconds."""
+        to_read = self._unread(engine, demand) + engine.unread_tokens
         delay_s = to_read / self.read_tokens_per_s
         delay_s += len(engine.runs_by_request) * _RUNNING_DELAY_S
         delay_s = (delay_s + self.overhead_s) * engine.current_slowness(now)
-        if engine.announcement.zone != (self._zone or zone):
-            delay_s += _OTHER_ZONE_DELAY_S if self._zone else _SHARED_ZONE_DELAY_S
+        delay_s += self._way_s(engine, demand)
         if now < engine.warm_until:
             delay_s += _WARM_UP_DELAY_S
         return delay_s
 
-    def best_delay(
-        self,
-        prompt: tuple[PromptPart, ...],
-        prompt_tokens: int,
-        zone: str,
-        now: float,
-    ) -> float:
+    def _unread(self, engine: Engine, demand: EngineDemand) -> int:
+        return max(0, demand.prompt_tokens - engine.cache.cached_tokens(demand.prompt))
+
+    def _way_s(self, engine: Engine, demand: EngineDemand) -> float:
+        """Return what the way to another zone is worth in time."""
+        zone = engine.announcement.zone
+        if self._zone:
+            return 0.0 if zone == self._zone else _OTHER_ZONE_DELAY_S
+        if zone == demand.zone:
+            return 0.0
+        return _SHARED_ZONE_DELAY_S + demand.input_bytes * ZONE_DELAY_S_PER_BYTE
+
+    def best_delay(self, demand: EngineDemand, now: float) -> float:
         """Return the shortest expected time to a first token, in seconds."""
         return min(
-            (
-                self.first_token_delay(engine, prompt, prompt_tokens, zone, now)
-                for engine in self._usable(now)
-            ),
+            (self.first_token_delay(e, demand, now) for e in self._usable(now)),
             default=math.inf,
         )
 
     def place(
-        self,
-        engine: Engine,
-        request_id: str,
-        prompt: tuple[PromptPart, ...],
-        prompt_tokens: int,
-        now: float,
+        self, engine: Engine, request_id: str, demand: EngineDemand, now: float
     ) -> None:
         """Count a request at an engine."""
-        unread = max(0, prompt_tokens - engine.cache.cached_tokens(prompt))
-        queued = engine.unread_tokens
         engine.runs_by_request[request_id] = Run(
-            request_id, prompt, unread, now, queued
+            request_id,
+            demand.prompt,
+            self._unread(engine, demand),
+            now,
+            engine.unread_tokens,
         )
         # Requests with the same parts that follow at once should go there too.
-        engine.cache.use(prompt)
+        engine.cache.use(demand.prompt)
 
     def note_started(self, server_id: str, request_id: str, now: float) -> None:
         """Note the first event of a request."""
@@ -264,7 +255,9 @@
             # A single fast reading, from a cache that held more than known, must
             # not make all engines look idle.
             rate = min(rate, 2 * self.read_tokens_per_s)
-            self.read_tokens_per_s += _READ_RATE_WEIGHT * (rate - self.read_tokens_per_s)
+            self.read_tokens_per_s += _READ_RATE_WEIGHT * (
+                rate - self.read_tokens_per_s
+            )
 
     def note_ended(self, server_id: str, request_id: str) -> None:
         """Free the place of a request."""
--- a/src/galenadrum/_internal/dispatch/stage_graph.py
+++ b/src/galenadrum/_internal/dispatch/stage_graph.py
@@ -114,10 +114,8 @@
         """Return handles whose every following stage is made, once each."""
         released = []
         for stage in range(len(self.stages)):
-            followers = [
-                i for i, spec in enumerate(self.stages) if stage in spec.after
-            ]
-            if followers and all(self.is_made(i) for i in followers):
+            followers = [i for i, spec in enumerate(self.stages) if stage in spec.after]
+            if followers and all(self.is_made(i) for i in (stage, *followers)):
                 released += [h for h in self._handles[stage] if h]
                 # The mark keeps the stage made without a result to release.
                 self._handles[stage] = ["" if h else h for h in self._handles[stage]]
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -395,7 +395,12 @@
         return self.servers_by_id.get(server_id) if server_id else None
 
     def predicted_time(
-        self, pieces: int, result_bytes: float, due_at: float, start_s: float, now: float
+        self,
+        pieces: int,
+        result_bytes: float,
+        due_at: float,
+        start_s: float,
+        now: float,
     ) -> float:
         """Return the time from when pieces are due until they are made.
 
@@ -403,9 +408,11 @@
         servers work some of them off.
 
         Args:
+            pieces: Number of pieces.
             result_bytes: Size of the result of each.
             due_at: Their urgency.
             start_s: Seconds from now at which they are due.
+            now: Loop time in seconds.
 
         Returns:
             Seconds; infinite where there is no server.
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -19,7 +19,7 @@
     due_time,
     forecast,
 )
-from galenadrum._internal.dispatch.engine_pool import EnginePool
+from galenadrum._internal.dispatch.engine_pool import EngineDemand, EnginePool
 from galenadrum._internal.dispatch.messages import (
     Action,
     CallFailure,
@@ -341,7 +341,9 @@
         )
         for piece in call.pieces:
             work = self._work_by_request.get(piece.request_id)
-            if work is not None and not work.graph.has_result(piece.stage, piece.number):
+            if work is not None and not work.graph.has_result(
+                piece.stage, piece.number
+            ):
                 self._retry_piece(work, pool, piece, now)
 
     def _refuse_hopeless(self, now: float) -> None:
@@ -494,19 +496,11 @@
         zone, input_bytes = self._place_of_inputs(
             work, work.graph.final_handles(), work.graph.final_stages()
         )
-        engine = pool.choose(
-            request.prompt,
-            request.prompt_tokens,
-            frozenset(work.excluded),
-            zone,
-            input_bytes,
-            now,
-        )
+        demand = EngineDemand(request.prompt, request.prompt_tokens, zone, input_bytes)
+        engine = pool.choose(demand, frozenset(work.excluded), now)
         if engine is None:
             return False
-        pool.place(
-            engine, request.request_id, request.prompt, request.prompt_tokens, now
-        )
+        pool.place(engine, request.request_id, demand, now)
         work.server_id = engine.announcement.server_id
         logger.info(
             "placed at %s after %.3f s (objective in %.3f s, stages made: %s)",
--- a/src/galenadrum/_internal/gateway/answers.py
+++ b/src/galenadrum/_internal/gateway/answers.py
@@ -39,7 +39,9 @@
         spread_s = retry_after_s * (1 + _RETRY_SPREAD * self._rng.random())
         headers = [(b"Retry-After", b"%.2f" % spread_s)]
         text = f"not run: {reason}"
-        self._send(exchange, facts, 503, text, headers, f"{detail} retry={spread_s:.2f}")
+        self._send(
+            exchange, facts, 503, text, headers, f"{detail} retry={spread_s:.2f}"
+        )
 
     def deny(
         self, exchange: Exchange, facts: RequestFacts | None, status: int, reason: str
--- a/src/galenadrum/_internal/gateway/balancer.py
+++ b/src/galenadrum/_internal/gateway/balancer.py
@@ -90,9 +90,7 @@
         if probes:
             probes[0].health.probing = True
             return probes[0].entry
-        rested = [
-            s for s in servers if now >= s.paused_until and not s.health.ejected
-        ]
+        rested = [s for s in servers if now >= s.paused_until and not s.health.ejected]
         usable = rested or [s for s in servers if not s.health.ejected] or servers
         if not usable:
             return None
@@ -137,8 +135,11 @@
         """Count the end of a request that a server took.
 
         Args:
+            server_id: The server.
+            failed: Whether it failed the request or broke off.
             latency_s: From sending to the end.
             facts: Of the response, if there was one.
+            now: Loop time in seconds.
         """
         server = self._servers_by_id.get(server_id)
         if server is None:
@@ -158,9 +159,7 @@
             server.others = max(0.0, total - 1 - server.in_flight)
             server.reported_at = now
 
-    def rejected(
-        self, server_id: str, facts: ReplyFacts | None, now: float
-    ) -> None:
+    def rejected(self, server_id: str, facts: ReplyFacts | None, now: float) -> None:
         """Count that a server did not take a request; ``facts`` if it said so."""
         server = self._servers_by_id.get(server_id)
         if server is None:
@@ -190,7 +189,9 @@
             ejection.record_call(server.health, failed)
 
     def _compare(self, service: str, now: float) -> None:
-        servers = [self._servers_by_id[i] for i in self._ids_by_service.get(service, ())]
+        servers = [
+            self._servers_by_id[i] for i in self._ids_by_service.get(service, ())
+        ]
         usual_s = self.usual_latency_s(service) or 1.0
         views = [
             ejection.PeerView(
--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -76,7 +76,9 @@
         now = self._loop.time()
         known = list(dict.fromkeys([*self._member_addresses, *self._seeds()]))
         for address in list(self._links_by_address):
-            is_stuck = now - self._down_since_by_address.get(address, now) > _UNREACHED_S
+            is_stuck = (
+                now - self._down_since_by_address.get(address, now) > _UNREACHED_S
+            )
             if address not in known or (is_stuck and len(known) > self._max_links):
                 self._drop(address)
                 known = [a for a in known if a != address]
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -130,7 +130,10 @@
     def _build_supervisor(self, rng: random.Random) -> Supervisor:
         settings = self._settings
         ready = Http1Server(
-            settings.ready_address, self._answer_ready, lambda: _READY_LIMITS, "balancer"
+            settings.ready_address,
+            self._answer_ready,
+            lambda: _READY_LIMITS,
+            "balancer",
         )
         supervisor = Supervisor(settings.host_id, rng)
         supervisor.add("links", self.links.run)
@@ -143,7 +146,9 @@
         supervisor.add("housekeeping", self._keep_house)
         self.metrics.register_gauge("version", lambda: self.lease.version)
         self.metrics.register_gauge("links_up", lambda: len(self.links.up()))
-        self.metrics.register_gauge("busy_connections", lambda: self._callers.busy_count)
+        self.metrics.register_gauge(
+            "busy_connections", lambda: self._callers.busy_count
+        )
         return supervisor
 
     def _services(self):
--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -22,8 +22,10 @@
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes and return the whole events that they complete."""
-        data = self._rest + data.replace(b"\r\n", b"\n") if b"\r" in data else (
-            self._rest + data
+        data = (
+            self._rest + data.replace(b"\r\n", b"\n")
+            if b"\r" in data
+            else (self._rest + data)
         )
         end = data.rfind(_EVENT_END)
         if end < 0:
--- a/src/galenadrum/_internal/gateway/lease.py
+++ b/src/galenadrum/_internal/gateway/lease.py
@@ -39,6 +39,7 @@
         """Note that no version above this one was accepted at that time.
 
         Args:
+            version: The newest version then.
             confirmed_at: Loop time in seconds.
         """
         if version <= self.version:
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -77,9 +77,7 @@
                 extra={"request_id": facts.request_id},
             )
 
-    def _check(
-        self, exchange: Exchange, facts: RequestFacts
-    ) -> RequestContext | None:
+    def _check(self, exchange: Exchange, facts: RequestFacts) -> RequestContext | None:
         table = self._in_force.table
         if table is None:
             self._answers.refuse(
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -143,9 +143,7 @@
         context = stream.context
         outcome = _OUTCOME_BY_END.get(end)
         if outcome is not None:
-            return await self._placements.place_again(
-                context.facts.request_id, outcome
-            )
+            return await self._placements.place_again(context.facts.request_id, outcome)
         return await self._placements.place(self._placement_request(context))
 
     def _may_go_on(self, stream: _Stream) -> bool:
@@ -187,9 +185,7 @@
         )
 
     def _give_up_at(self, context: RequestContext) -> float:
-        return min(
-            context.deadline_at, context.received_at + self._patience_s(context)
-        )
+        return min(context.deadline_at, context.received_at + self._patience_s(context))
 
     def _end_refused(self, stream: _Stream, refusal: PlacementRefusal) -> None:
         context = stream.context
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -273,6 +273,7 @@
         """Return a connection on which a request may be sent.
 
         Args:
+            address: IP number and port of the back end.
             timeout_s: For a new connection.
             max_idle_s: Longest idle time of a connection that is used again.
 
--- a/src/galenadrum/_internal/network/http1/server.py
+++ b/src/galenadrum/_internal/network/http1/server.py
@@ -61,7 +61,11 @@
     """
 
     def __init__(
-        self, connection: _Connection, head: RequestHead, body: bytes, received_at: float
+        self,
+        connection: _Connection,
+        head: RequestHead,
+        body: bytes,
+        received_at: float,
     ) -> None:
         self._connection = connection
         self.head = head
@@ -101,7 +105,9 @@
         if self.is_gone:
             raise CallerGoneError
         if data:
-            self._write(b"%x\r\n%s\r\n" % (len(data), data) if self._is_chunked else data)
+            self._write(
+                b"%x\r\n%s\r\n" % (len(data), data) if self._is_chunked else data
+            )
         await self._connection.writable()
 
     def finish(self) -> None:
@@ -201,9 +207,9 @@
             self._reject(cause.status, cause.reason)
         except httptools.HttpParserError as error:
             self._reject(400, f"the request can't be parsed: {error}")
-        if self._header_bytes > self._server.limits().max_header_bytes:
-            if not self._in_body and self._message_started_at is not None:
-                self._reject(431, "the request's head is too large")
+        is_in_head = not self._in_body and self._message_started_at is not None
+        if is_in_head and self._header_bytes > self._server.limits().max_header_bytes:
+            self._reject(431, "the request's head is too large")
 
     def eof_received(self) -> bool:
         return False
--- /dev/null
+++ b/tests/lib/dispatch_world.py
@@ -0,0 +1,140 @@
+"""A dispatcher before simulated stage servers and engines, without sockets.
+
+Servers take the time that their limits say; the clock is the test's own.
+"""
+
+import heapq
+import itertools
+from collections import Counter
+
+from galenadrum._internal.dispatch.messages import (
+    CallFailure,
+    PieceFailure,
+    PieceResult,
+    Placement,
+    PlacementOutcome,
+    PlacementRefusal,
+    ResultsRelease,
+    StageCall,
+)
+from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
+
+TICK_S = 0.02
+
+
+class DispatchWorld:
+    """Plays requests through one dispatcher.
+
+    Attributes:
+        placed_at: Time of each request's placement.
+        refused_at: Time and reason of each refusal.
+        calls: Stage calls with their time.
+    """
+
+    def __init__(self, services, entries, zone="", first_event_s=0.1):
+        self.now = 0.0
+        self.dispatcher = ZoneDispatcher(zone)
+        self.dispatcher.configure(services)
+        for known in entries:
+            self.dispatcher.put_server(known)
+        self._services = services
+        self._first_event_s = first_event_s
+        self._events = []
+        self._order = itertools.count()
+        self._handles = itertools.count()
+        self._submitted = set()
+        self.slowness_by_server = Counter()
+        self.failure_by_server = {}
+        self.results = set()
+        self.placed_at = {}
+        self.placements = {}
+        self.refused_at = {}
+        self.calls = []
+        self.released = set()
+        self.max_running_by_server = Counter()
+        self._running = Counter()
+        self._at(TICK_S, self._tick)
+
+    def _at(self, when, action):
+        heapq.heappush(self._events, (when, next(self._order), action))
+
+    def submit_at(self, when, request):
+        def submit():
+            self._submitted.add(request.request_id)
+            self.dispatcher.submit(request, self.now)
+
+        self._at(when, submit)
+
+    def run(self, until):
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+            self._carry_out()
+        self.now = until
+
+    def _tick(self):
+        self.dispatcher.tick(self.now)
+        self._at(self.now + TICK_S, self._tick)
+
+    def _carry_out(self):
+        for action in self.dispatcher.collect(self.now):
+            match action:
+                case StageCall():
+                    self._start_call(action)
+                case ResultsRelease(_, handles):
+                    self.released.update(handles)
+                    self.results -= set(handles)
+                case Placement():
+                    self._place(action)
+                case PlacementRefusal(request_id, reason, _):
+                    assert request_id not in self.placed_at
+                    self.refused_at[request_id] = (self.now, reason)
+
+    def _start_call(self, call):
+        server_id = call.server.server_id
+        self.calls.append((self.now, call))
+        limits = self._services[call.server.service].stage
+        assert 0 < len(call.pieces) <= limits.batch_size
+        for piece in call.pieces:
+            missing = [h for h in piece.inputs if h not in self.results]
+            assert not missing, f"{piece} is given results that were released"
+        self._running[server_id] += 1
+        self.max_running_by_server[server_id] = max(
+            self.max_running_by_server[server_id], self._running[server_id]
+        )
+        took_s = limits.call_s + len(call.pieces) * limits.piece_s
+        took_s *= self.slowness_by_server.get(server_id, 1)
+        self._at(self.now + took_s, lambda: self._end_call(call))
+
+    def _end_call(self, call):
+        server_id = call.server.server_id
+        service = call.server.service
+        self._running[server_id] -= 1
+        failure = self.failure_by_server.get(server_id)
+        if isinstance(failure, CallFailure):
+            self.dispatcher.stage_call_failed(service, call.call_id, failure, self.now)
+            return
+        results = tuple(self._make(call, failure) for _ in call.pieces)
+        self.dispatcher.stage_call_done(service, call.call_id, results, self.now)
+
+    def _make(self, call, failure):
+        if isinstance(failure, PieceFailure):
+            return PieceResult(failure=failure)
+        handle = f"{call.server.address}/{next(self._handles)}"
+        self.results.add(handle)
+        return PieceResult(handle)
+
+    def _place(self, placement):
+        request_id = placement.request_id
+        assert all(handle in self.results for handle in placement.inputs)
+        self.placed_at[request_id] = self.now
+        self.placements[request_id] = placement
+
+        def report(outcome):
+            self.dispatcher.report(
+                request_id, placement.server_id, outcome, self.now
+            )
+
+        started_at = self.now + self._first_event_s
+        self._at(started_at, lambda: report(PlacementOutcome.STARTED))
+        self._at(started_at + 0.3, lambda: report(PlacementOutcome.FINISHED))
