Test the parts of entry and control hosts of routing configurations

Cause: an id inside an event's data hid the id of the event, so that a resumed stream would have gone on from an older one; found by the new test.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -41,8 +41,8 @@
 
     def _note_events(self, whole: bytes) -> None:
         self.events += whole.count(_EVENT_END)
-        start = whole.rfind(b"id:")
-        if start >= 0 and (start == 0 or whole[start - 1 : start] == b"\n"):
+        start = (b"\n" + whole).rfind(b"\nid:")
+        if start >= 0:
             line_end = whole.find(b"\n", start)
             self.last_event_id = whole[start + len(b"id:") : line_end].strip()
 
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -131,9 +131,7 @@
         self.placements[request_id] = placement
 
         def report(outcome):
-            self.dispatcher.report(
-                request_id, placement.server_id, outcome, self.now
-            )
+            self.dispatcher.report(request_id, placement.server_id, outcome, self.now)
 
         started_at = self.now + self._first_event_s
         self._at(started_at, lambda: report(PlacementOutcome.STARTED))
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -66,7 +66,9 @@
         played = DispatchWorld(
             services("encode", "retrieve", "rerank"), [*ENGINES, *CHAIN_SERVERS]
         )
-        played.submit_at(0.0, request(pieces=(1, 6, 10), stages=CHAIN, objective_at=2.0))
+        played.submit_at(
+            0.0, request(pieces=(1, 6, 10), stages=CHAIN, objective_at=2.0)
+        )
         played.run(3.0)
         pieces = [p for _, call in played.calls for p in call.pieces]
         assert {len(p.inputs) for p in pieces if p.stage == 1} == {1}
@@ -116,9 +118,7 @@
 
     def test_most_of_what_is_placed_is_in_time(self):
         played = self.play()
-        late = [
-            r for r, at in played.placed_at.items() if at > self.submitted[r] + 1.0
-        ]
+        late = [r for r, at in played.placed_at.items() if at > self.submitted[r] + 1.0]
         assert len(late) <= 0.15 * len(played.placed_at)
 
     def test_servers_are_kept_busy(self):
@@ -241,7 +241,9 @@
         played.submit_at(0.0, request(give_up_at=6.0))
         played.run(0.5)
         first = played.placements["r1"]
-        played.dispatcher.report("r1", first.server_id, PlacementOutcome.INPUTS_GONE, 0.5)
+        played.dispatcher.report(
+            "r1", first.server_id, PlacementOutcome.INPUTS_GONE, 0.5
+        )
         played.run(1.5)
         assert played.placements["r1"].inputs != first.inputs
 
@@ -249,9 +251,7 @@
 class TestReturningCallers:
     def test_returning_request_is_taken_though_it_is_late(self):
         played = world()
-        late = request(
-            now=0.0, objective_at=-0.5, give_up_at=3.0, is_returning=True
-        )
+        late = request(now=0.0, objective_at=-0.5, give_up_at=3.0, is_returning=True)
         played.submit_at(0.0, late)
         played.run(1.0)
         assert "r1" in played.placed_at
--- /dev/null
+++ b/tests/unit/platform_adapter/test_announcements.py
@@ -0,0 +1,72 @@
+"""Decoding heartbeats and deregistrations."""
+
+import json
+
+import pytest
+from galenadrum._internal.models.announcements import ServerState
+from galenadrum_platform.announcements import decode_announcement, decode_farewell
+from hypothesis import given
+from hypothesis import strategies as st
+
+BEAT = {
+    "Service": "llm",
+    "Address": "10.128.0.9:8080",
+    "Zone": "a",
+    "Version": "v1",
+    "Concurrency": 64,
+    "State": "ready",
+    "WarmupLeftMs": 500,
+    "Sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def decode(**changes):
+    beat = {**BEAT, **changes}
+    body = {name: value for name, value in beat.items() if value is not ...}
+    return decode_announcement("i-1", json.dumps(body).encode())
+
+
+class TestAnnouncement:
+    def test_all_fields(self):
+        announcement = decode()
+        assert announcement.server_id == "i-1"
+        assert announcement.order == (1_700_000_000_000, 4)
+        assert announcement.warm_up_s == 0.5
+        assert announcement.state is ServerState.READY
+
+    def test_draining(self):
+        assert decode(State="draining").state is ServerState.DRAINING
+
+    def test_server_without_its_start(self):
+        assert decode(born=...).incarnation_ms == 0
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"State": "odd"},
+            {"Service": ...},
+            {"Address": 7},
+            {"Address": "host:80"},
+            {"Concurrency": "many"},
+            {"Sequence": -1},
+            {"born": "then"},
+        ],
+    )
+    def test_one_that_names_no_server_to_use(self, changes):
+        assert decode(**changes) is None
+
+    @given(st.binary(max_size=100))
+    def test_any_bytes(self, body):
+        assert decode_announcement("i-1", body) is None
+
+
+class TestFarewell:
+    def test_empty_body(self):
+        assert decode_farewell("i-1", b"").incarnation_ms == 0
+
+    def test_start_of_the_incarnation(self):
+        assert decode_farewell("i-1", b'{"born": 5}').incarnation_ms == 5
+
+    def test_body_that_can_not_be_read(self):
+        assert decode_farewell("i-1", b"[").incarnation_ms == 0
--- /dev/null
+++ b/tests/unit/platform_adapter/test_dialect.py
@@ -0,0 +1,184 @@
+"""Headers and stage calls of the platform."""
+
+import json
+
+from galenadrum._internal.dispatch.messages import (
+    CallFailure,
+    PieceFailure,
+    ResultsRelease,
+    StageCall,
+    StagePiece,
+)
+from galenadrum._internal.gateway.dialect import Forwarding
+from galenadrum._internal.network.http1.heads import RequestHead, ResponseHead
+from galenadrum_platform import dialect
+from hypothesis import given
+from hypothesis import strategies as st
+from lib.routing_values import announcement
+
+HEADERS = (
+    (b"Host", b"one.example"),
+    (b"X-Attempt-Id", b"9c41"),
+    (b"X-Model", b"m"),
+    (b"X-Token-Usage", b"1460,80"),
+    (b"X-Prefix-Hash", b"5c1e:800,91bd:410"),
+    (b"X-Deadline-Ms", b"6000"),
+    (b"X-Chunks", b"2,0,7"),
+    (b"X-Chunk-Key", b"7c1e"),
+    (b"Authorization", b"Token k1"),
+)
+
+
+def request_head(*more):
+    return RequestHead(b"POST", b"/a/b?c=d", HEADERS + more)
+
+
+class TestRequest:
+    def test_facts(self):
+        facts = dialect.read_request(request_head())
+        assert facts.request_id == "9c41"
+        assert facts.deadline_s == 6.0
+        assert facts.key == "k1"
+        assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+        assert [(p.part_id, p.tokens) for p in facts.prompt] == [
+            ("5c1e", 800),
+            ("91bd", 410),
+        ]
+        assert facts.pieces == (2, 0, 7)
+
+    def test_other_scheme_is_no_key(self):
+        head = RequestHead(b"GET", b"/", ((b"Authorization", b"Basic k1"),))
+        assert dialect.read_request(head).key is None
+
+    @given(st.binary(max_size=20), st.sampled_from([name for name, _ in HEADERS]))
+    def test_any_value_is_read_or_absent(self, value, name):
+        dialect.read_request(RequestHead(b"GET", b"/", ((name, value),)))
+
+
+class TestForwarding:
+    def headers(self, *more, **changes):
+        forwarding = Forwarding("i-1", 1.5, "t1", 2, ("h1", "h2"), **changes)
+        return dialect.request_headers(request_head(*more), forwarding)
+
+    def test_key_is_not_passed_on(self):
+        names = [name.lower() for name, _ in self.headers()]
+        assert b"authorization" not in names
+
+    def test_headers_of_the_system_are_set_once(self):
+        spoofed = [
+            (b"x-tenant", b"other"),
+            (b"X-RETENTION", b"1"),
+            (b"X-Pin-Ms", b"9"),
+            (b"Kv-From", b"x"),
+            (b"X-Kv-Backup", b"x"),
+            (b"X-Inputs", b"x"),
+        ]
+        values = {}
+        for name, value in self.headers(*spoofed):
+            values.setdefault(name.lower(), []).append(value)
+        assert values[b"x-tenant"] == [b"t1"]
+        assert values[b"x-inputs"] == [b"h1,h2"]
+        assert values[b"x-deadline-ms"] == [b"1500"]
+        assert values[b"x-expect-instance"] == [b"i-1"]
+        for name in (b"x-retention", b"x-pin-ms", b"kv-from", b"x-kv-backup"):
+            assert name not in values
+
+    def test_headers_of_the_connection_stay_behind(self):
+        more = [
+            (b"Connection", b"keep-alive, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Content-Length", b"7"),
+        ]
+        names = [name.lower() for name, _ in self.headers(*more)]
+        for name in (b"connection", b"x-hop", b"transfer-encoding", b"content-length"):
+            assert name not in names
+
+    def test_resumed_stream_names_its_last_event(self):
+        values = [
+            value
+            for name, value in self.headers(
+                (b"Last-Event-Id", b"3"), last_event_id=b"9"
+            )
+            if name.lower() == b"last-event-id"
+        ]
+        assert values == [b"9"]
+
+
+class TestReply:
+    def test_rejection(self):
+        head = ResponseHead(503, ((b"X-Not-Executed", b"1"),))
+        assert dialect.read_reply(head).did_not_run
+
+    def test_other_failures_promise_nothing(self):
+        assert not dialect.read_reply(ResponseHead(503, ())).did_not_run
+
+    def test_load(self):
+        facts = dialect.read_reply(ResponseHead(200, ((b"X-Instance-Load", b"3,1,8"),)))
+        assert (facts.running, facts.waiting, facts.slots) == (3, 1, 8)
+
+    def test_load_that_can_not_be_read(self):
+        head = ResponseHead(200, ((b"X-Instance-Load", b"many"),))
+        assert dialect.read_reply(head).running is None
+
+
+class TestStageCall:
+    CALL = StageCall(
+        1,
+        announcement(),
+        (
+            StagePiece("r1", 0, 2, "key", (), 0.9),
+            StagePiece("r2", 2, 0, "key", ("h1",), 1.0),
+        ),
+        1.0,
+    )
+
+    def body(self):
+        return json.loads(dialect.stage_request(self.CALL).partition(b"\r\n\r\n")[2])
+
+    def test_entries(self):
+        assert self.body() == {
+            "Entries": [
+                {
+                    "Id": "r1",
+                    "Phase": 0,
+                    "Segment": 2,
+                    "RemainingMs": 900,
+                    "Key": "key",
+                },
+                {
+                    "Id": "r2",
+                    "Phase": 2,
+                    "Segment": 0,
+                    "RemainingMs": 1000,
+                    "Inputs": ["h1"],
+                },
+            ]
+        }
+
+    def results(self, status, body, headers=()):
+        return dialect.stage_results(ResponseHead(status, headers), body, self.CALL)
+
+    def test_handles_and_reasons(self):
+        first, second = self.results(
+            200, b'{"Entries":[{"Handle":"h"},{"Reason":"gone"}]}'
+        )
+        assert first.handle == "h"
+        assert second.failure is PieceFailure.INPUT_GONE
+
+    def test_too_few_entries(self):
+        assert self.results(200, b'{"Entries":[{"Handle":"h"}]}') is CallFailure.BROKEN
+
+    def test_full_and_misdirected(self):
+        not_run = ((b"X-Not-Executed", b"1"),)
+        assert self.results(503, b"", not_run) is CallFailure.FULL
+        assert self.results(421, b"") is CallFailure.MISDIRECTED
+
+    @given(st.binary(max_size=60))
+    def test_any_body(self, body):
+        outcome = self.results(200, body)
+        assert outcome is CallFailure.BROKEN or len(outcome) == 2
+
+    def test_release(self):
+        data = dialect.release_request(ResultsRelease("10.0.0.1:80", ("a", "b")))
+        assert json.loads(data.partition(b"\r\n\r\n")[2]) == {"Handles": ["a", "b"]}
