--- a/src/galenadrum/_internal/network/frame_link.py
+++ b/src/galenadrum/_internal/network/frame_link.py
@@ -146,11 +146,7 @@
                 asyncio.ensure_future(self._read(stream)),
                 asyncio.ensure_future(self._ping()),
             ]
-            try:
-                await _first_failure(parts)
-            finally:
-                for part in parts:
-                    part.cancel()
+            await _run_until_first_ends(parts)
 
     async def _read(self, stream) -> None:
         while (frame := await stream.receive()) is not None:
@@ -206,12 +202,10 @@
         writer = asyncio.ensure_future(self._outbox.write_to(self._send))
         reader = asyncio.ensure_future(self._read(deliver))
         try:
-            await _first_failure([writer, reader])
+            await _run_until_first_ends([writer, reader])
         except (LinkLostError, TimeoutError) as error:
             logger.debug("inbound link of %s ended: %s", self.peer.host_id, error)
         finally:
-            writer.cancel()
-            reader.cancel()
             # Ending the handler would leave a silent connection open.
             self._stream._stream.connection.close()
 
@@ -236,7 +230,14 @@
                 deliver(self, message)
 
 
-async def _first_failure(parts: list[asyncio.Future]) -> None:
-    done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
+async def _run_until_first_ends(parts: list[asyncio.Future]) -> None:
+    """Wait for the first part to end, end the others and raise why it ended."""
+    try:
+        done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for part in parts:
+            part.cancel()
+        # Several may fail together: one reason is enough.
+        await asyncio.gather(*parts, return_exceptions=True)
     for part in done:
         part.result()
--- a/tests/unit/configuration/test_state.py
+++ b/tests/unit/configuration/test_state.py
@@ -1,14 +1,15 @@
 """The replicated document of the highest version."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from galenadrum._internal.configuration.state import (
     ConfigurationState,
     VersionedDocument,
     was_taken,
 )
 from galenadrum._internal.exceptions import InvariantError, StorageError
-from hypothesis import given
-from hypothesis import strategies as st
 
 
 def command(version, text=b"{}"):
--- a/tests/unit/control/routing/test_identity.py
+++ b/tests/unit/control/routing/test_identity.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from galenadrum._internal.control.routing.identity import (
     load_identity,
     renew_identity,
--- a/tests/unit/directory/test_server_registry.py
+++ b/tests/unit/directory/test_server_registry.py
@@ -3,10 +3,11 @@
 import itertools
 import random
 
-from galenadrum._internal.directory.registry import FORGET_AFTER_S, Registry
-from galenadrum._internal.models.announcements import Farewell, ServerState
 from hypothesis import given
 from hypothesis import strategies as st
+
+from galenadrum._internal.directory.registry import FORGET_AFTER_S, Registry
+from galenadrum._internal.models.announcements import Farewell, ServerState
 from lib.routing_values import announcement
 
 INTERVAL_S = 1.0
--- a/tests/unit/dispatch/test_stage_graph.py
+++ b/tests/unit/dispatch/test_stage_graph.py
@@ -1,10 +1,11 @@
 """Progress of a request through a graph of stages."""
 
-from galenadrum._internal.dispatch.stage_graph import StageGraph
-from galenadrum._internal.models.routing import StageSpec
 from hypothesis import given
 from hypothesis import strategies as st
 
+from galenadrum._internal.dispatch.stage_graph import StageGraph
+from galenadrum._internal.models.routing import StageSpec
+
 CHAIN = (StageSpec("a"), StageSpec("b", (0,)), StageSpec("c", (1,)))
 
 
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from galenadrum._internal.dispatch.messages import (
     CallFailure,
     PieceFailure,
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -1,9 +1,10 @@
 """Cutting a stream into whole events."""
 
-from galenadrum._internal.gateway.event_stream import EventCutter
 from hypothesis import given
 from hypothesis import strategies as st
 
+from galenadrum._internal.gateway.event_stream import EventCutter
+
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (i, i) for i in range(1, 6))
 
 
--- a/tests/unit/gateway/test_retries.py
+++ b/tests/unit/gateway/test_retries.py
@@ -1,6 +1,7 @@
 """Retry budgets shared among entry hosts."""
 
 import pytest
+
 from galenadrum._internal.gateway.retries import RetryBudgets
 
 RATIO = 0.2
--- a/tests/unit/platform_adapter/test_announcements.py
+++ b/tests/unit/platform_adapter/test_announcements.py
@@ -3,11 +3,12 @@
 import json
 
 import pytest
-from galenadrum._internal.models.announcements import ServerState
-from galenadrum_platform.announcements import decode_announcement, decode_farewell
 from hypothesis import given
 from hypothesis import strategies as st
 
+from galenadrum._internal.models.announcements import ServerState
+from galenadrum_platform.announcements import decode_announcement, decode_farewell
+
 BEAT = {
     "Service": "llm",
     "Address": "10.128.0.9:8080",
--- a/tests/unit/platform_adapter/test_configuration.py
+++ b/tests/unit/platform_adapter/test_configuration.py
@@ -3,11 +3,12 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.models.routing import RouteKind
 from galenadrum_platform.configuration import decode_configuration
-from hypothesis import given
-from hypothesis import strategies as st
 
 DOCUMENT = {
     "Version": 7,
--- a/tests/unit/platform_adapter/test_dialect.py
+++ b/tests/unit/platform_adapter/test_dialect.py
@@ -2,6 +2,9 @@
 
 import json
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from galenadrum._internal.dispatch.messages import (
     CallFailure,
     PieceFailure,
@@ -12,8 +15,6 @@
 from galenadrum._internal.gateway.dialect import Forwarding
 from galenadrum._internal.network.http1.heads import RequestHead, ResponseHead
 from galenadrum_platform import dialect
-from hypothesis import given
-from hypothesis import strategies as st
 from lib.routing_values import announcement
 
 HEADERS = (
