--- /dev/null
+++ b/tests/functional/routing/test_whole_path_of_routes.py
@@ -0,0 +1,316 @@
+"""Requests through control hosts, entry hosts and engines over sockets."""
+
+import asyncio
+import json
+
+from lib.routing_deployment import RoutingDeployment, configuration
+
+PROMPT = (
+    (b"X-Model", b"m"),
+    (b"X-Token-Usage", b"900,20"),
+    (b"X-Prefix-Hash", b"5c1e:800,91bd:100"),
+)
+ONE_PIECE = ((b"X-Chunks", b"1,1"), (b"X-Chunk-Key", b"k"))
+STAGES = ((b"X-Chunks", b"2,3"), (b"X-Chunk-Key", b"key"))
+
+
+def play(folder, steps, engines=()):
+    async def run():
+        async with RoutingDeployment(folder) as deployment:
+            for server_id, service, zone in engines:
+                await deployment.add_engine(server_id, service, zone)
+            await deployment.accept(configuration())
+            await deployment.wait_ready()
+            await steps(deployment)
+
+    asyncio.run(run())
+
+
+PLAIN = [("p1", "plain", "a"), ("p2", "plain", "b")]
+MODEL = [("e1", "enc", "a"), ("l1", "llm", "a"), ("l2", "llm", "b")]
+
+
+class TestPlainRequests:
+    def test_answer_is_the_engines_own(self, tmp_path):
+        async def steps(deployment):
+            request_id, status, headers, body = await deployment.ask("/stock/x?y=1")
+            assert status == 200
+            assert body == b"answer to " + request_id.encode()
+            assert headers[b"x-response-signature"] == b"s." + request_id.encode()
+            ran = [e for e in deployment.engines.values() if e.ran]
+            head = ran[0].requests[request_id]
+            assert head.target == b"/stock/x?y=1"
+            assert head.get(b"x-tenant") == b"t1"
+            assert head.get(b"authorization") is None
+            assert 4_000 < int(head.get(b"x-deadline-ms")) <= 5_000
+
+        play(tmp_path, steps, PLAIN)
+
+    def test_unknown_route_and_key(self, tmp_path):
+        async def steps(deployment):
+            assert (await deployment.ask("/none/x"))[1] == 404
+            assert (await deployment.ask("/stock/x", key="bad"))[1] == 401
+            assert (await deployment.ask("/stock/x", key=None))[1] == 401
+
+        play(tmp_path, steps, PLAIN)
+
+    def test_repeatable_request_is_tried_elsewhere(self, tmp_path):
+        async def steps(deployment):
+            deployment.engines["p1"].faults.add("reset")
+            statuses = [(await deployment.ask("/stock/x"))[1] for _ in range(5)]
+            assert statuses == [200] * 5
+
+        play(tmp_path, steps, PLAIN)
+
+    def test_unrepeatable_request_runs_once_and_gets_no_promise(self, tmp_path):
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.faults.add("reset")
+            request_id, status, _, _ = await deployment.ask(
+                "/confirm/x", method=b"POST", body=b"{}"
+            )
+            assert status == 502
+            ran = sum(e.ran[request_id] for e in deployment.engines.values())
+            assert ran == 1
+
+        play(tmp_path, steps, PLAIN)
+
+    def test_rejected_unrepeatable_request_is_sent_elsewhere(self, tmp_path):
+        async def steps(deployment):
+            deployment.engines["p1"].faults.add("reject")
+            request_id, status, _, _ = await deployment.ask(
+                "/confirm/x", method=b"POST", body=b"{}"
+            )
+            assert status == 200
+            assert deployment.engines["p2"].ran[request_id] == 1
+
+        play(tmp_path, steps, PLAIN)
+
+    def test_refusal_says_when_to_come_back(self, tmp_path):
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.faults.add("reject")
+            request_id, status, headers, _ = await deployment.ask("/stock/x")
+            assert status == 503
+            assert float(headers[b"retry-after"]) > 0
+            assert headers[b"x-attempt-id"] == request_id.encode()
+            assert not any(e.ran for e in deployment.engines.values())
+
+        play(tmp_path, steps, PLAIN)
+
+
+class TestStreams:
+    def test_stages_run_before_the_stream(self, tmp_path):
+        async def steps(deployment):
+            request_id, status, _, body = await deployment.ask(
+                "/plan/x", method=b"POST", headers=PROMPT + STAGES, body=b"{}"
+            )
+            assert status == 200
+            assert body.count(b"data: piece") == 4
+            entries = [
+                entry
+                for call in deployment.engines["e1"].stage_calls
+                for entry in call
+                if entry["Id"] == request_id
+            ]
+            assert [e["Phase"] for e in entries] == [0, 0, 1, 1, 1]
+            assert all(len(e["Inputs"]) == 2 for e in entries if e["Phase"] == 1)
+            llm = next(e for e in deployment.engines.values() if e.ran[request_id])
+            inputs = llm.requests[request_id].get(b"x-inputs").split(b",")
+            assert len(inputs) == 3
+            await deployment.wait(lambda: not deployment.engines["e1"].results)
+
+        play(tmp_path, steps, MODEL)
+
+    def test_pieces_of_many_requests_share_calls(self, tmp_path):
+        async def steps(deployment):
+            deployment.engines["e1"].work_s = 0.05
+            answers = await asyncio.gather(
+                *(
+                    deployment.ask(
+                        "/plan/x",
+                        method=b"POST",
+                        headers=(
+                            *PROMPT,
+                            (b"X-Chunks", b"1,1"),
+                            (b"X-Chunk-Key", b"k"),
+                        ),
+                        body=b"{}",
+                        zone="abc"[number % 3],
+                    )
+                    for number in range(9)
+                )
+            )
+            assert {a[1] for a in answers} == {200}
+            assert len(deployment.engines["e1"].stage_calls) < 18
+
+        play(tmp_path, steps, MODEL)
+
+    def test_cut_stream_goes_on_at_another_engine(self, tmp_path):
+        async def steps(deployment):
+            first = deployment.engines["l1"]
+            first.faults.add("cut")
+            for _ in range(3):
+                _, status, _, body = await deployment.ask(
+                    "/note/x", method=b"POST", headers=PROMPT, body=b"{}"
+                )
+                assert status == 200
+                ids = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+                assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+
+        play(tmp_path, steps, MODEL)
+
+    def test_cut_stream_that_may_not_be_resumed_is_not_whole(self, tmp_path):
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.faults.add("cut")
+            try:
+                await deployment.ask(
+                    "/plan/x", method=b"POST", headers=PROMPT + STAGES, body=b"{}"
+                )
+            except Exception as error:
+                assert "ended" in str(error)
+            else:
+                raise AssertionError("a cut stream passed for a whole one")
+
+        play(tmp_path, steps, MODEL)
+
+    def test_engine_hears_that_the_caller_left(self, tmp_path):
+        async def steps(deployment):
+            for server_id in ("l1", "l2"):
+                deployment.engines[server_id].faults.add("hang")
+            asked = asyncio.ensure_future(
+                deployment.ask(
+                    "/plan/x", method=b"POST", headers=PROMPT + STAGES, body=b"{}"
+                )
+            )
+            engines = deployment.engines
+            await deployment.wait(lambda: engines["l1"].ran or engines["l2"].ran)
+            asked.cancel()
+            await asyncio.gather(asked, return_exceptions=True)
+            await deployment.wait(
+                lambda: engines["l1"].cancelled or engines["l2"].cancelled
+            )
+
+        play(tmp_path, steps, MODEL)
+
+
+class TestConfigurations:
+    def test_invalid_one_is_refused_with_all_findings(self, tmp_path):
+        async def steps(deployment):
+            broken = configuration(2)
+            broken["Routes"][0]["Service"] = "missing"
+            broken["Routes"][1]["TimeoutMs"] = 0
+            body = json.dumps(broken).encode()
+            status, _, answer = await deployment.caller.call(
+                deployment.apis["a"], b"POST", b"/api/config/replace", body=body
+            )
+            assert status == 400
+            assert len(json.loads(answer)["Error"]) == 2
+            assert (await deployment.caller.read(deployment.apis["b"]))[1][
+                "Version"
+            ] == 1
+
+        play(tmp_path, steps)
+
+    def test_it_is_in_force_everywhere_and_read_back_anywhere(self, tmp_path):
+        async def steps(deployment):
+            changed = configuration(5, Tenants=[{"Name": "t1", "ApiKeys": ["k2"]}])
+            await deployment.accept(changed, "b")
+            for zone in "abc":
+                status, document = await deployment.caller.read(deployment.apis[zone])
+                assert (status, document) == (200, changed)
+            await deployment.wait_ready(5)
+            for zone in "abc":
+                assert (await deployment.ask("/stock/x", zone, key="k1"))[1] == 401
+                assert (await deployment.ask("/stock/x", zone, key="k2"))[1] == 200
+
+        play(tmp_path, steps, PLAIN)
+
+    def test_same_and_older_versions_are_acknowledged_and_change_nothing(
+        self, tmp_path
+    ):
+        async def steps(deployment):
+            await deployment.accept(configuration(5))
+            other = configuration(5, Tenants=[])
+            for document in (other, configuration(3), configuration(5)):
+                assert (
+                    await deployment.caller.replace(deployment.apis["c"], document)
+                    == 200
+                )
+            _, document = await deployment.caller.read(deployment.apis["a"])
+            assert document == configuration(5)
+
+        play(tmp_path, steps)
+
+    def test_two_operators_race_on_one_version(self, tmp_path):
+        async def steps(deployment):
+            one = configuration(9, Tenants=[{"Name": "t1", "ApiKeys": ["one"]}])
+            two = configuration(9, Tenants=[{"Name": "t1", "ApiKeys": ["two"]}])
+            replace, apis = deployment.caller.replace, deployment.apis
+            await asyncio.gather(replace(apis["a"], one), replace(apis["b"], two))
+            read = [await deployment.caller.read(apis[zone]) for zone in "abc"]
+            assert read[0] == read[1] == read[2]
+            assert read[0][1] in (one, two)
+
+        play(tmp_path, steps)
+
+
+class TestLostControlHosts:
+    def test_minority_can_not_confirm_and_keys_fail_closed(self, tmp_path):
+        async def steps(deployment):
+            for zone in "ab":
+                await deployment.controls.pop(zone).stop()
+            status, _ = await deployment.caller.read(deployment.apis["c"])
+            assert status == 503
+            gateway = deployment.gateways["c"]
+            await deployment.wait(lambda: not gateway.is_ready)
+            assert (await deployment.ask("/stock/x", "c"))[1] == 503
+
+        play(tmp_path, steps, PLAIN)
+
+    def test_host_without_its_disk_joins_again(self, tmp_path):
+        async def steps(deployment):
+            await deployment.accept(configuration(4))
+            await deployment.controls.pop("b").stop()
+            for path in (tmp_path / "b").rglob("*"):
+                if path.is_file():
+                    path.unlink()
+            await deployment.start_control("b", first=False)
+            joined = deployment.controls["b"]
+            await deployment.wait(lambda: joined.state.version == 4)
+            await deployment.accept(configuration(6), "b")
+            members = joined.member_addresses
+            await deployment.wait(lambda: len(members()) == 3)
+
+        play(tmp_path, steps)
+
+    def test_requests_are_placed_without_any_control_host(self, tmp_path):
+        async def steps(deployment):
+            for zone in "abc":
+                await deployment.controls.pop(zone).stop()
+            gateway = deployment.gateways["a"]
+            await deployment.wait(lambda: not gateway.links.up())
+            _, status, _, body = await deployment.ask(
+                "/plan/x", method=b"POST", headers=PROMPT + STAGES, body=b"{}"
+            )
+            assert status == 200
+            assert body.count(b"data: piece") == 4
+
+        play(tmp_path, steps, MODEL)
+
+
+class TestServers:
+    def test_draining_server_gets_nothing_more(self, tmp_path):
+        async def steps(deployment):
+            engine = deployment.engines["p1"]
+            engine.state = "draining"
+            for gateway in deployment.gateways.values():
+                registry = gateway.servers.registry
+                await deployment.wait(lambda r=registry: not r.get("p1").takes_work)
+            before = sum(engine.ran.values())
+            for _ in range(10):
+                assert (await deployment.ask("/stock/x"))[1] == 200
+            assert sum(engine.ran.values()) == before
+
+        play(tmp_path, steps, PLAIN)
--- /dev/null
+++ b/tests/lib/platform_engine.py
@@ -0,0 +1,206 @@
+"""An engine of the platform, written from its pages: plain, stage or model.
+
+It records what it ran, so that tests can count.
+"""
+
+import asyncio
+import itertools
+import json
+from collections import Counter
+
+from galenadrum._internal.network.http1.client import ConnectionPool
+from galenadrum._internal.network.http1.heads import encode_request
+from galenadrum._internal.network.http1.server import ConnectionLimits, Http1Server
+
+LIMITS = ConnectionLimits()
+EVENT_PAUSE_S = 0.01
+
+
+class PlatformEngine:
+    """One engine.
+
+    Attributes:
+        ran: How often each request id ran.
+        requests: Heads of the requests that ran, by id.
+        faults: Behaviours that are switched on: ``reject``, ``reset``, ``hang``,
+            ``error``, ``extra``, ``cut``.
+    """
+
+    def __init__(self, server_id, service, address, zone, events=4, work_s=0.0):
+        self.server_id = server_id
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.events = events
+        self.work_s = work_s
+        self.ran = Counter()
+        self.requests = {}
+        self.bodies = {}
+        self.stage_calls = []
+        self.released = []
+        self.results = set()
+        self.cancelled = []
+        self.faults = set()
+        self.state = "ready"
+        self.born = 1_700_000_000_000
+        self._sequence = itertools.count(1)
+        self._handles = itertools.count(1)
+        self._server = Http1Server(address, self._handle, lambda: LIMITS, server_id)
+
+    async def start(self):
+        await self._server.listen()
+
+    def stop(self):
+        self._server.stop_listening()
+        for connection in list(self._server.connections):
+            connection.abort()
+
+    def announcement(self):
+        return {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "v1",
+            "Concurrency": 4,
+            "State": self.state,
+            "WarmupLeftMs": 0,
+            "Sequence": next(self._sequence),
+            "born": self.born,
+        }
+
+    async def _handle(self, exchange):
+        head = exchange.head
+        if head.path == "/api/stage-run":
+            await self._run_stage(exchange)
+        elif head.path == "/api/stage-free":
+            handles = json.loads(exchange.body)["Handles"]
+            self.released += handles
+            self.results -= set(handles)
+            exchange.respond(200, [], b"")
+        else:
+            await self._run_request(exchange)
+
+    def _common(self, exchange):
+        request_id = exchange.head.get(b"x-attempt-id") or b""
+        return [
+            (b"X-Attempt-Id", request_id),
+            (b"X-Response-Signature", b"s." + request_id),
+            (b"X-Instance-Load", b"1,0,4"),
+        ]
+
+    async def _run_request(self, exchange):
+        head = exchange.head
+        request_id = head.get(b"x-attempt-id").decode()
+        if head.get(b"x-expect-instance") != self.server_id.encode():
+            exchange.respond(421, [(b"X-Instance-Id", self.server_id.encode())], b"")
+            return
+        if "reject" in self.faults:
+            exchange.respond(503, [(b"X-Not-Executed", b"1")], b"")
+            return
+        self.ran[request_id] += 1
+        self.requests[request_id] = head
+        self.bodies[request_id] = exchange.body
+        exchange.on_gone = lambda: self.cancelled.append(request_id)
+        if "reset" in self.faults:
+            exchange.abort()
+            return
+        if "hang" in self.faults:
+            await asyncio.sleep(60)
+        if "error" in self.faults:
+            exchange.respond(500, self._common(exchange), b"failed")
+            return
+        await asyncio.sleep(self.work_s)
+        if self.events and head.method == b"POST" and head.get(b"x-model"):
+            await self._stream(exchange)
+        else:
+            body = b"answer to " + request_id.encode()
+            exchange.respond(200, self._common(exchange), body)
+
+    async def _stream(self, exchange):
+        headers = [*self._common(exchange), (b"Content-Type", b"text/event-stream")]
+        exchange.start(200, headers)
+        first = int(exchange.head.get(b"last-event-id") or 0) + 1
+        for number in range(first, self.events + 1):
+            if "cut" in self.faults and number == 3:
+                await exchange.send(b"id: 3\nda")
+                exchange.abort()
+                return
+            await exchange.send(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await asyncio.sleep(EVENT_PAUSE_S)
+        exchange.finish()
+
+    async def _run_stage(self, exchange):
+        entries = json.loads(exchange.body)["Entries"]
+        self.stage_calls.append(entries)
+        if "reject" in self.faults:
+            exchange.respond(503, [(b"X-Not-Executed", b"1")], b"")
+            return
+        await asyncio.sleep(self.work_s)
+        answers = []
+        for _ in entries:
+            handle = f"{self.address}/h{next(self._handles)}"
+            self.results.add(handle)
+            answers.append({"Handle": handle})
+        exchange.respond(200, [], json.dumps({"Entries": answers}).encode())
+
+
+class PlatformCaller:
+    """Calls hosts as clients, engines and the operator do."""
+
+    def __init__(self):
+        self._pool = ConnectionPool()
+        self._ids = itertools.count(1)
+
+    async def call(self, address, method, target, headers=(), body=b"", timeout_s=8.0):
+        """Return status, headers and body of one call."""
+        connection = await self._pool.get(address, 2.0)
+        sent = [(b"Host", b"x"), *headers]
+        names = {name.lower() for name, _ in headers}
+        if b"host" in names:
+            sent = sent[1:]
+        sent.append((b"Content-Length", b"%d" % len(body)))
+        connection.send(encode_request(method, target, sent) + body)
+        try:
+            async with asyncio.timeout(timeout_s):
+                head = await connection.read_head()
+                data = await connection.read_body()
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.put(connection)
+        return head.status, {n.lower(): v for n, v in head.headers}, data
+
+    async def ask(self, address, host, path, key=None, request_id=None, **more):
+        """Send a client's request; returns its id and what `call` returns."""
+        request_id = request_id or f"{next(self._ids):016x}"
+        headers = [
+            (b"Host", host.encode()),
+            (b"X-Attempt-Id", request_id.encode()),
+            (b"X-Deadline-Ms", b"%d" % more.pop("deadline_ms", 5_000)),
+            *more.pop("headers", ()),
+        ]
+        if key:
+            headers.append((b"Authorization", b"Token " + key.encode()))
+        method = more.pop("method", b"GET")
+        answer = await self.call(address, method, path.encode(), headers, **more)
+        return request_id, *answer
+
+    async def announce(self, address, engine):
+        """Send one announcement of an engine."""
+        path = f"/api/instances/{engine.server_id}/heartbeat"
+        body = json.dumps(engine.announcement()).encode()
+        status, _, _ = await self.call(address, b"POST", path.encode(), body=body)
+        return status
+
+    async def replace(self, address, document):
+        """Send a configuration; returns the status."""
+        body = json.dumps(document).encode()
+        status, _, _ = await self.call(
+            address, b"POST", b"/api/config/replace", body=body
+        )
+        return status
+
+    async def read(self, address):
+        """Read the configuration; returns the status and the document."""
+        status, _, body = await self.call(address, b"GET", b"/api/config/read")
+        return status, json.loads(body)
--- /dev/null
+++ b/tests/lib/routing_deployment.py
@@ -0,0 +1,222 @@
+"""Control and entry hosts of a routing configuration in one process.
+
+They talk over loopback sockets; engines and callers are those of
+`platform_engine`.
+"""
+
+import asyncio
+
+from galenadrum._internal.control.routing.daemon import RoutingControlDaemon
+from galenadrum._internal.gateway.daemon import GatewayDaemon
+from galenadrum._internal.models.routing_settings import (
+    GatewaySettings,
+    RoutingBounds,
+    RoutingControlSettings,
+)
+from galenadrum._internal.network.http1.client import BackendError
+from galenadrum_platform.api_app import build_app
+from galenadrum_platform.dialect import PLATFORM_DIALECT
+from lib.platform_engine import PlatformCaller, PlatformEngine
+from lib.processes import free_address
+
+BOUNDS = RoutingBounds(
+    announcement_interval_s=0.5, revocation_s=3.0, retry_slack=20.0, grace_s=4.0
+)
+WAIT_S = 20.0
+BEAT_S = 0.3
+
+
+def configuration(version=1, **changes):
+    """Return a configuration of one route of each kind."""
+    stage = {
+        "Concurrency": 1,
+        "QueueLimit": 2,
+        "Batch": 6,
+        "CallMs": 20.0,
+        "ItemMs": 2.0,
+        "HeadroomMb": 13.0,
+        "HandleTtlS": 4.0,
+        "LinkMbps": 10000,
+    }
+    document = {
+        "Version": version,
+        "Routes": [
+            _route("stock", "/stock/", "idempotent", "plain", Attempts=2),
+            _route("confirm", "/confirm/", "non_idempotent", "plain"),
+            _route(
+                "plan",
+                "/plan/",
+                "streaming",
+                "llm",
+                Phases=[
+                    {"Service": "enc", "After": [], "Length": 1000},
+                    {"Service": "enc", "After": [0], "Length": 1000},
+                ],
+                SessionAffinity=True,
+            ),
+            _route(
+                "note",
+                "/note/",
+                "streaming",
+                "llm",
+                Attempts=2,
+                SessionAffinity=True,
+                StreamResume=True,
+            ),
+        ],
+        "Services": [
+            {"Name": "plain", "HealthCheck": "/healthz"},
+            {"Name": "llm", "Engine": {"Concurrency": 8, "KvCapacityTokens": 90000}},
+            {"Name": "enc", "Params": stage},
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 4194304,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [{"Name": "t1", "ApiKeys": ["k1", "k2"]}],
+    }
+    return {**document, **changes}
+
+
+def _route(name, prefix, kind, service, **more):
+    return {
+        "Name": name,
+        "Hostname": "x.example",
+        "PathPrefix": prefix,
+        "RouteType": kind,
+        "TimeoutMs": 5000,
+        "SloMs": 2000,
+        "Priority": 0,
+        "Service": service,
+        "Attempts": 1,
+        **more,
+    }
+
+
+class RoutingDeployment:
+    """Three control hosts, entry hosts and engines.
+
+    Attributes:
+        controls: Control daemons by zone.
+        gateways: Entry daemons by zone.
+        engines: Engines by id.
+    """
+
+    def __init__(self, folder, zones=("a", "b", "c")):
+        self._folder = folder
+        self.zones = zones
+        self.peers = {zone: free_address() for zone in zones}
+        self.apis = {zone: free_address() for zone in zones}
+        self.fronts = {zone: free_address() for zone in zones}
+        self.readies = {zone: free_address() for zone in zones}
+        self.controls = {}
+        self.gateways = {}
+        self.engines = {}
+        self.caller = PlatformCaller()
+        self._tasks = []
+
+    def _seeds(self):
+        return tuple(self.peers.values())
+
+    async def __aenter__(self):
+        for zone in self.zones:
+            await self.start_control(zone)
+        for zone in self.zones:
+            await self.start_gateway(zone)
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self._tasks:
+            task.cancel()
+        for engine in self.engines.values():
+            engine.stop()
+        for daemon in [*self.gateways.values(), *self.controls.values()]:
+            await daemon.stop()
+
+    async def start_control(self, zone, first=True):
+        settings = RoutingControlSettings(
+            host_id=f"control-{zone}",
+            zone=zone,
+            api_address=self.apis[zone],
+            peer_address=self.peers[zone],
+            metrics_address=free_address(),
+            seed_addresses=self._seeds(),
+            data_folder=self._folder / zone,
+            is_first_start=first,
+            bounds=BOUNDS,
+        )
+        daemon = RoutingControlDaemon(
+            settings, PLATFORM_DIALECT, build_app, self._seeds
+        )
+        self.controls[zone] = daemon
+        await daemon.start()
+
+    async def start_gateway(self, zone):
+        settings = GatewaySettings(
+            host_id=f"entry-{zone}",
+            zone=zone,
+            caller_address=self.fronts[zone],
+            ready_address=self.readies[zone],
+            metrics_address=free_address(),
+            control_addresses=self._seeds(),
+            bounds=BOUNDS,
+        )
+        self.gateways[zone] = GatewayDaemon(settings, PLATFORM_DIALECT, self._seeds)
+        await self.gateways[zone].start()
+
+    async def add_engine(self, server_id, service, zone="a", **more):
+        engine = PlatformEngine(server_id, service, free_address(), zone, **more)
+        self.engines[server_id] = engine
+        await engine.start()
+        self._tasks.append(asyncio.ensure_future(self._beat(engine)))
+        return engine
+
+    async def _beat(self, engine):
+        while True:
+            for address in self.apis.values():
+                try:
+                    if await self.caller.announce(address, engine) == 200:
+                        break
+                except Exception:
+                    continue
+            await asyncio.sleep(BEAT_S)
+
+    async def accept(self, document, zone="a"):
+        """Have a configuration accepted, trying again until it is."""
+        async with asyncio.timeout(WAIT_S):
+            while not await self._is_accepted(document, zone):
+                await asyncio.sleep(0.05)
+
+    async def _is_accepted(self, document, zone):
+        try:
+            return await self.caller.replace(self.apis[zone], document) == 200
+        except BackendError:
+            # The host does not listen yet.
+            return False
+
+    async def wait(self, condition):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def wait_ready(self, version=1):
+        """Wait until all entry hosts serve a version and know all engines."""
+
+        def is_ready(gateway):
+            known = {e.server_id for e in gateway.servers.registry if e.takes_work}
+            return (
+                gateway.is_ready
+                and gateway.lease.version >= version
+                and known >= set(self.engines)
+            )
+
+        await self.wait(lambda: all(map(is_ready, self.gateways.values())))
+
+    async def ask(self, path, zone="a", key="k1", **more):
+        """Ask through a zone's entry host."""
+        return await self.caller.ask(
+            self.fronts[zone], "x.example", path, key=key, **more
+        )
