Count released results until their server has heard of it

Ruled out: sizes, which are exact. Change: a release ends when its call does; lack of room lowers the share of room that is used, and fails no request.

--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -147,12 +147,12 @@
         return dispatcher
 
     def _carry_out(self, dispatcher: ZoneDispatcher) -> None:
-        for action in dispatcher.collect(self._loop.time()):
+        for action in dispatcher.collect():
             match action:
                 case StageCall():
                     self._spawn(self._call(dispatcher, action))
                 case ResultsRelease():
-                    self._spawn(self._release(action))
+                    self._spawn(self._release(dispatcher, action))
                 case Placement() | PlacementRefusal():
                     self._answer(action)
 
@@ -232,7 +232,14 @@
         self._pool.put(connection)
         return self._dialect.stage_results(head, body, call)
 
-    async def _release(self, release: ResultsRelease) -> None:
+    async def _release(
+        self, dispatcher: ZoneDispatcher, release: ResultsRelease
+    ) -> None:
+        await self._exchange_release(release)
+        dispatcher.release_done(release.handles, self._loop.time())
+        self._carry_out(dispatcher)
+
+    async def _exchange_release(self, release: ResultsRelease) -> None:
         """Give results up; the server forgets them by itself if this fails."""
         try:
             connection = await self._pool.get(release.address, _CONNECT_TIMEOUT_S)
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -21,6 +21,10 @@
 # Results are kept for the time of their way; a little room stays for results
 # whose release is on its way.
 _ROOM_SHARE = 0.9
+# Others, such as a dispatcher before this one, may hold results there too.
+_NO_ROOM_FACTOR = 0.8
+_MIN_ROOM_SHARE = 0.3
+_ROOM_RECOVERY_PER_S = 0.15
 # A call that takes this much longer than expected is given up, and its pieces
 # are made elsewhere.
 _OVERDUE_FACTOR = 2.5
@@ -84,6 +88,7 @@
 
     Attributes:
         slowness: Observed over expected time of its calls.
+        lowered_share: Share of the room that was found to be usable, and when.
         busy_until: Loop time in seconds at which its last call should end.
         making_bytes: Results of its calls under way.
         results_by_handle: Size in bytes and loop time of expiry of each result
@@ -99,9 +104,16 @@
     busy_until: float = 0.0
     making_bytes: float = 0.0
     results_by_handle: dict[str, tuple[float, float]] = field(default_factory=dict)
+    lowered_share: float = _ROOM_SHARE
+    lowered_at: float = 0.0
     failures_in_row: int = 0
     paused_until: float = 0.0
 
+    def room_share(self, now: float) -> float:
+        """Return the share of the server's room that may be used."""
+        recovered = (now - self.lowered_at) * _ROOM_RECOVERY_PER_S
+        return min(_ROOM_SHARE, self.lowered_share + recovered)
+
     @property
     def held_bytes(self) -> float:
         """Memory that results take, those being made included."""
@@ -252,7 +264,7 @@
     def _fit(self, server: StageServer, now: float) -> list[WaitingPiece]:
         server.forget_expired(now)
         held_bytes = server.held_bytes
-        room = self.limits.room_bytes * _ROOM_SHARE - held_bytes
+        room = self.limits.room_bytes * server.room_share(now) - held_bytes
         taken: list[WaitingPiece] = []
         for piece in self.waiting:
             if len(taken) >= self.limits.batch_size:
@@ -375,16 +387,33 @@
             expires_at = now + self.limits.result_ttl_s
             server.results_by_handle[handle] = (result_bytes, expires_at)
 
-    def release(self, handle: str, now: float) -> str | None:
-        """Note that a result is given up; returns its server's address."""
+    def begin_release(self, handle: str, now: float) -> str | None:
+        """Note that a result is given up; returns its server's address.
+
+        It takes room until the server has heard of it.
+        """
         server = self._server_at(handle)
-        known = server.results_by_handle.pop(handle, None) if server else None
+        known = server.results_by_handle.get(handle) if server else None
         if known is None:
             return None
         held_s = now - (known[1] - self.limits.result_ttl_s)
         self._hold_s += _HOLD_WEIGHT * (held_s - self._hold_s)
         return server.announcement.address
 
+    def end_release(self, handle: str) -> None:
+        """Note that a result takes no room any more."""
+        server = self._server_at(handle)
+        if server is not None:
+            server.results_by_handle.pop(handle, None)
+
+    def note_no_room(self, server_id: str, now: float) -> None:
+        """Note that a server had less room than was counted."""
+        server = self.servers_by_id.get(server_id)
+        if server is not None:
+            share = server.room_share(now) * _NO_ROOM_FACTOR
+            server.lowered_share = max(_MIN_ROOM_SHARE, share)
+            server.lowered_at = now
+
     def zone_of(self, handle: str) -> str | None:
         """Return the zone of the server that holds a result."""
         server = self._server_at(handle)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -8,7 +8,6 @@
 
 import itertools
 import logging
-import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -52,8 +51,6 @@
 # A request that has no engine this long before its caller leaves gets none that
 # would answer in time.
 _LAST_CHANCE_S = 0.25
-# Releases gather for this time, so that one call gives up many results.
-RELEASE_INTERVAL_S = 0.02
 
 
 @dataclass(slots=True)
@@ -95,7 +92,6 @@
         self._call_ids = itertools.count(1)
         self._actions: list[Action] = []
         self._released: dict[str, list[str]] = defaultdict(list)
-        self._release_at = math.inf
 
     @property
     def request_count(self) -> int:
@@ -271,6 +267,9 @@
             return
         if result.failure is PieceFailure.LATE:
             self._refuse_work(work, "stage_late", now)
+        elif result.failure is PieceFailure.NO_ROOM:
+            pool.note_no_room(call.server_id, now)
+            pool.add(piece)
         elif result.failure is PieceFailure.INPUT_GONE:
             work.graph.request_again(piece.stage, piece.number)
             # Other pieces of the call may have said so already.
@@ -328,8 +327,6 @@
         self._refuse_hopeless(now)
         self._start_calls(now)
         self._place_waiting(now)
-        if now >= self._release_at:
-            self._flush_releases()
 
     def _requeue_overdue(self, pool: StagePool, call: RunningCall, now: float) -> None:
         logger.info(
@@ -354,10 +351,9 @@
             if now + _LAST_CHANCE_S >= work.request.give_up_at:
                 self._refuse_work(work, "deadline", now)
 
-    def collect(self, now: float) -> tuple[Action, ...]:
+    def collect(self) -> tuple[Action, ...]:
         """Return the actions that the events so far call for, in order."""
-        if self._released and self._release_at is math.inf:
-            self._release_at = now + RELEASE_INTERVAL_S
+        self._flush_releases()
         actions = tuple(self._actions)
         self._actions.clear()
         return actions
@@ -571,13 +567,19 @@
     def _release(self, handles: tuple[str, ...], now: float) -> None:
         for handle in handles:
             for pool in self._stage_pools_by_service.values():
-                address = pool.release(handle, now)
+                address = pool.begin_release(handle, now)
                 if address is not None:
                     self._released[address].append(handle)
                     break
 
+    def release_done(self, handles: tuple[str, ...], now: float) -> None:
+        """Note that a server has heard of released results, or can't."""
+        for handle in handles:
+            for pool in self._stage_pools_by_service.values():
+                pool.end_release(handle)
+        self._start_calls(now)
+
     def _flush_releases(self) -> None:
         for address, handles in self._released.items():
             self._actions.append(ResultsRelease(address, tuple(handles)))
         self._released.clear()
-        self._release_at = math.inf
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -20,6 +20,7 @@
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 
 TICK_S = 0.02
+RELEASE_S = 0.005
 
 
 class DispatchWorld:
@@ -42,7 +43,8 @@
         self._events = []
         self._order = itertools.count()
         self._handles = itertools.count()
-        self._submitted = set()
+        self._stages_by_request = {}
+        self.size_by_handle = {}
         self.slowness_by_server = Counter()
         self.failure_by_server = {}
         self.results = set()
@@ -60,7 +62,7 @@
 
     def submit_at(self, when, request):
         def submit():
-            self._submitted.add(request.request_id)
+            self._stages_by_request[request.request_id] = request.route.stages
             self.dispatcher.submit(request, self.now)
 
         self._at(when, submit)
@@ -77,19 +79,37 @@
         self._at(self.now + TICK_S, self._tick)
 
     def _carry_out(self):
-        for action in self.dispatcher.collect(self.now):
+        for action in self.dispatcher.collect():
             match action:
                 case StageCall():
                     self._start_call(action)
                 case ResultsRelease(_, handles):
-                    self.released.update(handles)
-                    self.results -= set(handles)
+                    self._at(self.now + RELEASE_S, lambda h=handles: self._release(h))
                 case Placement():
                     self._place(action)
                 case PlacementRefusal(request_id, reason, _):
                     assert request_id not in self.placed_at
                     self.refused_at[request_id] = (self.now, reason)
 
+    def _release(self, handles):
+        self.released.update(handles)
+        self.results -= set(handles)
+        self.dispatcher.release_done(handles, self.now)
+
+    def _check_room(self, call, limits):
+        """Assert that all results fit, as the server counts them."""
+        held = sum(
+            size
+            for handle, size in self.size_by_handle.items()
+            if handle in self.results and handle.startswith(call.server.address + "/")
+        )
+        asked = sum(self._size_of(piece) for piece in call.pieces)
+        assert held + asked <= limits.room_bytes or not held
+
+    def _size_of(self, piece):
+        stages = self._stages_by_request[piece.request_id]
+        return stages[piece.stage].result_bytes
+
     def _start_call(self, call):
         server_id = call.server.server_id
         self.calls.append((self.now, call))
@@ -98,6 +118,7 @@
         for piece in call.pieces:
             missing = [h for h in piece.inputs if h not in self.results]
             assert not missing, f"{piece} is given results that were released"
+        self._check_room(call, limits)
         self._running[server_id] += 1
         self.max_running_by_server[server_id] = max(
             self.max_running_by_server[server_id], self._running[server_id]
@@ -114,14 +135,15 @@
         if isinstance(failure, CallFailure):
             self.dispatcher.stage_call_failed(service, call.call_id, failure, self.now)
             return
-        results = tuple(self._make(call, failure) for _ in call.pieces)
+        results = tuple(self._make(call, piece, failure) for piece in call.pieces)
         self.dispatcher.stage_call_done(service, call.call_id, results, self.now)
 
-    def _make(self, call, failure):
+    def _make(self, call, piece, failure):
         if isinstance(failure, PieceFailure):
             return PieceResult(failure=failure)
         handle = f"{call.server.address}/{next(self._handles)}"
         self.results.add(handle)
+        self.size_by_handle[handle] = self._size_of(piece)
         return PieceResult(handle)
 
     def _place(self, placement):
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -155,6 +155,28 @@
         # Sixteen megabytes hold five results; each request holds four.
         assert len(played.placed_at) == 8
 
+    def test_calls_wait_until_the_server_has_heard_of_releases(self):
+        stages = (StageSpec("encode", (), 3e6),)
+        played = world(entries=[*ENGINES, ENCODERS[0]])
+        for number in range(12):
+            asked = request(
+                f"r{number}", (2,), stages=stages, objective_at=9.0, give_up_at=12.0
+            )
+            played.submit_at(0.01 * number, asked)
+        # The world asserts before each call that its results fit.
+        played.run(12.0)
+        assert len(played.placed_at) == 12
+
+    def test_lack_of_room_fails_no_request(self):
+        played = world()
+        for zone in "abc":
+            played.failure_by_server[f"e-{zone}"] = PieceFailure.NO_ROOM
+        played.submit_at(0.0, request(objective_at=5.0, give_up_at=6.0))
+        played.run(1.5)
+        played.failure_by_server.clear()
+        played.run(4.0)
+        assert "r1" in played.placed_at
+
 
 class TestFailures:
     def test_pieces_of_a_broken_call_are_made_elsewhere(self):
