--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -21,10 +21,8 @@
 # Results are kept for the time of their way; a little room stays for results
 # whose release is on its way.
 _ROOM_SHARE = 0.9
-# Others, such as a dispatcher before this one, may hold results there too.
-_NO_ROOM_FACTOR = 0.8
-_MIN_ROOM_SHARE = 0.3
-_ROOM_RECOVERY_PER_S = 0.15
+# Pause before a server without any room is called again.
+_NO_ROOM_PAUSE_S = 0.1
 # A call that takes this much longer than expected is given up, and its pieces
 # are made elsewhere.
 _OVERDUE_FACTOR = 2.5
@@ -88,7 +86,8 @@
 
     Attributes:
         slowness: Observed over expected time of its calls.
-        lowered_share: Share of the room that was found to be usable, and when.
+        foreign_bytes: Results that others hold there, such as a dispatcher before
+            this one, as of ``foreign_at``; they expire.
         busy_until: Loop time in seconds at which its last call should end.
         making_bytes: Results of its calls under way.
         results_by_handle: Size in bytes and loop time of expiry of each result
@@ -104,16 +103,11 @@
     busy_until: float = 0.0
     making_bytes: float = 0.0
     results_by_handle: dict[str, tuple[float, float]] = field(default_factory=dict)
-    lowered_share: float = _ROOM_SHARE
-    lowered_at: float = 0.0
+    foreign_bytes: float = 0.0
+    foreign_at: float = 0.0
     failures_in_row: int = 0
     paused_until: float = 0.0
 
-    def room_share(self, now: float) -> float:
-        """Return the share of the server's room that may be used."""
-        recovered = (now - self.lowered_at) * _ROOM_RECOVERY_PER_S
-        return min(_ROOM_SHARE, self.lowered_share + recovered)
-
     @property
     def held_bytes(self) -> float:
         """Memory that results take, those being made included."""
@@ -264,12 +258,15 @@
     def _fit(self, server: StageServer, now: float) -> list[WaitingPiece]:
         server.forget_expired(now)
         held_bytes = server.held_bytes
-        room = self.limits.room_bytes * server.room_share(now) - held_bytes
+        foreign_bytes = self._foreign_bytes(server, now)
+        room = self.limits.room_bytes * _ROOM_SHARE - held_bytes - foreign_bytes
         taken: list[WaitingPiece] = []
         for piece in self.waiting:
             if len(taken) >= self.limits.batch_size:
                 break
-            if piece.result_bytes <= room or (not taken and not held_bytes):
+            if piece.result_bytes <= room or (
+                not taken and not held_bytes and not foreign_bytes
+            ):
                 taken.append(piece)
                 room -= piece.result_bytes
         return taken
@@ -406,13 +403,30 @@
         if server is not None:
             server.results_by_handle.pop(handle, None)
 
+    def describe_room(self, server_id: str, now: float) -> str:
+        """Return what is known of a server's room, for logs."""
+        server = self.servers_by_id.get(server_id)
+        if server is None:
+            return "the server is gone"
+        return (
+            f"{len(server.results_by_handle)} results and {server.making_bytes:.0f} B "
+            f"being made take {server.held_bytes:.0f} of {self.limits.room_bytes:.0f} B"
+            f", others {self._foreign_bytes(server, now):.0f} B"
+        )
+
     def note_no_room(self, server_id: str, now: float) -> None:
-        """Note that a server had less room than was counted."""
+        """Note that a server has no room but for what is counted here."""
         server = self.servers_by_id.get(server_id)
         if server is not None:
-            share = server.room_share(now) * _NO_ROOM_FACTOR
-            server.lowered_share = max(_MIN_ROOM_SHARE, share)
-            server.lowered_at = now
+            free_bytes = self.limits.room_bytes - server.held_bytes
+            server.foreign_bytes = max(0.0, free_bytes)
+            server.foreign_at = now
+            server.paused_until = max(server.paused_until, now + _NO_ROOM_PAUSE_S)
+
+    def _foreign_bytes(self, server: StageServer, now: float) -> float:
+        """Return what others should still hold at a server."""
+        left = 1.0 - (now - server.foreign_at) / self.limits.result_ttl_s
+        return server.foreign_bytes * left if left > 0 else 0.0
 
     def zone_of(self, handle: str) -> str | None:
         """Return the zone of the server that holds a result."""
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -8,7 +8,7 @@
 
 import itertools
 import logging
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -237,11 +237,32 @@
         call = pool.end_call(call_id, now) if pool else None
         if call is None:
             return
+        self._log_failures(pool, call, results, now)
         for piece, result in zip(call.pieces, results, strict=True):
             self._take_result(pool, call, piece, result, now)
+        if any(result.failure is PieceFailure.NO_ROOM for result in results):
+            pool.note_no_room(call.server_id, now)
         self._advance_all({piece.request_id for piece in call.pieces}, now)
         self._start_calls(now)
 
+    def _log_failures(
+        self,
+        pool: StagePool,
+        call: RunningCall,
+        results: tuple[PieceResult, ...],
+        now: float,
+    ) -> None:
+        counts = Counter(r.failure.value for r in results if r.failure is not None)
+        if counts:
+            logger.info(
+                "call %d to %s: %d pieces made, others %s; %s",
+                call.call_id,
+                call.server_id,
+                len(results) - counts.total(),
+                dict(counts),
+                pool.describe_room(call.server_id, now),
+            )
+
     def _take_result(
         self,
         pool: StagePool,
@@ -268,7 +289,6 @@
         if result.failure is PieceFailure.LATE:
             self._refuse_work(work, "stage_late", now)
         elif result.failure is PieceFailure.NO_ROOM:
-            pool.note_no_room(call.server_id, now)
             pool.add(piece)
         elif result.failure is PieceFailure.INPUT_GONE:
             work.graph.request_again(piece.stage, piece.number)
--- a/src/galenadrum/_internal/network/frame_link.py
+++ b/src/galenadrum/_internal/network/frame_link.py
@@ -25,10 +25,12 @@
 
 logger = logging.getLogger(__name__)
 
-# Four pings fit in the silence: one lost datagram's retransmission doesn't
-# replace the stream.
-PING_INTERVAL_S = 0.4
-SILENCE_S = 1.5
+# Four pings fit in the silence: one lost packet, sent again after 0.2 s or so, does
+# not replace the stream. Requests that wait at a frozen host lose the silence.
+PING_INTERVAL_S = 0.25
+SILENCE_S = 1.0
+# The accepting side waits longer: the dialling side is to notice first.
+_INBOUND_SILENCES = 3
 _CONNECT_TIMEOUT_S = 1.0
 _MIN_RECONNECT_DELAY_S = 0.1
 _MAX_RECONNECT_DELAY_S = 1.0
@@ -217,7 +219,7 @@
 
     async def _read(self, deliver: Callable[[InboundLink, LinkMessage], None]) -> None:
         while True:
-            async with asyncio.timeout(SILENCE_S * 2):
+            async with asyncio.timeout(SILENCE_S * _INBOUND_SILENCES):
                 try:
                     frame = await self._stream.recv_message()
                 except TimeoutError:
