Give no piece again whose inputs were dropped meanwhile

Ruled out: pieces that waited, which are taken out of the queue. Change: one place queues pieces again and looks at their inputs; an invariant stops any call without them. Measured: the new test fails without the change.

--- a/src/galenadrum/_internal/dispatch/stage_graph.py
+++ b/src/galenadrum/_internal/dispatch/stage_graph.py
@@ -49,6 +49,10 @@
         """Whether all stages are made."""
         return all(self.is_made(stage) for stage in range(len(self.stages)))
 
+    def inputs_are_held(self, stage: int) -> bool:
+        """Return whether all that a stage takes in is there and not released."""
+        return all(all(self._handles[earlier]) for earlier in self.stages[stage].after)
+
     def has_result(self, stage: int, number: int) -> bool:
         """Return whether a piece is made."""
         return self._handles[stage][number] is not None
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -38,6 +38,7 @@
     StagePool,
     WaitingPiece,
 )
+from galenadrum._internal.exceptions import InvariantError
 from galenadrum._internal.models.routing import Service
 
 logger = logging.getLogger(__name__)
@@ -272,25 +273,46 @@
         now: float,
     ) -> None:
         work = self._work_by_request.get(piece.request_id)
+        is_needed = work is not None and not work.graph.has_result(
+            piece.stage, piece.number
+        )
         if result.handle:
             pool.hold(result.handle, piece.result_bytes, now)
-            if work is None or work.graph.has_result(piece.stage, piece.number):
-                self._release((result.handle,), now)
+            if is_needed:
+                self._record(work, pool, call, piece, result.handle, now)
             else:
-                work.graph.record(piece.stage, piece.number, result.handle)
-                if work.graph.is_made(piece.stage):
-                    made = (piece.stage, now - work.submitted_at)
-                    work.made_after_s.append(made)
-                if call.is_overdue:
-                    pool.drop_piece(piece.request_id, piece.stage, piece.number)
-            return
-        if work is None or call.is_overdue:
-            return
-        if result.failure is PieceFailure.LATE:
+                self._release((result.handle,), now)
+        elif is_needed and not call.is_overdue:
+            self._take_failure(work, pool, piece, result.failure, now)
+
+    def _record(
+        self,
+        work: _Work,
+        pool: StagePool,
+        call: RunningCall,
+        piece: WaitingPiece,
+        handle: str,
+        now: float,
+    ) -> None:
+        work.graph.record(piece.stage, piece.number, handle)
+        if work.graph.is_made(piece.stage):
+            work.made_after_s.append((piece.stage, now - work.submitted_at))
+        if call.is_overdue:
+            pool.drop_piece(piece.request_id, piece.stage, piece.number)
+
+    def _take_failure(
+        self,
+        work: _Work,
+        pool: StagePool,
+        piece: WaitingPiece,
+        failure: PieceFailure | None,
+        now: float,
+    ) -> None:
+        if failure is PieceFailure.LATE:
             self._refuse_work(work, "stage_late", now)
-        elif result.failure is PieceFailure.NO_ROOM:
-            pool.add(piece)
-        elif result.failure is PieceFailure.INPUT_GONE:
+        elif failure is PieceFailure.NO_ROOM:
+            self._requeue(work, pool, piece)
+        elif failure is PieceFailure.INPUT_GONE:
             work.graph.request_again(piece.stage, piece.number)
             # Other pieces of the call may have said so already.
             if work.graph.inputs_are_made(piece.stage):
@@ -305,7 +327,16 @@
         if piece.failures >= _MAX_PIECE_FAILURES:
             self._refuse_work(work, "stage_failed", now)
         else:
+            self._requeue(work, pool, piece)
+
+    def _requeue(self, work: _Work, pool: StagePool, piece: WaitingPiece) -> None:
+        """Queue a piece again, unless it was made or has lost its inputs meanwhile."""
+        if work.graph.has_result(piece.stage, piece.number):
+            return
+        if work.graph.inputs_are_made(piece.stage):
             pool.add(piece)
+        else:
+            work.graph.request_again(piece.stage, piece.number)
 
     def _remake(self, work: _Work, dropped: tuple[str, ...], now: float) -> None:
         self._release(dropped, now)
@@ -334,7 +365,7 @@
                 work = self._work_by_request.get(piece.request_id)
                 if work is not None:
                     if failure is CallFailure.FULL:
-                        pool.add(piece)
+                        self._requeue(work, pool, piece)
                     else:
                         self._retry_piece(work, pool, piece, now)
         self._start_calls(now)
@@ -481,6 +512,8 @@
 
     def _stage_piece(self, piece: WaitingPiece, now: float) -> StagePiece:
         work = self._work_by_request[piece.request_id]
+        if not work.graph.inputs_are_held(piece.stage):
+            raise InvariantError(f"{piece} is queued without its inputs")
         return StagePiece(
             piece.request_id,
             piece.stage,
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -212,6 +212,29 @@
         assert len(first_stage) == 2
         assert "r1" in played.placed_at
 
+    def test_piece_that_fails_after_its_inputs_were_dropped_waits_for_them(self):
+        """One call of a stage finds its inputs gone, another breaks off later."""
+        servers = [
+            entry("encode-a", "encode", "a"),
+            entry("retrieve-a", "retrieve", "a"),
+            entry("retrieve-b", "retrieve", "b"),
+        ]
+        played = DispatchWorld(services("encode", "retrieve"), [*ENGINES, *servers])
+        played.failure_by_server["retrieve-a"] = PieceFailure.INPUT_GONE
+        played.failure_by_server["retrieve-b"] = CallFailure.BROKEN
+        played.slowness_by_server["retrieve-b"] = 2
+        asked = request(
+            pieces=(1, 12), stages=CHAIN[:2], objective_at=3.0, give_up_at=6.0
+        )
+        played.submit_at(0.0, asked)
+        played.run(1.0)
+        played.failure_by_server.clear()
+        # The world asserts that each piece is given inputs that are there.
+        played.run(6.0)
+        for _, call in played.calls:
+            assert all(len(p.inputs) == 1 for p in call.pieces if p.stage == 1)
+        assert "r1" in played.placed_at
+
     def test_request_is_refused_when_its_pieces_keep_failing(self):
         played = world()
         for zone in "abc":
