--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -28,7 +28,10 @@
 _OVERDUE_FACTOR = 2.5
 _OVERDUE_SLACK_S = 0.3
 _SLOWNESS_WEIGHT = 0.4
-_SLOWNESS_HALF_LIFE_S = 5.0
+_SLOWNESS_HALF_LIFE_S = 3.0
+# A lost answer looks like a slow server; one that is slower than this is found out
+# again by its next call.
+_MAX_OVERDUE_SLOWNESS = 4.0
 # Pause before a server that refused, broke off or could not be reached is tried
 # again; doubled with each failure in a row.
 _FIRST_PAUSE_S = 0.1
@@ -89,7 +92,8 @@
         foreign_bytes: Results that others hold there, such as a dispatcher before
             this one, as of ``foreign_at``; they expire.
         busy_until: Loop time in seconds at which its last call should end.
-        making_bytes: Results of its calls under way.
+        calls: Calls under way that take a place.
+        making_bytes_by_call: Results of all calls without an answer.
         results_by_handle: Size in bytes and loop time of expiry of each result
             that it holds.
         paused_until: Loop time in seconds before which it is left alone.
@@ -101,7 +105,7 @@
     slowness_at: float = 0.0
     calls: set[int] = field(default_factory=set)
     busy_until: float = 0.0
-    making_bytes: float = 0.0
+    making_bytes_by_call: dict[int, float] = field(default_factory=dict)
     results_by_handle: dict[str, tuple[float, float]] = field(default_factory=dict)
     foreign_bytes: float = 0.0
     foreign_at: float = 0.0
@@ -112,7 +116,9 @@
     def held_bytes(self) -> float:
         """Memory that results take, those being made included."""
         results = self.results_by_handle.values()
-        return self.making_bytes + sum(size for size, _ in results)
+        return sum(self.making_bytes_by_call.values()) + sum(
+            size for size, _ in results
+        )
 
     def forget_expired(self, now: float) -> None:
         """Forget results whose lifetime has passed."""
@@ -232,14 +238,11 @@
         # Pieces are distinct objects; equal ones can't be queued twice.
         chosen = {id(piece) for piece in taken}
         self.waiting = [p for p in self.waiting if id(p) not in chosen]
-        self._half_made = {(p.request_id, p.stage) for p in taken} & {
-            (p.request_id, p.stage) for p in self.waiting
-        } | {key for key in self._half_made if self._has_waiting(key)}
+        still_waiting = {(p.request_id, p.stage) for p in self.waiting}
+        self._half_made.update((p.request_id, p.stage) for p in taken)
+        self._half_made &= still_waiting
         return server, taken
 
-    def _has_waiting(self, key: tuple[str, int]) -> bool:
-        return any((p.request_id, p.stage) == key for p in self.waiting)
-
     def _place(self, piece: WaitingPiece) -> tuple[bool, float]:
         # Requests whose pieces are made in part hold room until the rest is made.
         is_new = (piece.request_id, piece.stage) not in self._half_made
@@ -272,20 +275,33 @@
         return taken
 
     def _choose_server(self, now: float) -> StageServer | None:
+        """Return a free server, unless the busy ones would be done sooner."""
+        usable = self._usable(now)
+        free = [s for s in usable if len(s.calls) < self.limits.concurrency]
+        if not free:
+            return None
         first = self.waiting[0]
-        best: tuple[float, StageServer] | None = None
-        for server in self._usable(now):
-            finish_at = self._start_at(server, first, now)
-            finish_at += self._expected(server, now)
-            if best is None or finish_at < best[0]:
-                best = (finish_at, server)
-        if best is None or len(best[1].calls) >= self.limits.concurrency:
+        finish_at, server = min(
+            ((self._start_at(s, first, now) + self._expected(s, now), s) for s in free),
+            key=lambda pair: pair[0],
+        )
+        busy = [s for s in usable if len(s.calls) >= self.limits.concurrency]
+        if busy and finish_at > self._worked_off_at(busy, now):
             return None
-        server = best[1]
         if self._is_foreign(server) and not self._own_are_behind(now):
             return None
         return server
 
+    def _worked_off_at(self, busy: list[StageServer], now: float) -> float:
+        """Return when busy servers would have made all that waits."""
+        first = self.waiting[0]
+        free_at = min(self._start_at(s, first, now) for s in busy)
+        calls = math.ceil(len(self.waiting) / self.limits.batch_size)
+        rounds = math.ceil(calls / len(busy))
+        slowness = min(s.current_slowness(now) for s in busy)
+        pieces = min(len(self.waiting), self.limits.batch_size)
+        return free_at + rounds * slowness * self.call_time(pieces)
+
     def _is_foreign(self, server: StageServer) -> bool:
         return bool(self._zone) and server.announcement.zone != self._zone
 
@@ -326,7 +342,7 @@
         self.calls_by_id[call_id] = call
         server.calls.add(call_id)
         server.busy_until = max(now, server.busy_until) + expected_s
-        server.making_bytes += sum(piece.result_bytes for piece in pieces)
+        server.making_bytes_by_call[call_id] = sum(p.result_bytes for p in pieces)
         return call
 
     def end_call(self, call_id: int, now: float) -> RunningCall | None:
@@ -335,11 +351,9 @@
         if call is None:
             return None
         server = self.servers_by_id.get(call.server_id)
-        if server is not None and call_id in server.calls:
-            server.calls.discard(call_id)
-            server.busy_until = now
+        if server is not None and call_id in server.making_bytes_by_call:
+            self._end_at(server, call_id, now)
             server.failures_in_row = 0
-            server.making_bytes -= sum(piece.result_bytes for piece in call.pieces)
             usual_s = self.call_time(len(call.pieces))
             observed = (now - call.started_at) / usual_s
             slowness = server.current_slowness(now)
@@ -353,17 +367,29 @@
         if call is None:
             return None
         server = self.servers_by_id.get(call.server_id)
-        if server is not None and call_id in server.calls:
+        if server is not None and call_id in server.making_bytes_by_call:
+            self._end_at(server, call_id, now)
+            if not call.is_overdue:
+                self._rest(server, now)
+        return call
+
+    def _end_at(self, server: StageServer, call_id: int, now: float) -> None:
+        server.making_bytes_by_call.pop(call_id)
+        if call_id in server.calls:
             server.calls.discard(call_id)
             server.busy_until = now
-            server.making_bytes -= sum(piece.result_bytes for piece in call.pieces)
-            pause_s = _FIRST_PAUSE_S * 2**server.failures_in_row
-            server.paused_until = now + min(pause_s, _MAX_PAUSE_S)
-            server.failures_in_row += 1
-        return call
+
+    def _rest(self, server: StageServer, now: float) -> None:
+        pause_s = _FIRST_PAUSE_S * 2**server.failures_in_row
+        server.paused_until = now + min(pause_s, _MAX_PAUSE_S)
+        server.failures_in_row += 1
 
     def take_overdue(self, now: float) -> list[RunningCall]:
-        """Return calls that have become overdue, once each."""
+        """Return calls that have become overdue, once each.
+
+        Their servers may be called again after a rest: an answer may be lost, and
+        would else hold the place until the call is given up.
+        """
         overdue = []
         for call in self.calls_by_id.values():
             if call.is_overdue or now < call.overdue_at:
@@ -373,8 +399,12 @@
             server = self.servers_by_id.get(call.server_id)
             if server is not None:
                 observed = (now - call.started_at) / self.call_time(len(call.pieces))
-                server.slowness = max(server.current_slowness(now), observed)
+                server.slowness = min(
+                    max(server.current_slowness(now), observed), _MAX_OVERDUE_SLOWNESS
+                )
                 server.slowness_at = now
+                server.calls.discard(call.call_id)
+                self._rest(server, now)
         return overdue
 
     def hold(self, handle: str, result_bytes: float, now: float) -> None:
@@ -409,8 +439,8 @@
         if server is None:
             return "the server is gone"
         return (
-            f"{len(server.results_by_handle)} results and {server.making_bytes:.0f} B "
-            f"being made take {server.held_bytes:.0f} of {self.limits.room_bytes:.0f} B"
+            f"{len(server.results_by_handle)} results and "
+            f"{len(server.calls)} calls take {server.held_bytes:.0f} of {self.limits.room_bytes:.0f} B"
             f", others {self._foreign_bytes(server, now):.0f} B"
         )
 
@@ -469,7 +499,7 @@
         first_free_s = min(
             max(0.0, s.busy_until - now) if s.calls else 0.0 for s in own
         )
-        rate = self._rate(len(own), result_bytes) / slowness
+        rate = self._rate(own, result_bytes, now)
         wait_s = max(0.0, first_free_s + ahead / rate - start_s)
         count = min(self.limits.batch_size, ahead + pieces)
         busy_share = sum(bool(s.calls) for s in own) / len(own)
@@ -480,11 +510,13 @@
         call_s = self.call_time(count) + rounds_s / len(own)
         return max(wait_s, residual_s) + slowness * call_s
 
-    def _rate(self, servers: int, result_bytes: float) -> float:
+    def _rate(
+        self, servers: list[StageServer], result_bytes: float, now: float
+    ) -> float:
         """Return the pieces that servers make in a second, with full calls."""
         call_s = self.call_time(self.limits.batch_size)
         rate = self.limits.batch_size / call_s
         if result_bytes > 0:
             room = self.limits.room_bytes * _ROOM_SHARE / result_bytes
             rate = min(rate, max(1.0, room) / (call_s + self._hold_s))
-        return servers * rate
+        return rate * sum(1.0 / s.current_slowness(now) for s in servers)
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -193,6 +193,18 @@
         played.run(5.0)
         assert played.placed_at["r1"] < 1.5
 
+    def test_lost_answer_does_not_hold_the_server(self):
+        played = world(entries=[*ENGINES, ENCODERS[0]])
+        played.slowness_by_server["e-a"] = 100
+        played.submit_at(0.0, request("lost", give_up_at=9.0))
+        played.run(0.1)
+        played.slowness_by_server.clear()
+        for number in range(4):
+            when = 1.2 + number
+            played.submit_at(when, request(f"r{number}", now=when))
+        played.run(9.0)
+        assert {f"r{number}" for number in range(1, 4)} <= set(played.placed_at)
+
     def test_gone_inputs_are_made_again(self):
         played = DispatchWorld(
             services("encode", "retrieve", "rerank"), [*ENGINES, *CHAIN_SERVERS]
