Send requests to the dispatcher that was available longest

Cause: a dispatcher that came back from a freeze took the work back and doubled it on the servers; a control host linked to itself.

--- a/src/galenadrum/_internal/control/routing/configurations.py
+++ b/src/galenadrum/_internal/control/routing/configurations.py
@@ -47,6 +47,10 @@
 
     Args:
         log: Returns the member of this host, if it runs.
+
+    Attributes:
+        confirmed_at: Loop time in seconds at which the newest version was last
+            known here.
     """
 
     def __init__(
@@ -56,7 +60,7 @@
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._confirmed_version = 0
-        self._confirmed_at = float("-inf")
+        self.confirmed_at = float("-inf")
 
     # Submitting.
 
@@ -172,13 +176,13 @@
 
     def confirm(self, version: int, confirmed_at: float) -> None:
         """Note that no higher version was accepted at that loop time."""
-        if confirmed_at > self._confirmed_at:
+        if confirmed_at > self.confirmed_at:
             self._confirmed_version = version
-            self._confirmed_at = confirmed_at
+            self.confirmed_at = confirmed_at
 
     def pong(self, ping: pb.LinkPing) -> pb.LinkMessage:
         """Answer how sure this host is of the newest version."""
-        age_s = self._loop.time() - self._confirmed_at
+        age_s = self._loop.time() - self.confirmed_at
         if age_s == float("inf"):
             return pb.LinkMessage(pong=pb.LinkPong(token=ping.token))
         return pb.LinkMessage(
--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -13,6 +13,7 @@
     VersionedDocument,
 )
 from galenadrum._internal.control.routing.api import RoutingApi
+from galenadrum._internal.control.routing.availability import Availability
 from galenadrum._internal.control.routing.configurations import Configurations
 from galenadrum._internal.control.routing.link_service import LinkService
 from galenadrum._internal.control.routing.log_keeper import (
@@ -82,6 +83,7 @@
         self._takes_from_link = False
         self.keeper = self._build_keeper(rng)
         self.configurations = Configurations(lambda: self.keeper.log, self.state)
+        self._availability = Availability(self._loop.time())
         self._pool = ConnectionPool()
         self.dispatch = DispatchDriver(
             dialect,
@@ -114,6 +116,7 @@
             lambda link: None,
             rng,
             _MAX_PEER_LINKS,
+            settings.peer_address,
         )
         self._server = Http1Server(
             settings.api_address, build_app(self.api), lambda: _API_LIMITS, "the API"
@@ -160,11 +163,19 @@
         return self._table.configuration.services_by_name if self._table else {}
 
     def _hello(self) -> LinkHello:
+        # A host that was suspended must not show the time before.
+        self._observe_availability()
         return LinkHello(
             host_id=self._settings.host_id,
             zone=self._settings.zone,
             is_control=True,
             version=self.state.version,
+            available_ms=int((self._loop.time() - self._availability.since) * 1_000),
+        )
+
+    def _observe_availability(self) -> bool:
+        return self._availability.observe(
+            self._loop.time(), self.configurations.confirmed_at
         )
 
     def member_addresses(self) -> tuple[str, ...]:
@@ -219,6 +230,9 @@
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(_EXPIRE_INTERVAL_S)
+            if self._observe_availability():
+                logger.warning("this host was suspended or cut off")
+                self.links.send_hello()
             now = self._loop.time()
             self.registry.expire(now)
             self.registry.prune(now)
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -103,6 +103,10 @@
             if is_direct or not link.peer.is_control:
                 link.send(message)
 
+    def send_hello(self) -> None:
+        """Tell all links anew what this host says of itself."""
+        self._broadcast(pb.LinkMessage(hello=self._hello()))
+
     async def run(self) -> None:
         """Tell control hosts of renewals, and all of changed control hosts."""
         while True:
--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -32,6 +32,7 @@
             which no higher one was accepted.
         on_changed: Called after a link came up or went down.
         max_links: Kept at the same time.
+        own_address: Of this host, if it is a control host itself.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         on_changed: Callable[[HostLink], None],
         rng: random.Random,
         max_links: int = MAX_LINKS,
+        own_address: str = "",
     ) -> None:
         self._hello = hello
         self._seeds = seeds
@@ -51,6 +53,7 @@
         self._on_changed = on_changed
         self._rng = rng
         self._max_links = max_links
+        self._own_address = own_address
         self._loop = asyncio.get_running_loop()
         self._links_by_address: dict[str, tuple[HostLink, asyncio.Task[None]]] = {}
         self._down_since_by_address: dict[str, float] = {}
@@ -75,6 +78,7 @@
     def _review(self) -> None:
         now = self._loop.time()
         known = list(dict.fromkeys([*self._member_addresses, *self._seeds()]))
+        known = [address for address in known if address != self._own_address]
         for address in list(self._links_by_address):
             is_stuck = (
                 now - self._down_since_by_address.get(address, now) > _UNREACHED_S
--- a/src/galenadrum/_internal/gateway/placements.py
+++ b/src/galenadrum/_internal/gateway/placements.py
@@ -11,7 +11,7 @@
 import logging
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.dispatch.messages import (
@@ -34,6 +34,9 @@
 # Up to this many entry hosts, one dispatcher carries all requests, and the servers
 # of all zones are shared; beyond, each zone has its own.
 _MAX_SHARED_ENTRY_HOSTS = 24
+# Hosts that became available within this time of each other count as equal; the
+# order of their addresses then decides, the same on all entry hosts.
+_EQUAL_AVAILABILITY_S = 3.0
 # Reasons of a refusal for which the dispatcher of another zone may have room.
 _ELSEWHERE_REASONS = frozenset({"overloaded", "no_server"})
 
@@ -173,6 +176,8 @@
         """Ask anew for what waited at a dispatcher that is lost."""
         for pending in list(self._pending_by_request.values()):
             if pending.link is link and not pending.answer.done():
+                # It was taken before: it isn't refused for the time it has lost.
+                pending.request = replace(pending.request, is_returning=True)
                 self._submit(pending)
 
     def _submit(self, pending: _Pending) -> None:
@@ -196,6 +201,12 @@
         """Return the link to the domain's dispatcher, the same on all hosts."""
         links = self._links()
         own = [link for link in links if link.peer.zone == domain]
-        if own:
-            return own[0]
-        return links[0] if links else None
+        candidates = own or links
+        if not candidates:
+            return None
+        oldest = min(link.available_at for link in candidates)
+        return next(
+            link
+            for link in candidates
+            if link.available_at <= oldest + _EQUAL_AVAILABILITY_S
+        )
--- a/src/galenadrum/_internal/network/frame_link.py
+++ b/src/galenadrum/_internal/network/frame_link.py
@@ -73,6 +73,11 @@
 class HostLink:
     """The dialling side: a link to one control host, kept open.
 
+    Attributes:
+        peer: What the other side said of itself last.
+        available_at: Loop time in seconds since which the other side has worked
+            without a break.
+
     Args:
         address: IP number and port for other hosts.
         hello: Returns what this host says of itself.
@@ -94,6 +99,7 @@
         self.address = address
         self.is_up = False
         self.peer: LinkHello | None = None
+        self.available_at = 0.0
         self._hello = hello
         self._deliver = deliver
         self._on_up = on_up
@@ -173,6 +179,9 @@
 
     def _set_up(self, peer: LinkHello) -> None:
         self.peer = peer
+        self.available_at = self._loop.time() - peer.available_ms / 1_000
+        if self.is_up:
+            return
         self.is_up = True
         logger.info("link to %s (%s) is up", peer.host_id, self.address)
         self._on_up(self)
