--- a/benchmarks/dispatch_load.py
+++ b/benchmarks/dispatch_load.py
@@ -31,6 +31,7 @@
 
 
 def limits(batch, piece_s, room_mb):
+    """Return the limits of one server of a stage."""
     return StageLimits(1, 2, batch, 0.2, piece_s, room_mb * 1e6, 4.0)
 
 
@@ -66,6 +67,7 @@
 
 
 def draw_count(rng, mean, spread):
+    """Return a number of pieces, at least one."""
     sigma = math.sqrt(math.log(1 + spread * spread))
     return max(1, round(rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)))
 
