--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -30,6 +30,7 @@
         self.server_id = server_id
         self.service = service
         self.address = address
+        self.announced_address = address
         self.zone = zone
         self.events = events
         self.work_s = work_s
@@ -58,7 +59,7 @@
     def announcement(self):
         return {
             "Service": self.service,
-            "Address": self.address,
+            "Address": self.announced_address,
             "Zone": self.zone,
             "Version": "v1",
             "Concurrency": 4,
