--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -174,7 +174,7 @@
                 "no answer from %s after %.3f s: %s",
                 server_id,
                 now - started_at,
-                error or "timed out",
+                str(error) or "timed out",
                 extra={"request_id": context.facts.request_id},
             )
             return None, "timeout" if isinstance(error, TimeoutError) else "broken"
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -236,7 +236,7 @@
                 "the stream of %s ended after %d events: %s",
                 placement.server_id,
                 stream.cutter.events,
-                error or "timed out",
+                str(error) or "timed out",
             )
             connection.close()
             return _End.BROKEN
