--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -199,16 +199,7 @@
         logger.info("configuration version %d is held", document.version)
 
     def _server_changed(self, entry: ServerEntry) -> None:
-        logger.info(
-            "server %s of %s at %s: %s%s (incarnation %d, sequence %d)",
-            entry.server_id,
-            entry.announcement.service,
-            entry.announcement.address,
-            entry.announcement.state.value,
-            ", silent" if entry.is_silent else "",
-            entry.announcement.incarnation_ms,
-            entry.announcement.sequence,
-        )
+        logger.info("%s", entry)
         self.links.send_entry(entry, not self._takes_from_link)
         self.dispatch.put_server(entry)
 
--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -38,6 +38,14 @@
     is_silent: bool = False
     warm_until: float = 0.0
 
+    def __str__(self) -> str:
+        said = self.announcement
+        return (
+            f"server {said.server_id} of {said.service} at {said.address}: "
+            f"{said.state.value}{', silent' if self.is_silent else ''} "
+            f"(incarnation {said.incarnation_ms}, sequence {said.sequence})"
+        )
+
     @property
     def server_id(self) -> str:
         """Id of the server."""
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -375,7 +375,7 @@
         for pool in self._stage_pools_by_service.values():
             for call in pool.take_overdue(now):
                 self._requeue_overdue(pool, call, now)
-        self._refuse_hopeless(now)
+        self._refuse_expired(now)
         self._start_calls(now)
         self._place_waiting(now)
 
@@ -394,7 +394,7 @@
             ):
                 self._retry_piece(work, pool, piece, now)
 
-    def _refuse_hopeless(self, now: float) -> None:
+    def _refuse_expired(self, now: float) -> None:
         """Refuse what can't be served any more, without waiting for its end."""
         for work in list(self._work_by_request.values()):
             if work.server_id:
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -203,16 +203,7 @@
         )
 
     def _server_changed(self, entry: ServerEntry) -> None:
-        logger.info(
-            "server %s of %s at %s: %s%s (incarnation %d, sequence %d)",
-            entry.server_id,
-            entry.announcement.service,
-            entry.announcement.address,
-            entry.announcement.state.value,
-            ", silent" if entry.is_silent else "",
-            entry.announcement.incarnation_ms,
-            entry.announcement.sequence,
-        )
+        logger.info("%s", entry)
         self.balancer.put_server(entry)
         self.dispatch.put_server(entry)
         if not entry.takes_work:
