Tell requests' hosts of results, so that another dispatcher goes on with them

Besides, with six control hosts each entry host was linked to five: hosts chose different dispatchers, each of which took the servers for its own. Change: the dispatcher tells the request's host of each stage that is made; after a loss, the host hands that on, and the next dispatcher adopts what its servers still hold. Entry hosts are linked to all of up to seven control hosts, and send pings often only to the one that places their requests.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -117,6 +117,7 @@
             rng,
             _MAX_PEER_LINKS,
             settings.peer_address,
+            is_close=True,
         )
         self._server = Http1Server(
             settings.api_address, build_app(self.api), lambda: _API_LIMITS, "the API"
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -17,13 +17,14 @@
 from galenadrum._internal.directory.registry import Registry, ServerEntry
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.dispatch.messages import (
+    PlacementNews,
     PlacementOutcome,
     PlacementRefusal,
 )
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
-    encode_answer,
     encode_entry,
+    encode_news,
 )
 from galenadrum._internal.network.frame_link import InboundLink
 from galenadrum._internal.protocol import gateway_pb2 as pb
@@ -179,7 +180,7 @@
         if link in self._links:
             self._links.discard(link)
             logger.info("host %s is no longer linked", link.peer.host_id)
-        self._dispatch.cancel(list(self._requests_by_link.pop(link, ())))
+        self._dispatch.abandon(list(self._requests_by_link.pop(link, ())))
 
     def _place(self, link: InboundLink, record: pb.PlacementRequest) -> None:
         remote = RemotePlacementRequest(record)
@@ -189,14 +190,14 @@
             refusal = PlacementRefusal(
                 record.request_id, "unknown_route", _RETRY_AFTER_NO_ROUTE_S
             )
-            link.send(encode_answer(refusal))
+            link.send(encode_news(refusal, self._loop.time()))
             return
         self._requests_by_link[link].add(record.request_id)
 
-        def reply(answer) -> None:
-            if isinstance(answer, PlacementRefusal):
-                self._requests_by_link.get(link, set()).discard(answer.request_id)
-            link.send(encode_answer(answer))
+        def reply(news: PlacementNews) -> None:
+            if isinstance(news, PlacementRefusal):
+                self._requests_by_link.get(link, set()).discard(news.request_id)
+            link.send(encode_news(news, self._loop.time()))
 
         request = remote.resolve(route, self._loop.time())
         self._dispatch.submit(request, record.domain, reply)
--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -43,15 +43,24 @@
 
 def forecast(
     request: PlacementRequest,
+    missing: tuple[int, ...],
     stage_pools_by_service: Mapping[str, StagePool],
     engines: EnginePool | None,
     now: float,
 ) -> Forecast:
-    """Follow the request's stages through the queues as they stand."""
+    """Follow the request's stages through the queues as they stand.
+
+    Args:
+        request: The request.
+        missing: Number of pieces of each stage that are to be made.
+        stage_pools_by_service: Queues and servers of the stages.
+        engines: Of the request's service, if any is known.
+        now: Loop time in seconds.
+    """
     due_at = due_time(request) + request.priority * PRIORITY_WEIGHT_S
     done_s: list[float] = []
     for index, stage in enumerate(request.route.stages):
-        count = request.pieces[index] if index < len(request.pieces) else 0
+        count = missing[index]
         start_s = max((done_s[earlier] for earlier in stage.after), default=0.0)
         if not count:
             done_s.append(start_s)
@@ -74,6 +83,17 @@
     return Forecast(total_s, reason, _retry_after_s(excess_s))
 
 
+def last_start_time(request: PlacementRequest) -> float:
+    """Return the loop time in seconds from which a first event comes too late.
+
+    What was taken once isn't refused for the time that a lost dispatcher cost it,
+    as long as its caller still waits.
+    """
+    if request.is_resumed:
+        return request.give_up_at - _RETURN_MARGIN_S
+    return due_time(request)
+
+
 def due_time(request: PlacementRequest) -> float:
     """Return the loop time in seconds by which the first event must come.
 
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -15,11 +15,13 @@
     CallFailure,
     PieceResult,
     Placement,
+    PlacementNews,
     PlacementOutcome,
     PlacementRefusal,
     PlacementRequest,
     ResultsRelease,
     StageCall,
+    StageProgress,
 )
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 from galenadrum._internal.gateway.dialect import Dialect
@@ -38,7 +40,7 @@
 _CONNECT_TIMEOUT_S = 0.5
 _RELEASE_TIMEOUT_S = 1.0
 
-Reply = Callable[[Placement | PlacementRefusal], None]
+Reply = Callable[[PlacementNews], None]
 
 
 class DispatchDriver:
@@ -85,7 +87,7 @@
             dispatcher.configure(services_by_name)
 
     def submit(self, request: PlacementRequest, zone: str, reply: Reply) -> None:
-        """Take a request; each placement and the refusal go to ``reply``.
+        """Take a request; all news of it go to ``reply``.
 
         Args:
             request: The request, on this host's clock.
@@ -115,12 +117,12 @@
             del self._replies_by_request[request_id]
         self._carry_out(dispatcher)
 
-    def cancel(self, request_ids: list[str]) -> None:
-        """Drop requests whose host has gone."""
+    def abandon(self, request_ids: list[str]) -> None:
+        """Drop requests whose host is out of reach."""
         for request_id in request_ids:
             known = self._replies_by_request.pop(request_id, None)
             if known is not None:
-                known[0].cancel(request_id, self._loop.time())
+                known[0].abandon(request_id)
                 self._carry_out(known[0])
 
     async def run(self) -> None:
@@ -153,18 +155,18 @@
                     self._spawn(self._call(dispatcher, action))
                 case ResultsRelease():
                     self._spawn(self._release(dispatcher, action))
-                case Placement() | PlacementRefusal():
-                    self._answer(action)
+                case Placement() | PlacementRefusal() | StageProgress():
+                    self._tell(action)
 
-    def _answer(self, answer: Placement | PlacementRefusal) -> None:
-        if isinstance(answer, PlacementRefusal):
-            known = self._replies_by_request.pop(answer.request_id, None)
-            self._metrics.increment("placement_refusals", reason=answer.reason)
-        else:
-            known = self._replies_by_request.get(answer.request_id)
+    def _tell(self, news: PlacementNews) -> None:
+        known = self._replies_by_request.get(news.request_id)
+        if isinstance(news, PlacementRefusal):
+            self._replies_by_request.pop(news.request_id, None)
+            self._metrics.increment("placement_refusals", reason=news.reason)
+        elif isinstance(news, Placement):
             self._metrics.increment("placements")
         if known is not None:
-            known[1](answer)
+            known[1](news)
 
     def _spawn(self, coroutine) -> None:
         task = self._loop.create_task(coroutine)
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -17,6 +17,20 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class StageResults:
+    """All results of one stage of a request.
+
+    Attributes:
+        handles: Of the pieces, in their order.
+        expires_at: Loop time in seconds at which the first of them expires.
+    """
+
+    stage: int
+    handles: tuple[str, ...]
+    expires_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementRequest:
     """A request whose stages are to run and which then needs a model engine.
@@ -31,6 +45,8 @@
         give_up_at: Loop time in seconds after which the caller waits no more.
         zone: Where the caller is.
         is_returning: Whether it was refused before and has come back.
+        is_resumed: Whether a dispatcher that is lost had taken it.
+        results: What that dispatcher had made for it.
     """
 
     request_id: str
@@ -46,6 +62,8 @@
     give_up_at: float
     zone: str = ""
     is_returning: bool = False
+    is_resumed: bool = False
+    results: tuple[StageResults, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +89,14 @@
     retry_after_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class StageProgress:
+    """Tells a request's host of results, so that another dispatcher can go on."""
+
+    request_id: str
+    results: StageResults
+
+
 class PlacementOutcome(StrEnum):
     """What became of a placement.
 
@@ -152,4 +178,5 @@
     TIMED_OUT = "timed_out"
 
 
-Action = Placement | PlacementRefusal | StageCall | ResultsRelease
+PlacementNews = Placement | PlacementRefusal | StageProgress
+Action = PlacementNews | StageCall | ResultsRelease
--- a/src/galenadrum/_internal/dispatch/stage_graph.py
+++ b/src/galenadrum/_internal/dispatch/stage_graph.py
@@ -62,6 +62,24 @@
         self._handles[stage][number] = handle
         self._requested.discard((stage, number))
 
+    @property
+    def missing(self) -> tuple[int, ...]:
+        """Number of pieces of each stage that are not made."""
+        return tuple(handles.count(None) for handles in self._handles)
+
+    def adopt(self, stage: int, handles: tuple[str, ...]) -> None:
+        """Take over the results of a stage; others than expected are left out."""
+        if 0 <= stage < len(self.pieces) and len(handles) == self.pieces[stage]:
+            self._handles[stage] = list(handles)
+
+    def results_of(self, stage: int) -> tuple[str, ...]:
+        """Return the handles of a stage that were not released."""
+        return tuple(handle for handle in self._handles[stage] if handle)
+
+    def drop(self, stage: int) -> tuple[str, ...]:
+        """Forget the results of a stage, which become due again."""
+        return self._drop((stage,))
+
     def request_again(self, stage: int, number: int) -> None:
         """Let a piece become due once more."""
         self._requested.discard((stage, number))
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -435,13 +435,21 @@
                 self._rest(server, now)
         return overdue
 
-    def hold(self, handle: str, result_bytes: float, now: float) -> None:
-        """Note a result that its server keeps."""
+    def hold(self, handle: str, result_bytes: float, expires_at: float) -> None:
+        """Note a result that its server keeps until then."""
         server = self._server_at(handle)
         if server is not None:
-            expires_at = now + self.limits.result_ttl_s
             server.results_by_handle[handle] = (result_bytes, expires_at)
 
+    def expires_at(self, handles: tuple[str, ...]) -> float:
+        """Return the loop time in seconds at which the first result expires."""
+        known = (
+            server.results_by_handle.get(handle)
+            for handle in handles
+            if (server := self._server_at(handle)) is not None
+        )
+        return min((found[1] for found in known if found), default=-math.inf)
+
     def begin_release(self, handle: str, now: float) -> str | None:
         """Note that a result is given up; returns its server's address.
 
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -10,13 +10,14 @@
 import logging
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.dispatch.admission import (
     Forecast,
     due_time,
     forecast,
+    last_start_time,
 )
 from galenadrum._internal.dispatch.engine_pool import EngineDemand, EnginePool
 from galenadrum._internal.dispatch.messages import (
@@ -31,6 +32,8 @@
     ResultsRelease,
     StageCall,
     StagePiece,
+    StageProgress,
+    StageResults,
 )
 from galenadrum._internal.dispatch.stage_graph import StageGraph
 from galenadrum._internal.dispatch.stage_pool import (
@@ -156,14 +159,20 @@
 
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Take a request, or refuse it at once."""
-        expected = self.forecast(request, now)
-        if now + expected.first_event_s > due_time(request):
+        graph = StageGraph(request.route.stages, request.pieces)
+        self._adopt(graph, request.results, now)
+        expected = self._forecast(request, graph, now)
+        if now + expected.first_event_s > last_start_time(request):
+            self._release(graph.held_handles(), now)
             self._refuse(request.request_id, expected.reason, expected.retry_after_s)
             return
-        graph = StageGraph(request.route.stages, request.pieces)
+        if request.is_resumed and now + expected.first_event_s > due_time(request):
+            # Late by now: it takes no capacity from those that can be in time.
+            request = replace(request, is_returning=True)
         work = _Work(request, graph, now)
         self._work_by_request[request.request_id] = work
-        self._count_upcoming(work, range(len(graph.stages)))
+        stages = (s for s in range(len(graph.stages)) if not graph.is_made(s))
+        self._count_upcoming(work, stages)
         logger.debug(
             "took request %s: first event expected in %.3f s, due in %.3f s",
             request.request_id,
@@ -172,20 +181,48 @@
         )
         self._advance(work, now)
 
-    def forecast(self, request: PlacementRequest, now: float) -> Forecast:
-        """Return when the request's first event should come if it came in now."""
+    def _adopt(
+        self, graph: StageGraph, known: tuple[StageResults, ...], now: float
+    ) -> None:
+        """Take over results that were made through a dispatcher that is lost."""
+        expires_at_by_stage = {}
+        for results in known:
+            if results.expires_at > now:
+                graph.adopt(results.stage, results.handles)
+                expires_at_by_stage[results.stage] = results.expires_at
+        # What a later stage has taken in was released by the other dispatcher.
+        graph.consumed()
+        for stage, expires_at in expires_at_by_stage.items():
+            spec = graph.stages[stage]
+            pool = self._stage_pools_by_service.get(spec.service)
+            handles = graph.results_of(stage)
+            if pool is None or any(pool.zone_of(handle) is None for handle in handles):
+                graph.drop(stage)
+                continue
+            for handle in handles:
+                pool.hold(handle, spec.result_bytes, expires_at)
+
+    def _forecast(
+        self, request: PlacementRequest, graph: StageGraph, now: float
+    ) -> Forecast:
+        """Return when the request's first event should come."""
         return forecast(
             request,
+            graph.missing,
             self._stage_pools_by_service,
             self._engine_pools_by_service.get(request.service),
             now,
         )
 
-    def cancel(self, request_id: str, now: float) -> None:
-        """Drop a request whose caller has left."""
+    def abandon(self, request_id: str) -> None:
+        """Drop a request whose host is out of reach.
+
+        Its results stay until they expire: the host may have told another
+        dispatcher of them.
+        """
         work = self._work_by_request.get(request_id)
         if work is not None:
-            self._end(work, now)
+            self._forget(work)
 
     def report(
         self, request_id: str, server_id: str, outcome: PlacementOutcome, now: float
@@ -277,7 +314,8 @@
             piece.stage, piece.number
         )
         if result.handle:
-            pool.hold(result.handle, piece.result_bytes, now)
+            expires_at = now + pool.limits.result_ttl_s
+            pool.hold(result.handle, piece.result_bytes, expires_at)
             if is_needed:
                 self._record(work, pool, call, piece, result.handle, now)
             else:
@@ -297,6 +335,9 @@
         work.graph.record(piece.stage, piece.number, handle)
         if work.graph.is_made(piece.stage):
             work.made_after_s.append((piece.stage, now - work.submitted_at))
+            handles = work.graph.results_of(piece.stage)
+            results = StageResults(piece.stage, handles, pool.expires_at(handles))
+            self._actions.append(StageProgress(piece.request_id, results))
         if call.is_overdue:
             pool.drop_piece(piece.request_id, piece.stage, piece.number)
 
@@ -591,7 +632,7 @@
     def _refuse_work(self, work: _Work, reason: str, now: float) -> None:
         if work.request.request_id not in self._work_by_request:
             return
-        retry_after_s = self.forecast(work.request, now).retry_after_s
+        retry_after_s = self._forecast(work.request, work.graph, now).retry_after_s
         self._end(work, now)
         self._refuse(work.request.request_id, reason, retry_after_s)
 
@@ -605,9 +646,14 @@
         self._actions.append(PlacementRefusal(request_id, reason, retry_after_s))
 
     def _end(self, work: _Work, now: float) -> None:
+        if self._forget(work):
+            self._release(work.graph.held_handles(), now)
+
+    def _forget(self, work: _Work) -> bool:
+        """Forget a request; returns whether it was known."""
         request_id = work.request.request_id
         if self._work_by_request.pop(request_id, None) is None:
-            return
+            return False
         if request_id in self._unplaced:
             self._unplaced.remove(request_id)
         self._discount_upcoming(work, tuple(work.upcoming))
@@ -616,7 +662,7 @@
         pool = self._engine_pools_by_service.get(work.request.service)
         if pool is not None and work.server_id:
             pool.note_ended(work.server_id, request_id)
-        self._release(work.graph.held_handles(), now)
+        return True
 
     def _release(self, handles: tuple[str, ...], now: float) -> None:
         for handle in handles:
--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -12,9 +12,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Links of one entry host: its zone's control hosts and some of others, so that
-# the loss of any two leaves one, and the load on a control host is bounded.
-MAX_LINKS = 5
+# An entry host is linked to all control hosts, which are seven at most by the users'
+# plan: hosts that know different ones would send requests to different dispatchers.
+MAX_LINKS = 7
 _REVIEW_INTERVAL_S = 1.0
 # A control host that has not been reached for this long gives up its link to
 # another one.
@@ -33,6 +33,7 @@
         on_changed: Called after a link came up or went down.
         max_links: Kept at the same time.
         own_address: Of this host, if it is a control host itself.
+        is_close: Whether the loss of any of them is to be noticed soon.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         rng: random.Random,
         max_links: int = MAX_LINKS,
         own_address: str = "",
+        is_close: bool = False,
     ) -> None:
         self._hello = hello
         self._seeds = seeds
@@ -54,6 +56,7 @@
         self._rng = rng
         self._max_links = max_links
         self._own_address = own_address
+        self._is_close = is_close
         self._loop = asyncio.get_running_loop()
         self._links_by_address: dict[str, tuple[HostLink, asyncio.Task[None]]] = {}
         self._down_since_by_address: dict[str, float] = {}
@@ -95,7 +98,13 @@
 
     def _add(self, address: str, now: float) -> None:
         link = HostLink(
-            address, self._hello, self._deliver, self._up, self._down, self._rng
+            address,
+            self._hello,
+            self._deliver,
+            self._up,
+            self._down,
+            self._rng,
+            self._is_close,
         )
         self._links_by_address[address] = (link, self._loop.create_task(link.run()))
         self._down_since_by_address[address] = now
@@ -115,6 +124,9 @@
     def _down(self, link: HostLink) -> None:
         if link.address in self._links_by_address:
             self._down_since_by_address[link.address] = self._loop.time()
+        # Hosts are often lost together.
+        for other in self.up():
+            other.check()
         self._on_changed(link)
 
     def _deliver(self, link: HostLink, message: LinkMessage) -> None:
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -7,10 +7,13 @@
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.dispatch.messages import (
     Placement,
+    PlacementNews,
     PlacementOutcome,
     PlacementRefusal,
     PlacementRequest,
     PromptPart,
+    StageProgress,
+    StageResults,
 )
 from galenadrum._internal.models.announcements import Announcement, ServerState
 from galenadrum._internal.models.routing import Route
@@ -81,6 +84,8 @@
             give_up_at=now + record.give_up_left_ms / _MS,
             zone=record.zone,
             is_returning=record.is_returning,
+            is_resumed=record.is_resumed,
+            results=tuple(decode_results(r, now) for r in record.results),
         )
 
 
@@ -108,30 +113,55 @@
             version=version,
             domain=domain,
             is_returning=request.is_returning,
+            is_resumed=request.is_resumed,
+            results=[_encode_results(results, now) for results in request.results],
         )
     )
 
 
-def encode_answer(answer: Placement | PlacementRefusal) -> pb.LinkMessage:
-    """Encode the answer to a placement request."""
-    if isinstance(answer, Placement):
-        return pb.LinkMessage(
-            placement=pb.Placement(
-                request_id=answer.request_id,
-                server_id=answer.server_id,
-                address=answer.address,
-                inputs=answer.inputs,
-            )
-        )
-    return pb.LinkMessage(
-        refusal=pb.PlacementRefusal(
-            request_id=answer.request_id,
-            reason=answer.reason,
-            retry_after_ms=int(answer.retry_after_s * _MS),
-        )
+def _encode_results(results: StageResults, now: float) -> pb.StageResults:
+    return pb.StageResults(
+        stage=results.stage,
+        handles=results.handles,
+        left_ms=max(0, int((results.expires_at - now) * _MS)),
     )
 
 
+def decode_results(record: pb.StageResults, now: float) -> StageResults:
+    """Decode the results of a stage, on this host's clock."""
+    expires_at = now + record.left_ms / _MS
+    return StageResults(record.stage, tuple(record.handles), expires_at)
+
+
+def encode_news(news: PlacementNews, now: float) -> pb.LinkMessage:
+    """Encode what a dispatcher tells of a request."""
+    match news:
+        case Placement():
+            return pb.LinkMessage(
+                placement=pb.Placement(
+                    request_id=news.request_id,
+                    server_id=news.server_id,
+                    address=news.address,
+                    inputs=news.inputs,
+                )
+            )
+        case StageProgress():
+            return pb.LinkMessage(
+                progress=pb.StageProgress(
+                    request_id=news.request_id,
+                    results=_encode_results(news.results, now),
+                )
+            )
+        case PlacementRefusal():
+            return pb.LinkMessage(
+                refusal=pb.PlacementRefusal(
+                    request_id=news.request_id,
+                    reason=news.reason,
+                    retry_after_ms=int(news.retry_after_s * _MS),
+                )
+            )
+
+
 def decode_placement(record: pb.Placement) -> Placement:
     """Decode a placement."""
     return Placement(
--- a/src/galenadrum/_internal/gateway/placements.py
+++ b/src/galenadrum/_internal/gateway/placements.py
@@ -11,18 +11,22 @@
 import logging
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.dispatch.messages import (
     Placement,
+    PlacementNews,
     PlacementOutcome,
     PlacementRefusal,
     PlacementRequest,
+    StageProgress,
+    StageResults,
 )
 from galenadrum._internal.gateway.link_codec import (
     decode_placement,
     decode_refusal,
+    decode_results,
     encode_report,
     encode_request,
 )
@@ -50,6 +54,8 @@
         link: None where this host dispatches for itself.
         domain: Zone whose servers are asked for, empty for all.
         answer: The next placement or refusal.
+        results_by_stage: What was made for it; kept here, so that it outlives
+            the dispatcher.
     """
 
     request: PlacementRequest
@@ -57,6 +63,7 @@
     domain: str
     answer: asyncio.Future[Placement | PlacementRefusal]
     server_id: str = ""
+    results_by_stage: dict[int, StageResults] = field(default_factory=dict)
 
 
 class Placements:
@@ -84,6 +91,7 @@
         self._version = version
         self._entry_host_count = entry_host_count
         self._pending_by_request: dict[str, _Pending] = {}
+        self._chosen_link: HostLink | None = None
         self._loop = asyncio.get_running_loop()
 
     async def place(self, request: PlacementRequest) -> Placement | PlacementRefusal:
@@ -160,37 +168,60 @@
         """Take a dispatcher's answer."""
         body = message.WhichOneof("body")
         if body == "placement":
-            self._take_answer(link, decode_placement(message.placement))
+            self._take_news(link, decode_placement(message.placement))
         elif body == "refusal":
-            self._take_answer(link, decode_refusal(message.refusal))
-
-    def _take_answer(
-        self, link: HostLink | None, answer: Placement | PlacementRefusal
-    ) -> None:
-        pending = self._pending_by_request.get(answer.request_id)
+            self._take_news(link, decode_refusal(message.refusal))
+        elif body == "progress":
+            record = message.progress
+            results = decode_results(record.results, self._loop.time())
+            self._take_news(link, StageProgress(record.request_id, results))
+
+    def _take_news(self, link: HostLink | None, news: PlacementNews) -> None:
+        pending = self._pending_by_request.get(news.request_id)
         if pending is None or pending.link is not link:
             return
-        if not pending.answer.done():
-            pending.answer.set_result(answer)
+        if isinstance(news, StageProgress):
+            pending.results_by_stage[news.results.stage] = news.results
+        elif not pending.answer.done():
+            pending.answer.set_result(news)
 
     def link_lost(self, link: HostLink) -> None:
         """Ask anew for what waited at a dispatcher that is lost."""
         for pending in list(self._pending_by_request.values()):
             if pending.link is link and not pending.answer.done():
-                # It was taken before: it isn't refused for the time it has lost.
-                pending.request = replace(pending.request, is_returning=True)
+                results = tuple(pending.results_by_stage.values())
+                pending.request = replace(
+                    pending.request, is_resumed=True, results=results
+                )
                 self._submit(pending)
+                logger.info(
+                    "asked for anew, with the results of %d stages",
+                    len(results),
+                    extra={"request_id": pending.request.request_id},
+                )
 
     def _submit(self, pending: _Pending) -> None:
         is_shared = self._entry_host_count() <= _MAX_SHARED_ENTRY_HOSTS
         pending.domain = "" if is_shared else self._zone
         pending.link = self._choose_link(pending.domain)
+        self._watch(pending.link)
         self._send(pending)
 
+    def _watch(self, link: HostLink | None) -> None:
+        """Notice the loss of the dispatcher soon; of the one before, not any more."""
+        if link is self._chosen_link:
+            return
+        if self._chosen_link is not None:
+            self._chosen_link.watch(False)
+        if link is not None:
+            link.watch(True)
+            logger.info("requests are placed by %s", link.peer.host_id)
+        self._chosen_link = link
+
     def _send(self, pending: _Pending) -> None:
         if pending.link is None:
             self._local.submit(
-                pending.request, pending.domain, lambda a: self._take_answer(None, a)
+                pending.request, pending.domain, lambda n: self._take_news(None, n)
             )
             return
         now = self._loop.time()
--- a/src/galenadrum/_internal/network/frame_link.py
+++ b/src/galenadrum/_internal/network/frame_link.py
@@ -25,10 +25,13 @@
 
 logger = logging.getLogger(__name__)
 
-# Four pings fit in the silence: one lost packet, sent again after 0.2 s or so, does
-# not replace the stream. Requests that wait at a frozen host lose the silence.
-PING_INTERVAL_S = 0.25
-SILENCE_S = 1.0
+# A packet that is lost twice is sent again 0.6 s later: that does not replace the
+# stream. Requests that wait at a frozen host lose this time and the interval.
+SILENCE_S = 0.8
+# Interval of pings on a link that requests wait at, and on one that is in reserve:
+# a ping costs a small host half a millisecond of processor time.
+CLOSE_PING_INTERVAL_S = 0.2
+RESERVE_PING_INTERVAL_S = 0.8
 # The accepting side waits longer: the dialling side is to notice first.
 _INBOUND_SILENCES = 3
 _CONNECT_TIMEOUT_S = 1.0
@@ -85,6 +88,7 @@
         on_up: Called when the first message of a connection has come.
         on_down: Called when a connection that was up has ended.
         rng: Spreads reconnects.
+        is_close: Whether the loss of the other side is to be noticed soon.
     """
 
     def __init__(
@@ -95,9 +99,11 @@
         on_up: Callable[[HostLink], None],
         on_down: Callable[[HostLink], None],
         rng: random.Random,
+        is_close: bool = True,
     ) -> None:
         self.address = address
         self.is_up = False
+        self._is_close = is_close
         self.peer: LinkHello | None = None
         self.available_at = 0.0
         self._hello = hello
@@ -107,7 +113,9 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._outbox = Outbox()
-        self._heard_at = 0.0
+        # Loop time in seconds of the first ping since the other side was heard.
+        self._unanswered_since: float | None = None
+        self._is_checked = asyncio.Event()
         self._ping_token = 0
         self._sent_at_by_token: dict[int, float] = {}
 
@@ -115,6 +123,16 @@
         """Queue a message; it is lost if the link goes down."""
         self._outbox.add(message)
 
+    def watch(self, is_close: bool) -> None:
+        """Set whether the loss of the other side is to be noticed soon."""
+        if is_close and not self._is_close:
+            self.check()
+        self._is_close = is_close
+
+    def check(self) -> None:
+        """Ask at once whether the other side is there."""
+        self._is_checked.set()
+
     def take_ping_time(self, token: int) -> float | None:
         """Return the loop time at which a ping was sent, once, in seconds."""
         sent_at = self._sent_at_by_token.pop(token, None)
@@ -142,7 +160,7 @@
     async def _run_connection(self) -> None:
         self._outbox = Outbox()
         self._sent_at_by_token.clear()
-        self._heard_at = self._loop.time()
+        self._unanswered_since = self._loop.time()
         self._outbox.add(LinkMessage(hello=self._hello()))
         async with open_stream(
             self.address,
@@ -158,7 +176,7 @@
 
     async def _read(self, stream) -> None:
         while (frame := await stream.receive()) is not None:
-            self._heard_at = self._loop.time()
+            self._unanswered_since = None
             for message in frame.messages:
                 if message.HasField("hello"):
                     self._set_up(message.hello)
@@ -167,15 +185,31 @@
         raise LinkLostError("the other side ended the stream")
 
     async def _ping(self) -> None:
+        ping_at = self._loop.time()
         while True:
             now = self._loop.time()
-            if now - self._heard_at > SILENCE_S:
+            if now >= ping_at or self._is_checked.is_set():
+                self._is_checked.clear()
+                self._send_ping(now)
+                ping_at = now + (
+                    CLOSE_PING_INTERVAL_S if self._is_close else RESERVE_PING_INTERVAL_S
+                )
+            silent_at = (self._unanswered_since or now) + SILENCE_S
+            if now >= silent_at:
                 raise TimeoutError
-            self._ping_token += 1
-            self._sent_at_by_token[self._ping_token] = now
-            ping = LinkPing(token=self._ping_token, version=self._hello().version)
-            self._outbox.add(LinkMessage(ping=ping))
-            await asyncio.sleep(PING_INTERVAL_S)
+            try:
+                async with asyncio.timeout_at(min(ping_at, silent_at)):
+                    await self._is_checked.wait()
+            except TimeoutError:
+                continue
+
+    def _send_ping(self, now: float) -> None:
+        self._ping_token += 1
+        self._sent_at_by_token[self._ping_token] = now
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+        ping = LinkPing(token=self._ping_token, version=self._hello().version)
+        self._outbox.add(LinkMessage(ping=ping))
 
     def _set_up(self, peer: LinkHello) -> None:
         self.peer = peer
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 from collections import Counter
+from dataclasses import replace
 
 from galenadrum._internal.dispatch.messages import (
     CallFailure,
@@ -16,6 +17,7 @@
     PlacementRefusal,
     ResultsRelease,
     StageCall,
+    StageProgress,
 )
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 
@@ -43,6 +45,10 @@
         self._events = []
         self._order = itertools.count()
         self._handles = itertools.count()
+        self._zone = zone
+        self._open_by_request = {}
+        self._progress_by_request = {}
+        self._dispatcher_by_call = {}
         self._stages_by_request = {}
         self._gone_by_call = {}
         self.size_by_handle = {}
@@ -57,17 +63,32 @@
         self.released = set()
         self.max_running_by_server = Counter()
         self._running = Counter()
-        self._at(TICK_S, self._tick)
+        self._entries = entries
+        self.at(TICK_S, self._tick)
 
-    def _at(self, when, action):
+    def at(self, when, action):
         heapq.heappush(self._events, (when, next(self._order), action))
 
     def submit_at(self, when, request):
         def submit():
             self._stages_by_request[request.request_id] = request.route.stages
+            self._open_by_request[request.request_id] = request
             self.dispatcher.submit(request, self.now)
 
-        self._at(when, submit)
+        self.at(when, submit)
+
+    def fail_over(self, entries=None):
+        """Lose the dispatcher; the requests' hosts ask another one anew."""
+        self.dispatcher = ZoneDispatcher(self._zone)
+        self.dispatcher.configure(self._services)
+        for known in entries or self._entries:
+            self.dispatcher.put_server(known)
+        for request_id, request in list(self._open_by_request.items()):
+            progress = self._progress_by_request.get(request_id, {})
+            resumed = replace(
+                request, is_resumed=True, results=tuple(progress.values())
+            )
+            self.dispatcher.submit(resumed, self.now)
 
     def run(self, until):
         while self._events and self._events[0][0] <= until:
@@ -78,7 +99,7 @@
 
     def _tick(self):
         self.dispatcher.tick(self.now)
-        self._at(self.now + TICK_S, self._tick)
+        self.at(self.now + TICK_S, self._tick)
 
     def _carry_out(self):
         for action in self.dispatcher.collect():
@@ -86,11 +107,15 @@
                 case StageCall():
                     self._start_call(action)
                 case ResultsRelease(_, handles):
-                    self._at(self.now + RELEASE_S, lambda h=handles: self._release(h))
+                    self.at(self.now + RELEASE_S, lambda h=handles: self._release(h))
                 case Placement():
                     self._place(action)
+                case StageProgress(request_id, results):
+                    known = self._progress_by_request.setdefault(request_id, {})
+                    known[results.stage] = results
                 case PlacementRefusal(request_id, reason, _):
                     assert request_id not in self.placed_at
+                    self._open_by_request.pop(request_id, None)
                     self.refused_at[request_id] = (self.now, reason)
 
     def _release(self, handles):
@@ -123,6 +148,7 @@
 
     def _start_call(self, call):
         server_id = call.server.server_id
+        self._dispatcher_by_call[id(call)] = self.dispatcher
         self.calls.append((self.now, call))
         limits = self._services[call.server.service].stage
         assert 0 < len(call.pieces) <= limits.batch_size
@@ -141,7 +167,7 @@
         )
         took_s = limits.call_s + len(call.pieces) * limits.piece_s
         took_s *= self.slowness_by_server.get(server_id, 1)
-        self._at(self.now + took_s, lambda: self._end_call(call))
+        self.at(self.now + took_s, lambda: self._end_call(call))
 
     def _end_call(self, call):
         server_id = call.server.server_id
@@ -152,6 +178,8 @@
             self.dispatcher.stage_call_failed(service, call.call_id, failure, self.now)
             return
         results = tuple(self._make(call, piece, failure) for piece in call.pieces)
+        if self._dispatcher_by_call[id(call)] is not self.dispatcher:
+            return
         self.dispatcher.stage_call_done(service, call.call_id, results, self.now)
 
     def _make(self, call, piece, failure):
@@ -167,11 +195,12 @@
 
     def _place(self, placement):
         request_id = placement.request_id
+        self._open_by_request.pop(request_id, None)
         assert all(handle in self.results for handle in placement.inputs)
         if not all(self._is_alive(handle) for handle in placement.inputs):
             outcome = PlacementOutcome.INPUTS_GONE
             server_id = placement.server_id
-            self._at(
+            self.at(
                 self.now + RELEASE_S,
                 lambda: self.dispatcher.report(
                     request_id, server_id, outcome, self.now
@@ -185,5 +214,5 @@
             self.dispatcher.report(request_id, placement.server_id, outcome, self.now)
 
         started_at = self.now + self._first_event_s
-        self._at(started_at, lambda: report(PlacementOutcome.STARTED))
-        self._at(started_at + 0.3, lambda: report(PlacementOutcome.FINISHED))
+        self.at(started_at, lambda: report(PlacementOutcome.STARTED))
+        self.at(started_at + 0.3, lambda: report(PlacementOutcome.FINISHED))
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -1,6 +1,7 @@
 """Load patterns, replayed against the dispatcher."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -278,12 +279,78 @@
         played.submit_at(0.0, request("first"))
         played.submit_at(0.0, request("r1"))
         played.run(0.0)
-        played.dispatcher.cancel("r1", 0.0)
+        played.dispatcher.report("r1", "", PlacementOutcome.CANCELLED, 0.0)
         played.run(3.0)
         assert "r1" not in played.placed_at
         assert not played.results
 
 
+class TestLostDispatcher:
+    """A dispatcher is lost under load: its results fill the servers' room."""
+
+    def chain_world(self):
+        return DispatchWorld(
+            services("encode", "retrieve", "rerank"), [*ENGINES, *CHAIN_SERVERS]
+        )
+
+    def chain_request(self, request_id, now):
+        return request(request_id, (1, 6, 10), now, CHAIN, objective_at=now + 1.8)
+
+    def test_made_stages_are_not_made_again(self):
+        played = self.chain_world()
+        played.submit_at(0.0, self.chain_request("r1", 0.0))
+        # The first stage is made after 0.22 s, the second after 0.54 s.
+        played.at(0.6, played.fail_over)
+        played.run(3.0)
+        counts = Counter(p.stage for _, call in played.calls for p in call.pieces)
+        assert counts == {0: 1, 1: 6, 2: 20}
+        assert "r1" in played.placed_at
+
+    def test_results_that_were_taken_over_are_released_in_the_end(self):
+        played = self.chain_world()
+        played.submit_at(0.0, self.chain_request("r1", 0.0))
+        played.at(0.6, played.fail_over)
+        played.run(3.0)
+        # What the lost dispatcher's call made is known to nobody.
+        orphans = {h for h in played.results if h not in played.released}
+        assert len(orphans) == 10
+        assert not played.dispatcher.request_count
+
+    def test_results_of_a_server_that_is_gone_are_made_again(self):
+        played = self.chain_world()
+        played.submit_at(0.0, self.chain_request("r1", 0.0))
+
+        def fail_over_without_encoders():
+            kept = [e for e in CHAIN_SERVERS if e.announcement.service != "retrieve"]
+            spare = entry("retrieve-new", "retrieve", "a", address="10.9.9.9:80")
+            played.fail_over([*ENGINES, *kept, spare])
+
+        played.at(0.6, fail_over_without_encoders)
+        played.run(4.0)
+        counts = Counter(p.stage for _, call in played.calls for p in call.pieces)
+        assert counts[1] == 12
+        assert "r1" in played.placed_at
+
+    def test_most_that_was_under_way_is_still_in_time(self):
+        played = self.chain_world()
+        count = offer(played, 4.0, 4.0, self.chain_request)
+        played.at(2.0, played.fail_over)
+        played.run(10.0)
+        assert len(played.placed_at) + len(played.refused_at) == count
+        assert len(played.placed_at) >= 0.9 * count
+
+    def test_abandoned_request_leaves_its_results_to_another_dispatcher(self):
+        played = world()
+        played.submit_at(0.0, request("r1", pieces=(2,)))
+        played.at(0.1, lambda: played.dispatcher.abandon("r1"))
+        played.submit_at(0.3, request("r2", pieces=(2,), now=0.3))
+        played.at(0.55, lambda: played.dispatcher.abandon("r2"))
+        played.run(0.6)
+        assert "r1" not in played.placed_at
+        assert len(played.results) == 2
+        assert not played.dispatcher.request_count
+
+
 class TestRejections:
     def test_rejected_request_is_placed_at_another_engine(self):
         played = world()
