Let what can't be in time give way; count all results of a call before the next one

Cause: queues were ordered by the latest start alone: pieces whose requests could no longer be in time went before those that still could. Requests were advanced in an order that differs from run to run.

--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -89,9 +89,12 @@
     What was taken once isn't refused for the time that a lost dispatcher cost it,
     as long as its caller still waits.
     """
-    if request.is_resumed:
-        return request.give_up_at - _RETURN_MARGIN_S
-    return due_time(request)
+    return late_due_time(request) if request.is_resumed else due_time(request)
+
+
+def late_due_time(request: PlacementRequest) -> float:
+    """Return the loop time in seconds by which a late first event must come."""
+    return request.give_up_at - _RETURN_MARGIN_S
 
 
 def due_time(request: PlacementRequest) -> float:
@@ -102,7 +105,7 @@
     that can still be in time, and isn't refused twice.
     """
     if request.is_returning:
-        return max(request.objective_at, request.give_up_at - _RETURN_MARGIN_S)
+        return max(request.objective_at, late_due_time(request))
     return min(request.objective_at, request.give_up_at)
 
 
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -66,8 +66,8 @@
         zone: Where its inputs are, or where the request came in.
         input_bytes: Size of what all pieces of its stage and request fetch.
         failures: Calls for it that brought no result.
-        urgency: Place in the queue, as the loop time in seconds by which its call
-            should start.
+        late_due_at: Loop time in seconds by which that event is due once it
+            can't come in time.
     """
 
     request_id: str
@@ -80,11 +80,18 @@
     zone: str = ""
     input_bytes: float = 0.0
     failures: int = 0
-    urgency: float = field(init=False)
+    late_due_at: float = math.inf
 
-    def __post_init__(self) -> None:
-        start_by = self.objective_at - self.remaining_s
-        self.urgency = start_by + self.priority * PRIORITY_WEIGHT_S
+    def urgency(self, now: float) -> float:
+        """Return the place in the queue.
+
+        That is the loop time in seconds by which the call should start. The piece
+        of a request that can't be in time any more gives way to those that can.
+        """
+        due_at = self.objective_at
+        if now > due_at - self.remaining_s:
+            due_at = max(due_at, self.late_due_at)
+        return due_at - self.remaining_s + self.priority * PRIORITY_WEIGHT_S
 
 
 @dataclass(slots=True)
@@ -232,13 +239,13 @@
             return None
         if not self._is_spaced(now):
             return None
-        self.waiting.sort(key=self._place)
+        self.waiting.sort(key=lambda piece: self._place(piece, now))
         server = self._choose_server(now)
         if server is None:
             return None
         if not self._zone:
             zone = server.announcement.zone
-            self.waiting.sort(key=lambda piece: self._place_at(piece, zone))
+            self.waiting.sort(key=lambda piece: self._place_at(piece, zone, now))
         taken = self._fit(server, now)
         if not taken:
             return None
@@ -270,13 +277,15 @@
         spacing_s = self.call_time(len(self.waiting)) / servers * busy / servers
         return now - self._last_start_at >= spacing_s * _SPACING_SHARE
 
-    def _place(self, piece: WaitingPiece) -> tuple[bool, float]:
+    def _place(self, piece: WaitingPiece, now: float) -> tuple[bool, float]:
         # Requests whose pieces are made in part hold room until the rest is made.
         is_new = (piece.request_id, piece.stage) not in self._half_made
-        return is_new, piece.urgency
+        return is_new, piece.urgency(now)
 
-    def _place_at(self, piece: WaitingPiece, zone: str) -> tuple[bool, float]:
-        is_new, urgency = self._place(piece)
+    def _place_at(
+        self, piece: WaitingPiece, zone: str, now: float
+    ) -> tuple[bool, float]:
+        is_new, urgency = self._place(piece, now)
         return is_new, urgency + self._way_s(piece, zone)
 
     def _way_s(self, piece: WaitingPiece, zone: str) -> float:
@@ -532,7 +541,7 @@
             return math.inf
         own = [s for s in usable if not self._is_foreign(s)] or usable
         slowness = min(s.current_slowness(now) for s in own)
-        ahead = sum(p.urgency <= due_at for p in self.waiting) + self.upcoming
+        ahead = sum(p.urgency(now) <= due_at for p in self.waiting) + self.upcoming
         first_free_s = min(
             max(0.0, s.busy_until - now) if s.calls else 0.0 for s in own
         )
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -18,6 +18,7 @@
     due_time,
     forecast,
     last_start_time,
+    late_due_time,
 )
 from galenadrum._internal.dispatch.engine_pool import EngineDemand, EnginePool
 from galenadrum._internal.dispatch.messages import (
@@ -276,11 +277,16 @@
         if call is None:
             return
         self._log_failures(pool, call, results, now)
+        # All results count before any of them lets another call start.
+        expires_at = now + pool.limits.result_ttl_s
+        for piece, result in zip(call.pieces, results, strict=True):
+            if result.handle:
+                pool.hold(result.handle, piece.result_bytes, expires_at)
         for piece, result in zip(call.pieces, results, strict=True):
             self._take_result(pool, call, piece, result, now)
         if any(result.failure is PieceFailure.NO_ROOM for result in results):
             pool.note_no_room(call.server_id, now)
-        self._advance_all({piece.request_id for piece in call.pieces}, now)
+        self._advance_all(dict.fromkeys(p.request_id for p in call.pieces), now)
         self._start_calls(now)
 
     def _log_failures(
@@ -314,8 +320,6 @@
             piece.stage, piece.number
         )
         if result.handle:
-            expires_at = now + pool.limits.result_ttl_s
-            pool.hold(result.handle, piece.result_bytes, expires_at)
             if is_needed:
                 self._record(work, pool, call, piece, result.handle, now)
             else:
@@ -450,7 +454,7 @@
         self._actions.clear()
         return actions
 
-    def _advance_all(self, request_ids: set[str], now: float) -> None:
+    def _advance_all(self, request_ids: Iterable[str], now: float) -> None:
         for request_id in request_ids:
             work = self._work_by_request.get(request_id)
             if work is not None:
@@ -508,6 +512,7 @@
             zone,
             # Each piece fetches all inputs for itself.
             input_bytes * work.graph.pieces[stage],
+            late_due_at=late_due_time(request),
         )
 
     def _remaining_s(self, work: _Work, stage: int) -> float:
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -123,6 +123,12 @@
         self.results -= set(handles)
         self.dispatcher.release_done(handles, self.now)
 
+    def lose_inputs(self, call, request_id):
+        """Let a call that runs find a request's inputs gone."""
+        self._gone_by_call[call.call_id] = {
+            piece for piece in call.pieces if piece.request_id == request_id
+        }
+
     def _check_room(self, call, limits):
         """Assert that all results fit, as the server counts them."""
         held = sum(
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -168,6 +168,26 @@
         played.run(12.0)
         assert len(played.placed_at) == 12
 
+    def test_all_results_of_a_call_count_before_the_next_call(self):
+        """One result of a call starts others: a lost input is made again."""
+        chain = (StageSpec("encode", (), 1e3), StageSpec("encode", (0,), 1e3))
+        large = (StageSpec("encode", (), 4e6),)
+        played = world(entries=[*ENGINES, ENCODERS[0]])
+        times = {"objective_at": 4.0, "give_up_at": 9.0}
+        played.submit_at(0.0, request("chain", (1, 1), stages=chain, **times))
+        for number in range(2):
+            at = 0.1 + 0.2 * number
+            played.submit_at(
+                at, request(f"big-{number}", (3,), stages=large, priority=1, **times)
+            )
+        played.run(0.23)
+        second = played.calls[-1][1]
+        assert [p.request_id for p in second.pieces] == ["chain", *["big-0"] * 3]
+        played.lose_inputs(second, "chain")
+        # The world asserts that what a server is asked for fits.
+        played.run(4.0)
+        assert played.placed_at.keys() == {"chain", "big-0", "big-1"}
+
     def test_lack_of_room_fails_no_request(self):
         played = world()
         for zone in "abc":
@@ -179,6 +199,35 @@
         assert "r1" in played.placed_at
 
 
+class TestLateRequests:
+    """A server stood still; what waited can't be in time, what comes in can."""
+
+    def test_late_pieces_give_way_to_those_that_can_be_in_time(self):
+        played = world(entries=[*ENGINES, ENCODERS[0]])
+        # One call holds eight pieces and takes 0.36 s.
+        for number in range(3):
+            played.submit_at(0.0, request(f"late-{number}", (8,), objective_at=1.5))
+        played.slowness_by_server["e-a"] = 4
+        played.at(0.1, lambda: played.slowness_by_server.clear())
+        played.submit_at(1.2, request("new", (8,), 1.2, objective_at=2.6))
+        played.run(6.0)
+        late = [played.placed_at[f"late-{n}"] for n in range(3)]
+        assert played.placed_at["new"] <= 2.5
+        assert max(late) > played.placed_at["new"]
+
+    def test_late_requests_are_served_before_their_callers_leave(self):
+        played = world(entries=[*ENGINES, ENCODERS[0]])
+        for number in range(3):
+            played.submit_at(0.0, request(f"late-{number}", (8,), objective_at=1.5))
+        played.slowness_by_server["e-a"] = 4
+        played.at(0.1, lambda: played.slowness_by_server.clear())
+        offer(
+            played, 2.0, 4.0, lambda i, now: request(i, (4,), now, objective_at=now + 1)
+        )
+        played.run(8.0)
+        assert all(played.placed_at[f"late-{n}"] <= 4.0 for n in range(3))
+
+
 class TestFailures:
     def test_pieces_of_a_broken_call_are_made_elsewhere(self):
         played = world()
