--- a/benchmarks/dispatch_load.py
+++ b/benchmarks/dispatch_load.py
@@ -35,9 +35,19 @@
     return StageLimits(1, 2, batch, 0.2, piece_s, room_mb * 1e6, 4.0)
 
 
-# From the users' sheets: a zone of the grown restocking fleet, and the whole of
-# the small one. Rates are requests a second.
+# From the users' sheets: the grown restocking fleet, one zone of it, and the small
+# one. Rates are requests a second.
 SITES = {
+    "grown": {
+        "servers": {"first": 9, "second": 8, "third": 8, "generate": 30},
+        "limits": {
+            "first": limits(15, 0.01173, 33.75),
+            "second": limits(51, 0.00339, 6.7),
+            "third": limits(69, 0.00247, 0.92),
+        },
+        "rates": {"plan": 66.4, "note": 75.2, "chat": 31.4},
+        "concurrency": 64,
+    },
     "grown-zone": {
         "servers": {"first": 3, "second": 3, "third": 3, "generate": 10},
         "limits": {
@@ -173,8 +183,10 @@
     parser.add_argument("--site", choices=sorted(SITES), default="grown-zone")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--length-s", type=float, default=18.0)
+    parser.add_argument("--burst", type=float, default=2.4, help="times the usual")
     options = parser.parse_args()
-    for kind, x in ((None, 1.0), ("plan", 2.4), ("note", 2.4), ("chat", 2.0)):
+    for kind in (None, "plan", "note", "chat"):
+        x = options.burst if kind else 1.0
         figures = play(SITES[options.site], kind, x, options.length_s, options.seed)
         print(json.dumps({"site": options.site, "burst": kind, **figures}))
 
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -99,6 +99,7 @@
 
     Attributes:
         runs_by_request: What this dispatcher has placed there.
+        unread_tokens: Of prompts that were placed and are not read in yet.
         slowness: Observed over expected time to the first token.
         paused_until: Loop time in seconds before which nothing is placed.
     """
@@ -108,22 +109,33 @@
     is_silent: bool = False
     warm_until: float = 0.0
     runs_by_request: dict[str, Run] = field(default_factory=dict)
+    unread_tokens: int = 0
     slowness: float = 1.0
     slowness_at: float = 0.0
     failures_in_row: int = 0
     paused_until: float = 0.0
 
-    @property
-    def unread_tokens(self) -> int:
-        """Tokens of prompts that were placed and not read in yet."""
-        return sum(
-            run.unread_tokens
-            for run in self.runs_by_request.values()
-            if not run.has_started
-        )
+    def add(self, run: Run) -> None:
+        """Count a request that is placed."""
+        self.remove(run.request_id)
+        self.runs_by_request[run.request_id] = run
+        self.unread_tokens += run.unread_tokens
+
+    def start(self, run: Run) -> None:
+        """Count that a prompt was read in."""
+        run.has_started = True
+        self.unread_tokens -= run.unread_tokens
+
+    def remove(self, request_id: str) -> None:
+        """Count that a request has ended."""
+        run = self.runs_by_request.pop(request_id, None)
+        if run is not None and not run.has_started:
+            self.unread_tokens -= run.unread_tokens
 
     def current_slowness(self, now: float) -> float:
         """Return the slowness, which is forgotten over time."""
+        if self.slowness == 1.0:
+            return 1.0
         age_s = max(0.0, now - self.slowness_at)
         return 1.0 + (self.slowness - 1.0) * math.exp2(-age_s / _SLOWNESS_HALF_LIFE_S)
 
@@ -223,12 +235,9 @@
         self, engine: Engine, request_id: str, demand: EngineDemand, now: float
     ) -> None:
         """Count a request at an engine."""
-        engine.runs_by_request[request_id] = Run(
-            request_id,
-            demand.prompt,
-            self._unread(engine, demand),
-            now,
-            engine.unread_tokens,
+        unread_tokens = self._unread(engine, demand)
+        engine.add(
+            Run(request_id, demand.prompt, unread_tokens, now, engine.unread_tokens)
         )
         # Requests with the same parts that follow at once should go there too.
         engine.cache.use(demand.prompt)
@@ -239,7 +248,7 @@
         run = engine.runs_by_request.get(request_id) if engine else None
         if run is None or run.has_started:
             return
-        run.has_started = True
+        engine.start(run)
         engine.failures_in_row = 0
         self._learn(engine, run, now)
 
@@ -263,7 +272,7 @@
         """Free the place of a request."""
         engine = self.engines_by_id.get(server_id)
         if engine is not None:
-            engine.runs_by_request.pop(request_id, None)
+            engine.remove(request_id)
 
     def note_failed(self, server_id: str, request_id: str, now: float) -> None:
         """Free the place of a request that failed; the engine rests a while."""
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -94,6 +94,19 @@
         return due_at - self.remaining_s + self.priority * PRIORITY_WEIGHT_S
 
 
+@dataclass(slots=True)
+class WaitingGroup:
+    """Pieces of one stage of one request; they are alike but for their number.
+
+    Attributes:
+        is_begun: Whether others of them were taken before: their results hold
+            room until the rest is made.
+    """
+
+    pieces: list[WaitingPiece] = field(default_factory=list)
+    is_begun: bool = False
+
+
 @dataclass(slots=True)
 class StageServer:
     """One server of the pool.
@@ -139,6 +152,8 @@
 
     def current_slowness(self, now: float) -> float:
         """Return the slowness, which is forgotten over time."""
+        if self.slowness == 1.0:
+            return 1.0
         age_s = max(0.0, now - self.slowness_at)
         return 1.0 + (self.slowness - 1.0) * math.exp2(-age_s / _SLOWNESS_HALF_LIFE_S)
 
@@ -171,14 +186,14 @@
         self.service = service
         self.limits = limits
         self._zone = zone
-        self._half_made: set[tuple[str, int]] = set()
         # Pieces of requests that were taken whose stage is not due yet.
         self.upcoming = 0
         self._hold_s = _FIRST_HOLD_S
         self._last_start_at = -math.inf
         self.servers_by_id: dict[str, StageServer] = {}
         self._server_id_by_address: dict[str, str] = {}
-        self.waiting: list[WaitingPiece] = []
+        self._groups_by_request: dict[str, dict[int, WaitingGroup]] = {}
+        self.waiting_count = 0
         self.calls_by_id: dict[int, RunningCall] = {}
 
     def put_server(self, announcement: Announcement, is_silent: bool) -> None:
@@ -201,33 +216,50 @@
 
     def add(self, piece: WaitingPiece) -> None:
         """Queue a piece."""
-        self.waiting.append(piece)
+        groups = self._groups_by_request.setdefault(piece.request_id, {})
+        groups.setdefault(piece.stage, WaitingGroup()).pieces.append(piece)
+        self.waiting_count += 1
 
     def discard(self, request_id: str) -> None:
         """Drop the queued pieces of a request."""
-        self.waiting = [p for p in self.waiting if p.request_id != request_id]
+        for group in self._groups_by_request.pop(request_id, {}).values():
+            self.waiting_count -= len(group.pieces)
+
+    def _keep(self, request_id: str, stage: int, kept: list[WaitingPiece]) -> None:
+        """Leave only those pieces of a group in the queue."""
+        groups = self._groups_by_request[request_id]
+        self.waiting_count -= len(groups[stage].pieces) - len(kept)
+        if kept:
+            groups[stage].pieces = kept
+            return
+        del groups[stage]
+        if not groups:
+            del self._groups_by_request[request_id]
+
+    def _waiting_groups(self) -> list[WaitingGroup]:
+        return [
+            group
+            for groups in self._groups_by_request.values()
+            for group in groups.values()
+        ]
 
     def take_unready(
         self, request_id: str, is_ready: Callable[[int], bool]
     ) -> list[WaitingPiece]:
         """Take queued pieces of a request out whose stage isn't ready."""
-        taken = [
-            p
-            for p in self.waiting
-            if p.request_id == request_id and not is_ready(p.stage)
-        ]
-        if taken:
-            chosen = {id(piece) for piece in taken}
-            self.waiting = [p for p in self.waiting if id(p) not in chosen]
+        taken: list[WaitingPiece] = []
+        for stage, group in list(self._groups_by_request.get(request_id, {}).items()):
+            if not is_ready(stage):
+                taken += group.pieces
+                self._keep(request_id, stage, [])
         return taken
 
     def drop_piece(self, request_id: str, stage: int, number: int) -> None:
         """Drop a queued piece that was made meanwhile."""
-        self.waiting = [
-            p
-            for p in self.waiting
-            if (p.request_id, p.stage, p.number) != (request_id, stage, number)
-        ]
+        group = self._groups_by_request.get(request_id, {}).get(stage)
+        if group is not None:
+            kept = [piece for piece in group.pieces if piece.number != number]
+            self._keep(request_id, stage, kept)
 
     def call_time(self, pieces: int) -> float:
         """Return the usual time of a call of that many pieces, in seconds."""
@@ -235,27 +267,19 @@
 
     def next_call(self, now: float) -> tuple[StageServer, list[WaitingPiece]] | None:
         """Return a server that should be called now and its pieces."""
-        if not self.waiting or not self._has_free_server(now):
+        if not self.waiting_count or not self._has_free_server(now):
             return None
         if not self._is_spaced(now):
             return None
-        self.waiting.sort(key=lambda piece: self._place(piece, now))
-        server = self._choose_server(now)
+        groups = self._waiting_groups()
+        first = min(groups, key=lambda group: self._place(group, now)).pieces[0]
+        server = self._choose_server(first, now)
         if server is None:
             return None
-        if not self._zone:
-            zone = server.announcement.zone
-            self.waiting.sort(key=lambda piece: self._place_at(piece, zone, now))
-        taken = self._fit(server, now)
-        if not taken:
-            return None
-        # Pieces are distinct objects; equal ones can't be queued twice.
-        chosen = {id(piece) for piece in taken}
-        self.waiting = [p for p in self.waiting if id(p) not in chosen]
-        still_waiting = {(p.request_id, p.stage) for p in self.waiting}
-        self._half_made.update((p.request_id, p.stage) for p in taken)
-        self._half_made &= still_waiting
-        return server, taken
+        zone = "" if self._zone else server.announcement.zone
+        groups.sort(key=lambda group: self._place_at(group, zone, now))
+        taken = self._take(groups, server, now)
+        return (server, taken) if taken else None
 
     def _has_free_server(self, now: float) -> bool:
         return any(
@@ -270,23 +294,23 @@
         instant, and all of them would be busy when the next ones come; so the
         starts are spread over the time of a call, the more of them are busy.
         """
-        if len(self.waiting) >= self.limits.batch_size:
+        if self.waiting_count >= self.limits.batch_size:
             return True
         servers = len(self.servers_by_id)
         busy = sum(bool(s.calls) for s in self.servers_by_id.values())
-        spacing_s = self.call_time(len(self.waiting)) / servers * busy / servers
+        spacing_s = self.call_time(self.waiting_count) / servers * busy / servers
         return now - self._last_start_at >= spacing_s * _SPACING_SHARE
 
-    def _place(self, piece: WaitingPiece, now: float) -> tuple[bool, float]:
-        # Requests whose pieces are made in part hold room until the rest is made.
-        is_new = (piece.request_id, piece.stage) not in self._half_made
-        return is_new, piece.urgency(now)
+    def _place(self, group: WaitingGroup, now: float) -> tuple[bool, float]:
+        return not group.is_begun, group.pieces[0].urgency(now)
 
     def _place_at(
-        self, piece: WaitingPiece, zone: str, now: float
+        self, group: WaitingGroup, zone: str, now: float
     ) -> tuple[bool, float]:
-        is_new, urgency = self._place(piece, now)
-        return is_new, urgency + self._way_s(piece, zone)
+        is_new, urgency = self._place(group, now)
+        if zone:
+            urgency += self._way_s(group.pieces[0], zone)
+        return is_new, urgency
 
     def _way_s(self, piece: WaitingPiece, zone: str) -> float:
         """Return what the way of a piece's inputs to a zone is worth in time."""
@@ -294,59 +318,70 @@
             return 0.0
         return _SHARED_ZONE_DELAY_S + piece.input_bytes * ZONE_DELAY_S_PER_BYTE
 
-    def _fit(self, server: StageServer, now: float) -> list[WaitingPiece]:
+    def _take(
+        self, groups: list[WaitingGroup], server: StageServer, now: float
+    ) -> list[WaitingPiece]:
+        """Take the pieces of the next call out of the queue."""
         server.forget_expired(now)
         held_bytes = server.held_bytes
         foreign_bytes = self._foreign_bytes(server, now)
         room = self.limits.room_bytes * _ROOM_SHARE - held_bytes - foreign_bytes
         taken: list[WaitingPiece] = []
-        for piece in self.waiting:
+        for group in groups:
+            count = self.limits.batch_size - len(taken)
+            piece = group.pieces[0]
+            if piece.result_bytes > 0:
+                count = min(count, math.floor(room / piece.result_bytes))
+            if count <= 0 and not (taken or held_bytes or foreign_bytes):
+                # Larger than all room: it is tried where nothing else is held.
+                count = 1
+            if count > 0:
+                chosen = group.pieces[:count]
+                room -= piece.result_bytes * len(chosen)
+                taken += chosen
+                group.is_begun = True
+                self._keep(piece.request_id, piece.stage, group.pieces[count:])
             if len(taken) >= self.limits.batch_size:
                 break
-            if piece.result_bytes <= room or (
-                not taken and not held_bytes and not foreign_bytes
-            ):
-                taken.append(piece)
-                room -= piece.result_bytes
         return taken
 
-    def _choose_server(self, now: float) -> StageServer | None:
+    def _choose_server(self, first: WaitingPiece, now: float) -> StageServer | None:
         """Return a free server, unless the busy ones would be done sooner."""
         usable = self._usable(now)
         free = [s for s in usable if len(s.calls) < self.limits.concurrency]
         if not free:
             return None
-        first = self.waiting[0]
         finish_at, server = min(
             ((self._start_at(s, first, now) + self._expected(s, now), s) for s in free),
             key=lambda pair: pair[0],
         )
         busy = [s for s in usable if len(s.calls) >= self.limits.concurrency]
-        if busy and finish_at > self._worked_off_at(busy, now):
+        if busy and finish_at > self._worked_off_at(first, busy, now):
             return None
-        if self._is_foreign(server) and not self._own_are_behind(now):
+        if self._is_foreign(server) and not self._own_are_behind(first, now):
             return None
         return server
 
-    def _worked_off_at(self, busy: list[StageServer], now: float) -> float:
+    def _worked_off_at(
+        self, first: WaitingPiece, busy: list[StageServer], now: float
+    ) -> float:
         """Return when busy servers would have made all that waits."""
-        first = self.waiting[0]
         free_at = min(self._start_at(s, first, now) for s in busy)
-        calls = math.ceil(len(self.waiting) / self.limits.batch_size)
+        calls = math.ceil(self.waiting_count / self.limits.batch_size)
         rounds = math.ceil(calls / len(busy))
         slowness = min(s.current_slowness(now) for s in busy)
-        pieces = min(len(self.waiting), self.limits.batch_size)
+        pieces = min(self.waiting_count, self.limits.batch_size)
         return free_at + rounds * slowness * self.call_time(pieces)
 
     def _is_foreign(self, server: StageServer) -> bool:
         return bool(self._zone) and server.announcement.zone != self._zone
 
-    def _own_are_behind(self, now: float) -> bool:
+    def _own_are_behind(self, first: WaitingPiece, now: float) -> bool:
         own = [s for s in self._usable(now) if not self._is_foreign(s)]
         if not own:
             return True
-        wait_s = min(self._start_at(s, self.waiting[0], now) for s in own) - now
-        calls = math.ceil(len(self.waiting) / self.limits.batch_size)
+        wait_s = min(self._start_at(s, first, now) for s in own) - now
+        calls = math.ceil(self.waiting_count / self.limits.batch_size)
         return wait_s + (calls - 1) * self.call_time(self.limits.batch_size) > (
             OTHER_ZONE_DELAY_S
         )
@@ -365,7 +400,7 @@
         return start_at
 
     def _expected(self, server: StageServer, now: float) -> float:
-        pieces = min(len(self.waiting), self.limits.batch_size)
+        pieces = min(self.waiting_count, self.limits.batch_size)
         return self.call_time(pieces) * server.current_slowness(now)
 
     def start_call(
@@ -541,7 +576,11 @@
             return math.inf
         own = [s for s in usable if not self._is_foreign(s)] or usable
         slowness = min(s.current_slowness(now) for s in own)
-        ahead = sum(p.urgency(now) <= due_at for p in self.waiting) + self.upcoming
+        ahead = self.upcoming + sum(
+            len(group.pieces)
+            for group in self._waiting_groups()
+            if group.pieces[0].urgency(now) <= due_at
+        )
         first_free_s = min(
             max(0.0, s.busy_until - now) if s.calls else 0.0 for s in own
         )
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -106,7 +106,7 @@
     @property
     def waiting_piece_count(self) -> int:
         """Pieces that wait for a call."""
-        return sum(len(p.waiting) for p in self._stage_pools_by_service.values())
+        return sum(p.waiting_count for p in self._stage_pools_by_service.values())
 
     def configure(self, services_by_name: Mapping[str, Service]) -> None:
         """Use the services of a newer configuration."""
@@ -339,6 +339,8 @@
         work.graph.record(piece.stage, piece.number, handle)
         if work.graph.is_made(piece.stage):
             work.made_after_s.append((piece.stage, now - work.submitted_at))
+        if work.graph.is_made(piece.stage) and not work.graph.is_complete:
+            # The results of the last stages go with the placement.
             handles = work.graph.results_of(piece.stage)
             results = StageResults(piece.stage, handles, pool.expires_at(handles))
             self._actions.append(StageProgress(piece.request_id, results))
@@ -470,15 +472,18 @@
                 self._unplaced.append(work.request.request_id)
             self._place_waiting(now)
             return
-        due = list(work.graph.take_due())
-        self._discount_upcoming(work, {stage for stage, _ in due})
-        for stage, number in due:
+        numbers_by_stage: dict[int, list[int]] = defaultdict(list)
+        for stage, number in work.graph.take_due():
+            numbers_by_stage[stage].append(number)
+        self._discount_upcoming(work, numbers_by_stage)
+        for stage, numbers in numbers_by_stage.items():
             service = work.request.route.stages[stage].service
             pool = self._stage_pools_by_service.get(service)
             if pool is None:
                 self._refuse_work(work, "no_server", now)
                 return
-            pool.add(self._waiting_piece(work, stage, number))
+            for piece in self._waiting_pieces(work, stage, numbers):
+                pool.add(piece)
         self._start_calls(now)
 
     def _count_upcoming(self, work: _Work, stages: Iterable[int]) -> None:
@@ -495,25 +500,31 @@
             if pool is not None:
                 pool.upcoming -= work.upcoming.pop(stage, 0)
 
-    def _waiting_piece(self, work: _Work, stage: int, number: int) -> WaitingPiece:
+    def _waiting_pieces(
+        self, work: _Work, stage: int, numbers: list[int]
+    ) -> list[WaitingPiece]:
         request = work.request
         spec = request.route.stages[stage]
         zone, input_bytes = self._place_of_inputs(
             work, work.graph.inputs_of(stage), spec.after
         )
-        return WaitingPiece(
-            request.request_id,
-            stage,
-            number,
-            request.priority,
-            due_time(request),
-            self._remaining_s(work, stage),
-            spec.result_bytes,
-            zone,
-            # Each piece fetches all inputs for itself.
-            input_bytes * work.graph.pieces[stage],
-            late_due_at=late_due_time(request),
-        )
+        remaining_s = self._remaining_s(work, stage)
+        return [
+            WaitingPiece(
+                request.request_id,
+                stage,
+                number,
+                request.priority,
+                due_time(request),
+                remaining_s,
+                spec.result_bytes,
+                zone,
+                # Each piece fetches all inputs for itself.
+                input_bytes * work.graph.pieces[stage],
+                late_due_at=late_due_time(request),
+            )
+            for number in numbers
+        ]
 
     def _remaining_s(self, work: _Work, stage: int) -> float:
         """Return the time from a stage's call to the first event, at best."""
