--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -36,7 +36,6 @@
     StageProgress,
     StageResults,
 )
-from galenadrum._internal.dispatch.return_times import ReturnTimes
 from galenadrum._internal.dispatch.stage_graph import StageGraph
 from galenadrum._internal.dispatch.stage_pool import (
     RunningCall,
@@ -95,7 +94,6 @@
         self._work_by_request: dict[str, _Work] = {}
         self._unplaced: list[str] = []
         self._entries_by_id: dict[str, ServerEntry] = {}
-        self._return_times = ReturnTimes()
         self._call_ids = itertools.count(1)
         self._actions: list[Action] = []
         self._released: dict[str, list[str]] = defaultdict(list)
@@ -167,9 +165,8 @@
         expected = self._forecast(request, graph, now)
         if now + expected.first_event_s > last_start_time(request):
             self._release(graph.held_handles(), now)
-            self._refuse(request, expected, expected.reason, now)
+            self._refuse(request.request_id, expected.reason, expected.retry_after_s)
             return
-        self._return_times.note(request.route.name, False, now)
         if request.is_resumed and now + expected.first_event_s > due_time(request):
             # Late by now: it takes no capacity from those that can be in time.
             request = replace(request, is_returning=True)
@@ -651,19 +648,11 @@
     def _refuse_work(self, work: _Work, reason: str, now: float) -> None:
         if work.request.request_id not in self._work_by_request:
             return
-        expected = self._forecast(work.request, work.graph, now)
+        retry_after_s = self._forecast(work.request, work.graph, now).retry_after_s
         self._end(work, now)
-        self._refuse(work.request, expected, reason, now)
+        self._refuse(work.request.request_id, reason, retry_after_s)
 
-    def _refuse(
-        self, request: PlacementRequest, expected: Forecast, reason: str, now: float
-    ) -> None:
-        request_id = request.request_id
-        route_name = request.route.name
-        self._return_times.note(route_name, True, now)
-        retry_after_s = self._return_times.retry_after_s(
-            route_name, expected.retry_after_s, now
-        )
+    def _refuse(self, request_id: str, reason: str, retry_after_s: float) -> None:
         logger.info(
             "refused: %s, come back in %.3f s",
             reason,
--- a/tests/lib/dispatch_world.py
+++ b/tests/lib/dispatch_world.py
@@ -63,7 +63,6 @@
         self.released = set()
         self.max_running_by_server = Counter()
         self._running = Counter()
-        self.on_refusal = lambda request_id, retry_after_s: None
         self._entries = entries
         self.at(TICK_S, self._tick)
 
@@ -114,11 +113,10 @@
                 case StageProgress(request_id, results):
                     known = self._progress_by_request.setdefault(request_id, {})
                     known[results.stage] = results
-                case PlacementRefusal(request_id, reason, retry_after_s):
+                case PlacementRefusal(request_id, reason, _):
                     assert request_id not in self.placed_at
                     self._open_by_request.pop(request_id, None)
                     self.refused_at[request_id] = (self.now, reason)
-                    self.on_refusal(request_id, retry_after_s)
 
     def _release(self, handles):
         self.released.update(handles)
