Share what forwarders and links do alike; accept no success without a signature

Two forwarders held the same three limits, the last answer and the filter of headers; accepted links repeated the stream of peer_link.py. The signature of a response was read and never looked at: a success without one is now taken as broken, and the new test fails without that. PlacementRequest.output_tokens was never read.

--- a/benchmarks/dispatch_load.py
+++ b/benchmarks/dispatch_load.py
@@ -111,7 +111,6 @@
         piece_key="key",
         prompt=(PromptPart(f"shared-{rng.randrange(8)}", 3_000),),
         prompt_tokens=6_000,
-        output_tokens=50,
         priority=facts["priority"],
         objective_at=now + facts["objective_s"],
         give_up_at=now + facts["patience_s"],
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -56,7 +56,6 @@
     piece_key: str
     prompt: tuple[PromptPart, ...]
     prompt_tokens: int
-    output_tokens: int
     priority: int
     objective_at: float
     give_up_at: float
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -78,7 +78,6 @@
             piece_key=record.piece_key,
             prompt=tuple(PromptPart(p.part_id, p.tokens) for p in record.prompt),
             prompt_tokens=record.prompt_tokens,
-            output_tokens=record.output_tokens,
             priority=record.priority,
             objective_at=now + record.objective_left_ms / _MS,
             give_up_at=now + record.give_up_left_ms / _MS,
@@ -105,7 +104,6 @@
                 for p in request.prompt
             ],
             prompt_tokens=request.prompt_tokens,
-            output_tokens=request.output_tokens,
             priority=request.priority,
             objective_left_ms=int((request.objective_at - now) * _MS),
             give_up_left_ms=int((request.give_up_at - now) * _MS),
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -12,6 +12,13 @@
 from galenadrum._internal.gateway.balancer import PlainBalancer
 from galenadrum._internal.gateway.dialect import Dialect, Forwarding, ReplyFacts
 from galenadrum._internal.gateway.retries import RetryBudgets
+from galenadrum._internal.gateway.sending import (
+    UNSENT_MARGIN_S,
+    check_signature,
+    connect,
+    forwarded_headers,
+    give_up,
+)
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
@@ -21,23 +28,17 @@
 from galenadrum._internal.network.http1.heads import (
     ResponseHead,
     encode_request,
-    end_to_end,
 )
 from galenadrum._internal.network.http1.server import Exchange
 from galenadrum._internal.observability.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
-_CONNECT_TIMEOUT_S = 0.4
-# A connection that was idle for longer may be closed by its server as the
-# request leaves; a request that may not be repeated would be lost with it.
-_MAX_IDLE_UNREPEATABLE_S = 0.5
 # A server without an answer for this many usual latencies is given up, if the
 # request may be repeated.
 _HANG_FACTOR = 4.0
 _MIN_HANG_S = 0.25
 _RETRY_AFTER_S = 0.3
-_UNSENT_MARGIN_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +77,7 @@
         failure = "no_server"
         while attempts.may_send:
             now = self._loop.time()
-            if now + _UNSENT_MARGIN_S >= context.deadline_at:
+            if now + UNSENT_MARGIN_S >= context.deadline_at:
                 failure = "deadline"
                 break
             entry = self._balancer.choose(context.service, attempts.excluded, now)
@@ -90,29 +91,20 @@
             if reply is not None and not self._is_retried(reply, attempts):
                 self._pass_on(exchange, context, reply, entry)
                 return
-        self._give_up(exchange, context, attempts, failure)
+        give_up(
+            self._answers,
+            exchange,
+            context,
+            attempts,
+            failure,
+            _RETRY_AFTER_S,
+            self._loop.time(),
+        )
 
     def _is_retried(self, reply: _Reply, attempts: Attempts) -> bool:
         """Return whether a failure of the server's own may be tried elsewhere."""
         return reply.head.status >= 500 and attempts.may_send
 
-    def _give_up(
-        self,
-        exchange: Exchange,
-        context: RequestContext,
-        attempts: Attempts,
-        failure: str,
-    ) -> None:
-        detail = f"servers={','.join(sorted(attempts.excluded))}"
-        if not attempts.may_have_run:
-            self._answers.refuse(
-                exchange, context.facts, failure, _RETRY_AFTER_S, detail
-            )
-            return
-        is_late = self._loop.time() >= context.deadline_at - _UNSENT_MARGIN_S
-        status = 504 if is_late else 502
-        self._answers.fail(exchange, context.facts, status, failure, detail)
-
     def _pass_on(
         self,
         exchange: Exchange,
@@ -133,12 +125,7 @@
         )
         if exchange.is_gone:
             return
-        headers = [
-            (name, value)
-            for name, value in end_to_end(reply.head.headers)
-            if name.lower() != b"content-length"
-        ]
-        exchange.respond(status, headers, reply.body)
+        exchange.respond(status, forwarded_headers(reply.head), reply.body)
 
     async def _attempt(
         self, context: RequestContext, entry: ServerEntry, attempts: Attempts
@@ -152,7 +139,10 @@
         self._balancer.started(server_id)
         started_at = self._loop.time()
         try:
-            connection = await self._connect(context, entry)
+            left_s = context.deadline_at - started_at
+            connection = await connect(
+                self._pool, entry.announcement.address, context, left_s
+            )
         except ConnectError as error:
             attempts.rejections += 1
             self._balancer.rejected(server_id, None, self._loop.time())
@@ -186,15 +176,6 @@
             raise
         return self._note_reply(context, entry, reply, attempts, started_at)
 
-    async def _connect(
-        self, context: RequestContext, entry: ServerEntry
-    ) -> BackendConnection:
-        max_idle_s = None if context.route.may_repeat else _MAX_IDLE_UNREPEATABLE_S
-        left_s = context.deadline_at - self._loop.time()
-        return await self._pool.get(
-            entry.announcement.address, min(_CONNECT_TIMEOUT_S, left_s), max_idle_s
-        )
-
     async def _exchange(
         self,
         context: RequestContext,
@@ -231,6 +212,7 @@
             body = await connection.read_body()
             facts = self._dialect.read_reply(head)
             if facts.request_id in ("", request_id):
+                check_signature(head, facts)
                 return _Reply(head, body, facts)
             # A late second answer to the request before.
             logger.info(
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -23,6 +23,13 @@
 from galenadrum._internal.gateway.event_stream import EventCutter
 from galenadrum._internal.gateway.placements import Placements
 from galenadrum._internal.gateway.retries import RetryBudgets
+from galenadrum._internal.gateway.sending import (
+    UNSENT_MARGIN_S,
+    check_signature,
+    connect,
+    forwarded_headers,
+    give_up,
+)
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
@@ -32,15 +39,12 @@
 from galenadrum._internal.network.http1.heads import (
     ResponseHead,
     encode_request,
-    end_to_end,
 )
 from galenadrum._internal.network.http1.server import Exchange
 from galenadrum._internal.observability.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
-_CONNECT_TIMEOUT_S = 0.4
-_MAX_IDLE_UNREPEATABLE_S = 0.5
 _RETRY_AFTER_S = 0.5
 # Callers leave a stream after the longest of these without an event.
 _MIN_PATIENCE_S = 2.0
@@ -49,7 +53,6 @@
 # An engine without a first event for this part of the caller's patience is given
 # up while another can still answer, if the request may be repeated.
 _HANG_SHARE = 0.4
-_UNSENT_MARGIN_S = 0.02
 
 
 class _End(Enum):
@@ -148,7 +151,7 @@
 
     def _may_go_on(self, stream: _Stream) -> bool:
         now = self._loop.time()
-        if now + _UNSENT_MARGIN_S >= stream.context.deadline_at:
+        if now + UNSENT_MARGIN_S >= stream.context.deadline_at:
             stream.reason = "deadline"
             return False
         if not stream.attempts.may_send:
@@ -168,7 +171,6 @@
             piece_key=facts.piece_key,
             prompt=facts.prompt,
             prompt_tokens=facts.prompt_tokens,
-            output_tokens=facts.expected_output_tokens or facts.output_tokens,
             priority=context.priority,
             objective_at=context.asked_at + context.route.objective_s,
             give_up_at=self._give_up_at(context),
@@ -198,31 +200,25 @@
         )
 
     def _give_up(self, stream: _Stream) -> None:
-        context = stream.context
-        detail = f"servers={','.join(sorted(stream.attempts.excluded))}"
-        reason = stream.reason or "broken"
-        if not stream.attempts.may_have_run:
-            self._answers.refuse(
-                stream.exchange, context.facts, reason, _RETRY_AFTER_S, detail
-            )
-            return
-        is_late = self._loop.time() >= context.deadline_at - _UNSENT_MARGIN_S
-        self._answers.fail(
-            stream.exchange, context.facts, 504 if is_late else 502, reason, detail
+        give_up(
+            self._answers,
+            stream.exchange,
+            stream.context,
+            stream.attempts,
+            stream.reason or "broken",
+            _RETRY_AFTER_S,
+            self._loop.time(),
         )
 
     async def _send(self, stream: _Stream, placement: Placement) -> _End:
         context = stream.context
         stream.attempts.excluded.add(placement.server_id)
-        max_idle_s = None if context.route.may_repeat else _MAX_IDLE_UNREPEATABLE_S
         left_s = context.deadline_at - self._loop.time()
-        if left_s <= _UNSENT_MARGIN_S:
+        if left_s <= UNSENT_MARGIN_S:
             stream.reason = "deadline"
             return _End.UNREACHABLE
         try:
-            connection = await self._pool.get(
-                placement.address, min(_CONNECT_TIMEOUT_S, left_s), max_idle_s
-            )
+            connection = await connect(self._pool, placement.address, context, left_s)
         except ConnectError as error:
             stream.reason = "unreachable"
             self._log(stream, "could not reach %s: %s", placement.server_id, error)
@@ -289,7 +285,7 @@
         route = context.route
         if route.may_repeat and stream.attempts.may_have_run + 1 < route.max_attempts:
             return min(give_up_at, now + _HANG_SHARE * self._patience_s(context))
-        return max(give_up_at, now + _UNSENT_MARGIN_S)
+        return max(give_up_at, now + UNSENT_MARGIN_S)
 
     async def _read_head(
         self, stream: _Stream, connection: BackendConnection
@@ -299,6 +295,7 @@
             head = await connection.read_head()
             facts = self._dialect.read_reply(head)
             if facts.request_id in ("", request_id):
+                check_signature(head, facts)
                 return head
             await connection.read_body()
             self._log(stream, "discarded an answer to %s", facts.request_id)
@@ -320,7 +317,7 @@
             stream.reason = "server_error"
             return _End.BROKEN
         if not stream.exchange.is_gone:
-            stream.exchange.respond(head.status, _forwarded(head), body)
+            stream.exchange.respond(head.status, forwarded_headers(head), body)
         return _End.DONE
 
     async def _pass_on(
@@ -360,16 +357,8 @@
         self._metrics.record_duration(
             "first_event_seconds", self._loop.time() - context.received_at
         )
-        stream.exchange.start(head.status, _forwarded(head))
+        stream.exchange.start(head.status, forwarded_headers(head))
 
     def _log(self, stream: _Stream, message: str, *args: object) -> None:
         request_id = stream.context.facts.request_id
         logger.info(message, *args, extra={"request_id": request_id})
-
-
-def _forwarded(head: ResponseHead) -> list[tuple[bytes, bytes]]:
-    return [
-        (name, value)
-        for name, value in end_to_end(head.headers)
-        if name.lower() != b"content-length"
-    ]
--- a/src/galenadrum/_internal/network/frame_link.py
+++ b/src/galenadrum/_internal/network/frame_link.py
@@ -14,7 +14,11 @@
 
 from grpclib.server import Stream as GrpcStream
 
-from galenadrum._internal.network.peer_link import LinkLostError, open_stream
+from galenadrum._internal.network.peer_link import (
+    LinkLostError,
+    ServerStream,
+    open_stream,
+)
 from galenadrum._internal.protocol.gateway_grpc import GatewayControlStub
 from galenadrum._internal.protocol.gateway_pb2 import (
     LinkFrame,
@@ -234,7 +238,7 @@
     """
 
     def __init__(self, stream: GrpcStream) -> None:
-        self._stream = stream
+        self._stream = ServerStream(stream)
         self._outbox = Outbox()
         self.peer = LinkHello()
 
@@ -244,31 +248,19 @@
 
     async def serve(self, deliver: Callable[[InboundLink, LinkMessage], None]) -> None:
         """Hand on messages until the other side ends or falls silent."""
-        writer = asyncio.ensure_future(self._outbox.write_to(self._send))
+        writer = asyncio.ensure_future(self._outbox.write_to(self._stream.send))
         reader = asyncio.ensure_future(self._read(deliver))
         try:
             await _run_until_first_ends([writer, reader])
         except (LinkLostError, TimeoutError) as error:
             logger.debug("inbound link of %s ended: %s", self.peer.host_id, error)
         finally:
-            # Ending the handler would leave a silent connection open.
-            self._stream._stream.connection.close()
-
-    async def _send(self, frame: LinkFrame) -> None:
-        try:
-            await self._stream.send_message(frame)
-        except Exception as error:
-            raise LinkLostError(repr(error)) from error
+            self._stream.close()
 
     async def _read(self, deliver: Callable[[InboundLink, LinkMessage], None]) -> None:
         while True:
             async with asyncio.timeout(SILENCE_S * _INBOUND_SILENCES):
-                try:
-                    frame = await self._stream.recv_message()
-                except TimeoutError:
-                    raise
-                except Exception as error:
-                    raise LinkLostError(repr(error)) from error
+                frame = await self._stream.receive()
             if frame is None:
                 raise LinkLostError("ended")
             for message in frame.messages:
--- a/src/galenadrum/_internal/network/peer_link.py
+++ b/src/galenadrum/_internal/network/peer_link.py
@@ -10,6 +10,7 @@
 import grpclib.client
 import grpclib.exceptions
 import grpclib.server
+import h2.exceptions
 
 from galenadrum._internal.exceptions import GalenadrumError
 from galenadrum._internal.utils.addresses import split_address
@@ -20,6 +21,8 @@
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.ProtocolError,
     grpclib.exceptions.StreamTerminatedError,
+    # A message for a stream that has just ended.
+    h2.exceptions.H2Error,
 )
 
 
--- a/tests/functional/routing/test_whole_path_of_routes.py
+++ b/tests/functional/routing/test_whole_path_of_routes.py
@@ -63,6 +63,16 @@
 
         play(tmp_path, steps, PLAIN)
 
+    def test_unsigned_success_is_nobodys_answer(self, tmp_path):
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.faults.add("unsigned")
+            _, status, _, body = await deployment.ask("/stock/x")
+            assert status == 502
+            assert b"answer to" not in body
+
+        play(tmp_path, steps, PLAIN)
+
     def test_unrepeatable_request_runs_once_and_gets_no_promise(self, tmp_path):
         async def steps(deployment):
             for engine in deployment.engines.values():
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -23,7 +23,7 @@
         ran: How often each request id ran.
         requests: Heads of the requests that ran, by id.
         faults: Behaviours that are switched on: ``reject``, ``reset``, ``hang``,
-            ``error``, ``extra``, ``cut``.
+            ``error``, ``extra``, ``cut``, ``unsigned``.
     """
 
     def __init__(self, server_id, service, address, zone, events=4, work_s=0.0):
@@ -83,11 +83,12 @@
 
     def _common(self, exchange):
         request_id = exchange.head.get(b"x-attempt-id") or b""
-        return [
+        headers = [
             (b"X-Attempt-Id", request_id),
             (b"X-Response-Signature", b"s." + request_id),
             (b"X-Instance-Load", b"1,0,4"),
         ]
+        return [h for h in headers if not ("unsigned" in self.faults and b"s." in h[1])]
 
     async def _run_request(self, exchange):
         head = exchange.head
--- a/tests/lib/routing_values.py
+++ b/tests/lib/routing_values.py
@@ -79,7 +79,6 @@
         "piece_key": "key",
         "prompt": (PromptPart("shared", 400), PromptPart(request_id, 100)),
         "prompt_tokens": 500,
-        "output_tokens": 50,
         "priority": 0,
         "objective_at": now + 1.0,
         "give_up_at": now + 4.0,
