--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -174,7 +174,7 @@
         expected = self._forecast(request, graph, now)
         if now + expected.first_event_s > last_start_time(request):
             self._release(graph.held_handles(), now)
-            self._refuse(request.request_id, expected.reason, expected.retry_after_s)
+            self._refuse(request, expected, expected.reason, now)
             return
         if request.is_resumed and now + expected.first_event_s > due_time(request):
             # Late by now: it takes no capacity from those that can be in time.
@@ -659,18 +659,26 @@
     def _refuse_work(self, work: _Work, reason: str, now: float) -> None:
         if work.request.request_id not in self._work_by_request:
             return
-        retry_after_s = self._forecast(work.request, work.graph, now).retry_after_s
+        expected = self._forecast(work.request, work.graph, now)
         self._end(work, now)
-        self._refuse(work.request.request_id, reason, retry_after_s)
+        self._refuse(work.request, expected, reason, now)
 
-    def _refuse(self, request_id: str, reason: str, retry_after_s: float) -> None:
+    def _refuse(
+        self, request: PlacementRequest, expected: Forecast, reason: str, now: float
+    ) -> None:
         logger.info(
-            "refused: %s, come back in %.3f s",
+            "refused: %s, come back in %.3f s (first event forecast in %.3f s, due in "
+            "%.3f s, pieces waiting: %d)",
             reason,
-            retry_after_s,
-            extra={"request_id": request_id},
+            expected.retry_after_s,
+            expected.first_event_s,
+            last_start_time(request) - now,
+            self.waiting_piece_count,
+            extra={"request_id": request.request_id},
+        )
+        self._actions.append(
+            PlacementRefusal(request.request_id, reason, expected.retry_after_s)
         )
-        self._actions.append(PlacementRefusal(request_id, reason, retry_after_s))
 
     def _end(self, work: _Work, now: float) -> None:
         if self._forget(work):
