Refuse at once what a lost dispatcher made far too late

Ruled out: detection (0.1 s), the loop's lag (0.000 s). Change: a request that a lost dispatcher had taken may be 0.6 s late; what would be later is refused at once, which frees its room, and its caller told when to come back.

--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -22,6 +22,8 @@
 _MAX_RETRY_AFTER_S = 5.0
 # Returning requests are due this long before their callers leave.
 _RETURN_MARGIN_S = 0.8
+# A detected loss and the calls that are lost with it cost about this much.
+_RESUMED_GRACE_S = 0.6
 # Without any server: about the time in which a lost one comes back.
 _RETRY_AFTER_NO_SERVER_S = 1.0
 
@@ -83,15 +85,6 @@
     return Forecast(total_s, reason, _retry_after_s(excess_s))
 
 
-def last_start_time(request: PlacementRequest) -> float:
-    """Return the loop time in seconds from which a first event comes too late.
-
-    What was taken once isn't refused for the time that a lost dispatcher cost it,
-    as long as its caller still waits.
-    """
-    return late_due_time(request) if request.is_resumed else due_time(request)
-
-
 def late_due_time(request: PlacementRequest) -> float:
     """Return the loop time in seconds by which a late first event must come."""
     return request.give_up_at - _RETURN_MARGIN_S
@@ -102,8 +95,12 @@
 
     A request that was refused before is late for its objective already. It is
     due just before its caller leaves, so that it takes no capacity from those
-    that can still be in time, and isn't refused twice.
+    that can still be in time, and isn't refused twice. What lost time with a lost
+    dispatcher may be a little late: its results hold room until it is done, so that
+    it is done soon or not at all.
     """
+    if request.is_resumed:
+        return min(request.objective_at + _RESUMED_GRACE_S, late_due_time(request))
     if request.is_returning:
         return max(request.objective_at, late_due_time(request))
     return min(request.objective_at, request.give_up_at)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -10,14 +10,13 @@
 import logging
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.dispatch.admission import (
     Forecast,
     due_time,
     forecast,
-    last_start_time,
     late_due_time,
 )
 from galenadrum._internal.dispatch.engine_pool import EngineDemand, EnginePool
@@ -172,13 +171,10 @@
         graph = StageGraph(request.route.stages, request.pieces)
         self._adopt(graph, request.results, now)
         expected = self._forecast(request, graph, now)
-        if now + expected.first_event_s > last_start_time(request):
+        if now + expected.first_event_s > due_time(request):
             self._release(graph.held_handles(), now)
             self._refuse(request, expected, expected.reason, now)
             return
-        if request.is_resumed and now + expected.first_event_s > due_time(request):
-            # Late by now: it takes no capacity from those that can be in time.
-            request = replace(request, is_returning=True)
         work = _Work(request, graph, now)
         self._work_by_request[request.request_id] = work
         stages = (s for s in range(len(graph.stages)) if not graph.is_made(s))
@@ -672,7 +668,7 @@
             reason,
             expected.retry_after_s,
             expected.first_event_s,
-            last_start_time(request) - now,
+            due_time(request) - now,
             self.waiting_piece_count,
             extra={"request_id": request.request_id},
         )
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -396,6 +396,19 @@
         assert len(played.placed_at) + len(played.refused_at) == count
         assert len(played.placed_at) >= 0.9 * count
 
+    def test_what_would_be_far_too_late_is_refused_and_frees_its_room(self):
+        played = self.chain_world()
+        for number in range(12):
+            played.submit_at(0.0, self.chain_request(f"r{number}", 0.0))
+        played.at(1.5, played.fail_over)
+        played.run(1.55)
+        assert played.refused_at
+        played.run(8.0)
+        refused_early = [at for at, _ in played.refused_at.values() if at < 1.6]
+        assert len(refused_early) == len(played.refused_at)
+        late = [at for at in played.placed_at.values() if at > 1.8 + 0.6 + 0.4]
+        assert not late
+
     def test_abandoned_request_leaves_its_results_to_another_dispatcher(self):
         played = world()
         played.submit_at(0.0, request("r1", pieces=(2,)))
