--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -398,16 +398,15 @@
 
     def test_what_would_be_far_too_late_is_refused_and_frees_its_room(self):
         played = self.chain_world()
+        times = {"objective_at": 1.8, "give_up_at": 9.0}
         for number in range(12):
-            played.submit_at(0.0, self.chain_request(f"r{number}", 0.0))
+            played.submit_at(0.0, request(f"r{number}", (1, 6, 10), 0, CHAIN, **times))
         played.at(1.5, played.fail_over)
-        played.run(1.55)
-        assert played.refused_at
-        played.run(8.0)
-        refused_early = [at for at, _ in played.refused_at.values() if at < 1.6]
-        assert len(refused_early) == len(played.refused_at)
-        late = [at for at in played.placed_at.values() if at > 1.8 + 0.6 + 0.4]
-        assert not late
+        played.run(9.0)
+        # Refused when it came in, or when the other dispatcher took over.
+        assert {at for at, _ in played.refused_at.values()} == {0.0, 1.5}
+        # The objective, 0.6 s that it may be late, less the way to the first event.
+        assert max(played.placed_at.values()) <= 1.8 + 0.6 - 0.1
 
     def test_abandoned_request_leaves_its_results_to_another_dispatcher(self):
         played = world()
