--- /dev/null
+++ b/tests/unit/gateway/test_placements.py
@@ -0,0 +1,115 @@
+"""Requests whose dispatcher is lost."""
+
+import asyncio
+
+from galenadrum._internal.dispatch.messages import (
+    PlacementOutcome,
+    StageProgress,
+    StageResults,
+)
+from galenadrum._internal.gateway.link_codec import encode_news
+from galenadrum._internal.gateway.placements import Placements
+from galenadrum._internal.protocol.gateway_pb2 import (
+    LinkHello,
+    LinkMessage,
+    Placement,
+)
+from lib.paused_loop import run_paused
+from lib.routing_values import request
+
+HANDLES = ("10.0.0.1:80/a", "10.0.0.1:80/b")
+
+
+class FakeLink:
+    """A link to a control host, without a network."""
+
+    def __init__(self, name, available_at=0.0):
+        self.peer = LinkHello(host_id=name, zone="a")
+        self.available_at = available_at
+        self.is_up = True
+        self.is_close = False
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def watch(self, is_close):
+        self.is_close = is_close
+
+    def placed(self):
+        return [m.place for m in self.sent if m.HasField("place")]
+
+
+class TestLostLink:
+    def play(self, steps, asked=None):
+        async def run():
+            links = [FakeLink("first"), FakeLink("second")]
+            placements = Placements(
+                "a", lambda: [x for x in links if x.is_up], None, lambda: 7, lambda: 8
+            )
+            now = asyncio.get_running_loop().time()
+            task = asyncio.ensure_future(
+                placements.place(asked or request(pieces=(2,), now=now))
+            )
+            await asyncio.sleep(0)
+            await steps(placements, links, task)
+
+        run_paused(run())
+
+    def tell_results(self, placements, link, ttl_s=3.0):
+        now = asyncio.get_running_loop().time()
+        news = StageProgress("r1", StageResults(0, HANDLES, now + ttl_s))
+        placements.take_message(link, encode_news(news, now))
+
+    def test_request_is_asked_for_anew_with_its_results(self):
+        async def steps(placements, links, task):
+            first, second = links
+            assert len(first.placed()) == 1
+            self.tell_results(placements, first)
+            await asyncio.sleep(1.0)
+            first.is_up = False
+            placements.link_lost(first)
+            (asked,) = second.placed()
+            assert asked.is_resumed
+            assert tuple(asked.results[0].handles) == HANDLES
+            assert 1_900 <= asked.results[0].left_ms <= 2_000
+
+        self.play(steps)
+
+    def test_dispatcher_is_watched_and_the_one_before_is_not(self):
+        async def steps(placements, links, task):
+            first, second = links
+            assert (first.is_close, second.is_close) == (True, False)
+            first.is_up = False
+            placements.link_lost(first)
+            assert (first.is_close, second.is_close) == (False, True)
+
+        self.play(steps)
+
+    def test_placed_request_is_not_asked_for_again(self):
+        async def steps(placements, links, task):
+            first, second = links
+            answer = Placement(request_id="r1", server_id="g-0", address="10.0.0.9:80")
+            placements.take_message(first, LinkMessage(placement=answer))
+            assert (await task).server_id == "g-0"
+            first.is_up = False
+            placements.link_lost(first)
+            assert not second.placed()
+            placements.report("r1", PlacementOutcome.FINISHED)
+
+        self.play(steps)
+
+    def test_answer_of_the_lost_dispatcher_does_not_count(self):
+        async def steps(placements, links, task):
+            first, second = links
+            first.is_up = False
+            placements.link_lost(first)
+            answer = Placement(request_id="r1", server_id="old", address="10.0.0.9:80")
+            placements.take_message(first, LinkMessage(placement=answer))
+            await asyncio.sleep(0)
+            assert not task.done()
+            answer = Placement(request_id="r1", server_id="new", address="10.0.0.9:80")
+            placements.take_message(second, LinkMessage(placement=answer))
+            assert (await task).server_id == "new"
+
+        self.play(steps)
