Log and count how an engine's stream ended

The entry host's line "streamed N events" said neither how the engine had framed its response, nor how the connection ended, nor whether bytes stood after the last event, so the three hypotheses of the incident could not be told apart.

Change: the line of a stream's end has all three, complete or failed, and galenadrum_stream_ends counts ends by framing and outcome. What counts as complete is unchanged.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -20,6 +20,11 @@
         self.last_event_id: bytes | None = None
         self.events = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Append bytes and return the events that are complete now; may be empty."""
         data = (
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -240,10 +240,11 @@
             stream.reason = "timeout" if isinstance(error, TimeoutError) else "broken"
             self._log(
                 stream,
-                "stream from server %s failed after %d events: %s",
+                "stream from server %s failed after %d events: %s (%s)",
                 placement.server_id,
                 stream.splitter.events,
                 str(error) or "timed out",
+                self._record_end(stream, connection, "failed"),
             )
             connection.close()
             return _AttemptResult.BROKEN
@@ -367,6 +368,7 @@
                 await exchange.send(complete)
             async with asyncio.timeout_at(context.deadline_at):
                 part = await connection.read_part()
+        end = self._record_end(stream, connection, "complete")
         remainder = stream.splitter.flush()
         self._start_response(stream, head)
         await exchange.send(remainder)
@@ -375,7 +377,22 @@
         self._metrics.increment("answers", route=context.route.name, status="200")
         self._metrics.record_duration("answer_seconds", elapsed_s)
         self._log(
-            stream, "streamed %d events in %.3f s", stream.splitter.events, elapsed_s
+            stream,
+            "streamed %d events in %.3f s (%s)",
+            stream.splitter.events,
+            elapsed_s,
+            end,
+        )
+
+    def _record_end(
+        self, stream: _Stream, connection: BackendConnection, outcome: str
+    ) -> str:
+        """Count the end of an engine's response and describe it for the log."""
+        framing = connection.framing.value if connection.framing else "no_head"
+        self._metrics.increment("stream_ends", framing=framing, outcome=outcome)
+        return (
+            f"framing {framing}, connection {connection.end}, "
+            f"{stream.splitter.buffered_bytes} bytes after the last event"
         )
 
     def _start_response(self, stream: _Stream, head: ResponseHead) -> None:
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -9,6 +9,7 @@
 import logging
 from collections import defaultdict, deque
 from collections.abc import Callable
+from enum import Enum
 
 import httptools
 
@@ -45,6 +46,14 @@
     """
 
 
+class Framing(Enum):
+    """How the end of a response body is marked (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 class BackendConnection(asyncio.Protocol):
     """Connection to a backend server.
 
@@ -71,6 +80,7 @@
         self._is_complete = False
         self._has_length = True
         self._error: str | None = None
+        self._end = "open"
         self._is_paused = False
         self._waiter: asyncio.Future[None] | None = None
         self._is_busy = False
@@ -80,7 +90,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
 
+    def eof_received(self) -> None:
+        self._end = "closed by the back end"
+
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None:
+            self._end = str(exc)
+        elif self._end == "open":
+            self._end = "closed by this host"
         if self._error is None:
             if exc is None and self._head is not None and not self._has_length:
                 self._is_complete = True
@@ -148,6 +165,22 @@
 
     # Public interface.
 
+    @property
+    def framing(self) -> Framing | None:
+        """Framing of the current response; None before its head is received."""
+        if self._head is None:
+            return None
+        if not self._has_length:
+            return Framing.CONNECTION
+        if self._head.get(b"transfer-encoding") is not None:
+            return Framing.CHUNKS
+        return Framing.LENGTH
+
+    @property
+    def end(self) -> str:
+        """How the connection ended, for logs; ``open`` while it has not."""
+        return self._end
+
     @property
     def is_usable(self) -> bool:
         """Whether another request may be sent on the connection."""
