--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -27,6 +27,26 @@
     asyncio.run(run())
 
 
+async def check_stream_is_incomplete(deployment):
+    """Check that a stream that engines cut doesn't reach the caller as complete."""
+    request_id = "00000000000000c1"
+    try:
+        _, status, _, _ = await deployment.send_request(
+            "/plan/x",
+            method=b"POST",
+            headers=PROMPT + STAGES,
+            body=b"{}",
+            request_id=request_id,
+        )
+    except BrokenResponseError:
+        return
+    # A complete response may only say that the request failed or did not run.
+    assert status in (502, 503)
+    if status == 503:
+        engines = deployment.engines.values()
+        assert not any(engine.run_count_by_request_id[request_id] for engine in engines)
+
+
 PLAIN_ENGINES = [("p1", "plain", "a"), ("p2", "plain", "b")]
 MODEL_ENGINES = [("e1", "enc", "a"), ("l1", "llm", "a"), ("l2", "llm", "b")]
 
@@ -188,24 +208,16 @@
         async def steps(deployment):
             for engine in deployment.engines.values():
                 engine.faults.add("cut")
-            request_id = "00000000000000c1"
-            try:
-                _, status, _, _ = await deployment.send_request(
-                    "/plan/x",
-                    method=b"POST",
-                    headers=PROMPT + STAGES,
-                    body=b"{}",
-                    request_id=request_id,
-                )
-            except BrokenResponseError:
-                return
-            # A complete response may only say that the request failed or did not run.
-            assert status in (502, 503)
-            if status == 503:
-                engines = deployment.engines.values()
-                assert not any(
-                    engine.run_count_by_request_id[request_id] for engine in engines
-                )
+            await check_stream_is_incomplete(deployment)
+
+        run_steps(tmp_path, steps, MODEL_ENGINES)
+
+    def test_unframed_stream_cut_inside_an_event_is_not_complete(self, tmp_path):
+        # The end of the connection was taken for the end of the stream.
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.faults |= {"unframed", "cut"}
+            await check_stream_is_incomplete(deployment)
 
         run_steps(tmp_path, steps, MODEL_ENGINES)
 
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 from collections import Counter
+from dataclasses import replace
 
 from galenadrum._internal.network.http1.client import ConnectionPool
 from galenadrum._internal.network.http1.heads import encode_request
@@ -28,7 +29,7 @@
         results: Handles of the stage results that are not released.
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
-            ``cut``, ``unsigned``.
+            ``cut``, ``unsigned``, ``unframed``.
         born: Start of its incarnation, in Unix milliseconds.
     """
 
@@ -129,12 +130,18 @@
             *self._common_headers(exchange),
             (b"Content-Type", b"text/event-stream"),
         ]
+        if "unframed" in self.faults:
+            # A response to HTTP/1.0 has neither a length nor chunks.
+            exchange.head = replace(exchange.head, is_http10=True)
         exchange.start(200, headers)
         first = int(exchange.head.get(b"last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
             if "cut" in self.faults and number == 3:
                 await exchange.send(b"id: 3\nda")
-                exchange.abort()
+                if "unframed" in self.faults:
+                    exchange.finish()
+                else:
+                    exchange.abort()
                 return
             await exchange.send(b"id: %d\ndata: piece %d\n\n" % (number, number))
             await asyncio.sleep(EVENT_INTERVAL_S)
