Discard the unfinished event of a broken stream before it is resumed

Callers of resumable streams got a response whose body was not their engine's: the bytes before the break and the same event of the next engine stood joined (MIXED).

Cause: the splitter keeps the bytes after the last complete event, and kept them when the response broke off; the next response was appended to them. A broken run's unfinished event outlived the run.

The test of resumed streams compared only lines that begin with "id:", and the joined line does not begin so. The new test compares the whole body and failed before: at index 50 "i" stood in place of "t".

Change: each response begins without the unfinished event of the one before.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -20,6 +20,13 @@
         self.last_event_id: bytes | None = None
         self.events = 0
 
+    def begin_response(self) -> None:
+        """Discard the incomplete event of an earlier response.
+
+        A response that continues a broken one sends that event again, whole.
+        """
+        self._buffer = b""
+
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes after the last complete event."""
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -258,6 +258,7 @@
         self, stream: _Stream, placement: Placement, connection: BackendConnection
     ) -> _AttemptResult:
         context = stream.context
+        stream.splitter.begin_response()
         connection.send(self._encode_request(stream, placement))
         first_event_at = self._first_event_deadline(stream)
         async with asyncio.timeout_at(first_event_at):
--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -12,6 +12,7 @@
     (b"X-Prefix-Hash", b"5c1e:800,91bd:100"),
 )
 ONE_PIECE = ((b"X-Chunks", b"1,1"), (b"X-Chunk-Key", b"k"))
+STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (i, i) for i in range(1, 5))
 STAGES = ((b"X-Chunks", b"2,3"), (b"X-Chunk-Key", b"key"))
 
 
@@ -204,6 +205,21 @@
 
         run_steps(tmp_path, steps, MODEL_ENGINES)
 
+    def test_resumed_stream_has_no_bytes_of_the_broken_run(self, tmp_path):
+        # The start of the event that broke off was joined to the same event, resumed.
+        async def steps(deployment):
+            cutting = deployment.engines["l1"]
+            cutting.faults.add("cut")
+            for _ in range(3):
+                _, status, _, body = await deployment.send_request(
+                    "/note/x", method=b"POST", headers=PROMPT, body=b"{}"
+                )
+                assert status == 200
+                assert body == STREAM
+            assert cutting.run_count_by_request_id
+
+        run_steps(tmp_path, steps, MODEL_ENGINES)
+
     def test_broken_stream_that_may_not_be_resumed_is_incomplete(self, tmp_path):
         async def steps(deployment):
             for engine in deployment.engines.values():
