Find event ends after any line end, and forward the bytes unchanged

Callers of a stream whose lines end with CR LF got other bytes than the engine sent (LF), and an event whose CR LF two reads divided only at the end of the stream.

Cause: the splitter replaced CR LF by LF in each read on its own; a CR at the end of a read stayed, so that no blank line was found.

Evidence: the new test, CR LF and CR divided at any place, failed before: "At index 5 diff: b'\\n' != b'\\r'".

Change: event ends are found in the bytes as they are.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import re
+
 _EVENT_END = b"\n\n"
+# Lines may also end with CR LF or CR (WHATWG HTML, section 9.2.5).
+_ANY_EVENT_END = re.compile(rb"(?>\r\n|\r|\n)(?>\r\n|\r|\n)")
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 # A single event larger than this is passed on in parts; no model sends one as large.
 _MAX_EVENT_BYTES = 256 * 1024
 
@@ -34,31 +39,42 @@
 
     def feed(self, data: bytes) -> bytes:
         """Append bytes and return the events that are complete now; may be empty."""
-        data = (
-            self._buffer + data.replace(b"\r\n", b"\n")
-            if b"\r" in data
-            else (self._buffer + data)
-        )
-        end = data.rfind(_EVENT_END)
-        if end < 0:
+        data = self._buffer + data
+        end, events = _find_events(data)
+        if not end:
             if len(data) > _MAX_EVENT_BYTES:
                 self._buffer = b""
                 return data
             self._buffer = data
             return b""
-        complete = data[: end + len(_EVENT_END)]
-        self._buffer = data[end + len(_EVENT_END) :]
-        self._record_events(complete)
+        complete, self._buffer = data[:end], data[end:]
+        self.events += events
+        event_id = _find_last_id(complete)
+        if event_id is not None:
+            self.last_event_id = event_id
         return complete
 
-    def _record_events(self, complete: bytes) -> None:
-        self.events += complete.count(_EVENT_END)
-        start = (b"\n" + complete).rfind(b"\nid:")
-        if start >= 0:
-            line_end = complete.find(b"\n", start)
-            self.last_event_id = complete[start + len(b"id:") : line_end].strip()
-
     def flush(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
         remainder, self._buffer = self._buffer, b""
         return remainder
+
+
+def _find_events(data: bytes) -> tuple[int, int]:
+    """Return the offset after the last complete event and the number of events."""
+    if b"\r" not in data:
+        end = data.rfind(_EVENT_END)
+        return (end + len(_EVENT_END), data.count(_EVENT_END)) if end >= 0 else (0, 0)
+    ends = [match.end() for match in _ANY_EVENT_END.finditer(data)]
+    return (ends[-1], len(ends)) if ends else (0, 0)
+
+
+def _find_last_id(events: bytes) -> bytes | None:
+    """Return the id of the last event that has one."""
+    if b"\r" in events:
+        ids = _ID_LINE.findall(events)
+        return ids[-1].strip() if ids else None
+    start = (b"\n" + events).rfind(b"\nid:")
+    if start < 0:
+        return None
+    return events[start + len(b"id:") : events.find(b"\n", start)].strip()
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -25,6 +25,19 @@
         splitter.feed(b"id: 7\ndata: the id: 9\n\n")
         assert splitter.last_event_id == b"7"
 
+    @given(st.sampled_from([b"\r\n", b"\r"]), st.lists(st.integers(0, 150), max_size=8))
+    def test_split_line_end_does_not_hold_events_back(self, line_end, cuts):
+        # A CR LF that two reads divided kept the event until the end of the stream.
+        stream = STREAM.replace(b"\n", line_end)
+        splitter = EventSplitter()
+        offsets = sorted({0, *cuts, len(stream)})
+        parts = [stream[a:b] for a, b in zip(offsets, offsets[1:], strict=False)]
+        output = b"".join(splitter.feed(part) for part in parts)
+        assert output.rstrip(b"\r\n") == stream.rstrip(b"\r\n")
+        assert output + splitter.flush() == stream
+        assert splitter.last_event_id == b"5"
+        assert splitter.events == 5
+
     @given(st.lists(st.integers(0, len(STREAM)), max_size=8))
     def test_any_split_gives_the_same_bytes(self, cuts):
         splitter = EventSplitter()
