Treat a stream that ends inside an event as broken off

Cause: a response with neither a length nor chunks ends with its connection. The connection's orderly end counted as the end of the response, also inside an event; the forwarder then passed the unfinished event on and framed the response as complete. Class: the end of a connection taken for the end of what it carries.

Change: where an event stream ends, whatever framed it, it must not stand inside an event. Otherwise it has been broken off: it is resumed where its route allows that, and aborted or answered with 502 where not. A response of another content type on such a route is passed on as before.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -7,6 +7,7 @@
 _EVENT_END = b"\n\n"
 # Lines may also end with CR LF or CR (WHATWG HTML, section 9.2.5).
 _ANY_EVENT_END = re.compile(rb"(?>\r\n|\r|\n)(?>\r\n|\r|\n)")
+_LINE_END = re.compile(rb"\r\n|\r|\n")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 # A single event larger than this is passed on in parts; no model sends one as large.
 _MAX_EVENT_BYTES = 256 * 1024
@@ -37,6 +38,19 @@
         """Number of bytes after the last complete event."""
         return len(self._buffer)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and isn't complete.
+
+        Blank lines and comments between events begin none.
+        """
+        if not self._buffer:
+            return False
+        *lines, unfinished_line = _LINE_END.split(self._buffer)
+        return bool(unfinished_line) or any(
+            line and not line.startswith(b":") for line in lines
+        )
+
     def feed(self, data: bytes) -> bytes:
         """Append bytes and return the events that are complete now; may be empty."""
         data = self._buffer + data
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -45,6 +45,7 @@
 
 logger = logging.getLogger(__name__)
 
+_EVENT_STREAM_TYPE = b"text/event-stream"
 _RETRY_AFTER_S = 0.5
 # Callers abandon a stream after the longest of these times without an event: a minimum,
 # a multiple of the route's objective and a multiple of its event gap objective.
@@ -358,7 +359,12 @@
         head: ResponseHead,
         part: bytes,
     ) -> None:
-        """Forward the body in complete events until the response ends."""
+        """Forward the body in complete events until the response ends.
+
+        Raises:
+            BrokenResponseError: The response ended before the end of an event, or as
+                for `BackendConnection.read_part`.
+        """
         context = stream.context
         exchange = stream.exchange
         self._placements.report(context.metadata.request_id, PlacementOutcome.STARTED)
@@ -369,6 +375,8 @@
                 await exchange.send(complete)
             async with asyncio.timeout_at(context.deadline_at):
                 part = await connection.read_part()
+        if stream.splitter.is_inside_event and _is_event_stream(head):
+            raise BrokenResponseError("the stream ended inside an event")
         end = self._record_end(stream, connection, "complete")
         remainder = stream.splitter.flush()
         self._start_response(stream, head)
@@ -409,3 +417,8 @@
     def _log(self, stream: _Stream, message: str, *args: object) -> None:
         request_id = stream.context.metadata.request_id
         logger.info(message, *args, extra={"request_id": request_id})
+
+
+def _is_event_stream(head: ResponseHead) -> bool:
+    content_type = head.get(b"content-type")
+    return content_type is None or content_type.lower().startswith(_EVENT_STREAM_TYPE)
--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -237,6 +237,32 @@
 
         run_steps(tmp_path, steps, MODEL_ENGINES)
 
+    def test_unframed_stream_that_ends_after_an_event_is_complete(self, tmp_path):
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.faults.add("unframed")
+            _, status, _, body = await deployment.send_request(
+                "/note/x", method=b"POST", headers=PROMPT, body=b"{}"
+            )
+            assert status == 200
+            assert body == STREAM
+
+        run_steps(tmp_path, steps, MODEL_ENGINES)
+
+    def test_unframed_stream_cut_inside_an_event_is_resumed(self, tmp_path):
+        async def steps(deployment):
+            cutting = deployment.engines["l1"]
+            cutting.faults |= {"unframed", "cut"}
+            for _ in range(3):
+                _, status, _, body = await deployment.send_request(
+                    "/note/x", method=b"POST", headers=PROMPT, body=b"{}"
+                )
+                assert status == 200
+                assert body == STREAM
+            assert cutting.run_count_by_request_id
+
+        run_steps(tmp_path, steps, MODEL_ENGINES)
+
     def test_engine_request_is_cancelled_when_caller_disconnects(self, tmp_path):
         async def steps(deployment):
             for server_id in ("l1", "l2"):
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -1,5 +1,6 @@
 """Splitting an event stream into complete events."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -25,6 +26,25 @@
         splitter.feed(b"id: 7\ndata: the id: 9\n\n")
         assert splitter.last_event_id == b"7"
 
+    @pytest.mark.parametrize(
+        ("data", "is_inside"),
+        [
+            (b"", False),
+            (b"id: 1\ndata: x\n\n", False),
+            (b"id: 1\ndata: x\n\n\n", False),
+            (b"id: 1\r\ndata: x\r\n\r\n", False),
+            (b"id: 1\ndata: x\n\n: keep-alive\n", False),
+            (b"id: 1\ndata: x\n", True),
+            (b"id: 1\ndata: x\n\nid", True),
+            (b"id: 1\r\ndata: x\r\n\r\nid: 2\r\n", True),
+            (b"id: 1\ndata: x\n\n: keep", True),
+        ],
+    )
+    def test_event_without_its_end_is_noticed(self, data, is_inside):
+        splitter = EventSplitter()
+        splitter.feed(data)
+        assert splitter.is_inside_event is is_inside
+
     @given(st.sampled_from([b"\r\n", b"\r"]), st.lists(st.integers(0, 150), max_size=8))
     def test_split_line_end_does_not_hold_events_back(self, line_end, cuts):
         # A CR LF that two reads divided kept the event until the end of the stream.
