Reset the connection of an unframed response that is not finished

Callers that speak HTTP/1.0 got a response that the entry host gave up, or whose host stopped, as a complete one: it ends with its connection, and the connection ended in an orderly way.

Cause: abort() closes the socket. Without chunks the end of the connection is the end of the body.

Evidence: TestResponsesOfUnknownLength failed before for HTTP/1.0, aborted and with a handler that fails ("DID NOT RAISE BrokenResponseError"); for HTTP/1.1 it passed.

Change: from its head until finish() such a response's socket is set to reset the connection on close, so that every other end, also that of the process, is a reset.

--- a/src/galenadrum/_internal/network/http1/server.py
+++ b/src/galenadrum/_internal/network/http1/server.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -29,6 +31,9 @@
 # Closing a socket with unread bytes resets the connection, and the caller may then
 # lose the last response. A rejected connection stays open for this long.
 _REJECTION_LINGER_S = 0.5
+# Values of SO_LINGER with which closing a socket resets its connection, and ends it.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,9 +104,14 @@
         self._finish()
 
     def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send the head of a response of unknown length."""
+        """Send the head of a response of unknown length.
+
+        A response to HTTP/1.0 ends with its connection. The connection is therefore
+        reset, unless `finish` is called, however it ends.
+        """
         if self.head.is_http10:
             self._keep_alive = False
+            self._connection.set_reset_on_close(True)
         else:
             self._is_chunked = True
             headers = [*headers, (b"Transfer-Encoding", b"chunked")]
@@ -125,6 +135,8 @@
         """End a response that `start` began."""
         if self._is_chunked:
             self._write(b"0\r\n\r\n")
+        else:
+            self._connection.set_reset_on_close(False)
         self._finish()
 
     def abort(self) -> None:
@@ -291,6 +303,14 @@
         if not self._is_lost:
             self._transport.write(data)
 
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Set whether the connection is reset when its socket is closed."""
+        if self._is_lost:
+            return
+        value = _RESET_ON_CLOSE if resets else _END_ON_CLOSE
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     async def wait_until_writable(self) -> None:
         if self._write_resumed is not None and not self._write_resumed.done():
             await asyncio.shield(self._write_resumed)
