Don't resume a stream that broke inside an event passed on in parts

Callers of a resumable stream with an event over 256 KiB got the part of that event before the break, and then the whole event of the next engine.

Cause: the splitter passes such an event on in parts and forgot that it stood inside it; the break looked like one between events. It also took the end inside such an event for a complete stream. Found by reading.

Evidence: the new functional test failed before: two runs where one is allowed. The platform's engines send no event as large; no caller of theirs has met it.

Change: the splitter remembers that an event is divided, and that what it has returned can't be continued; the stream is aborted.

Measured: the test and the splitter's own pass.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -19,12 +19,16 @@
     Attributes:
         last_event_id: Id of the last complete event with an id; None before any.
         events: Number of complete events so far.
+        may_continue: Whether a response of another server may go on after the bytes
+            returned so far.
     """
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._is_event_divided = False
         self.last_event_id: bytes | None = None
         self.events = 0
+        self.may_continue = True
 
     def begin_response(self) -> None:
         """Discard the incomplete event of an earlier response.
@@ -44,8 +48,8 @@
 
         Blank lines and comments between events begin none.
         """
-        if not self._buffer:
-            return False
+        if self._is_event_divided:
+            return True
         *lines, unfinished_line = _LINE_END.split(self._buffer)
         return bool(unfinished_line) or any(
             line and not line.startswith(b":") for line in lines
@@ -58,10 +62,13 @@
         if not end:
             if len(data) > _MAX_EVENT_BYTES:
                 self._buffer = b""
+                self._is_event_divided = True
+                self.may_continue = False
                 return data
             self._buffer = data
             return b""
         complete, self._buffer = data[:end], data[end:]
+        self._is_event_divided = False
         self.events += events
         event_id = _find_last_id(complete)
         if event_id is not None:
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -158,7 +158,7 @@
         if now + MIN_SEND_TIME_S >= stream.context.deadline_at:
             stream.reason = "deadline"
             return False
-        if not stream.attempts.may_send:
+        if not stream.attempts.may_send or not stream.splitter.may_continue:
             return False
         if not self._budgets.withdraw(stream.context.service):
             stream.reason = "retry_budget"
--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from galenadrum._internal.network.http1.client import BrokenResponseError
 from lib.routing_deployment import RoutingDeployment, configuration
 
@@ -263,6 +265,21 @@
 
         run_steps(tmp_path, steps, MODEL_ENGINES)
 
+    def test_stream_broken_inside_a_large_event_is_not_resumed(self, tmp_path):
+        # The part that the caller had got already was followed by the whole event.
+        async def steps(deployment):
+            for server_id in ("l1", "l2"):
+                deployment.engines[server_id].cut_event = b"data: " + b"x" * 300_000
+                deployment.engines[server_id].faults.add("cut")
+            with pytest.raises(BrokenResponseError):
+                await deployment.send_request(
+                    "/note/x", method=b"POST", headers=PROMPT, body=b"{}"
+                )
+            runs = [e.run_count_by_request_id for e in deployment.engines.values()]
+            assert sum(count.total() for count in runs) == 1
+
+        run_steps(tmp_path, steps, MODEL_ENGINES)
+
     def test_engine_request_is_cancelled_when_caller_disconnects(self, tmp_path):
         async def steps(deployment):
             for server_id in ("l1", "l2"):
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -30,6 +30,7 @@
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
             ``cut``, ``unsigned``, ``unframed``.
+        cut_event: Bytes that the fault ``cut`` sends in place of the third event.
         born: Start of its incarnation, in Unix milliseconds.
     """
 
@@ -49,6 +50,7 @@
         self.results = set()
         self.cancelled = []
         self.faults = set()
+        self.cut_event = b"id: 3\nda"
         self.state = "ready"
         self.born = 1_700_000_000_000
         self._sequence = itertools.count(1)
@@ -137,7 +139,7 @@
         first = int(exchange.head.get(b"last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
             if "cut" in self.faults and number == 3:
-                await exchange.send(b"id: 3\nda")
+                await exchange.send(self.cut_event)
                 if "unframed" in self.faults:
                     exchange.finish()
                 else:
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -45,6 +45,15 @@
         splitter.feed(data)
         assert splitter.is_inside_event is is_inside
 
+    def test_large_event_is_passed_on_in_parts_and_not_continued(self):
+        splitter = EventSplitter()
+        part = b"id: 1\ndata: " + b"x" * 300_000
+        assert splitter.feed(part) == part
+        assert splitter.is_inside_event
+        assert splitter.feed(b"x\n\n") == b"x\n\n"
+        assert not splitter.is_inside_event
+        assert not splitter.may_continue
+
     @given(st.sampled_from([b"\r\n", b"\r"]), st.lists(st.integers(0, 150), max_size=8))
     def test_split_line_end_does_not_hold_events_back(self, line_end, cuts):
         # A CR LF that two reads divided kept the event until the end of the stream.
