Don't resume a broken stream whose events have no ids

Callers of a resumable stream got its first events twice: without an id there is no place to go on from, and the next engine began anew behind them.

Cause: a break was resumed with no Last-Event-Id as if nothing had been passed on. The platform's events have ids; no caller of theirs has met it.

Evidence: the new functional test failed before: two runs where one is allowed.

Change: a stream is continued only before its first event or after an event with an id; else it is aborted.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -19,8 +19,6 @@
     Attributes:
         last_event_id: Id of the last complete event with an id; None before any.
         events: Number of complete events so far.
-        may_continue: Whether a response of another server may go on after the bytes
-            returned so far.
     """
 
     def __init__(self) -> None:
@@ -28,7 +26,7 @@
         self._is_event_divided = False
         self.last_event_id: bytes | None = None
         self.events = 0
-        self.may_continue = True
+        self._has_returned_part = False
 
     def begin_response(self) -> None:
         """Discard the incomplete event of an earlier response.
@@ -42,6 +40,16 @@
         """Number of bytes after the last complete event."""
         return len(self._buffer)
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether a response of another server may go on after what was returned.
+
+        It goes on after an event with a known id, or begins anew.
+        """
+        if self._has_returned_part:
+            return False
+        return self.events == 0 or self.last_event_id is not None
+
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun and isn't complete.
@@ -63,7 +71,7 @@
             if len(data) > _MAX_EVENT_BYTES:
                 self._buffer = b""
                 self._is_event_divided = True
-                self.may_continue = False
+                self._has_returned_part = True
                 return data
             self._buffer = data
             return b""
--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -280,6 +280,20 @@
 
         run_steps(tmp_path, steps, MODEL_ENGINES)
 
+    def test_broken_stream_without_event_ids_is_not_resumed(self, tmp_path):
+        # The next engine began anew, and the caller got the first events twice.
+        async def steps(deployment):
+            for server_id in ("l1", "l2"):
+                deployment.engines[server_id].faults |= {"anonymous", "cut"}
+            with pytest.raises(BrokenResponseError):
+                await deployment.send_request(
+                    "/note/x", method=b"POST", headers=PROMPT, body=b"{}"
+                )
+            runs = [e.run_count_by_request_id for e in deployment.engines.values()]
+            assert sum(count.total() for count in runs) == 1
+
+        run_steps(tmp_path, steps, MODEL_ENGINES)
+
     def test_engine_request_is_cancelled_when_caller_disconnects(self, tmp_path):
         async def steps(deployment):
             for server_id in ("l1", "l2"):
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -29,7 +29,7 @@
         results: Handles of the stage results that are not released.
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
-            ``cut``, ``unsigned``, ``unframed``.
+            ``cut``, ``unsigned``, ``unframed``, ``anonymous``.
         cut_event: Bytes that the fault ``cut`` sends in place of the third event.
         born: Start of its incarnation, in Unix milliseconds.
     """
@@ -145,7 +145,8 @@
                 else:
                     exchange.abort()
                 return
-            await exchange.send(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            event_id = b"" if "anonymous" in self.faults else b"id: %d\n" % number
+            await exchange.send(b"%sdata: piece %d\n\n" % (event_id, number))
             await asyncio.sleep(EVENT_INTERVAL_S)
         exchange.finish()
 
