Treat an unframed stream without any event as broken off

Callers got an empty complete 200 for a stream whose engine sent only its head and closed the connection, where the response had neither a length nor chunks.

A break before the first event leaves no unfinished event that would show it.

Evidence: the new functional test failed before: assert 200 in (502, 503).

Change: an unframed event stream must have had an event. A stream framed by a length or chunks may still be empty.

Measured: the test and its neighbours pass.

--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -35,6 +35,7 @@
     BrokenResponseError,
     ConnectError,
     ConnectionPool,
+    Framing,
 )
 from galenadrum._internal.network.http1.heads import (
     ResponseHead,
@@ -362,11 +363,12 @@
         """Forward the body in complete events until the response ends.
 
         Raises:
-            BrokenResponseError: The response ended before the end of an event, or as
-                for `BackendConnection.read_part`.
+            BrokenResponseError: The stream was broken off, or as for
+                `BackendConnection.read_part`.
         """
         context = stream.context
         exchange = stream.exchange
+        events_before = stream.splitter.events
         self._placements.report(context.metadata.request_id, PlacementOutcome.STARTED)
         while part:
             complete = stream.splitter.feed(part)
@@ -375,8 +377,8 @@
                 await exchange.send(complete)
             async with asyncio.timeout_at(context.deadline_at):
                 part = await connection.read_part()
-        if stream.splitter.is_inside_event and _is_event_stream(head):
-            raise BrokenResponseError("the stream ended inside an event")
+        if _is_event_stream(head):
+            _check_end(stream.splitter, connection, events_before)
         end = self._record_end(stream, connection, "complete")
         remainder = stream.splitter.flush()
         self._start_response(stream, head)
@@ -422,3 +424,22 @@
 def _is_event_stream(head: ResponseHead) -> bool:
     content_type = head.get(b"content-type")
     return content_type is None or content_type.lower().startswith(_EVENT_STREAM_TYPE)
+
+
+def _check_end(
+    splitter: EventSplitter, connection: BackendConnection, events_before: int
+) -> None:
+    """Check that a stream ended where a complete one may end.
+
+    Args:
+        splitter: Splitter that got the whole response.
+        connection: Connection of the response.
+        events_before: Number of events of the responses before this one.
+
+    Raises:
+        BrokenResponseError: The stream was broken off.
+    """
+    if splitter.is_inside_event:
+        raise BrokenResponseError("the stream ended inside an event")
+    if connection.framing is Framing.CONNECTION and splitter.events == events_before:
+        raise BrokenResponseError("the connection ended before the first event")
--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -251,6 +251,16 @@
 
         run_steps(tmp_path, steps, MODEL_ENGINES)
 
+    def test_unframed_stream_without_any_event_is_not_complete(self, tmp_path):
+        # The head alone, and the end of the connection, made an empty stream.
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.cut_number, engine.cut_event = 1, b""
+                engine.faults |= {"unframed", "cut"}
+            await check_stream_is_incomplete(deployment)
+
+        run_steps(tmp_path, steps, MODEL_ENGINES)
+
     def test_unframed_stream_cut_inside_an_event_is_resumed(self, tmp_path):
         async def steps(deployment):
             cutting = deployment.engines["l1"]
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -30,7 +30,8 @@
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
             ``cut``, ``unsigned``, ``unframed``, ``anonymous``.
-        cut_event: Bytes that the fault ``cut`` sends in place of the third event.
+        cut_number: Number of the event that the fault ``cut`` cuts.
+        cut_event: Bytes that it sends in place of that event.
         born: Start of its incarnation, in Unix milliseconds.
     """
 
@@ -50,6 +51,7 @@
         self.results = set()
         self.cancelled = []
         self.faults = set()
+        self.cut_number = 3
         self.cut_event = b"id: 3\nda"
         self.state = "ready"
         self.born = 1_700_000_000_000
@@ -138,7 +140,7 @@
         exchange.start(200, headers)
         first = int(exchange.head.get(b"last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
-            if "cut" in self.faults and number == 3:
+            if "cut" in self.faults and number == self.cut_number:
                 await exchange.send(self.cut_event)
                 if "unframed" in self.faults:
                     exchange.finish()
