Count a stage reply that is no HTTP as an attempt of unknown outcome

Callers lost their request where a backend server sent a reply without a valid status line: the exception ended the request's worker, the attempt had no outcome, and no other server was tried.

Cause: http.client reports such replies with exceptions of its own, which the stage client didn't catch, so that the error of the server's side was lost on its way to the caller's.

Evidence: the new case "no HTTP" failed before: http.client.BadStatusLine. The case of an unframed reply cut short passed.

Change: the exception counts as any other invalid reply: the outcome is unknown.

--- a/src/galenadrum/_internal/network/stage_client.py
+++ b/src/galenadrum/_internal/network/stage_client.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from dataclasses import dataclass, replace
+from http.client import HTTPException
 from typing import Any
 
 from urllib3.connection import HTTPConnection
@@ -146,7 +147,14 @@
             output = self._exchange_messages(
                 exchange, dispatch, payload, traceparent, on_delta
             )
-        except (AttemptError, OSError, HTTPError, ValueError) as error:
+        except (
+            AttemptError,
+            OSError,
+            HTTPError,
+            # Raised for a reply without a valid status line or head.
+            HTTPException,
+            ValueError,
+        ) as error:
             failure = _as_attempt_error(error, exchange)
             if failure.outcome is Outcome.UNKNOWN and exchange.first_byte_s is None:
                 stale = connected.reused
--- a/tests/functional/test_stage_client.py
+++ b/tests/functional/test_stage_client.py
@@ -115,9 +115,19 @@
             encode_reply(attempt="2"),
             encode_reply(length=50),
             encode_reply(body=b'{"output": '),
+            encode_reply(body=b'{"output": ').replace(b"Content-Length", b"X-Length"),
             b"",
+            b"not HTTP\r\n\r\n",
+        ],
+        ids=[
+            "other request",
+            "other attempt",
+            "cut short",
+            "no JSON",
+            "unframed and cut short",
+            "closed",
+            "no HTTP",
         ],
-        ids=["other request", "other attempt", "cut short", "no JSON", "closed"],
     )
     def test_invalid_reply_or_one_to_another_call_has_unknown_outcome(self, wire):
         with scripted_server(wire) as address:
