Count a stream event without a delta as an attempt of unknown outcome

Callers lost their request where a backend server's stream had an event with neither a delta nor the end of the stream: a KeyError ended the request's worker, and the attempt had no outcome.

Cause: the reader took each event but "done" for one with a delta. An error that the server's side tells in the stream was lost on its way to the caller's.

Evidence: the new case failed before: KeyError: 'delta'.

Change: such an event ends the attempt with an unknown outcome and a detail.

--- a/src/galenadrum/_internal/network/stage_replies.py
+++ b/src/galenadrum/_internal/network/stage_replies.py
@@ -160,6 +160,11 @@
                 exchange.cached_tokens = _parse_count(data.get("cached_tokens"))
                 _read_to_end(response, exchange)
                 return "".join(deltas)
+            if "delta" not in data:
+                raise AttemptError(
+                    Outcome.UNKNOWN,
+                    f"the stream has an event {name!r} without a delta",
+                )
             _process_delta(str(data["delta"]), deltas, digest, on_delta)
         _check_caller_connected(exchange)
     raise AttemptError(Outcome.UNKNOWN, "the stream ended before its last event")
--- a/tests/functional/test_stage_client.py
+++ b/tests/functional/test_stage_client.py
@@ -78,6 +78,14 @@
     return head.encode() + body
 
 
+def encode_stream(*events):
+    """Return an unframed event stream."""
+    reply = encode_reply(body=b"".join(events))
+    return reply.replace(
+        b"Content-Length", b"Content-Type: text/event-stream\r\nX-Length"
+    )
+
+
 class TestStageClient:
     def test_returns_the_output_of_the_stage(self):
         with backend() as server:
@@ -116,6 +124,7 @@
             encode_reply(length=50),
             encode_reply(body=b'{"output": '),
             encode_reply(body=b'{"output": ').replace(b"Content-Length", b"X-Length"),
+            encode_stream(b'event: other\ndata: {"x": 1}\n\n'),
             b"",
             b"not HTTP\r\n\r\n",
         ],
@@ -125,6 +134,7 @@
             "cut short",
             "no JSON",
             "unframed and cut short",
+            "event without a delta",
             "closed",
             "no HTTP",
         ],
