Tell a refusal to the forwarding zone after its stream began

Operators could not see in a trace why a stage call that another zone had taken failed after its first output: "the stream ended before its last event".

Cause: the entry host that ran the call ended its stream without a word; the refusal was lost between the two hosts.

Change: the stream ends with an error event, as callers' streams do, and the detail of the attempt names it. The outcome stays unknown: output was sent before. An older forwarding host takes the event for a failed attempt, as any other without a delta.

--- a/src/galenadrum/_internal/entry/caller_app.py
+++ b/src/galenadrum/_internal/entry/caller_app.py
@@ -29,7 +29,7 @@
 from galenadrum._internal.models.requests import Refusal
 from galenadrum._internal.models.settings import CallerLimits
 from galenadrum._internal.network.http_server import SOCKET_KEY
-from galenadrum._internal.network.stage_protocol import EVENT_STREAM
+from galenadrum._internal.network.stage_protocol import ERROR_EVENT, EVENT_STREAM
 
 PIPELINES_PREFIX = "/v1/pipelines/"
 
@@ -72,7 +72,7 @@
         """Send a refusal as the response, or as the last event of the stream."""
         if self.write is None:
             return send_refusal(self.start_response, refusal, self.request_id)
-        self._send_event(build_refusal_body(refusal, self.request_id), "error")
+        self._send_event(build_refusal_body(refusal, self.request_id), ERROR_EVENT)
         return ()
 
     def _send_event(self, data: dict[str, Any], name: str | None = None) -> None:
--- a/src/galenadrum/_internal/entry/forwarded_stages_app.py
+++ b/src/galenadrum/_internal/entry/forwarded_stages_app.py
@@ -43,6 +43,7 @@
 from galenadrum._internal.network.stage_protocol import (
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
+    ERROR_EVENT,
     EVENT_STREAM,
     ONCE_HEADER,
     ORGANISATION_HEADER,
@@ -118,12 +119,12 @@
         return ()
 
     def refuse(self, refusal: Refusal) -> Iterable[bytes]:
-        """Send a refusal with its run state.
+        """Send a refusal with its run state, or as the last event of the stream.
 
-        A started event stream instead ends without its digest, which marks the
-        output as incomplete.
+        The stream then has no digest, which marks the output as incomplete.
         """
         if self.write is not None:
+            self.write(encode_event(build_refusal_body(refusal, ""), ERROR_EVENT))
             return ()
         headers = [
             *self.echoed_headers,
--- a/src/galenadrum/_internal/network/stage_protocol.py
+++ b/src/galenadrum/_internal/network/stage_protocol.py
@@ -18,6 +18,7 @@
 ONCE_HEADER = "Galenadrum-Once"
 STAGES_PREFIX = "/v1/stages/"
 EVENT_STREAM = "text/event-stream"
+ERROR_EVENT = "error"
 
 
 def parse_event(event: bytes) -> tuple[str, dict[str, Any]]:
--- a/src/galenadrum/_internal/network/stage_replies.py
+++ b/src/galenadrum/_internal/network/stage_replies.py
@@ -16,6 +16,7 @@
 from galenadrum._internal.models.requests import Outcome
 from galenadrum._internal.network.sockets import is_closed_by_peer
 from galenadrum._internal.network.stage_protocol import (
+    ERROR_EVENT,
     EVENT_STREAM,
     NOT_RUN,
     RUN_HEADER,
@@ -160,6 +161,8 @@
                 exchange.cached_tokens = _parse_count(data.get("cached_tokens"))
                 _read_to_end(response, exchange)
                 return "".join(deltas)
+            if name == ERROR_EVENT:
+                raise _build_stream_error(data)
             if "delta" not in data:
                 raise AttemptError(
                     Outcome.UNKNOWN,
@@ -170,6 +173,18 @@
     raise AttemptError(Outcome.UNKNOWN, "the stream ended before its last event")
 
 
+def _build_stream_error(data: dict[str, Any]) -> AttemptError:
+    """Return the error that a server told in its stream.
+
+    Output was sent before it, so the call may have run whatever the error says.
+    """
+    error = data.get("error")
+    message = error.get("message") if isinstance(error, dict) else None
+    return AttemptError(
+        Outcome.UNKNOWN, f"the server ended the stream with an error: {message}"
+    )
+
+
 def _process_delta(
     delta: str,
     deltas: list[str],
--- a/tests/functional/test_zones.py
+++ b/tests/functional/test_zones.py
@@ -68,6 +68,25 @@
         assert response.data.count(b"data:") > 3
         assert b"event: done" in response.data
 
+    def test_failure_of_a_begun_stream_is_told_to_the_other_zone(self, deployment):
+        # The stream ended without a word, and the reason was lost between the zones.
+        deployment.start_backend(
+            "truncate-0",
+            ["generate"],
+            ["zone-2-entry-1"],
+            zone="zone-2",
+            truncate_every=1,
+        )
+        deployment.processes["generate-0"].stop()
+        trace_path = deployment.folder / "zone-1-entry-1.traces"
+
+        def is_reason_recorded():
+            deployment.call("zone-1-entry-1", "plan", "a b c d e f", stream=True)
+            text = trace_path.read_text() if trace_path.exists() else ""
+            return "the server ended the stream with an error" in text
+
+        wait_until(is_reason_recorded, "reason of the failure in the trace")
+
     def test_claimed_request_runs_once_in_the_other_zone(self, deployment):
         headers = {"Idempotency-Key": "seat-1"}
         response = call_until_successful(deployment, "book", "seat", headers=headers)
