--- a/src/galenadrum/_internal/network/engine_client.py
+++ b/src/galenadrum/_internal/network/engine_client.py
@@ -7,7 +7,6 @@
 
 import json
 import socket
-import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,6 +21,7 @@
 )
 from galenadrum._internal.exceptions import GalenadrumError
 from galenadrum._internal.network.deadline_socket import DeadlineSocket
+from galenadrum._internal.network.sockets import set_reset_on_close
 from galenadrum._internal.network.write_guard import guarded_write
 from galenadrum._internal.utils.addresses import split_address
 
@@ -29,7 +29,6 @@
 MODELS_PATH = "/v1/models"
 FENCING_HEADER = "Galenadrum-Fencing"
 _MAX_RESPONSE_BYTES = 256 * 1024
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _ACCEPTED_STATUSES = frozenset((200, 202))
 _REFUSED_STATUSES = frozenset((409, 429, 503))
 _INVALID_STATUSES = frozenset((400, 404, 422))
@@ -164,7 +163,7 @@
 ) -> None:
     """Close a connection; after a failed exchange, discard undelivered data."""
     if not is_complete and connection.sock is not None:
-        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        set_reset_on_close(connection.sock, True)
     connection.close()
 
 
--- a/src/galenadrum/_internal/network/http1/server.py
+++ b/src/galenadrum/_internal/network/http1/server.py
@@ -8,8 +8,6 @@
 
 import asyncio
 import logging
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -20,6 +18,7 @@
     RequestHead,
     encode_response,
 )
+from galenadrum._internal.network.sockets import set_reset_on_close
 from galenadrum._internal.utils.addresses import split_address
 
 logger = logging.getLogger(__name__)
@@ -31,9 +30,6 @@
 # Closing a socket with unread bytes resets the connection, and the caller may then
 # lose the last response. A rejected connection stays open for this long.
 _REJECTION_LINGER_S = 0.5
-# Values of SO_LINGER with which closing a socket resets its connection, and ends it.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -305,11 +301,8 @@
 
     def set_reset_on_close(self, resets: bool) -> None:
         """Set whether the connection is reset when its socket is closed."""
-        if self._is_lost:
-            return
-        value = _RESET_ON_CLOSE if resets else _END_ON_CLOSE
-        sock = self._transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+        if not self._is_lost:
+            set_reset_on_close(self._transport.get_extra_info("socket"), resets)
 
     async def wait_until_writable(self) -> None:
         if self._write_resumed is not None and not self._write_resumed.done():
