Break off streams in the fault soak

Change: two model engines, callers of a route whose streams may be resumed and of one whose streams may not, and faults that cut a stream inside an event, take its framing away, or both. A complete stream must have exactly its engine's bytes, and a stream that may not be resumed runs once.

--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -52,8 +52,33 @@
     "engine_reset",
     "engine_hang",
     "engine_reject",
+    "engine_cut",
+    "engine_unframed",
+    "engine_cut_unframed",
     "silence",
 )
+NON_REPEATABLE_PATHS = (b"/confirm", b"/draft")
+STREAM_HEADERS = (
+    (b"X-Model", b"m"),
+    (b"X-Token-Usage", b"900,20"),
+    (b"X-Prefix-Hash", b"5c1e:800,91bd:100"),
+)
+
+
+def is_stream(path):
+    return path.startswith(("/note", "/draft"))
+
+
+def build_event(number):
+    """Return an event of the fake engines' streams."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def build_draft_route(document):
+    """Return a route like ``note`` whose streams may not be resumed."""
+    note = next(route for route in document["Routes"] if route["Name"] == "note")
+    changes = {"Name": "draft", "PathPrefix": "/draft/", "StreamResume": False}
+    return {**note, **changes}
 
 
 class Host:
@@ -145,6 +170,10 @@
             FakePlatformEngine(f"p{i}", "plain", f"{network}.{30 + i}:8080", ZONES[i])
             for i in range(3)
         ]
+        self.model_engines = [
+            FakePlatformEngine(f"l{i}", "llm", f"{network}.{40 + i}:8080", ZONES[i])
+            for i in range(2)
+        ]
         self.caller = PlatformClient()
         self.broken = []
         self.statuses = Counter()
@@ -165,7 +194,7 @@
     async def _run(self):
         for host in (*self.controls, *self.entries):
             host.start()
-        for engine in self.engines:
+        for engine in self._all_engines():
             await engine.start()
         tasks = [asyncio.ensure_future(t) for t in self._background_tasks()]
         try:
@@ -182,19 +211,29 @@
         self._check_engines()
 
     def _background_tasks(self):
-        yield from (self._announce_repeatedly(engine) for engine in self.engines)
+        yield from (self._announce_repeatedly(e) for e in self._all_engines())
         yield self._replace_configurations()
         yield self._poll_configuration()
         yield from (
-            self._send_requests(entry, kind) for entry in self.entries for kind in "sc"
+            self._send_requests(entry, path, method)
+            for entry in self.entries
+            for path, method in (
+                ("/stock/x", b"GET"),
+                ("/confirm/x", b"POST"),
+                ("/note/x", b"POST"),
+                ("/draft/x", b"POST"),
+            )
         )
 
+    def _all_engines(self):
+        return [*self.engines, *self.model_engines]
+
     def _stop_hosts(self):
         for host in (*self.controls, *self.entries):
             host.signal(signal.SIGCONT)
             host.signal(signal.SIGKILL)
             host.process.wait()
-        for engine in self.engines:
+        for engine in self._all_engines():
             engine.stop()
 
     async def _announce_repeatedly(self, engine):
@@ -216,6 +255,7 @@
             document = configuration(
                 self._version, Tenants=[{"Name": "t1", "ApiKeys": keys}]
             )
+            document["Routes"].append(build_draft_route(document))
             while not await self._is_accepted(document):
                 await asyncio.sleep(0.1)
             before = self.accepted[0]
@@ -259,9 +299,8 @@
             )
         return document if status == 200 else None
 
-    async def _send_requests(self, entry, kind):
+    async def _send_requests(self, entry, path, method):
         """Send requests one after the other, on persistent connections."""
-        path, method = ("/stock/x", b"GET") if kind == "s" else ("/confirm/x", b"POST")
         while True:
             key = self.rng.choice(["k1", f"old-{self.accepted[0]}", "old-1"])
             request_id = f"{self.rng.getrandbits(60):016x}"
@@ -284,11 +323,16 @@
                 method=method,
                 deadline_ms=1_500,
                 timeout_s=2.0,
+                headers=STREAM_HEADERS if is_stream(path) else (),
             )
         except (GalenadrumError, TimeoutError) as error:
             return type(error).__name__
         if status == 200:
-            is_complete = body == b"answer to " + request_id.encode()
+            expected = b"answer to " + request_id.encode()
+            if is_stream(path):
+                events = range(1, self.model_engines[0].events + 1)
+                expected = b"".join(map(build_event, events))
+            is_complete = body == expected
             is_signed = headers.get(b"x-response-signature") == b"s." + (
                 request_id.encode()
             )
@@ -311,11 +355,17 @@
             self._relay.silence()
             return
         if fault.startswith("engine_"):
-            engine = self.rng.choice(self.engines)
-            name = fault.removeprefix("engine_")
-            engine.faults.add(name)
+            names = set(fault.removeprefix("engine_").split("_"))
+            engine = self.rng.choice(
+                self.model_engines
+                if names & {"cut", "unframed"}
+                else self._all_engines()
+            )
+            if "cut" in names:
+                self._draw_cut(engine)
+            engine.faults |= names
             await asyncio.sleep(self.rng.uniform(0.3, 2.0))
-            engine.faults.discard(name)
+            engine.faults -= names
             return
         host = self.rng.choice([*self.controls, *self.entries])
         if fault == "pause":
@@ -327,6 +377,12 @@
         else:
             await self._restart(host, fault)
 
+    def _draw_cut(self, engine):
+        """Choose where an engine breaks off its streams, inside an event."""
+        engine.cut_number = self.rng.randint(1, engine.events)
+        event = build_event(engine.cut_number)
+        engine.cut_event = event[: self.rng.randint(1, len(event) - 1)]
+
     async def _restart(self, host, fault):
         # At most one disk is lost at a time, so that a majority of disks remains.
         if fault == "wipe":
@@ -378,14 +434,14 @@
 
     def _check_engines(self):
         ran = Counter()
-        for engine in self.engines:
+        for engine in self._all_engines():
             ran.update(engine.run_count_by_request_id)
             for request_id, head in engine.head_by_request_id.items():
                 self._check_request(request_id, head)
         for request_id in self._refused_request_ids & set(ran):
             is_non_idempotent = any(
-                e.head_by_request_id[request_id].target.startswith(b"/confirm")
-                for e in self.engines
+                e.head_by_request_id[request_id].target.startswith(NON_REPEATABLE_PATHS)
+                for e in self._all_engines()
                 if request_id in e.head_by_request_id
             )
             if is_non_idempotent:
@@ -393,9 +449,9 @@
 
     def _check_request(self, request_id, head):
         run_count = sum(
-            engine.run_count_by_request_id[request_id] for engine in self.engines
+            engine.run_count_by_request_id[request_id] for engine in self._all_engines()
         )
-        if head.target.startswith(b"/confirm") and run_count > 1:
+        if head.target.startswith(NON_REPEATABLE_PATHS) and run_count > 1:
             self.broken.append(f"{request_id} ran {run_count} times")
         revoked_at = self._revoked_at_by_key.get(
             self._key_by_request_id.get(request_id)
