--- a/tests/functional/routing/test_fault_soak.py
+++ b/tests/functional/routing/test_fault_soak.py
@@ -8,8 +8,7 @@
 
 
 class TestFaultSoak:
-    # Seed 20: resumed streams held bytes of the broken run. Seed 22: streams cut inside
-    # an event were framed as complete.
+    # Seeds 20 and 22 failed on streams that engines broke off.
     @pytest.mark.parametrize("seed", [1, 2, 20, 22])
     def test_faults_violate_no_guarantee(self, seed):
         soak = run_seed(seed, DURATION_S)
