Check whether a server whose response broke off has crashed, and log the prompts

The logs couldn't tell a request that crashes engines from engines that end for reasons of their own: they named no part of a prompt, and an answer broken off by a server that stays looked like a crash.

The connection stays in the pool. No request is handled differently.

--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -14,6 +14,7 @@
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.gateway.balancer import PlainBalancer
 from galenadrum._internal.gateway.control_links import ControlLinks
+from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect
 from galenadrum._internal.gateway.error_responder import ErrorResponder
 from galenadrum._internal.gateway.lease import ConfigurationLease
@@ -123,13 +124,23 @@
         dialect, pool, metrics = self._dialect, self._pool, self.metrics
         zone = self._settings.zone
         answers = ErrorResponder(dialect, metrics, rng)
+        crashes = CrashDetector(
+            pool, self.servers.registry.get, lambda crash: None, metrics
+        )
         return RequestHandler(
             dialect,
             self.in_force,
             self.lease,
             PlainForwarder(dialect, pool, self.balancer, budgets, answers, metrics),
             StreamForwarder(
-                dialect, pool, self.placements, budgets, answers, metrics, zone
+                dialect,
+                pool,
+                self.placements,
+                budgets,
+                crashes,
+                answers,
+                metrics,
+                zone,
             ),
             answers,
             rng,
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -18,6 +18,7 @@
     PlacementRequest,
 )
 from galenadrum._internal.gateway.attempts import Attempts, RequestContext
+from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect, ForwardingFields
 from galenadrum._internal.gateway.error_responder import ErrorResponder
 from galenadrum._internal.gateway.event_stream import EventSplitter
@@ -56,6 +57,9 @@
 # An engine that sends no first event within this share of the caller's timeout counts
 # as hung, if the request may be sent again; another engine can still respond in time.
 _HANG_TIMEOUT_SHARE = 0.4
+# A response that lasts longer than this after its first event has begun well: what
+# comes later is not due to the beginning of its generation.
+_MIN_SURVIVAL_S = 0.3
 
 
 class _AttemptResult(Enum):
@@ -77,12 +81,18 @@
 
 @dataclass(slots=True)
 class _Stream:
-    """Stream of one request over all its attempts."""
+    """Stream of one request over all its attempts.
+
+    Attributes:
+        first_event_at: Loop time in seconds of the first event of the current attempt;
+            None before it.
+    """
 
     exchange: Exchange
     context: RequestContext
     attempts: Attempts
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    first_event_at: float | None = None
     has_sent_head: bool = False
     reason: str = ""
 
@@ -96,6 +106,7 @@
         pool: ConnectionPool,
         placements: PlacementClient,
         budgets: RetryBudgets,
+        crashes: CrashDetector,
         answers: ErrorResponder,
         metrics: Metrics,
         zone: str,
@@ -105,6 +116,7 @@
         self._pool = pool
         self._placements = placements
         self._budgets = budgets
+        self._crashes = crashes
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -249,6 +261,8 @@
                 self._record_end(stream, connection, "failed"),
             )
             connection.close()
+            if isinstance(error, BrokenResponseError):
+                self._record_break(stream, placement)
             return _AttemptResult.BROKEN
         except BaseException:
             # Also when the caller is gone: closing makes the engine cancel the request.
@@ -256,11 +270,23 @@
             raise
         return result
 
+    def _record_break(self, stream: _Stream, placement: Placement) -> None:
+        now = self._loop.time()
+        if (
+            stream.first_event_at is None
+            or now - stream.first_event_at < _MIN_SURVIVAL_S
+        ):
+            prompt = stream.context.metadata.prompt
+            self._crashes.record_break(
+                placement.server_id, tuple(part.part_id for part in prompt)
+            )
+
     async def _exchange(
         self, stream: _Stream, placement: Placement, connection: BackendConnection
     ) -> _AttemptResult:
         context = stream.context
         stream.splitter.begin_response()
+        stream.first_event_at = None
         connection.send(self._encode_request(stream, placement))
         first_event_at = self._first_event_deadline(stream)
         async with asyncio.timeout_at(first_event_at):
@@ -369,6 +395,8 @@
         context = stream.context
         exchange = stream.exchange
         events_before = stream.splitter.events
+        if part:
+            stream.first_event_at = self._loop.time()
         self._placements.report(context.metadata.request_id, PlacementOutcome.STARTED)
         while part:
             complete = stream.splitter.feed(part)
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -39,6 +39,10 @@
     """Raised when connecting fails; no part of the request was sent."""
 
 
+class ConnectionRefusedByServerError(ConnectError):
+    """Raised when the host of a backend server answers that nothing listens there."""
+
+
 class BrokenResponseError(BackendError):
     """Raised when a response is invalid or incomplete.
 
@@ -349,6 +353,8 @@
                 _, connection = await loop.create_connection(
                     lambda: BackendConnection(address), host, port
                 )
+        except ConnectionRefusedError as error:
+            raise ConnectionRefusedByServerError(f"{address}: {error}") from error
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"{address}: {error or 'timed out'}") from error
         if self._on_connected is not None:
@@ -377,8 +383,18 @@
     def put(self, connection: BackendConnection) -> None:
         """Return a connection to the pool after its response was read completely."""
         connection.finish()
-        if not connection.is_usable:
-            return
+        if connection.is_usable:
+            self._keep(connection)
+
+    async def open_idle(self, address: str, timeout_s: float) -> None:
+        """Open a connection and keep it idle for a later request.
+
+        Raises:
+            ConnectError: As for `get`.
+        """
+        self._keep(await self._connect(address, timeout_s))
+
+    def _keep(self, connection: BackendConnection) -> None:
         idle = self._idle_by_address[connection.address]
         idle.append(connection)
         if len(idle) > _MAX_IDLE_PER_ADDRESS:
