--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -33,6 +33,8 @@
         cut_number: Number of the event that the fault ``cut`` cuts.
         cut_event: Bytes that it sends in place of that event.
         born: Start of its incarnation, in Unix milliseconds.
+        lethal_parts: Prompt parts that crash the engine when it begins to answer them.
+        has_crashed: Whether such a part has crashed it.
     """
 
     def __init__(self, server_id, service, address, zone, events=4, work_s=0.0):
@@ -55,6 +57,8 @@
         self.cut_event = b"id: 3\nda"
         self.state = "ready"
         self.born = 1_700_000_000_000
+        self.lethal_parts = set()
+        self.has_crashed = False
         self._sequence = itertools.count(1)
         self._handles = itertools.count(1)
         self._server = Http1Server(address, self._handle, lambda: LIMITS, server_id)
@@ -67,6 +71,10 @@
         for connection in list(self._server.connections):
             connection.abort()
 
+    def crash(self):
+        self.has_crashed = True
+        self.stop()
+
     def build_heartbeat(self):
         return {
             "Service": self.service,
@@ -138,6 +146,11 @@
             # A response to HTTP/1.0 has neither a length nor chunks.
             exchange.head = replace(exchange.head, is_http10=True)
         exchange.start(200, headers)
+        prompt = (exchange.head.get(b"x-prefix-hash") or b"").split(b",")
+        if self.lethal_parts & {part.split(b":")[0] for part in prompt}:
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            self.crash()
+            return
         first = int(exchange.head.get(b"last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
             if "cut" in self.faults and number == self.cut_number:
--- a/tests/lib/routing_deployment.py
+++ b/tests/lib/routing_deployment.py
@@ -184,7 +184,7 @@
         return engine
 
     async def _announce_repeatedly(self, engine):
-        while True:
+        while not engine.has_crashed:
             for address in self.api_address_by_zone.values():
                 try:
                     if await self.caller.send_heartbeat(address, engine) == 200:
