Quarantine a prompt part that crashes engine after engine

Cause: a query of death. A part of the prompt crashes each engine that begins to answer it; nothing connected the end of an engine with the prompts that it was about to answer, so each new request and each repeat with that part was placed at the next engine. Class: a failure that is charged to the servers alone, while the request causes it.

Change: entry hosts report crashed servers (their connections are refused) with the prompts that had not well begun to the dispatcher. It names a part after three incidents, five if requests with it have succeeded before; a success clears a part, servers lost together count once. The part's requests are then refused on all hosts, at once, with the time until the quarantine ends; quarantines travel on the hosts' links, relayed and merged in any order, and are told to each host that links up.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -38,6 +38,7 @@
 from galenadrum._internal.network.metrics_page import create_metrics_server
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
+from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.supervision.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -86,12 +87,16 @@
         self.configurations = Configurations(lambda: self.log_runner.log, self.state)
         self._availability = Availability(self._loop.time())
         self._pool = ConnectionPool()
+        self.quarantine = PartQuarantine(
+            settings.host_id, lambda record: self.links.send_quarantine(record)
+        )
         self.dispatch = DispatchDriver(
             dialect,
             self._pool,
             lambda: list(self.registry),
             self._get_services,
             self.metrics,
+            self.quarantine,
         )
         self.links = LinkService(
             self._build_hello,
@@ -101,6 +106,7 @@
             self.configurations,
             self.dispatch,
             lambda: self._route_table,
+            self.quarantine,
         )
         self.api = RoutingApi(
             dialect.decode_configuration,
@@ -158,6 +164,7 @@
         supervisor.add("dispatch", self.dispatch.run)
         supervisor.add("directory", self._run_maintenance)
         self.metrics.register_gauge("version", lambda: self.state.version)
+        self.metrics.register_gauge("quarantined_parts", lambda: len(self.quarantine))
         self.metrics.register_gauge("placed", lambda: self.dispatch.request_count)
         return supervisor
 
@@ -225,6 +232,8 @@
                 self.registry.renew(
                     record.server_ids, self._loop.time(), record.age_ms / 1_000
                 )
+            elif body == "quarantine":
+                self.links.receive_quarantine(message.quarantine)
         finally:
             self._is_handling_link_message = False
 
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -23,12 +23,17 @@
 )
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
+    decode_crash,
+    decode_quarantine,
     encode_placement_update,
+    encode_quarantine,
     encode_server_entry,
 )
+from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.network.host_link import InboundLink
 from galenadrum._internal.protocol import gateway_pb2 as pb
 from galenadrum._internal.protocol.gateway_grpc import GatewayControlBase
+from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 
 logger = logging.getLogger(__name__)
 
@@ -40,7 +45,7 @@
     """Serves links of entry hosts and of other control hosts.
 
     Links carry the configuration, the server directory, confirmations of the newest
-    configuration version, and placements.
+    configuration version, placements, and quarantined prompt parts.
 
     Args:
         hello: Returns the hello message that describes this host.
@@ -51,6 +56,7 @@
         dispatch: Places requests on backend servers.
         table: Returns the route table of the current configuration; None if there
             is no configuration yet.
+        quarantine: Quarantined prompt parts that this host knows.
     """
 
     def __init__(
@@ -62,6 +68,7 @@
         configurations: Configurations,
         dispatch: DispatchDriver,
         table: Callable[[], RouteTable | None],
+        quarantine: PartQuarantine,
     ) -> None:
         self._hello = hello
         self._members = members
@@ -70,6 +77,7 @@
         self._configurations = configurations
         self._dispatch = dispatch
         self._get_route_table = table
+        self._quarantine = quarantine
         self._loop = asyncio.get_running_loop()
         self._links: set[InboundLink] = set()
         self._request_ids_by_link: dict[InboundLink, set[str]] = {}
@@ -116,6 +124,23 @@
             if is_direct or not link.peer.is_control:
                 link.send(message)
 
+    def send_quarantine(self, record: QuarantinedPart) -> None:
+        """Send a quarantined prompt part to all linked hosts."""
+        self._broadcast(encode_quarantine(record, self._loop.time()))
+        logger.info(
+            "sent the quarantine of prompt part %s (term %d) to hosts %s",
+            record.part_id,
+            record.term,
+            ",".join(sorted(link.peer.host_id for link in self._links)) or "none",
+        )
+
+    def receive_quarantine(self, message: pb.PartQuarantine) -> None:
+        """Merge a quarantine of another host, and relay it if it is new here."""
+        now = self._loop.time()
+        record = decode_quarantine(message, now)
+        if self._quarantine.merge(record, now):
+            self.send_quarantine(record)
+
     def send_hello(self) -> None:
         """Send an updated hello message on all links."""
         self._broadcast(pb.LinkMessage(hello=self._hello()))
@@ -166,6 +191,10 @@
             self._handle_placement_request(link, message.place)
         elif body == "report":
             self._handle_placement_report(link, message.report)
+        elif body == "crash":
+            self._dispatch.record_crash(decode_crash(message.crash))
+        elif body == "quarantine":
+            self.receive_quarantine(message.quarantine)
         else:
             logger.warning(
                 "unexpected message %s from host %s", body, link.peer.host_id
@@ -189,6 +218,8 @@
         now = self._loop.time()
         for entry in self._registry:
             link.send(encode_server_entry(entry, now))
+        for record in self._quarantine.list_records(now):
+            link.send(encode_quarantine(record, now))
 
     def _remove_link(self, link: InboundLink) -> None:
         if link in self._links:
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -25,6 +25,7 @@
 )
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 from galenadrum._internal.gateway.dialect import Dialect
+from galenadrum._internal.models.quarantine import ServerCrash
 from galenadrum._internal.models.routing import Service
 from galenadrum._internal.network.http1.client import (
     BackendError,
@@ -33,6 +34,8 @@
     ConnectionPool,
 )
 from galenadrum._internal.observability.metrics import Metrics
+from galenadrum._internal.quarantine.attribution import CrashAttribution
+from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +55,7 @@
         servers: Callable that returns all known servers, for a new dispatcher.
         services: Callable that returns the services of the active configuration.
         metrics: Counters and durations of calls and placements.
+        quarantine: Prompt parts whose requests are refused.
     """
 
     def __init__(
@@ -61,12 +65,15 @@
         servers: Callable[[], list[ServerEntry]],
         services: Callable[[], Mapping[str, Service]],
         metrics: Metrics,
+        quarantine: PartQuarantine,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
         self._servers = servers
         self._services = services
         self._metrics = metrics
+        self._quarantine = quarantine
+        self._attribution = CrashAttribution()
         self._dispatchers_by_zone: dict[str, ZoneDispatcher] = {}
         self._replies_by_request: dict[str, tuple[ZoneDispatcher, Reply]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -121,12 +128,32 @@
             del self._replies_by_request[request_id]
         self._execute_actions(dispatcher)
 
+    def record_crash(self, crash: ServerCrash) -> None:
+        """Record a crashed server; quarantine the part that caused it, if certain."""
+        now = self._loop.time()
+        for dispatcher in self._dispatchers_by_zone.values():
+            dispatcher.record_crash(crash.server_id, now)
+        named = self._attribution.record_crash(crash, now)
+        self._metrics.increment("server_crashes")
+        if named is None:
+            return
+        logger.warning(
+            "servers %s crashed as they began to answer prompt part %s; its requests "
+            "are refused",
+            ",".join(named.server_ids),
+            named.part_id,
+        )
+        record = self._quarantine.impose(named, now)
+        self._metrics.increment(
+            "quarantines", part=record.part_id, term=str(record.term)
+        )
+
     def abandon(self, request_ids: list[str]) -> None:
         """Drop requests whose host is unreachable."""
         for request_id in request_ids:
             registered = self._replies_by_request.pop(request_id, None)
             if registered is not None:
-                registered[0].abandon(request_id)
+                registered[0].abandon(request_id, self._loop.time())
                 self._execute_actions(registered[0])
 
     async def run(self) -> None:
@@ -144,7 +171,7 @@
     def _get_or_create_dispatcher(self, zone: str) -> ZoneDispatcher:
         dispatcher = self._dispatchers_by_zone.get(zone)
         if dispatcher is None:
-            dispatcher = ZoneDispatcher(zone)
+            dispatcher = ZoneDispatcher(zone, self._quarantine, self._attribution)
             dispatcher.configure(self._services())
             for entry in self._servers():
                 dispatcher.put_server(entry)
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -11,6 +11,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from galenadrum._internal.dispatch.messages import PromptPart
@@ -96,7 +97,7 @@
         uncached_tokens: Uncached tokens of its prompt.
         placed_at: Loop time in seconds.
         queued_tokens: Pending prefill of the engine when the request was placed.
-        has_started: Whether its first event was seen.
+        started_at: Loop time in seconds of its first event; None before it.
     """
 
     request_id: str
@@ -104,7 +105,7 @@
     uncached_tokens: int
     placed_at: float
     queued_tokens: int
-    has_started: bool = False
+    started_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -141,15 +142,15 @@
         self.runs_by_request[run.request_id] = run
         self.pending_prefill_tokens += run.uncached_tokens
 
-    def start_run(self, run: Run) -> None:
+    def start_run(self, run: Run, now: float) -> None:
         """Mark a request as started and its prefill as done."""
-        run.has_started = True
+        run.started_at = now
         self.pending_prefill_tokens -= run.uncached_tokens
 
     def remove_run(self, request_id: str) -> None:
         """Remove a request and the prefill that it has pending."""
         run = self.runs_by_request.pop(request_id, None)
-        if run is not None and not run.has_started:
+        if run is not None and run.started_at is None:
             self.pending_prefill_tokens -= run.uncached_tokens
 
     def current_slowness(self, now: float) -> float:
@@ -284,9 +285,9 @@
         """Record the first event of a request and update the estimates."""
         engine = self.engines_by_id.get(server_id)
         run = engine.runs_by_request.get(request_id) if engine else None
-        if run is None or run.has_started:
+        if run is None or run.started_at is not None:
             return
-        engine.start_run(run)
+        engine.start_run(run, now)
         engine.consecutive_failures = 0
         self._update_estimates(engine, run, now)
 
@@ -322,3 +323,13 @@
             pause_s = _INITIAL_BACKOFF_S * 2**engine.consecutive_failures
             engine.paused_until = now + min(pause_s, _MAX_BACKOFF_S)
             engine.consecutive_failures += 1
+
+    def find_run(self, server_id: str, request_id: str) -> Run | None:
+        """Return a request's run at an engine, None if there is none."""
+        engine = self.engines_by_id.get(server_id)
+        return engine.runs_by_request.get(request_id) if engine else None
+
+    def list_runs(self) -> Iterator[Run]:
+        """Yield the runs at all engines."""
+        for engine in self.engines_by_id.values():
+            yield from engine.runs_by_request.values()
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -70,6 +70,11 @@
     is_resumed: bool = False
     results: tuple[StageResults, ...] = ()
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts, in order."""
+        return tuple(part.part_id for part in self.prompt)
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -11,7 +11,7 @@
 import logging
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.dispatch.admission import (
@@ -43,7 +43,10 @@
     WaitingPiece,
 )
 from galenadrum._internal.exceptions import InvariantError
+from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.models.routing import Service
+from galenadrum._internal.quarantine.attribution import CrashAttribution
+from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +62,8 @@
 # Releases are batched over this interval: a call to a server costs half a millisecond
 # of CPU time, and each request releases results at five servers.
 _RELEASE_INTERVAL_S = 0.06
+# A response that lasts longer than this after its first event clears its prompt.
+_MIN_SURVIVAL_S = 0.3
 
 
 @dataclass(slots=True)
@@ -90,10 +95,20 @@
 
     Args:
         zone: Zone whose servers it owns; empty if it owns all zones.
+        quarantine: Prompt parts whose requests it refuses.
+        attribution: Attributes crashes of engines to prompt parts.
     """
 
-    def __init__(self, zone: str) -> None:
+    def __init__(
+        self,
+        zone: str,
+        quarantine: PartQuarantine | None = None,
+        attribution: CrashAttribution | None = None,
+    ) -> None:
         self.zone = zone
+        self._quarantine = quarantine or PartQuarantine()
+        self._quarantine_revision = self._quarantine.revision
+        self._attribution = attribution or CrashAttribution()
         self._services_by_name: Mapping[str, Service] = {}
         self._stage_pools_by_service: dict[str, StagePool] = {}
         self._engine_pools_by_service: dict[str, EnginePool] = {}
@@ -171,10 +186,19 @@
         return pool
 
     def submit(self, request: PlacementRequest, now: float) -> None:
-        """Admit a request, or refuse it if its forecast misses its due time."""
+        """Admit a request, or refuse it.
+
+        It is refused if its forecast misses its due time or its prompt has a
+        quarantined part.
+        """
         graph = StageGraph(request.route.stages, request.pieces)
         self._restore_results(graph, request.results, now)
         expected = self._forecast(request, graph, now)
+        bar = self._quarantine.find_bar(request.part_ids, now)
+        if bar is not None:
+            self._release_results(graph.unreleased_handles(), now)
+            self._refuse(request, self._barred(expected, bar, now), "quarantined", now)
+            return
         if now + expected.first_event_s > due_time(request):
             self._release_results(graph.unreleased_handles(), now)
             self._refuse(request, expected, expected.reason, now)
@@ -226,7 +250,7 @@
             now,
         )
 
-    def abandon(self, request_id: str) -> None:
+    def abandon(self, request_id: str, now: float) -> None:
         """Drop a request whose host is unreachable.
 
         Its results are not released but remain until they expire: the host may have
@@ -234,6 +258,7 @@
         """
         active = self._active_by_request.get(request_id)
         if active is not None:
+            self._quarantine.fail_tests(request_id, now)
             self._remove_request(active)
 
     def report(
@@ -244,6 +269,7 @@
         if active is None:
             return
         pool = self._engine_pools_by_service.get(active.request.service)
+        self._record_prompt_outcome(active, pool, server_id, outcome, now)
         if outcome is PlacementOutcome.STARTED:
             if pool is not None:
                 pool.record_start(server_id, request_id, now)
@@ -259,6 +285,36 @@
             self._retry_placement(active, pool, server_id, outcome, now)
         self._place_ready_requests(now)
 
+    def _record_prompt_outcome(
+        self,
+        active: _ActiveRequest,
+        pool: EnginePool | None,
+        server_id: str,
+        outcome: PlacementOutcome,
+        now: float,
+    ) -> None:
+        """Clear a prompt whose response succeeded, or end the tests of its parts."""
+        request = active.request
+        run = pool.find_run(server_id, request.request_id) if pool else None
+        has_started = run is not None and run.started_at is not None
+        if outcome is PlacementOutcome.FINISHED and has_started:
+            self._attribution.record_success(request.part_ids)
+            self._quarantine.acquit(request.part_ids, now)
+        elif outcome in (PlacementOutcome.FAILED, PlacementOutcome.CANCELLED):
+            self._quarantine.fail_tests(request.request_id, now)
+        elif outcome is not PlacementOutcome.STARTED:
+            self._quarantine.cancel_tests(request.request_id)
+
+    def record_crash(self, server_id: str, now: float) -> None:
+        """Record that a server crashed, and clear the prompts that run elsewhere."""
+        for pool in self._engine_pools_by_service.values():
+            for run in pool.list_runs():
+                if run.started_at is not None and (
+                    now - run.started_at >= _MIN_SURVIVAL_S
+                ):
+                    part_ids = tuple(part.part_id for part in run.prompt)
+                    self._attribution.record_success(part_ids)
+
     def _retry_placement(
         self,
         active: _ActiveRequest,
@@ -441,6 +497,9 @@
 
         Callers must call it at intervals of about 50 ms or less.
         """
+        if self._quarantine_revision != self._quarantine.revision:
+            self._quarantine_revision = self._quarantine.revision
+            self._refuse_quarantined(now)
         for pool in self._stage_pools_by_service.values():
             for call in pool.mark_overdue_calls(now):
                 self._requeue_overdue(pool, call, now)
@@ -474,6 +533,26 @@
             if now + _REFUSAL_MARGIN_S >= active.request.give_up_at:
                 self._end_with_refusal(active, "deadline", now)
 
+    def _refuse_quarantined(self, now: float) -> None:
+        """Refuse unplaced requests whose prompts have a quarantined part."""
+        for active in list(self._active_by_request.values()):
+            if not active.server_id:
+                self._refuse_if_barred(active, now)
+
+    def _refuse_if_barred(self, active: _ActiveRequest, now: float) -> bool:
+        bar = self._quarantine.find_bar(active.request.part_ids, now)
+        if bar is None:
+            return False
+        expected = self._forecast(active.request, active.graph, now)
+        self._end_request(active, now)
+        refusal = self._barred(expected, bar, now)
+        self._refuse(active.request, refusal, "quarantined", now)
+        return True
+
+    def _barred(self, expected: Forecast, bar: QuarantinedPart, now: float) -> Forecast:
+        """Return a forecast with the time until a quarantine ends as retry delay."""
+        return replace(expected, retry_after_s=self._quarantine.retry_after_s(bar, now))
+
     def collect_actions(self) -> tuple[Action, ...]:
         """Return and clear the pending actions, in order."""
         actions = tuple(self._actions)
@@ -610,7 +689,10 @@
         )
 
     def _place_ready_requests(self, now: float) -> None:
-        """Place requests whose stages are complete, the most urgent first."""
+        """Place requests whose stages are complete, the most urgent first.
+
+        Requests with a part that was quarantined meanwhile are refused.
+        """
         if not self._unplaced_ids:
             return
         ready = [
@@ -630,6 +712,8 @@
         pool = self._engine_pools_by_service.get(request.service)
         if pool is None:
             return False
+        if self._refuse_if_barred(active, now):
+            return True
         zone, input_bytes = self._locate_inputs(
             active, active.graph.final_handles(), active.graph.final_stages()
         )
@@ -638,6 +722,7 @@
         if engine is None:
             return False
         pool.place(engine, request.request_id, demand, now)
+        self._quarantine.begin_tests(request.part_ids, request.request_id, now)
         active.server_id = engine.announcement.server_id
         logger.info(
             "placed at %s after %.3f s (objective in %.3f s, stages completed: %s)",
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -18,6 +18,10 @@
 from galenadrum._internal.gateway.dialect import Dialect
 from galenadrum._internal.gateway.error_responder import ErrorResponder
 from galenadrum._internal.gateway.lease import ConfigurationLease
+from galenadrum._internal.gateway.link_codec import (
+    decode_quarantine,
+    encode_quarantine,
+)
 from galenadrum._internal.gateway.placement_client import PlacementClient
 from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
 from galenadrum._internal.gateway.request_handler import (
@@ -27,6 +31,7 @@
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.gateway.server_directory import ServerDirectory
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
+from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.models.routing_settings import GatewaySettings
 from galenadrum._internal.network.host_link import HostLink
 from galenadrum._internal.network.http1.client import ConnectionPool
@@ -38,6 +43,7 @@
 from galenadrum._internal.network.metrics_page import create_metrics_server
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
+from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.supervision.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -82,12 +88,16 @@
         self._pool = ConnectionPool(
             lambda _: self.metrics.increment("connections_opened")
         )
+        self.quarantine = PartQuarantine(
+            settings.host_id, self._handle_quarantine_change
+        )
         self.dispatch = DispatchDriver(
             dialect,
             self._pool,
             lambda: list(self.servers.registry),
             self._services_by_name,
             self.metrics,
+            self.quarantine,
         )
         self.links = ControlLinks(
             self._build_hello,
@@ -125,7 +135,10 @@
         zone = self._settings.zone
         answers = ErrorResponder(dialect, metrics, rng)
         crashes = CrashDetector(
-            pool, self.servers.registry.get, lambda crash: None, metrics
+            pool,
+            self.servers.registry.get,
+            self.placements.report_crash,
+            metrics,
         )
         return RequestHandler(
             dialect,
@@ -143,6 +156,7 @@
                 zone,
             ),
             answers,
+            self.quarantine,
             rng,
         )
 
@@ -164,6 +178,7 @@
         )
         supervisor.add("housekeeping", self._run_housekeeping)
         self.metrics.register_gauge("version", lambda: self.lease.version)
+        self.metrics.register_gauge("quarantined_parts", lambda: len(self.quarantine))
         self.metrics.register_gauge("links_up", lambda: len(self.links.links_up()))
         self.metrics.register_gauge(
             "busy_connections", lambda: self._caller_server.busy_count
@@ -205,9 +220,17 @@
             self._apply_configuration(
                 VersionedDocument(record.version, record.compressed)
             )
+        elif body == "quarantine":
+            now = self._loop.time()
+            self.quarantine.merge(decode_quarantine(message.quarantine, now), now)
         else:
             self.placements.handle_message(link, message)
 
+    def _handle_quarantine_change(self, record: QuarantinedPart) -> None:
+        message = encode_quarantine(record, self._loop.time())
+        for link in self.links.links_up():
+            link.send(message)
+
     def _apply_configuration(self, document: VersionedDocument) -> None:
         if document.version <= self.lease.version:
             return
@@ -238,6 +261,10 @@
         if not link.is_up:
             self.servers.remove_link(link.address)
             self.placements.handle_link_loss(link)
+            return
+        now = self._loop.time()
+        for record in self.quarantine.list_records(now):
+            link.send(encode_quarantine(record, now))
 
     @property
     def is_ready(self) -> bool:
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -16,6 +16,7 @@
     StageResults,
 )
 from galenadrum._internal.models.announcements import Announcement, ServerState
+from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.models.routing import Route
 from galenadrum._internal.protocol import gateway_pb2 as pb
 
@@ -183,3 +184,46 @@
             request_id=request_id, server_id=server_id, outcome=outcome.value
         )
     )
+
+
+def encode_crash(crash: ServerCrash) -> pb.LinkMessage:
+    """Encode the report of a crashed server."""
+    return pb.LinkMessage(
+        crash=pb.ServerCrash(
+            server_id=crash.server_id,
+            incarnation_ms=crash.incarnation_ms,
+            prompts=[pb.PartIds(part_ids=prompt) for prompt in crash.prompts],
+        )
+    )
+
+
+def decode_crash(record: pb.ServerCrash) -> ServerCrash:
+    """Decode the report of a crashed server."""
+    prompts = tuple(tuple(prompt.part_ids) for prompt in record.prompts)
+    return ServerCrash(record.server_id, record.incarnation_ms, prompts)
+
+
+def encode_quarantine(record: QuarantinedPart, now: float) -> pb.LinkMessage:
+    """Encode a quarantined part; the end of its term becomes a duration."""
+    return pb.LinkMessage(
+        quarantine=pb.PartQuarantine(
+            part_id=record.part_id,
+            named_by=record.named_by,
+            term=record.term,
+            left_ms=int((record.expires_at - now) * _MS_PER_S),
+            crashes=record.crashes,
+            is_lifted=record.is_lifted,
+        )
+    )
+
+
+def decode_quarantine(record: pb.PartQuarantine, now: float) -> QuarantinedPart:
+    """Decode a quarantined part, with the end of its term in this host's loop time."""
+    return QuarantinedPart(
+        record.part_id,
+        record.named_by,
+        record.term,
+        now + record.left_ms / _MS_PER_S,
+        record.crashes,
+        record.is_lifted,
+    )
--- a/src/galenadrum/_internal/gateway/placement_client.py
+++ b/src/galenadrum/_internal/gateway/placement_client.py
@@ -27,9 +27,11 @@
     decode_placement,
     decode_refusal,
     decode_results,
+    encode_crash,
     encode_report,
     encode_request,
 )
+from galenadrum._internal.models.quarantine import ServerCrash
 from galenadrum._internal.network.host_link import HostLink
 from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
 
@@ -156,6 +158,13 @@
         if outcome is not PlacementOutcome.STARTED:
             del self._pending_by_request[request_id]
 
+    def report_crash(self, crash: ServerCrash) -> None:
+        """Report a crashed server to the current dispatcher."""
+        if self._chosen_link is not None and self._chosen_link.is_up:
+            self._chosen_link.send(encode_crash(crash))
+        else:
+            self._local_dispatcher.record_crash(crash)
+
     def _send_report(
         self, pending: _PendingRequest, server_id: str, outcome: PlacementOutcome
     ) -> None:
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -17,6 +17,7 @@
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
 from galenadrum._internal.models.routing import OrganisationKeys, Route, RouteKind
 from galenadrum._internal.network.http1.server import Exchange
+from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +48,7 @@
         plain: PlainForwarder,
         streams: StreamForwarder,
         answers: ErrorResponder,
+        quarantine: PartQuarantine,
         rng: random.Random,
     ) -> None:
         self._dialect = dialect
@@ -55,6 +57,7 @@
         self._plain_forwarder = plain
         self._stream_forwarder = streams
         self._answers = answers
+        self._quarantine = quarantine
         self._rng = rng
         self._first_request_estimator = FirstRequestEstimator()
         self._loop = asyncio.get_running_loop()
@@ -101,8 +104,27 @@
             organisation = self._find_organisation(exchange, metadata, table)
             if organisation is None:
                 return None
+        if self._refuse_if_quarantined(exchange, metadata):
+            return None
         return self._build_context(exchange, metadata, route, organisation)
 
+    def _refuse_if_quarantined(
+        self, exchange: Exchange, metadata: RequestMetadata
+    ) -> bool:
+        now = self._loop.time()
+        part_ids = (part.part_id for part in metadata.prompt)
+        record = self._quarantine.find_in_force(part_ids, now)
+        if record is None:
+            return False
+        self._answers.refuse_request(
+            exchange,
+            metadata,
+            "quarantined",
+            self._quarantine.retry_after_s(record, now),
+            f"part={record.part_id}",
+        )
+        return True
+
     def _find_organisation(
         self, exchange: Exchange, metadata: RequestMetadata, table: RouteTable
     ) -> OrganisationKeys | None:
--- a/src/galenadrum/_internal/models/quarantine.py
+++ b/src/galenadrum/_internal/models/quarantine.py
@@ -19,3 +19,36 @@
     server_id: str
     incarnation_ms: int
     prompts: tuple[tuple[str, ...], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NamedPart:
+    """A prompt part to which crashes are attributed.
+
+    Attributes:
+        server_ids: Ids of the servers that crashed.
+    """
+
+    part_id: str
+    server_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantinedPart:
+    """A prompt part whose requests are refused.
+
+    Attributes:
+        named_by: Id of the host that attributed the crashes to the part. Only its
+            dispatcher may test the part when the term has ended.
+        term: Number of the term, from 1; each is longer than the one before.
+        expires_at: Loop time in seconds at which the term ends.
+        crashes: Number of crashes attributed to the part.
+        is_lifted: Whether the term ended early, as a request with the part succeeded.
+    """
+
+    part_id: str
+    named_by: str
+    term: int
+    expires_at: float
+    crashes: int
+    is_lifted: bool = False
--- /dev/null
+++ b/src/galenadrum/_internal/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Attribution of server crashes to prompt parts, and the parts in quarantine."""
--- a/tests/functional/routing/test_lethal_prompts.py
+++ b/tests/functional/routing/test_lethal_prompts.py
@@ -41,6 +41,7 @@
             for engine in [e for e in self._running if e.has_crashed]:
                 self._running.remove(engine)
                 self.crashed.append(engine)
+                del self._deployment.engines[engine.server_id]
                 await self.start_engine()
 
     @property
@@ -98,7 +99,7 @@
 
 async def crash_engines(outbreak, count):
     """Send requests with the lethal part until ``count`` engines have crashed."""
-    for zone in itertools.islice(itertools.cycle(ZONES), 40):
+    for zone in itertools.islice(itertools.cycle(ZONES), 18):
         await outbreak.send(zone, b"5c1e", LETHAL_PART)
         await outbreak.send(zone, b"5c1e")
         if outbreak.crash_count >= count:
@@ -126,3 +127,49 @@
             assert outbreak.count_runs(request_ids) <= 3
 
         run_outbreak(tmp_path, steps)
+
+    def test_host_that_starts_later_refuses_the_part(self, tmp_path):
+        async def steps(deployment, outbreak):
+            await crash_engines(outbreak, 5)
+            daemon = deployment.entry_daemon_by_zone["c"]
+            await daemon.stop()
+            await deployment.start_gateway("c")
+            await deployment.wait_ready()
+            started = deployment.entry_daemon_by_zone["c"]
+            assert len(started.quarantine) == 1
+            request_id, status = await outbreak.send("c", b"5c1e", LETHAL_PART)
+            assert status == 503
+            assert outbreak.count_runs((request_id,)) == 0
+
+        run_outbreak(tmp_path, steps)
+
+    def test_requests_that_share_the_other_parts_are_served(self, tmp_path):
+        async def steps(deployment, outbreak):
+            await crash_engines(outbreak, 5)
+            await deployment.wait_until(
+                lambda: all(
+                    len(daemon.quarantine)
+                    for daemon in deployment.entry_daemon_by_zone.values()
+                )
+            )
+            await deployment.wait_until(
+                lambda: outbreak.crash_count == len(outbreak.crashed)
+            )
+            await deployment.wait_ready()
+            statuses = [(await outbreak.send(zone, b"5c1e"))[1] for zone in ZONES * 3]
+            assert statuses == [200] * 9
+
+        run_outbreak(tmp_path, steps)
+
+    def test_engine_that_breaks_off_and_stays_accuses_no_part(self, tmp_path):
+        async def steps(deployment, outbreak):
+            for engine in deployment.engines.values():
+                engine.faults.add("reset")
+            for zone in ZONES * 4:
+                await outbreak.send(zone, b"5c1e", b"beef")
+            # The last check of a server ends 0.3 s after its response broke off.
+            await asyncio.sleep(0.5)
+            for daemon in deployment.entry_daemon_by_zone.values():
+                assert len(daemon.quarantine) == 0
+
+        run_outbreak(tmp_path, steps)
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -430,9 +430,13 @@
     def test_abandoned_request_leaves_its_results_to_another_dispatcher(self):
         simulation = build_simulation()
         simulation.submit_at(0.0, request("r1", pieces=(2,)))
-        simulation.schedule_at(0.1, lambda: simulation.dispatcher.abandon("r1"))
+        simulation.schedule_at(
+            0.1, lambda: simulation.dispatcher.abandon("r1", simulation.now)
+        )
         simulation.submit_at(0.3, request("r2", pieces=(2,), now=0.3))
-        simulation.schedule_at(0.55, lambda: simulation.dispatcher.abandon("r2"))
+        simulation.schedule_at(
+            0.55, lambda: simulation.dispatcher.abandon("r2", simulation.now)
+        )
         simulation.run(0.6)
         assert "r1" not in simulation.placed_at
         assert len(simulation.results) == 2
--- /dev/null
+++ b/tests/unit/quarantine/test_attribution.py
@@ -0,0 +1,92 @@
+"""Attribution of server crashes to prompt parts."""
+
+import itertools
+
+import pytest
+
+from galenadrum._internal.models.quarantine import ServerCrash
+from galenadrum._internal.quarantine.attribution import CrashAttribution
+
+LETHAL = "lethal"
+
+
+class Crashes:
+    """Crashes of servers, each with a request that has the lethal part."""
+
+    def __init__(self, first_parts=("first",)):
+        self.attribution = CrashAttribution()
+        self._numbers = itertools.count()
+        self._first_parts = itertools.cycle(first_parts)
+
+    def crash_server(self, now, *other_prompts):
+        number = next(self._numbers)
+        prompt = (next(self._first_parts), LETHAL, f"own-{number}")
+        crash = ServerCrash(f"s-{number}", 1, (prompt, *other_prompts))
+        return self.attribution.record_crash(crash, now)
+
+
+class TestNamedPart:
+    def test_part_in_three_crashes_is_named_with_its_servers(self):
+        crashes = Crashes()
+        assert crashes.crash_server(1.0) is None
+        assert crashes.crash_server(2.0) is None
+        named = crashes.crash_server(3.0)
+        assert named.part_id == LETHAL
+        assert named.server_ids == ("s-0", "s-1", "s-2")
+
+    def test_part_beside_the_named_one_needs_crashes_of_its_own(self):
+        crashes = Crashes()
+        for now in (1.0, 2.0, 3.0):
+            named = crashes.crash_server(now)
+        assert named.part_id == LETHAL
+        for server_id, expected in (("a", None), ("b", None), ("c", "first")):
+            now += 1.0
+            crash = ServerCrash(server_id, 1, (("first", f"own-{server_id}"),))
+            named = crashes.attribution.record_crash(crash, now)
+            assert (named and named.part_id) == expected
+
+    def test_part_of_sound_requests_in_all_crashes_is_not_named(self):
+        crashes = Crashes()
+        crashes.attribution.record_success(("first", "sound"))
+        for now in (1.0, 2.0, 3.0):
+            named = crashes.crash_server(now, ("first", "sound"))
+        assert named.part_id == LETHAL
+
+    def test_reports_of_several_hosts_about_one_crash_count_once(self):
+        attribution = CrashAttribution()
+        for number in range(5):
+            crash = ServerCrash("s-0", 1, ((LETHAL, f"own-{number}"),))
+            assert attribution.record_crash(crash, float(number)) is None
+
+    def test_later_report_of_a_crash_adds_its_prompts(self):
+        attribution = CrashAttribution()
+        for number in range(3):
+            crash = ServerCrash(f"s-{number}", 1, (("other", f"own-{number}"),))
+            attribution.record_success(("other",))
+            attribution.record_crash(crash, number)
+            crash = ServerCrash(f"s-{number}", 1, ((LETHAL, f"last-{number}"),))
+            named = attribution.record_crash(crash, number + 0.1)
+        assert named.part_id == LETHAL
+
+    def test_servers_lost_together_accuse_nothing(self):
+        attribution = CrashAttribution()
+        for number in range(20):
+            crash = ServerCrash(f"s-{number}", 1, (("popular", f"own-{number}"),))
+            assert attribution.record_crash(crash, 1.0 + number * 0.005) is None
+
+    @pytest.mark.parametrize("successes", ["between", "before"])
+    def test_popular_part_is_not_named_by_unrelated_crashes(self, successes):
+        attribution = CrashAttribution()
+        attribution.record_success(("popular",))
+        for number in range(4 if successes == "before" else 50):
+            crash = ServerCrash(f"s-{number}", 1, (("popular", f"own-{number}"),))
+            assert attribution.record_crash(crash, number * 2.0) is None
+            if successes == "between":
+                attribution.record_success(("popular", f"last-{number}"))
+
+    def test_known_good_part_that_turns_lethal_is_named_after_five_crashes(self):
+        crashes = Crashes(first_parts=("f-0", "f-1", "f-2", "f-3", "f-4"))
+        crashes.attribution.record_success((LETHAL,))
+        results = [crashes.crash_server(now) for now in (1.0, 2.0, 3.0, 4.0, 5.0)]
+        assert results[:4] == [None] * 4
+        assert results[4].part_id == LETHAL
