Don't repeat a request whose responses broke off twice as they began

A request that may be sent to many engines crashed one after the other before anything was known of its prompt: the route's attempts were its only bound.

Change: after two responses that broke off before they had well begun, the request isn't sent again; the caller gets 502, the outcome is unknown.

--- a/src/galenadrum/_internal/gateway/attempts.py
+++ b/src/galenadrum/_internal/gateway/attempts.py
@@ -14,6 +14,9 @@
 # Rejected sends, which certainly did not run, after which a request may still be sent
 # again; they do not count towards the route's attempts.
 _MAX_REJECTIONS = 3
+# Responses that broke off as they began, after which a request is not sent again: it
+# may be what crashes its servers.
+_MAX_EARLY_BREAKS = 2
 
 
 @dataclass(slots=True)
@@ -23,12 +26,14 @@
     Attributes:
         possible_runs: Number of sends that may have run the request.
         rejections: Number of sends that certainly did not run it.
+        early_breaks: Number of responses that broke off before they had well begun.
         excluded_ids: Ids of the servers that the request was sent to.
     """
 
     route: Route
     possible_runs: int = 0
     rejections: int = 0
+    early_breaks: int = 0
     excluded_ids: set[str] = field(default_factory=set)
 
     @property
@@ -41,6 +46,8 @@
         """Whether the request may be sent once more."""
         if self.rejections > _MAX_REJECTIONS:
             return False
+        if self.early_breaks >= _MAX_EARLY_BREAKS:
+            return False
         if not self.possible_runs:
             return True
         return self.route.is_repeatable and self.possible_runs < self.route.max_attempts
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -276,6 +276,7 @@
             stream.first_event_at is None
             or now - stream.first_event_at < _MIN_SURVIVAL_S
         ):
+            stream.attempts.early_breaks += 1
             prompt = stream.context.metadata.prompt
             self._crashes.record_break(
                 placement.server_id, tuple(part.part_id for part in prompt)
