Place nothing at an engine that is known to have crashed

What callers saw: 39 times in 11 s of the incident's logs a request was placed at an engine that had gone ('connection refused'). Each took a retry of the host's budget, and some were refused with retry_budget though engines were free.

Cause: a crashed engine stays ready in the directory until its announcements have been missing for 4 s, and its pool pauses it for 0.15 s only.

--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -39,6 +39,8 @@
 _INITIAL_BACKOFF_S = 0.15
 _MAX_BACKOFF_S = 3.0
 _SLOWNESS_HALF_LIFE_S = 6.0
+# Its announcements stop, or those of its next incarnation arrive, within this time.
+_CRASH_PAUSE_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -324,6 +326,12 @@
             engine.paused_until = now + min(pause_s, _MAX_BACKOFF_S)
             engine.consecutive_failures += 1
 
+    def record_crash(self, server_id: str, now: float) -> None:
+        """Place nothing at a crashed engine until it may have started again."""
+        engine = self.engines_by_id.get(server_id)
+        if engine is not None:
+            engine.paused_until = max(engine.paused_until, now + _CRASH_PAUSE_S)
+
     def find_run(self, server_id: str, request_id: str) -> Run | None:
         """Return a request's run at an engine, None if there is none."""
         engine = self.engines_by_id.get(server_id)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -308,6 +308,7 @@
     def record_crash(self, server_id: str, now: float) -> None:
         """Record that a server crashed, and clear the prompts that run elsewhere."""
         for pool in self._engine_pools_by_service.values():
+            pool.record_crash(server_id, now)
             for run in pool.list_runs():
                 if run.started_at is not None and (
                     now - run.started_at >= _MIN_SURVIVAL_S
