Bound heads, bodies and events of backend servers' responses

What callers would see: a server that sends bytes without end fills the entry host's or control host's memory (limit 300 MB), and the process is killed with all its requests.

Cause: the client collected header lines, trailers and bodies without a bound; reading pauses only for unread parts of a body, and read_body reads on. Class: input of a peer whose size only the peer decides.

Change: a head, and what stands between two parts of a body (chunk extensions, trailers, interim responses), may have 64 KiB, a body that is read whole 8 MiB, an event 4 MiB. Past it the response counts as broken: the connection is closed, the outcome is unknown (502, or the next server where the request may be repeated), and the server counts as failing. Bytes after a complete response are discarded, and a connection that can't be reused is closed at once. The stage calls and releases of control hosts use the same client.

--- a/src/galenadrum/_internal/gateway/event_stream.py
+++ b/src/galenadrum/_internal/gateway/event_stream.py
@@ -10,7 +10,8 @@
 _LINE_END = re.compile(rb"\r\n|\r|\n")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 # A single event larger than this is passed on in parts; no model sends one as large.
-_MAX_EVENT_BYTES = 256 * 1024
+_MAX_BUFFERED_BYTES = 256 * 1024
+MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
 class EventSplitter:
@@ -24,6 +25,7 @@
     def __init__(self) -> None:
         self._buffer = b""
         self._is_event_divided = False
+        self._divided_bytes = 0
         self.last_event_id: bytes | None = None
         self.events = 0
         self._has_returned_part = False
@@ -63,20 +65,27 @@
             line and not line.startswith(b":") for line in lines
         )
 
+    @property
+    def is_event_too_large(self) -> bool:
+        """Whether the event that has begun is larger than a complete one may be."""
+        return self._divided_bytes > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Append bytes and return the events that are complete now; may be empty."""
         data = self._buffer + data
         end, events = _find_events(data)
         if not end:
-            if len(data) > _MAX_EVENT_BYTES:
+            if len(data) > _MAX_BUFFERED_BYTES:
                 self._buffer = b""
                 self._is_event_divided = True
+                self._divided_bytes += len(data)
                 self._has_returned_part = True
                 return data
             self._buffer = data
             return b""
         complete, self._buffer = data[:end], data[end:]
         self._is_event_divided = False
+        self._divided_bytes = 0
         self.events += events
         event_id = _find_last_id(complete)
         if event_id is not None:
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -21,7 +21,7 @@
 from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect, ForwardingFields
 from galenadrum._internal.gateway.error_responder import ErrorResponder
-from galenadrum._internal.gateway.event_stream import EventSplitter
+from galenadrum._internal.gateway.event_stream import MAX_EVENT_BYTES, EventSplitter
 from galenadrum._internal.gateway.forwarding import (
     MIN_SEND_TIME_S,
     check_signature,
@@ -404,6 +404,10 @@
             if complete:
                 self._start_response(stream, head)
                 await exchange.send(complete)
+            if stream.splitter.is_event_too_large:
+                raise BrokenResponseError(
+                    f"an event has more than {MAX_EVENT_BYTES} bytes"
+                )
             async with asyncio.timeout_at(context.deadline_at):
                 part = await connection.read_part()
         if _is_event_stream(head):
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -28,6 +28,10 @@
 _DEFAULT_MAX_IDLE_S = 3.0
 # Reading from the socket pauses while more bytes of a body than this are buffered.
 _MAX_UNREAD_BYTES = 256 * 1024
+# Limit on the head of a response, and on the bytes between two parts of its body:
+# chunk extensions and trailers.
+_MAX_HEAD_BYTES = 64 * 1024
+_MAX_BODY_BYTES = 8 * 1024 * 1024
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -81,6 +85,7 @@
         self._head: ResponseHead | None = None
         self._body_parts: deque[bytes] = deque()
         self._unread_bytes = 0
+        self._overhead_bytes = 0
         self._is_complete = False
         self._has_length = True
         self._error: str | None = None
@@ -114,6 +119,9 @@
             self._has_unexpected_data = True
             self.close()
             return
+        if self._has_unexpected_data:
+            return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -123,6 +131,11 @@
                 self._has_unexpected_data = True
             else:
                 self._fail(f"the response can't be parsed: {error}")
+        if self._overhead_bytes > _MAX_HEAD_BYTES and not self._is_complete:
+            self._fail(
+                f"the response has more than {_MAX_HEAD_BYTES} bytes before the end of "
+                f"its head or between two parts of its body"
+            )
         self._notify_reader()
 
     # Callbacks of httptools.HttpResponseParser.
@@ -143,7 +156,13 @@
         if 100 <= status < 200:
             self._headers = []
             return
+        self._overhead_bytes = 0
         headers: Headers = tuple(self._headers)
+        if sum(len(name) + len(value) for name, value in headers) > _MAX_HEAD_BYTES:
+            self._fail(
+                f"the head of the response has more than {_MAX_HEAD_BYTES} bytes"
+            )
+            return
         head = ResponseHead(status, headers, self._parser.should_keep_alive())
         self._has_length = (
             head.get(b"content-length") is not None
@@ -157,6 +176,7 @@
     def on_body(self, data: bytes) -> None:
         if self._has_unexpected_data or self._is_complete:
             return
+        self._overhead_bytes = 0
         self._body_parts.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > _MAX_UNREAD_BYTES and not self._is_paused:
@@ -205,6 +225,7 @@
         self._is_complete = False
         self._body_parts.clear()
         self._unread_bytes = 0
+        self._overhead_bytes = 0
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -249,11 +270,18 @@
         """Return the whole body.
 
         Raises:
-            BrokenResponseError: As for `read_part`.
+            BrokenResponseError: The body is larger than 8 MiB, or as for `read_part`.
         """
         parts = []
+        size = 0
         while part := await self.read_part():
             parts.append(part)
+            size += len(part)
+            if size > _MAX_BODY_BYTES:
+                raise BrokenResponseError(
+                    f"{self.address}: the body of the response has more than "
+                    f"{_MAX_BODY_BYTES} bytes"
+                )
         return b"".join(parts)
 
     def discard_response(self) -> None:
@@ -385,6 +413,8 @@
         connection.finish()
         if connection.is_usable:
             self._keep(connection)
+        else:
+            connection.close()
 
     async def open_idle(self, address: str, timeout_s: float) -> None:
         """Open a connection and keep it idle for a later request.
--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -1,6 +1,7 @@
 """End-to-end routing through control hosts, entry hosts and engines over sockets."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -325,6 +326,59 @@
         run_steps(tmp_path, steps, MODEL_ENGINES)
 
 
+@pytest.mark.parametrize("fault", ["endless_head", "endless_body"])
+class TestServersThatSendBytesWithoutEnd:
+    def test_repeatable_request_is_served_by_another_server(self, fault, tmp_path):
+        async def steps(deployment):
+            deployment.engines["p-1"].faults.add(fault)
+            for _ in range(6):
+                _, status, _, body = await deployment.send_request("/stock/x")
+                assert status == 200
+                assert body.startswith(b"answer to")
+            balancer = deployment.entry_daemon_by_zone["a"].balancer
+            health = balancer._servers_by_id["p-1"].health
+            assert health.ejected or health.failure_share > 0
+
+        engines = [("p-1", "plain", "a"), ("p-2", "plain", "b")]
+        run_steps(tmp_path, steps, engines)
+
+    def test_non_repeatable_request_has_an_unknown_outcome(self, fault, tmp_path):
+        async def steps(deployment):
+            deployment.engines["p-1"].faults.add(fault)
+            request_id, status, _, _ = await deployment.send_request(
+                "/confirm/x", method=b"POST"
+            )
+            assert status == 502
+            assert deployment.engines["p-1"].run_count_by_request_id[request_id] == 1
+
+        run_steps(tmp_path, steps, [("p-1", "plain", "a")])
+
+    def test_stream_is_broken_off_or_served_by_another_engine(self, fault, tmp_path):
+        async def steps(deployment):
+            deployment.engines["g-1"].faults.add(fault)
+            with contextlib.suppress(BrokenResponseError):
+                _, status, _, body = await deployment.send_request(
+                    "/note/x", method=b"POST", headers=PROMPT, body=b"{}"
+                )
+                assert status == 502 or (status, body) == (200, STREAM)
+            deployment.engines["g-1"].faults.clear()
+            await check_streams_are_whole(deployment)
+
+        engines = [("g-1", "llm", "a"), ("g-2", "llm", "b")]
+        run_steps(tmp_path, steps, engines)
+
+    def test_pieces_are_processed_by_another_server(self, fault, tmp_path):
+        async def steps(deployment):
+            deployment.engines["s-1"].faults.add(fault)
+            _, status, _, body = await deployment.send_request(
+                "/plan/x", method=b"POST", headers=PROMPT + STAGES, body=b"{}"
+            )
+            assert (status, body) == (200, STREAM)
+
+        engines = [("g-1", "llm", "a"), ("s-1", "enc", "a"), ("s-2", "enc", "b")]
+        run_steps(tmp_path, steps, engines)
+
+
 class TestConfigurations:
     def test_invalid_configuration_is_refused_with_all_findings(self, tmp_path):
         async def steps(deployment):
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -29,7 +29,8 @@
         results: Handles of the stage results that are not released.
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
-            ``cut``, ``unsigned``, ``unframed``, ``anonymous``.
+            ``cut``, ``unsigned``, ``unframed``, ``anonymous``, ``endless_head``,
+            ``endless_body``.
         cut_number: Number of the event that the fault ``cut`` cuts.
         cut_event: Bytes that it sends in place of that event.
         born: Start of its incarnation, in Unix milliseconds.
@@ -125,6 +126,9 @@
         if "reset" in self.faults:
             exchange.abort()
             return
+        if self.faults & {"endless_head", "endless_body"}:
+            await self._send_without_end(exchange)
+            return
         if "hang" in self.faults:
             await asyncio.sleep(60)
         if "error" in self.faults:
@@ -137,6 +141,19 @@
             body = b"answer to " + request_id.encode()
             exchange.respond(200, self._common_headers(exchange), body)
 
+    async def _send_without_end(self, exchange):
+        """Send bytes that never end a head, a body or an event."""
+        if "endless_head" in self.faults:
+            exchange._write(b"HTTP/1.1 200 OK\r\n")
+        else:
+            exchange.start(200, self._common_headers(exchange))
+        while not exchange.is_caller_disconnected:
+            if "endless_head" in self.faults:
+                exchange._write(b"X-Line: value\r\n" * 1_000)
+            else:
+                await exchange.send(b"x" * 65_536)
+            await asyncio.sleep(0.001)
+
     async def _send_stream(self, exchange):
         headers = [
             *self._common_headers(exchange),
@@ -168,6 +185,9 @@
     async def _run_stage(self, exchange):
         entries = json.loads(exchange.body)["Entries"]
         self.stage_calls.append(entries)
+        if self.faults & {"endless_head", "endless_body"}:
+            await self._send_without_end(exchange)
+            return
         if "reject" in self.faults:
             exchange.respond(503, [(b"X-Not-Executed", b"1")], b"")
             return
--- a/tests/unit/network/test_http1_client.py
+++ b/tests/unit/network/test_http1_client.py
@@ -1,6 +1,8 @@
 """Ends of responses on connections to backend servers, over sockets."""
 
 import asyncio
+import contextlib
+import tracemalloc
 
 import pytest
 
@@ -70,3 +72,84 @@
     def test_unframed_response_ends_with_its_connection(self):
         result = asyncio.run(read_response(UNFRAMED, False))
         assert result == (Framing.CONNECTION, "closed by the back end", b"part")
+
+
+LONG = b"x" * 16_384
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+async def read_endless_response(beginning, repeated):
+    """Read a reply that goes on without end.
+
+    Returns:
+        Number of bytes sent until the client closed the connection, the error, and the
+        largest number of bytes that the process allocated meanwhile.
+    """
+    address = reserve_address()
+    host, port = address.split(":")
+    sent = 0
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(beginning)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+                sent += len(repeated)
+        closed.set()
+
+    async with await asyncio.start_server(serve, host, int(port)):
+        tracemalloc.start()
+        connection = await ConnectionPool().get(address, 2.0)
+        connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        try:
+            async with asyncio.timeout(5.0):
+                with pytest.raises(BrokenResponseError) as caught:
+                    await connection.read_head()
+                    await connection.read_body()
+                connection.close()
+                await closed.wait()
+        finally:
+            connection.close()
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+    return sent, str(caught.value), peak_bytes
+
+
+class TestResponsesWithoutEnd:
+    @pytest.mark.parametrize(
+        ("beginning", "repeated", "bound_bytes"),
+        [
+            (HEAD, b"X-Line: value\r\n" * 1_000, 2**16),
+            (HEAD + b"X-Value: ", LONG, 2**16),
+            (b"HTTP/1.1 200 ", LONG, 2**16),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000, 2**16),
+            (HEAD + b"\r\n", LONG, 2**23),
+            (HEAD + b"Content-Length: 99999999999\r\n\r\n", LONG, 2**23),
+            (CHUNKED, b"4000\r\n" + LONG + b"\r\n", 2**23),
+            (CHUNKED + b"0\r\n", b"X-Line: value\r\n" * 1_000, 2**16),
+            (CHUNKED + b"1;", LONG, 2**16),
+        ],
+        ids=[
+            "header lines",
+            "header value",
+            "reason",
+            "interim responses",
+            "unframed body",
+            "body with a length",
+            "chunked body",
+            "trailers",
+            "chunk extension",
+        ],
+    )
+    def test_bytes_without_end_are_read(self, beginning, repeated, bound_bytes):
+        # Heads and bodies of backend servers were collected without any bound.
+        result = asyncio.run(read_endless_response(beginning, repeated))
+        sent_bytes, error, peak_bytes = result
+        assert "more than" in error
+        # Sockets and streams of both sides buffer some megabytes.
+        assert sent_bytes < bound_bytes + 2**24
+        assert peak_bytes < 4 * bound_bytes + 2**22
