Bound the time and size of replies to the former path's stage calls

What callers would see: a backend server that sends interim responses or trailers without end holds the attempt, and its thread, past any deadline; a stream of events without end fills memory until the deadline.

Cause: http.client reads a head and trailers in loops with a timeout for each read only; streamed deltas were collected without a bound. The client of engine orders has one deadline for all reads and 256 KiB at most; the operator's client bounds bodies, and http.client 100 header lines of 64 KiB in both.

Change: all reads of an attempt share its deadline, and a streamed reply may have 64 MiB, as a whole reply may.

--- a/src/galenadrum/_internal/network/stage_client.py
+++ b/src/galenadrum/_internal/network/stage_client.py
@@ -20,6 +20,7 @@
     Outcome,
 )
 from galenadrum._internal.network.connection_pool import BlockingConnectionPool
+from galenadrum._internal.network.deadline_socket import DeadlineSocket
 from galenadrum._internal.network.sockets import is_closed_by_peer
 from galenadrum._internal.network.stage_protocol import (
     ATTEMPT_HEADER,
@@ -263,6 +264,7 @@
         headers.update(_forward_headers(dispatch, exchange.limits))
     if traceparent:
         headers["traceparent"] = traceparent
+    _set_read_deadline(exchange.connection, exchange.limits.deadline)
     exchange.connection.sock.settimeout(remaining_s)
     exchange.sent = True
     path = STAGES_PREFIX + dispatch.call.stage
@@ -273,6 +275,14 @@
     return response
 
 
+def _set_read_deadline(connection: HTTPConnection, deadline: float) -> None:
+    """Set one deadline for all reads, also those of a head or of trailers."""
+    if isinstance(connection.sock, DeadlineSocket):
+        connection.sock.deadline = deadline
+    else:
+        connection.sock = DeadlineSocket(connection.sock, deadline)
+
+
 def _forward_headers(dispatch: Dispatch, limits: AttemptLimits) -> dict[str, str]:
     request = dispatch.call.request
     return {
--- a/src/galenadrum/_internal/network/stage_replies.py
+++ b/src/galenadrum/_internal/network/stage_replies.py
@@ -149,8 +149,15 @@
     digest = hashlib.sha256()
     deltas: list[str] = []
     buffer = b""
+    size = 0
     while part := _read_part(response, exchange):
         buffer += part
+        size += len(part)
+        if size > _MAX_REPLY_BYTES:
+            raise AttemptError(
+                Outcome.UNKNOWN,
+                f"the stream has more than {_MAX_REPLY_BYTES} bytes",
+            )
         if len(buffer) > _MAX_EVENT_BYTES:
             raise AttemptError(Outcome.UNKNOWN, "an event is too large")
         *events, buffer = buffer.split(b"\n\n")
--- a/tests/functional/test_stage_client.py
+++ b/tests/functional/test_stage_client.py
@@ -57,14 +57,19 @@
         thread.join()
 
 
-def call(address, client=None, on_delta=None, first_byte_s=LONG_TIMEOUT_S, caller=None):
+def call(
+    address,
+    client=None,
+    on_delta=None,
+    first_byte_s=LONG_TIMEOUT_S,
+    caller=None,
+    timeout_s=LONG_TIMEOUT_S,
+):
     request = Request("r1", "o", "p", ("generate",), LONG_TIMEOUT_S, 0.0)
     dispatch = Dispatch(
         StageCall(request, "generate", 0, 1), "backend-1", address, first_byte_s
     )
-    limits = AttemptLimits(
-        time.monotonic() + LONG_TIMEOUT_S, first_byte_s, False, caller
-    )
+    limits = AttemptLimits(time.monotonic() + timeout_s, first_byte_s, False, caller)
     client = client or StageClient(BlockingConnectionPool())
     return client.call(dispatch, {"input": "a b c d e"}, None, limits, on_delta)
 
@@ -168,3 +173,67 @@
             address = f"127.0.0.1:{silent.getsockname()[1]}"
             reply = call(address, caller=caller_socket)
         assert reply.result.outcome is Outcome.CANCELLED
+
+
+@contextlib.contextmanager
+def endless_server(beginning, repeated):
+    """Run a server that sends bytes on a connection until its client closes it."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listener.accept()
+                with connection, contextlib.suppress(OSError):
+                    connection.recv(65_536)
+                    connection.sendall(beginning)
+                    while True:
+                        connection.sendall(repeated)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    try:
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        thread.join()
+
+
+STREAM_HEAD = (
+    encode_reply()
+    .replace(
+        b"Content-Length: 13\r\n",
+        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+    )
+    .removesuffix(b'{"output": 1}')
+)
+
+
+def encode_chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class TestRepliesWithoutEnd:
+    @pytest.mark.parametrize(
+        ("beginning", "repeated", "timeout_s"),
+        [
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000, 2.0),
+            (STREAM_HEAD + b"0\r\n", b"X-Line: value\r\n" * 1_000, 2.0),
+            (
+                STREAM_HEAD,
+                encode_chunk(b'data: {"delta": "%s"}\n\n' % (b"x" * 1_000_000)),
+                LONG_TIMEOUT_S,
+            ),
+        ],
+        ids=["interim responses", "trailers", "events"],
+    )
+    def test_reply_without_end_is_read_without_bound(
+        self, beginning, repeated, timeout_s
+    ):
+        # Only the reads of a body had the attempt's deadline, and none had a bound.
+        with endless_server(beginning, repeated) as address:
+            started = time.monotonic()
+            reply = call(address, timeout_s=timeout_s)
+            assert time.monotonic() - started < 10.0
+        assert reply.result.outcome in (Outcome.UNKNOWN, Outcome.CANCELLED)
