Read the limit that a server names, log it and show it in a gauge

No line or metric showed what a host knows of a limit.

A response without one ends it only if its request was sent after the limit was last heard. Entry hosts log each change; galenadrum_limited_servers counts them. No request is placed differently.

--- /dev/null
+++ b/src/galenadrum/_internal/directory/server_limits.py
@@ -0,0 +1,116 @@
+"""Limits that backend servers name in their responses, as one host knows them.
+
+A limit holds for one incarnation of a server, as long as its responses name it.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+
+from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.models.server_limits import ServerLimit
+
+logger = logging.getLogger(__name__)
+
+
+class ServerLimits:
+    """Limits by server.
+
+    Args:
+        find_server: Returns the directory entry of a server id, None if unknown.
+        on_changed: Called with each limit that this host heard and that differs from
+            the one before.
+    """
+
+    def __init__(
+        self,
+        find_server: Callable[[str], ServerEntry | None],
+        on_changed: Callable[[ServerLimit], None] = lambda limit: None,
+    ) -> None:
+        self._find_server = find_server
+        self._on_changed = on_changed
+        self._limits_by_server: dict[str, ServerLimit] = {}
+
+    def __len__(self) -> int:
+        return len(self._limits_by_server)
+
+    def find_rate(self, server_id: str) -> float | None:
+        """Return the requests per second that a server accepts, None if unlimited."""
+        known = self._find_current(server_id)
+        return known.per_s if known is not None else None
+
+    def list_limits(self) -> list[ServerLimit]:
+        """Return the limits of the servers' current incarnations."""
+        current = map(self._find_current, list(self._limits_by_server))
+        return [limit for limit in current if limit is not None]
+
+    def record_response(
+        self, server_id: str, per_s: float | None, sent_at: float, now: float
+    ) -> None:
+        """Record the limit that a response names.
+
+        Args:
+            server_id: Id of the server.
+            per_s: Requests per second, None if the response names no limit. This ends
+                a limit only if the request was sent after the limit was last heard, as
+                responses may overtake each other.
+            sent_at: Loop time in seconds at which the request was sent.
+            now: Loop time in seconds.
+        """
+        known = self._find_current(server_id)
+        if per_s is None and (
+            known is None or known.per_s is None or sent_at <= known.heard_at
+        ):
+            return
+        if known is not None and known.per_s == per_s:
+            self._limits_by_server[server_id] = replace(known, heard_at=now)
+            return
+        entry = self._find_server(server_id)
+        if entry is not None:
+            incarnation_ms = entry.announcement.incarnation_ms
+            limit = ServerLimit(server_id, incarnation_ms, per_s, now)
+            self._store(limit, known)
+            self._on_changed(limit)
+
+    def merge(self, limit: ServerLimit) -> bool:
+        """Merge a limit that another host has heard.
+
+        Returns:
+            False if it is of another incarnation, older than the known one, or equal.
+        """
+        entry = self._find_server(limit.server_id)
+        if entry is None or entry.announcement.incarnation_ms != limit.incarnation_ms:
+            return False
+        known = self._find_current(limit.server_id)
+        if known is not None and limit.heard_at <= known.heard_at:
+            return False
+        if limit.per_s == (known.per_s if known else None):
+            return False
+        self._store(limit, known)
+        return True
+
+    def remove_server(self, server_id: str) -> None:
+        """Remove the limit of a server that was removed from the directory."""
+        self._limits_by_server.pop(server_id, None)
+
+    def _find_current(self, server_id: str) -> ServerLimit | None:
+        known = self._limits_by_server.get(server_id)
+        if known is None:
+            return None
+        entry = self._find_server(server_id)
+        if entry is None or entry.announcement.incarnation_ms != known.incarnation_ms:
+            del self._limits_by_server[server_id]
+            return None
+        return known
+
+    def _store(self, limit: ServerLimit, known: ServerLimit | None) -> None:
+        self._limits_by_server[limit.server_id] = limit
+        logger.info(
+            "server %s limits its requests from all hosts to %s per second (before: "
+            "%s)",
+            limit.server_id,
+            limit.per_s,
+            known.per_s if known else None,
+        )
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -10,6 +10,7 @@
 from galenadrum._internal.configuration.route_table import RouteTable
 from galenadrum._internal.configuration.state import VersionedDocument
 from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.gateway.balancer import PlainBalancer
@@ -85,6 +86,7 @@
         self.lease = ConfigurationLease(bounds.revocation_s)
         self.balancer = PlainBalancer(settings.zone, rng)
         self.servers = ServerDirectory(self._handle_server_change)
+        self.limits = ServerLimits(self.servers.registry.get)
         self._pool = ConnectionPool(
             lambda _: self.metrics.increment("connections_opened")
         )
@@ -144,13 +146,16 @@
             dialect,
             self.in_force,
             self.lease,
-            PlainForwarder(dialect, pool, self.balancer, budgets, answers, metrics),
+            PlainForwarder(
+                dialect, pool, self.balancer, budgets, self.limits, answers, metrics
+            ),
             StreamForwarder(
                 dialect,
                 pool,
                 self.placements,
                 budgets,
                 crashes,
+                self.limits,
                 answers,
                 metrics,
                 zone,
@@ -179,6 +184,7 @@
         supervisor.add("housekeeping", self._run_housekeeping)
         self.metrics.register_gauge("version", lambda: self.lease.version)
         self.metrics.register_gauge("quarantined_parts", lambda: len(self.quarantine))
+        self.metrics.register_gauge("limited_servers", lambda: len(self.limits))
         self.metrics.register_gauge("links_up", lambda: len(self.links.links_up()))
         self.metrics.register_gauge(
             "busy_connections", lambda: self._caller_server.busy_count
@@ -288,6 +294,7 @@
             self._pool.close_expired()
             for server_id in self.servers.registry.prune(self._loop.time()):
                 self.balancer.remove_server(server_id)
+                self.limits.remove_server(server_id)
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
 
     async def start(self) -> None:
--- a/src/galenadrum/_internal/gateway/dialect.py
+++ b/src/galenadrum/_internal/gateway/dialect.py
@@ -60,6 +60,8 @@
         running: Number of requests that run on the server; None if not given.
         waiting: Number of requests queued on the server.
         slots: Number of requests that the server can run at once.
+        limit_per_s: Requests per second that the server accepts from all hosts
+            together; None if it names no limit.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     running: int | None = None
     waiting: int = 0
     slots: int = 0
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.gateway.attempts import Attempts, RequestContext
 from galenadrum._internal.gateway.balancer import PlainBalancer
 from galenadrum._internal.gateway.dialect import (
@@ -63,6 +64,7 @@
         pool: ConnectionPool,
         balancer: PlainBalancer,
         budgets: RetryBudgets,
+        limits: ServerLimits,
         answers: ErrorResponder,
         metrics: Metrics,
     ) -> None:
@@ -70,6 +72,7 @@
         self._pool = pool
         self._balancer = balancer
         self._budgets = budgets
+        self._limits = limits
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -242,6 +245,9 @@
     ) -> tuple[_Reply | None, str]:
         now = self._loop.time()
         server_id = entry.server_id
+        self._limits.record_response(
+            server_id, reply.metadata.limit_per_s, started_at, now
+        )
         if reply.metadata.did_not_run or reply.head.status == 421:
             attempts.rejections += 1
             self._balancer.rejected(server_id, reply.metadata, now)
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.dispatch.messages import (
     Placement,
     PlacementOutcome,
@@ -19,7 +20,11 @@
 )
 from galenadrum._internal.gateway.attempts import Attempts, RequestContext
 from galenadrum._internal.gateway.crash_detector import CrashDetector
-from galenadrum._internal.gateway.dialect import Dialect, ForwardingFields
+from galenadrum._internal.gateway.dialect import (
+    Dialect,
+    ForwardingFields,
+    ResponseMetadata,
+)
 from galenadrum._internal.gateway.error_responder import ErrorResponder
 from galenadrum._internal.gateway.event_stream import MAX_EVENT_BYTES, EventSplitter
 from galenadrum._internal.gateway.forwarding import (
@@ -107,6 +112,7 @@
         placements: PlacementClient,
         budgets: RetryBudgets,
         crashes: CrashDetector,
+        limits: ServerLimits,
         answers: ErrorResponder,
         metrics: Metrics,
         zone: str,
@@ -117,6 +123,7 @@
         self._placements = placements
         self._budgets = budgets
         self._crashes = crashes
+        self._limits = limits
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -288,10 +295,14 @@
         context = stream.context
         stream.splitter.begin_response()
         stream.first_event_at = None
+        sent_at = self._loop.time()
         connection.send(self._encode_request(stream, placement))
         first_event_at = self._first_event_deadline(stream)
         async with asyncio.timeout_at(first_event_at):
-            head = await self._read_head(stream, connection)
+            head, metadata = await self._read_head(stream, connection)
+        self._limits.record_response(
+            placement.server_id, metadata.limit_per_s, sent_at, self._loop.time()
+        )
         if head.status != 200:
             async with asyncio.timeout_at(context.deadline_at):
                 body = await connection.read_body()
@@ -336,14 +347,14 @@
 
     async def _read_head(
         self, stream: _Stream, connection: BackendConnection
-    ) -> ResponseHead:
+    ) -> tuple[ResponseHead, ResponseMetadata]:
         request_id = stream.context.metadata.request_id
         while True:
             head = await connection.read_head()
             metadata = self._dialect.parse_response_head(head)
             if metadata.request_id in ("", request_id):
                 check_signature(head, metadata)
-                return head
+                return head, metadata
             await connection.read_body()
             self._log(
                 stream,
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -36,6 +36,8 @@
         born: Start of its incarnation, in Unix milliseconds.
         lethal_parts: Prompt parts that crash the engine when it begins to answer them.
         has_crashed: Whether such a part has crashed it.
+        limit_per_s: Limit that its responses name; None for none.
+        received_at: Loop times in seconds at which requests arrived.
     """
 
     def __init__(self, server_id, service, address, zone, events=4, work_s=0.0):
@@ -60,6 +62,8 @@
         self.born = 1_700_000_000_000
         self.lethal_parts = set()
         self.has_crashed = False
+        self.limit_per_s = None
+        self.received_at = []
         self._sequence = itertools.count(1)
         self._handles = itertools.count(1)
         self._server = Http1Server(address, self._handle, lambda: LIMITS, server_id)
@@ -91,6 +95,7 @@
 
     async def _handle(self, exchange):
         head = exchange.head
+        self.received_at.append(asyncio.get_running_loop().time())
         if head.path == "/api/stage-run":
             await self._run_stage(exchange)
         elif head.path == "/api/stage-free":
@@ -107,9 +112,15 @@
             (b"X-Attempt-Id", request_id),
             (b"X-Response-Signature", b"s." + request_id),
             (b"X-Instance-Load", b"1,0,4"),
+            *self._limit_headers(),
         ]
         return [h for h in headers if not ("unsigned" in self.faults and b"s." in h[1])]
 
+    def _limit_headers(self):
+        if self.limit_per_s is None:
+            return []
+        return [(b"Server-Limit", b"%g" % self.limit_per_s)]
+
     async def _run_request(self, exchange):
         head = exchange.head
         request_id = head.get(b"x-attempt-id").decode()
@@ -197,7 +208,8 @@
             handle = f"{self.address}/h{next(self._handles)}"
             self.results.add(handle)
             answers.append({"Handle": handle})
-        exchange.respond(200, [], json.dumps({"Entries": answers}).encode())
+        body = json.dumps({"Entries": answers}).encode()
+        exchange.respond(200, self._limit_headers(), body)
 
 
 class PlatformClient:
