--- /dev/null
+++ b/tests/functional/routing/test_server_limits.py
@@ -0,0 +1,118 @@
+"""Backend servers that name a limit of requests for all hosts together."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from lib.routing_deployment import RoutingDeployment, configuration
+
+ZONES = ("a", "b", "c")
+# Every host in contact with the others obeys a limit after this time.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+LOAD_S = 5.0
+PROMPT = (
+    (b"X-Model", b"m"),
+    (b"X-Token-Usage", b"900,20"),
+    (b"X-Prefix-Hash", b"5c1e:800,91bd:100"),
+)
+
+
+def count_in_window(received_at, since):
+    """Return the largest number of requests in a window after ``since``."""
+    times = [at for at in received_at if at >= since]
+    return max((sum(t <= at < t + WINDOW_S for at in times) for t in times), default=0)
+
+
+async def send_load(deployment, path, duration_s, rate_per_s, **more):
+    """Send requests through all hosts; return the number of each status."""
+    tasks = []
+    loop = asyncio.get_running_loop()
+    end_at = loop.time() + duration_s
+    for zone in itertools.cycle(ZONES):
+        if loop.time() >= end_at:
+            break
+        request = deployment.send_request(path, zone, **more)
+        tasks.append(asyncio.ensure_future(request))
+        await asyncio.sleep(1 / rate_per_s)
+    answers = await asyncio.gather(*tasks, return_exceptions=True)
+    return [answer[1] for answer in answers if not isinstance(answer, Exception)]
+
+
+async def measure_limited(deployment, server_id, limit_per_s, path, **more):
+    """Return the largest number of requests in a window, and the statuses."""
+    engine = deployment.engines[server_id]
+    engine.limit_per_s = limit_per_s
+    await send_load(deployment, path, CONTACT_S, 30, **more)
+    since = asyncio.get_running_loop().time()
+    statuses = await send_load(deployment, path, LOAD_S, 30, **more)
+    return count_in_window(engine.received_at, since), statuses
+
+
+def run_steps(folder, steps, engines):
+    async def run():
+        async with RoutingDeployment(folder) as deployment:
+            for server_id, service, zone in engines:
+                await deployment.add_engine(server_id, service, zone)
+            await deployment.replace_configuration(configuration())
+            await deployment.wait_ready()
+            await steps(deployment)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("limit_per_s", [1.4, 0.4])
+class TestLimitOfOneServer:
+    def test_model_engine_gets_more_than_its_limit(self, limit_per_s, tmp_path):
+        # The limit that a server names was not read.
+        async def steps(deployment):
+            most, statuses = await measure_limited(
+                deployment,
+                "g-1",
+                limit_per_s,
+                "/note/x",
+                method=b"POST",
+                headers=PROMPT,
+                body=b"{}",
+            )
+            assert most <= 1.5 * limit_per_s * WINDOW_S + 5
+            assert statuses.count(200) >= 0.9 * len(statuses)
+
+        engines = [("g-1", "llm", "a"), ("g-2", "llm", "b"), ("g-3", "llm", "c")]
+        run_steps(tmp_path, steps, engines)
+
+    def test_plain_server_gets_more_than_its_limit(self, limit_per_s, tmp_path):
+        # As above; here each entry host chooses servers by itself.
+        async def steps(deployment):
+            most, statuses = await measure_limited(
+                deployment, "p-1", limit_per_s, "/stock/x"
+            )
+            assert most <= 1.5 * limit_per_s * WINDOW_S + 5
+            assert statuses.count(200) >= 0.9 * len(statuses)
+
+        engines = [("p-1", "plain", "a"), ("p-2", "plain", "b"), ("p-3", "plain", "c")]
+        run_steps(tmp_path, steps, engines)
+
+    def test_stage_server_gets_more_than_its_limit(self, limit_per_s, tmp_path):
+        # As above; calls of pieces and releases of results count as requests.
+        async def steps(deployment):
+            most, statuses = await measure_limited(
+                deployment,
+                "s-1",
+                limit_per_s,
+                "/plan/x",
+                method=b"POST",
+                headers=(*PROMPT, (b"X-Chunks", b"1,1"), (b"X-Chunk-Key", b"key")),
+                body=b"{}",
+            )
+            assert most <= 1.5 * limit_per_s * WINDOW_S + 5
+            assert statuses.count(200) >= 0.9 * len(statuses)
+
+        engines = [
+            ("g-1", "llm", "a"),
+            ("s-1", "enc", "a"),
+            ("s-2", "enc", "b"),
+            ("s-3", "enc", "c"),
+        ]
+        run_steps(tmp_path, steps, engines)
