Space the requests to servers that name a limit, on one host for each server

Cause: nothing read the limit; the rate before and after it was the same. Class: a sum over hosts that no host keeps. Shares would not do: seven hosts with a request each are over the limit of a server that accepts less than one a second, and shares overlap while hosts join.

Change: hosts tell each other the limits that they hear. One host spaces all requests to a server evenly: the dispatcher for model engines, and for calls and releases at stage servers; for plain servers one control host, the same for all entry hosts, gives permits. First sends, repeats and probes pass through it. Where a zone has a dispatcher of its own, the others leave its limited servers alone. An entry host without any link uses its share. What finds no room goes to other servers, waits while its objective allows, or is refused with the time to return; forecasts count the wait.

All servers limited: what exceeds the limits is refused, four fifths of them are used.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -21,6 +21,7 @@
     ReplicationProxy,
 )
 from galenadrum._internal.directory.registry import Registry, ServerEntry
+from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.gateway.control_links import ControlLinks
@@ -39,6 +40,7 @@
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.routing.request_pacer import RequestPacer
 from galenadrum._internal.supervision.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -90,6 +92,10 @@
         self.quarantine = PartQuarantine(
             settings.host_id, lambda record: self.links.send_quarantine(record)
         )
+        self.limits = ServerLimits(
+            self.registry.get, lambda limit: self.links.send_limit(limit)
+        )
+        pacer = RequestPacer(self.limits.find_rate)
         self.dispatch = DispatchDriver(
             dialect,
             self._pool,
@@ -97,6 +103,8 @@
             self._get_services,
             self.metrics,
             self.quarantine,
+            self.limits,
+            pacer,
         )
         self.links = LinkService(
             self._build_hello,
@@ -107,6 +115,8 @@
             self.dispatch,
             lambda: self._route_table,
             self.quarantine,
+            self.limits,
+            pacer,
         )
         self.api = RoutingApi(
             dialect.decode_configuration,
@@ -165,6 +175,7 @@
         supervisor.add("directory", self._run_maintenance)
         self.metrics.register_gauge("version", lambda: self.state.version)
         self.metrics.register_gauge("quarantined_parts", lambda: len(self.quarantine))
+        self.metrics.register_gauge("limited_servers", lambda: len(self.limits))
         self.metrics.register_gauge("placed", lambda: self.dispatch.request_count)
         return supervisor
 
@@ -234,6 +245,8 @@
                 )
             elif body == "quarantine":
                 self.links.receive_quarantine(message.quarantine)
+            elif body == "limit":
+                self.links.receive_limit(message.limit)
         finally:
             self._is_handling_link_message = False
 
@@ -248,7 +261,8 @@
                 self.links.send_hello()
             now = self._loop.time()
             self.registry.expire(now)
-            self.registry.prune(now)
+            for server_id in self.registry.prune(now):
+                self.limits.remove_server(server_id)
             self._pool.close_expired()
 
     async def start(self) -> None:
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -15,6 +15,7 @@
 )
 from galenadrum._internal.control.routing.configurations import Configurations
 from galenadrum._internal.directory.registry import Registry, ServerEntry
+from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.dispatch.messages import (
     PlacementOutcome,
@@ -24,16 +25,20 @@
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
     decode_crash,
+    decode_limit,
     decode_quarantine,
+    encode_limit,
     encode_placement_update,
     encode_quarantine,
     encode_server_entry,
 )
 from galenadrum._internal.models.quarantine import QuarantinedPart
+from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.network.host_link import InboundLink
 from galenadrum._internal.protocol import gateway_pb2 as pb
 from galenadrum._internal.protocol.gateway_grpc import GatewayControlBase
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.routing.request_pacer import RequestPacer
 
 logger = logging.getLogger(__name__)
 
@@ -45,7 +50,8 @@
     """Serves links of entry hosts and of other control hosts.
 
     Links carry the configuration, the server directory, confirmations of the newest
-    configuration version, placements, and quarantined prompt parts.
+    configuration version, placements, quarantined prompt parts, and the limits that
+    servers name with the permits for requests to them.
 
     Args:
         hello: Returns the hello message that describes this host.
@@ -57,6 +63,8 @@
         table: Returns the route table of the current configuration; None if there
             is no configuration yet.
         quarantine: Quarantined prompt parts that this host knows.
+        limits: Limits that the servers name.
+        pacer: Spaces the requests to servers that name a limit.
     """
 
     def __init__(
@@ -69,6 +77,8 @@
         dispatch: DispatchDriver,
         table: Callable[[], RouteTable | None],
         quarantine: PartQuarantine,
+        limits: ServerLimits,
+        pacer: RequestPacer,
     ) -> None:
         self._hello = hello
         self._members = members
@@ -78,6 +88,8 @@
         self._dispatch = dispatch
         self._get_route_table = table
         self._quarantine = quarantine
+        self._limits = limits
+        self._pacer = pacer
         self._loop = asyncio.get_running_loop()
         self._links: set[InboundLink] = set()
         self._request_ids_by_link: dict[InboundLink, set[str]] = {}
@@ -141,6 +153,27 @@
         if self._quarantine.merge(record, now):
             self.send_quarantine(record)
 
+    def send_limit(self, limit: ServerLimit) -> None:
+        """Send the limit of a server to all linked hosts."""
+        self._broadcast(encode_limit(limit, self._loop.time()))
+
+    def receive_limit(self, message: pb.ServerLimit) -> None:
+        """Merge a limit that another host heard, and relay it if it is new here."""
+        limit = decode_limit(message, self._loop.time())
+        if self._limits.merge(limit):
+            self.send_limit(limit)
+
+    def _handle_permit_request(
+        self, link: InboundLink, record: pb.PermitRequest
+    ) -> None:
+        is_granted, wait_s = self._pacer.reserve_request(
+            record.server_id, record.max_wait_ms / 1_000, self._loop.time()
+        )
+        permit = pb.Permit(
+            number=record.number, is_granted=is_granted, wait_ms=int(wait_s * 1_000)
+        )
+        link.send(pb.LinkMessage(permit=permit))
+
     def send_hello(self) -> None:
         """Send an updated hello message on all links."""
         self._broadcast(pb.LinkMessage(hello=self._hello()))
@@ -195,6 +228,10 @@
             self._dispatch.record_crash(decode_crash(message.crash))
         elif body == "quarantine":
             self.receive_quarantine(message.quarantine)
+        elif body == "limit":
+            self.receive_limit(message.limit)
+        elif body == "permit_request":
+            self._handle_permit_request(link, message.permit_request)
         else:
             logger.warning(
                 "unexpected message %s from host %s", body, link.peer.host_id
@@ -220,6 +257,8 @@
             link.send(encode_server_entry(entry, now))
         for record in self._quarantine.list_records(now):
             link.send(encode_quarantine(record, now))
+        for limit in self._limits.list_limits():
+            link.send(encode_limit(limit, now))
 
     def _remove_link(self, link: InboundLink) -> None:
         if link in self._links:
--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from galenadrum._internal.dispatch.engine_pool import EngineDemand, EnginePool
@@ -50,6 +50,7 @@
     stage_pools_by_service: Mapping[str, StagePool],
     engines: EnginePool | None,
     now: float,
+    count_waiting: Callable[[], int],
 ) -> Forecast:
     """Forecast a request's first event from the current queues of its stages.
 
@@ -59,6 +60,7 @@
         stage_pools_by_service: Queues and servers of the stages.
         engines: Engine pool of the request's service; None if there is none.
         now: Loop time in seconds.
+        count_waiting: Returns the number of admitted requests that aren't placed.
     """
     due_at = due_time(request) + request.priority * PRIORITY_WEIGHT_S
     done_s: list[float] = []
@@ -79,7 +81,7 @@
     engine_s = math.inf
     if engines is not None:
         demand = EngineDemand(request.prompt, request.prompt_tokens, request.zone)
-        engine_s = engines.estimate_shortest_delay(demand, now)
+        engine_s = engines.estimate_shortest_delay(demand, now, count_waiting)
     total_s = stages_s + engine_s
     reason = "overloaded" if math.isfinite(total_s) else "no_server"
     excess_s = total_s - max(0.0, due_time(request) - now)
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Mapping
 
 from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.dispatch.messages import (
     CallFailure,
     PieceResult,
@@ -36,6 +37,7 @@
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.attribution import CrashAttribution
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.routing.request_pacer import RequestPacer
 
 logger = logging.getLogger(__name__)
 
@@ -56,6 +58,8 @@
         services: Callable that returns the services of the active configuration.
         metrics: Counters and durations of calls and placements.
         quarantine: Prompt parts whose requests are refused.
+        limits: Limits that the servers name.
+        pacer: Spaces the requests to servers that name a limit.
     """
 
     def __init__(
@@ -66,6 +70,8 @@
         services: Callable[[], Mapping[str, Service]],
         metrics: Metrics,
         quarantine: PartQuarantine,
+        limits: ServerLimits,
+        pacer: RequestPacer,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
@@ -73,6 +79,8 @@
         self._services = services
         self._metrics = metrics
         self._quarantine = quarantine
+        self._limits = limits
+        self._pacer = pacer
         self._attribution = CrashAttribution()
         self._dispatchers_by_zone: dict[str, ZoneDispatcher] = {}
         self._replies_by_request: dict[str, tuple[ZoneDispatcher, Reply]] = {}
@@ -171,7 +179,9 @@
     def _get_or_create_dispatcher(self, zone: str) -> ZoneDispatcher:
         dispatcher = self._dispatchers_by_zone.get(zone)
         if dispatcher is None:
-            dispatcher = ZoneDispatcher(zone, self._quarantine, self._attribution)
+            dispatcher = ZoneDispatcher(
+                zone, self._quarantine, self._attribution, self._pacer
+            )
             dispatcher.configure(self._services())
             for entry in self._servers():
                 dispatcher.put_server(entry)
@@ -251,6 +261,7 @@
             logger.debug("stage call %d could not connect: %s", call.call_id, error)
             return CallFailure.UNREACHABLE
         try:
+            sent_at = self._loop.time()
             connection.send(self._dialect.stage_request(call))
             async with asyncio.timeout(call.timeout_s):
                 head = await connection.read_head()
@@ -265,6 +276,12 @@
             connection.close()
             return CallFailure.BROKEN
         self._pool.put(connection)
+        self._limits.record_response(
+            call.server.server_id,
+            self._dialect.parse_response_head(head).limit_per_s,
+            sent_at,
+            self._loop.time(),
+        )
         return self._dialect.stage_results(head, body, call)
 
     async def _run_release(
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -11,13 +11,14 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from galenadrum._internal.dispatch.messages import PromptPart
 from galenadrum._internal.dispatch.stage_pool import ZONE_PENALTY_S_PER_BYTE
 from galenadrum._internal.models.announcements import Announcement
 from galenadrum._internal.models.routing import EngineLimits
+from galenadrum._internal.routing.request_pacer import RequestPacer
 
 # Initial estimates, adjusted to observed times to the first token.
 _INITIAL_PREFILL_TOKENS_PER_S = 60_000.0
@@ -170,10 +171,18 @@
         service: Name of the service.
         zone: Zone whose engines the dispatcher owns; empty if it owns all zones.
         limits: Capacity limits of the service's engines, if configured.
+        pacer: Spaces the requests to engines that name a limit.
     """
 
-    def __init__(self, service: str, zone: str, limits: EngineLimits | None) -> None:
+    def __init__(
+        self,
+        service: str,
+        zone: str,
+        limits: EngineLimits | None,
+        pacer: RequestPacer,
+    ) -> None:
         self.service = service
+        self._pacer = pacer
         self._zone = zone
         self._limits = limits
         self.engines_by_id: dict[str, Engine] = {}
@@ -205,11 +214,14 @@
         """Return the engine with the earliest expected first token.
 
         Returns:
-            None if all engines are full, excluded or paused.
+            None if all engines are full, excluded, paused or at their limit.
         """
         best: tuple[float, Engine] | None = None
         for engine in self._usable_engines(now):
-            if engine.announcement.server_id in excluded or self.is_full(engine):
+            server_id = engine.announcement.server_id
+            if server_id in excluded or self.is_full(engine):
+                continue
+            if self._pacer.wait_s(server_id, now) > 0:
                 continue
             delay_s = self.estimate_first_token_delay(engine, demand, now)
             if best is None or delay_s < best[0]:
@@ -218,8 +230,16 @@
 
     def _usable_engines(self, now: float) -> list[Engine]:
         unpaused = [e for e in self.engines_by_id.values() if now >= e.paused_until]
-        responsive = [e for e in unpaused if not e.is_silent]
-        return responsive or unpaused
+        own = [e for e in unpaused if not self._is_paced_elsewhere(e)]
+        responsive = [e for e in own if not e.is_silent]
+        return responsive or own
+
+    def _is_paced_elsewhere(self, engine: Engine) -> bool:
+        """Return whether the dispatcher of another zone spaces an engine's requests."""
+        announcement = engine.announcement
+        if not self._zone or announcement.zone == self._zone:
+            return False
+        return self._pacer.find_rate(announcement.server_id) is not None
 
     def is_full(self, engine: Engine) -> bool:
         """Return whether the usable share of an engine's slots is occupied."""
@@ -255,20 +275,36 @@
             return 0.0
         return _SHARED_ZONE_PENALTY_S + demand.input_bytes * ZONE_PENALTY_S_PER_BYTE
 
-    def estimate_shortest_delay(self, demand: EngineDemand, now: float) -> float:
-        """Return the shortest expected time to a first token, in seconds."""
-        return min(
-            (
-                self.estimate_first_token_delay(e, demand, now)
-                for e in self._usable_engines(now)
-            ),
-            default=math.inf,
+    def estimate_shortest_delay(
+        self, demand: EngineDemand, now: float, count_waiting: Callable[[], int]
+    ) -> float:
+        """Return the shortest expected time to a first token, in seconds.
+
+        Args:
+            demand: Properties of the request.
+            now: Loop time in seconds.
+            count_waiting: Returns the number of requests that will be placed before;
+                called if all engines name a limit.
+        """
+        engines = self._usable_engines(now)
+        if not engines:
+            return math.inf
+        server_ids = [e.announcement.server_id for e in engines]
+        delay_s = min(
+            self.estimate_first_token_delay(engine, demand, now)
+            + self._pacer.wait_s(server_id, now)
+            for engine, server_id in zip(engines, server_ids, strict=True)
         )
+        rates = [self._pacer.find_rate(server_id) for server_id in server_ids]
+        if None not in rates:
+            delay_s += count_waiting() / sum(rates)
+        return delay_s
 
     def place(
         self, engine: Engine, request_id: str, demand: EngineDemand, now: float
     ) -> None:
         """Record the placement of a request at an engine."""
+        self._pacer.record_request(engine.announcement.server_id, now)
         uncached_tokens = self._uncached_tokens(engine, demand)
         engine.add_run(
             Run(
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -15,6 +15,7 @@
 
 from galenadrum._internal.models.announcements import Announcement
 from galenadrum._internal.models.routing import StageLimits
+from galenadrum._internal.routing.request_pacer import RequestPacer
 
 # Each priority rank delays the due time of a piece by this much.
 PRIORITY_WEIGHT_S = 0.35
@@ -200,10 +201,14 @@
         service: Name of the service.
         zone: Zone whose servers the dispatcher owns; empty if it owns all zones.
         limits: Capacity limits of each server of the service.
+        pacer: Spaces the requests to servers that name a limit.
     """
 
-    def __init__(self, service: str, zone: str, limits: StageLimits) -> None:
+    def __init__(
+        self, service: str, zone: str, limits: StageLimits, pacer: RequestPacer
+    ) -> None:
         self.service = service
+        self._pacer = pacer
         self.limits = limits
         self._zone = zone
         # Number of pieces of admitted requests whose stage is not due yet.
@@ -310,10 +315,16 @@
 
     def _has_free_server(self, now: float) -> bool:
         return any(
-            len(s.calls) < self.limits.concurrency and now >= s.paused_until
+            self._is_free(s, now) and now >= s.paused_until
             for s in self.servers_by_id.values()
         )
 
+    def _is_free(self, server: StageServer, now: float) -> bool:
+        """Return whether a server has a free slot and isn't at its limit."""
+        if len(server.calls) >= self.limits.concurrency:
+            return False
+        return self._pacer.wait_s(server.announcement.server_id, now) == 0
+
     def _may_start_call(self, now: float) -> bool:
         """Return whether enough time has passed since the last call started.
 
@@ -391,7 +402,7 @@
             keeps up.
         """
         usable = self._usable_servers(now)
-        free = [s for s in usable if len(s.calls) < self.limits.concurrency]
+        free = [s for s in usable if self._is_free(s, now)]
         if not free:
             return None
         finish_at, server = min(
@@ -437,10 +448,20 @@
         )
 
     def _usable_servers(self, now: float) -> list[StageServer]:
-        usable = [s for s in self.servers_by_id.values() if now >= s.paused_until]
+        usable = [
+            s
+            for s in self.servers_by_id.values()
+            if now >= s.paused_until and not self._is_paced_elsewhere(s)
+        ]
         responsive = [s for s in usable if not s.is_silent]
         return responsive or usable
 
+    def _is_paced_elsewhere(self, server: StageServer) -> bool:
+        """Return whether the dispatcher of another zone spaces a server's calls."""
+        if not self._is_in_other_zone(server):
+            return False
+        return self._pacer.find_rate(server.announcement.server_id) is not None
+
     def _estimate_start(
         self, server: StageServer, piece: WaitingPiece, now: float
     ) -> float:
@@ -462,6 +483,7 @@
         expected_s = self.call_time(len(pieces)) * server.current_slowness(now)
         server_id = server.announcement.server_id
         self._last_start_at = now
+        self._pacer.record_request(server_id, now)
         call = RunningCall(call_id, server_id, pieces, now, expected_s)
         self.calls_by_id[call_id] = call
         server.calls.add(call_id)
@@ -621,6 +643,10 @@
         server = self._server_of_result(handle)
         return server.announcement.zone if server is not None else None
 
+    def find_server_id(self, address: str) -> str | None:
+        """Return the id of the server at an address, None if there is none."""
+        return self._server_id_by_address.get(address)
+
     def _server_of_result(self, handle: str) -> StageServer | None:
         server_id = self._server_id_by_address.get(handle.partition("/")[0])
         return self.servers_by_id.get(server_id) if server_id else None
@@ -660,7 +686,11 @@
             if group.pieces[0].start_due_at(now) <= due_at
         )
         first_free_s = min(
-            max(0.0, s.busy_until - now) if s.calls else 0.0 for s in own
+            max(
+                max(0.0, s.busy_until - now) if s.calls else 0.0,
+                self._pacer.wait_s(s.announcement.server_id, now),
+            )
+            for s in own
         )
         rate = self._throughput(own, result_bytes, now)
         wait_s = max(0.0, first_free_s + ahead / rate - start_s)
@@ -684,4 +714,17 @@
         if result_bytes > 0:
             room = self.limits.result_memory_bytes * _MEMORY_FILL_SHARE / result_bytes
             rate = min(rate, max(1.0, room) / (call_s + self._hold_s))
-        return rate * sum(1.0 / s.current_slowness(now) for s in servers)
+        return sum(
+            min(rate / s.current_slowness(now), self._limited_throughput(s))
+            for s in servers
+        )
+
+    def _limited_throughput(self, server: StageServer) -> float:
+        """Return the most pieces a second that a server's own limit allows.
+
+        Each call is followed by a release of its results, which counts as well.
+        """
+        rate_per_s = self._pacer.find_rate(server.announcement.server_id)
+        if rate_per_s is None:
+            return math.inf
+        return rate_per_s / 2 * self.limits.batch_size
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -47,6 +47,7 @@
 from galenadrum._internal.models.routing import Service
 from galenadrum._internal.quarantine.attribution import CrashAttribution
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.routing.request_pacer import RequestPacer
 
 logger = logging.getLogger(__name__)
 
@@ -97,6 +98,7 @@
         zone: Zone whose servers it owns; empty if it owns all zones.
         quarantine: Prompt parts whose requests it refuses.
         attribution: Attributes crashes of engines to prompt parts.
+        pacer: Spaces the requests to servers that name a limit.
     """
 
     def __init__(
@@ -104,11 +106,13 @@
         zone: str,
         quarantine: PartQuarantine | None = None,
         attribution: CrashAttribution | None = None,
+        pacer: RequestPacer | None = None,
     ) -> None:
         self.zone = zone
         self._quarantine = quarantine or PartQuarantine()
         self._quarantine_revision = self._quarantine.revision
         self._attribution = attribution or CrashAttribution()
+        self._pacer = pacer or RequestPacer(lambda server_id: None)
         self._services_by_name: Mapping[str, Service] = {}
         self._stage_pools_by_service: dict[str, StagePool] = {}
         self._engine_pools_by_service: dict[str, EnginePool] = {}
@@ -174,14 +178,14 @@
     def _get_or_create_stage_pool(self, service: Service) -> StagePool:
         pool = self._stage_pools_by_service.get(service.name)
         if pool is None:
-            pool = StagePool(service.name, self.zone, service.stage)
+            pool = StagePool(service.name, self.zone, service.stage, self._pacer)
             self._stage_pools_by_service[service.name] = pool
         return pool
 
     def _get_or_create_engine_pool(self, service: Service) -> EnginePool:
         pool = self._engine_pools_by_service.get(service.name)
         if pool is None:
-            pool = EnginePool(service.name, self.zone, service.engine)
+            pool = EnginePool(service.name, self.zone, service.engine, self._pacer)
             self._engine_pools_by_service[service.name] = pool
         return pool
 
@@ -248,6 +252,13 @@
             self._stage_pools_by_service,
             self._engine_pools_by_service.get(request.service),
             now,
+            lambda: self._count_unplaced(request.service),
+        )
+
+    def _count_unplaced(self, service: str) -> int:
+        return sum(
+            not active.server_id and active.request.service == service
+            for active in self._active_by_request.values()
         )
 
     def abandon(self, request_id: str, now: float) -> None:
@@ -509,7 +520,7 @@
         self._place_ready_requests(now)
         if now - self._releases_flushed_at >= _RELEASE_INTERVAL_S:
             self._releases_flushed_at = now
-            self._flush_releases()
+            self._flush_releases(now)
 
     def _requeue_overdue(self, pool: StagePool, call: RunningCall, now: float) -> None:
         logger.info(
@@ -828,7 +839,20 @@
                 pool.confirm_release(handle)
         self._start_calls(now)
 
-    def _flush_releases(self) -> None:
-        for address, handles in self._pending_releases_by_address.items():
+    def _flush_releases(self, now: float) -> None:
+        """Send the pending releases; those at servers at their limit stay pending."""
+        for address, handles in list(self._pending_releases_by_address.items()):
+            server_id = self._find_stage_server(address)
+            if self._pacer.wait_s(server_id, now) > 0:
+                continue
+            self._pacer.record_request(server_id, now)
             self._actions.append(ResultsRelease(address, tuple(handles)))
-        self._pending_releases_by_address.clear()
+            del self._pending_releases_by_address[address]
+
+    def _find_stage_server(self, address: str) -> str:
+        """Return the id of the stage server at an address; empty if unknown."""
+        for pool in self._stage_pools_by_service.values():
+            server_id = pool.find_server_id(address)
+            if server_id is not None:
+                return server_id
+        return ""
--- a/src/galenadrum/_internal/gateway/balancer.py
+++ b/src/galenadrum/_internal/gateway/balancer.py
@@ -134,6 +134,17 @@
             load += _WARM_UP_LOAD_PENALTY
         return load
 
+    def find_server(self, server_id: str) -> ServerEntry | None:
+        """Return the entry of a server, None if it takes no new work."""
+        server = self._servers_by_id.get(server_id)
+        return server.entry if server is not None else None
+
+    def cancel_choice(self, server_id: str) -> None:
+        """Record that nothing is sent to a server that was chosen."""
+        server = self._servers_by_id.get(server_id)
+        if server is not None:
+            server.health.probing = False
+
     def started(self, server_id: str) -> None:
         """Record that a request is sent to a server."""
         server = self._servers_by_id.get(server_id)
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -20,10 +20,16 @@
 from galenadrum._internal.gateway.error_responder import ErrorResponder
 from galenadrum._internal.gateway.lease import ConfigurationLease
 from galenadrum._internal.gateway.link_codec import (
+    decode_limit,
     decode_quarantine,
+    encode_limit,
     encode_quarantine,
 )
-from galenadrum._internal.gateway.placement_client import PlacementClient
+from galenadrum._internal.gateway.permits import PermitClient
+from galenadrum._internal.gateway.placement_client import (
+    PlacementClient,
+    choose_link,
+)
 from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
 from galenadrum._internal.gateway.request_handler import (
     ActiveRouteTable,
@@ -34,6 +40,7 @@
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
 from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.models.routing_settings import GatewaySettings
+from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.network.host_link import HostLink
 from galenadrum._internal.network.http1.client import ConnectionPool
 from galenadrum._internal.network.http1.server import (
@@ -45,6 +52,7 @@
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.routing.request_pacer import RequestPacer
 from galenadrum._internal.supervision.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -86,7 +94,11 @@
         self.lease = ConfigurationLease(bounds.revocation_s)
         self.balancer = PlainBalancer(settings.zone, rng)
         self.servers = ServerDirectory(self._handle_server_change)
-        self.limits = ServerLimits(self.servers.registry.get)
+        self.limits = ServerLimits(self.servers.registry.get, self._handle_limit_change)
+        # Used without links only: the other entry hosts then use their shares as well.
+        pacer = RequestPacer(
+            self.limits.find_rate, lambda: 1 / max(1, self.links.entry_hosts)
+        )
         self._pool = ConnectionPool(
             lambda _: self.metrics.increment("connections_opened")
         )
@@ -100,7 +112,10 @@
             self._services_by_name,
             self.metrics,
             self.quarantine,
+            self.limits,
+            pacer,
         )
+        self.permits = PermitClient(lambda: choose_link(self.links.links_up()), pacer)
         self.links = ControlLinks(
             self._build_hello,
             seeds,
@@ -147,7 +162,14 @@
             self.in_force,
             self.lease,
             PlainForwarder(
-                dialect, pool, self.balancer, budgets, self.limits, answers, metrics
+                dialect,
+                pool,
+                self.balancer,
+                budgets,
+                self.limits,
+                self.permits,
+                answers,
+                metrics,
             ),
             StreamForwarder(
                 dialect,
@@ -229,9 +251,18 @@
         elif body == "quarantine":
             now = self._loop.time()
             self.quarantine.merge(decode_quarantine(message.quarantine, now), now)
+        elif body == "limit":
+            self.limits.merge(decode_limit(message.limit, self._loop.time()))
+        elif body == "permit":
+            self.permits.handle_permit(message.permit)
         else:
             self.placements.handle_message(link, message)
 
+    def _handle_limit_change(self, limit: ServerLimit) -> None:
+        message = encode_limit(limit, self._loop.time())
+        for link in self.links.links_up():
+            link.send(message)
+
     def _handle_quarantine_change(self, record: QuarantinedPart) -> None:
         message = encode_quarantine(record, self._loop.time())
         for link in self.links.links_up():
@@ -271,6 +302,8 @@
         now = self._loop.time()
         for record in self.quarantine.list_records(now):
             link.send(encode_quarantine(record, now))
+        for limit in self.limits.list_limits():
+            link.send(encode_limit(limit, now))
 
     @property
     def is_ready(self) -> bool:
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -18,6 +18,7 @@
 from galenadrum._internal.models.announcements import Announcement, ServerState
 from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.models.routing import Route
+from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.protocol import gateway_pb2 as pb
 
 _MS_PER_S = 1_000
@@ -227,3 +228,25 @@
         record.crashes,
         record.is_lifted,
     )
+
+
+def encode_limit(limit: ServerLimit, now: float) -> pb.LinkMessage:
+    """Encode the limit of a server; the time at which it was heard becomes an age."""
+    return pb.LinkMessage(
+        limit=pb.ServerLimit(
+            server_id=limit.server_id,
+            incarnation_ms=limit.incarnation_ms,
+            per_s=limit.per_s,
+            age_ms=max(0, int((now - limit.heard_at) * _MS_PER_S)),
+        )
+    )
+
+
+def decode_limit(record: pb.ServerLimit, now: float) -> ServerLimit:
+    """Decode the limit of a server, with times in this host's loop time."""
+    return ServerLimit(
+        record.server_id,
+        record.incarnation_ms,
+        record.per_s if record.HasField("per_s") else None,
+        now - record.age_ms / _MS_PER_S,
+    )
--- a/src/galenadrum/_internal/gateway/placement_client.py
+++ b/src/galenadrum/_internal/gateway/placement_client.py
@@ -240,15 +240,23 @@
         )
 
     def _choose_link(self, domain: str) -> HostLink | None:
-        """Return the link to the domain's dispatcher, the same on all entry hosts."""
-        links = self._links_up()
-        own = [link for link in links if link.peer.zone == domain]
-        candidates = own or links
-        if not candidates:
-            return None
-        earliest_at = min(link.available_at for link in candidates)
-        return next(
-            link
-            for link in candidates
-            if link.available_at <= earliest_at + _AVAILABILITY_TOLERANCE_S
-        )
+        return choose_link(self._links_up(), domain)
+
+
+def choose_link(links: list[HostLink], domain: str = "") -> HostLink | None:
+    """Return the link to the control host in charge, the same on all entry hosts.
+
+    Args:
+        links: Links that are up, sorted by address.
+        domain: Zone whose control hosts are preferred; empty for none.
+    """
+    own = [link for link in links if link.peer.zone == domain]
+    candidates = own or links
+    if not candidates:
+        return None
+    earliest_at = min(link.available_at for link in candidates)
+    return next(
+        link
+        for link in candidates
+        if link.available_at <= earliest_at + _AVAILABILITY_TOLERANCE_S
+    )
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -23,6 +23,7 @@
     forwarded_headers,
     send_failure,
 )
+from galenadrum._internal.gateway.permits import Permit, PermitClient
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
@@ -65,6 +66,7 @@
         balancer: PlainBalancer,
         budgets: RetryBudgets,
         limits: ServerLimits,
+        permits: PermitClient,
         answers: ErrorResponder,
         metrics: Metrics,
     ) -> None:
@@ -73,6 +75,7 @@
         self._balancer = balancer
         self._budgets = budgets
         self._limits = limits
+        self._permits = permits
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -82,15 +85,16 @@
         attempts = Attempts(context.route)
         self._budgets.deposit(context.service)
         failure = "no_server"
+        retry_after_s = _RETRY_AFTER_S
         while attempts.may_send:
             now = self._loop.time()
             if now + MIN_SEND_TIME_S >= context.deadline_at:
                 failure = "deadline"
                 break
-            entry = self._balancer.choose_server(
-                context.service, attempts.excluded_ids, now
-            )
+            entry, wait_s = await self._choose_server(context, attempts)
             if entry is None:
+                if wait_s is not None:
+                    failure, retry_after_s = "limited", wait_s
                 break
             if not attempts.is_first and not self._budgets.withdraw(context.service):
                 failure = "retry_budget"
@@ -106,10 +110,64 @@
             context,
             attempts,
             failure,
-            _RETRY_AFTER_S,
+            retry_after_s,
             self._loop.time(),
         )
 
+    async def _choose_server(
+        self, context: RequestContext, attempts: Attempts
+    ) -> tuple[ServerEntry | None, float | None]:
+        """Choose a server that may be sent the request now.
+
+        If all servers are at the limits that they name, wait for the first of them
+        while the objective or, once that is missed, the deadline allows.
+
+        Returns:
+            The server, None if there is none; and the seconds until one may be sent a
+            request, None if no limit is the reason.
+        """
+        wait_s_by_server: dict[str, float] = {}
+        while True:
+            excluded_ids = attempts.excluded_ids | wait_s_by_server.keys()
+            entry = self._balancer.choose_server(
+                context.service, excluded_ids, self._loop.time()
+            )
+            if entry is None:
+                break
+            permit = await self._request_permit(entry.server_id, 0.0)
+            if permit.is_granted:
+                return entry, None
+            wait_s_by_server[entry.server_id] = permit.wait_s
+        if not wait_s_by_server:
+            return None, None
+        return await self._wait_for_server(context, wait_s_by_server)
+
+    async def _wait_for_server(
+        self, context: RequestContext, wait_s_by_server: dict[str, float]
+    ) -> tuple[ServerEntry | None, float | None]:
+        server_id = min(wait_s_by_server, key=wait_s_by_server.__getitem__)
+        now = self._loop.time()
+        objective_at = context.first_requested_at + context.route.objective_s
+        due_at = objective_at if objective_at > now else context.deadline_at
+        permit = await self._request_permit(
+            server_id, min(due_at, context.deadline_at) - now - MIN_SEND_TIME_S
+        )
+        entry = self._balancer.find_server(server_id)
+        if not permit.is_granted or entry is None:
+            return None, permit.wait_s
+        await asyncio.sleep(permit.wait_s)
+        return entry, None
+
+    async def _request_permit(self, server_id: str, max_wait_s: float) -> Permit:
+        if self._limits.find_rate(server_id) is None:
+            return Permit(True, 0.0)
+        if max_wait_s < 0:
+            return Permit(False, _RETRY_AFTER_S)
+        permit = await self._permits.request_permit(server_id, max_wait_s)
+        if not permit.is_granted:
+            self._balancer.cancel_choice(server_id)
+        return permit
+
     def _should_retry(self, reply: _Reply, attempts: Attempts) -> bool:
         """Return whether a 5xx response is discarded and the request sent again."""
         return reply.head.status >= 500 and attempts.may_send
--- a/tests/functional/routing/test_server_limits.py
+++ b/tests/functional/routing/test_server_limits.py
@@ -116,3 +116,46 @@
             ("s-3", "enc", "c"),
         ]
         run_steps(tmp_path, steps, engines)
+
+
+class TestLimitOfAllServers:
+    def check_refusals(self, engines, path, folder, **more):
+        """Check that what can't be served in time is refused at once, not run."""
+
+        async def steps(deployment):
+            for engine in deployment.engines.values():
+                engine.limit_per_s = 2.0
+            await send_load(deployment, path, CONTACT_S, 30, **more)
+            loop = asyncio.get_running_loop()
+            since = loop.time()
+            statuses = await send_load(deployment, path, LOAD_S, 30, **more)
+            assert loop.time() - since < LOAD_S + 3.0
+            assert set(statuses) == {200, 503}
+            assert statuses.count(200) >= 0.8 * len(engines) * 2.0 * LOAD_S
+            for engine in deployment.engines.values():
+                assert count_in_window(engine.received_at, since) <= 2.0 * WINDOW_S + 2
+            _, status, headers, _ = await deployment.send_request(path, **more)
+            assert status == 200 or float(headers[b"retry-after"]) > 0
+
+        run_steps(folder, steps, engines)
+
+    def test_plain_requests_beyond_all_limits_are_refused(self, tmp_path):
+        engines = [("p-1", "plain", "a"), ("p-2", "plain", "b")]
+        self.check_refusals(engines, "/stock/x", tmp_path)
+
+    def test_streams_beyond_all_limits_are_refused(self, tmp_path):
+        engines = [("g-1", "llm", "a"), ("g-2", "llm", "b")]
+        more = {"method": b"POST", "headers": PROMPT, "body": b"{}"}
+        self.check_refusals(engines, "/note/x", tmp_path, **more)
+
+    def test_limit_that_is_no_longer_named_ends(self, tmp_path):
+        async def steps(deployment):
+            engine = deployment.engines["p-1"]
+            engine.limit_per_s = 1.0
+            await send_load(deployment, "/stock/x", 1.0, 30)
+            engine.limit_per_s = None
+            await send_load(deployment, "/stock/x", 3.0, 30)
+            statuses = await send_load(deployment, "/stock/x", 1.0, 30)
+            assert statuses.count(200) == len(statuses)
+
+        run_steps(tmp_path, steps, [("p-1", "plain", "a")])
