--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -95,7 +95,9 @@
         self.limits = ServerLimits(
             self.registry.get, lambda limit: self.links.send_limit(limit)
         )
-        pacer = RequestPacer(self.limits.find_rate)
+        pacer = RequestPacer(
+            self.limits.find_rate, has_limits=lambda: len(self.limits) > 0
+        )
         self.dispatch = DispatchDriver(
             dialect,
             self._pool,
--- a/src/galenadrum/_internal/directory/server_limits.py
+++ b/src/galenadrum/_internal/directory/server_limits.py
@@ -34,7 +34,8 @@
         self._limits_by_server: dict[str, ServerLimit] = {}
 
     def __len__(self) -> int:
-        return len(self._limits_by_server)
+        limits = self._limits_by_server.values()
+        return sum(limit.per_s is not None for limit in limits)
 
     def find_rate(self, server_id: str) -> float | None:
         """Return the requests per second that a server accepts, None if unlimited."""
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -217,11 +217,12 @@
             None if all engines are full, excluded, paused or at their limit.
         """
         best: tuple[float, Engine] | None = None
+        is_paced = self._pacer.has_limits()
         for engine in self._usable_engines(now):
             server_id = engine.announcement.server_id
             if server_id in excluded or self.is_full(engine):
                 continue
-            if self._pacer.wait_s(server_id, now) > 0:
+            if is_paced and self._pacer.wait_s(server_id, now) > 0:
                 continue
             delay_s = self.estimate_first_token_delay(engine, demand, now)
             if best is None or delay_s < best[0]:
@@ -230,14 +231,15 @@
 
     def _usable_engines(self, now: float) -> list[Engine]:
         unpaused = [e for e in self.engines_by_id.values() if now >= e.paused_until]
-        own = [e for e in unpaused if not self._is_paced_elsewhere(e)]
-        responsive = [e for e in own if not e.is_silent]
-        return responsive or own
+        if self._zone and self._pacer.has_limits():
+            unpaused = [e for e in unpaused if not self._is_paced_elsewhere(e)]
+        responsive = [e for e in unpaused if not e.is_silent]
+        return responsive or unpaused
 
     def _is_paced_elsewhere(self, engine: Engine) -> bool:
         """Return whether the dispatcher of another zone spaces an engine's requests."""
         announcement = engine.announcement
-        if not self._zone or announcement.zone == self._zone:
+        if announcement.zone == self._zone:
             return False
         return self._pacer.find_rate(announcement.server_id) is not None
 
@@ -289,6 +291,8 @@
         engines = self._usable_engines(now)
         if not engines:
             return math.inf
+        if not self._pacer.has_limits():
+            return min(self.estimate_first_token_delay(e, demand, now) for e in engines)
         server_ids = [e.announcement.server_id for e in engines]
         delay_s = min(
             self.estimate_first_token_delay(engine, demand, now)
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -97,7 +97,9 @@
         self.limits = ServerLimits(self.servers.registry.get, self._handle_limit_change)
         # Used without links only: the other entry hosts then use their shares as well.
         pacer = RequestPacer(
-            self.limits.find_rate, lambda: 1 / max(1, self.links.entry_hosts)
+            self.limits.find_rate,
+            lambda: 1 / max(1, self.links.entry_hosts),
+            lambda: len(self.limits) > 0,
         )
         self._pool = ConnectionPool(
             lambda _: self.metrics.increment("connections_opened")
--- a/src/galenadrum/_internal/routing/request_pacer.py
+++ b/src/galenadrum/_internal/routing/request_pacer.py
@@ -36,15 +36,18 @@
         find_rate: Returns the requests per second that a server accepts, None if it
             names no limit.
         share: Returns the share of each limit that this host may use.
+        has_limits: Returns whether any server names a limit.
     """
 
     def __init__(
         self,
         find_rate: Callable[[str], float | None],
         share: Callable[[], float] = lambda: 1.0,
+        has_limits: Callable[[], bool] = lambda: True,
     ) -> None:
         self._find_rate = find_rate
         self._share = share
+        self.has_limits = has_limits
         self._schedules_by_server: dict[str, _Schedule] = {}
 
     def find_rate(self, server_id: str) -> float | None:
