Report no stage results whose expiry isn't known

OverflowError: cannot convert float infinity to integer' once, at 23.8 s, in the report of a stage's results. The actions after it, placements among them, were lost.

Cause: a stage server that leaves while it works on a call is removed from its pool; its results have no known expiry, minus infinity, which can't be encoded.

Change: such results aren't reported, as no other dispatcher could use them. The simulation encodes each report; a test has a server leave meanwhile.

Measured: the test failed with the same error before, and passes.

--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -9,6 +9,7 @@
 
 import itertools
 import logging
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
@@ -421,8 +422,10 @@
         if active.graph.is_stage_complete(piece.stage) and not active.graph.is_complete:
             # The results of the last stages are sent with the placement.
             handles = active.graph.stage_handles(piece.stage)
-            results = StageResults(piece.stage, handles, pool.earliest_expiry(handles))
-            self._actions.append(StageProgress(piece.request_id, results))
+            expires_at = pool.earliest_expiry(handles)
+            if math.isfinite(expires_at):
+                results = StageResults(piece.stage, handles, expires_at)
+                self._actions.append(StageProgress(piece.request_id, results))
         if call.is_overdue:
             pool.remove_piece(piece.request_id, piece.stage, piece.number)
 
--- a/tests/lib/dispatch_simulation.py
+++ b/tests/lib/dispatch_simulation.py
@@ -21,6 +21,7 @@
     StageProgress,
 )
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
+from galenadrum._internal.gateway.link_codec import encode_placement_update
 
 TICK_S = 0.02
 RELEASE_S = 0.005
@@ -128,6 +129,8 @@
                 case Placement():
                     self._handle_placement(action)
                 case StageProgress(request_id, results):
+                    # Progress is sent to the request's host.
+                    encode_placement_update(action, self.now)
                     known = self._progress_by_request.setdefault(request_id, {})
                     known[results.stage] = results
                 case PlacementRefusal(request_id, reason, _):
--- a/tests/unit/dispatch/test_zone_dispatcher.py
+++ b/tests/unit/dispatch/test_zone_dispatcher.py
@@ -405,6 +405,19 @@
         assert counts[1] == 12
         assert "r1" in simulation.placed_at
 
+    def test_results_of_a_server_that_leaves_meanwhile_are_reported(self):
+        # Without a known expiry, the report could not be encoded for its link.
+        simulation = build_simulation([*ENGINES, ENCODERS[0]])
+        stages = (
+            RouteStage("encode", (), 1_000.0),
+            RouteStage("encode", (0,), 1_000.0),
+        )
+        simulation.submit_at(0.0, request(pieces=(1, 1), stages=stages))
+        leaving = entry("e-a", "encode", "a", sequence=2, state=ServerState.DRAINING)
+        simulation.schedule_at(0.1, lambda: simulation.dispatcher.put_server(leaving))
+        simulation.run(0.5)
+        assert [len(call.pieces) for _, call in simulation.calls] == [1]
+
     def test_most_active_requests_are_still_placed(self):
         simulation = self.build_chain_simulation()
         count = submit_at_random_times(simulation, 4.0, 4.0, self.chain_request)
