--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -55,8 +55,11 @@
     "engine_cut",
     "engine_unframed",
     "engine_cut_unframed",
+    "engine_endless_head",
+    "engine_endless_body",
     "silence",
 )
+MAX_HOST_MEMORY_KB = 300_000
 NON_REPEATABLE_PATHS = (b"/confirm", b"/draft")
 STREAM_HEADERS = (
     (b"X-Model", b"m"),
@@ -134,6 +137,11 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def peak_memory_kb(self):
+        """Return the largest resident memory of the process so far."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.split("VmHWM:")[1].split()[0])
+
     async def wait_ended(self):
         while self.process.poll() is None:
             await asyncio.sleep(0.02)
@@ -201,6 +209,7 @@
             await self._wait_until_served(30.0, "at the start")
             await self._inject_faults()
             await self._wait_until_served(RECOVERY_S, "after the last fault")
+            self._check_memory()
             await self._check_final_configuration()
         finally:
             for task in tasks:
@@ -247,6 +256,12 @@
                     break
             await asyncio.sleep(0.3)
 
+    def _check_memory(self):
+        for host in (*self.controls, *self.entries):
+            peak_kb = host.peak_memory_kb()
+            if peak_kb > MAX_HOST_MEMORY_KB:
+                self.broken.append(f"{host.role}-{host.zone} used {peak_kb} kB")
+
     async def _replace_configurations(self):
         """Replace the configuration repeatedly, each time until acknowledged."""
         while True:
@@ -354,6 +369,10 @@
         if fault == "silence":
             self._relay.silence()
             return
+        if fault.startswith("engine_endless"):
+            engine = self.rng.choice(self._all_engines())
+            await self._add_faults(engine, {fault.removeprefix("engine_")})
+            return
         if fault.startswith("engine_"):
             names = set(fault.removeprefix("engine_").split("_"))
             engine = self.rng.choice(
@@ -363,9 +382,7 @@
             )
             if "cut" in names:
                 self._draw_cut(engine)
-            engine.faults |= names
-            await asyncio.sleep(self.rng.uniform(0.3, 2.0))
-            engine.faults -= names
+            await self._add_faults(engine, names)
             return
         host = self.rng.choice([*self.controls, *self.entries])
         if fault == "pause":
@@ -377,6 +394,11 @@
         else:
             await self._restart(host, fault)
 
+    async def _add_faults(self, engine, names):
+        engine.faults |= names
+        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        engine.faults -= names
+
     def _draw_cut(self, engine):
         """Choose where an engine breaks off its streams, inside an event."""
         engine.cut_number = self.rng.randint(1, engine.events)
