--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -57,8 +57,17 @@
     "engine_cut_unframed",
     "engine_endless_head",
     "engine_endless_body",
+    "engine_lethal",
     "silence",
 )
+LETHAL_PART = b"dead"
+LETHAL_HEADERS = (
+    (b"X-Model", b"m"),
+    (b"X-Token-Usage", b"900,20"),
+    (b"X-Prefix-Hash", b"5c1e:800,dead:100,91bd:100"),
+)
+# Crashes that a part may cause before its requests are refused.
+MAX_LETHAL_RUNS = 5
 MAX_HOST_MEMORY_KB = 300_000
 NON_REPEATABLE_PATHS = (b"/confirm", b"/draft")
 STREAM_HEADERS = (
@@ -209,6 +218,7 @@
             await self._wait_until_served(30.0, "at the start")
             await self._inject_faults()
             await self._wait_until_served(RECOVERY_S, "after the last fault")
+            await self._check_lethal_part()
             self._check_memory()
             await self._check_final_configuration()
         finally:
@@ -247,6 +257,8 @@
 
     async def _announce_repeatedly(self, engine):
         while True:
+            if engine.has_crashed:
+                await self._restart_engine(engine)
             for host in self.rng.sample(self.controls, len(self.controls)):
                 with contextlib.suppress(GalenadrumError, TimeoutError):
                     async with asyncio.timeout(1.0):
@@ -256,6 +268,45 @@
                     break
             await asyncio.sleep(0.3)
 
+    async def _restart_engine(self, engine):
+        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        engine.born += 1
+        engine.has_crashed = False
+        await engine.start()
+
+    async def _send_lethal_requests(self, count):
+        """Send requests with the lethal part; return how many reached an engine."""
+        request_ids = []
+        for number in range(count):
+            request_id = f"{self.rng.getrandbits(60):016x}"
+            request_ids.append(request_id)
+            with contextlib.suppress(GalenadrumError, TimeoutError):
+                await self.caller.send_request(
+                    f"{self.entries[number % 2].ip}:{FRONT_PORT}",
+                    "x.example",
+                    "/note/x",
+                    key="k1",
+                    request_id=request_id,
+                    method=b"POST",
+                    deadline_ms=1_500,
+                    timeout_s=2.0,
+                    headers=LETHAL_HEADERS,
+                )
+            await asyncio.sleep(0.2)
+        return sum(
+            engine.run_count_by_request_id[request_id]
+            for engine in self.model_engines
+            for request_id in request_ids
+        )
+
+    async def _check_lethal_part(self):
+        """Check that a part that crashes engines is refused after a few crashes."""
+        for engine in self.model_engines:
+            engine.lethal_parts.add(LETHAL_PART)
+        runs = await self._send_lethal_requests(20)
+        if runs > MAX_LETHAL_RUNS:
+            self.broken.append(f"the lethal part reached engines {runs} times")
+
     def _check_memory(self):
         for host in (*self.controls, *self.entries):
             peak_kb = host.peak_memory_kb()
@@ -369,6 +420,11 @@
         if fault == "silence":
             self._relay.silence()
             return
+        if fault == "engine_lethal":
+            for engine in self.model_engines:
+                engine.lethal_parts.add(LETHAL_PART)
+            await self._send_lethal_requests(self.rng.randint(1, 6))
+            return
         if fault.startswith("engine_endless"):
             engine = self.rng.choice(self._all_engines())
             await self._add_faults(engine, {fault.removeprefix("engine_")})
