--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -57,6 +57,7 @@
     "engine_cut_unframed",
     "engine_endless_head",
     "engine_endless_body",
+    "engine_limit",
     "engine_lethal",
     "silence",
 )
@@ -68,6 +69,9 @@
 )
 # Crashes that a part may cause before its requests are refused.
 MAX_LETHAL_RUNS = 5
+CONTACT_S = 3.0
+LIMIT_PER_S = 1.5
+LIMIT_WINDOW_S = 4.0
 MAX_HOST_MEMORY_KB = 300_000
 NON_REPEATABLE_PATHS = (b"/confirm", b"/draft")
 STREAM_HEADERS = (
@@ -219,6 +223,7 @@
             await self._inject_faults()
             await self._wait_until_served(RECOVERY_S, "after the last fault")
             await self._check_lethal_part()
+            await self._check_limit()
             self._check_memory()
             await self._check_final_configuration()
         finally:
@@ -307,6 +312,22 @@
         if runs > MAX_LETHAL_RUNS:
             self.broken.append(f"the lethal part reached engines {runs} times")
 
+    async def _check_limit(self):
+        """Check that a server gets no more than the limit that it names."""
+        engine = self.engines[0]
+        engine.limit_per_s = LIMIT_PER_S
+        await asyncio.sleep(CONTACT_S)
+        since = time.monotonic()
+        await asyncio.sleep(LIMIT_WINDOW_S + 1.0)
+        engine.limit_per_s = None
+        times = [at for at in engine.received_at if at >= since]
+        most = max(
+            (sum(t <= at < t + LIMIT_WINDOW_S for at in times) for t in times),
+            default=0,
+        )
+        if most > 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5:
+            self.broken.append(f"{most} requests within the window of a limit")
+
     def _check_memory(self):
         for host in (*self.controls, *self.entries):
             peak_kb = host.peak_memory_kb()
@@ -420,6 +441,9 @@
         if fault == "silence":
             self._relay.silence()
             return
+        if fault == "engine_limit":
+            await self._limit_engine()
+            return
         if fault == "engine_lethal":
             for engine in self.model_engines:
                 engine.lethal_parts.add(LETHAL_PART)
@@ -455,6 +479,12 @@
         await asyncio.sleep(self.rng.uniform(0.3, 2.0))
         engine.faults -= names
 
+    async def _limit_engine(self):
+        engine = self.rng.choice(self._all_engines())
+        engine.limit_per_s = self.rng.choice([0.0, 0.4, 1.4, 5.0])
+        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+        engine.limit_per_s = None
+
     def _draw_cut(self, engine):
         """Choose where an engine breaks off its streams, inside an event."""
         engine.cut_number = self.rng.randint(1, engine.events)
