Send nothing to a plain server that leaves while a request waits for its limit

Found on reading: the entry of the server was looked up before the wait for its permit, and used after it.

--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -152,11 +152,11 @@
         permit = await self._request_permit(
             server_id, min(due_at, context.deadline_at) - now - MIN_SEND_TIME_S
         )
-        entry = self._balancer.find_server(server_id)
-        if not permit.is_granted or entry is None:
+        if not permit.is_granted:
             return None, permit.wait_s
         await asyncio.sleep(permit.wait_s)
-        return entry, None
+        # It may have left meanwhile.
+        return self._balancer.find_server(server_id), None
 
     async def _request_permit(self, server_id: str, max_wait_s: float) -> Permit:
         if self._limits.find_rate(server_id) is None:
