--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Callable, Mapping
 
@@ -24,6 +25,7 @@
     StageCall,
     StageProgress,
 )
+from galenadrum._internal.dispatch.prompt_screening import PromptScreening
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 from galenadrum._internal.gateway.dialect import Dialect
 from galenadrum._internal.models.quarantine import ServerCrash
@@ -35,7 +37,6 @@
     ConnectionPool,
 )
 from galenadrum._internal.observability.metrics import Metrics
-from galenadrum._internal.quarantine.attribution import CrashAttribution
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.routing.request_pacer import RequestPacer
 
@@ -78,10 +79,9 @@
         self._servers = servers
         self._services = services
         self._metrics = metrics
-        self._quarantine = quarantine
         self._limits = limits
         self._pacer = pacer
-        self._attribution = CrashAttribution()
+        self._screening = PromptScreening(quarantine)
         self._dispatchers_by_zone: dict[str, ZoneDispatcher] = {}
         self._replies_by_request: dict[str, tuple[ZoneDispatcher, Reply]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -139,22 +139,16 @@
     def record_crash(self, crash: ServerCrash) -> None:
         """Record a crashed server; quarantine the part that caused it, if certain."""
         now = self._loop.time()
-        for dispatcher in self._dispatchers_by_zone.values():
+        dispatchers = self._dispatchers_by_zone.values()
+        for dispatcher in dispatchers:
             dispatcher.record_crash(crash.server_id, now)
-        named = self._attribution.record_crash(crash, now)
+        runs = itertools.chain.from_iterable(d.list_runs() for d in dispatchers)
+        record = self._screening.record_crash(crash, runs, now)
         self._metrics.increment("server_crashes")
-        if named is None:
-            return
-        logger.warning(
-            "servers %s crashed as they began to answer prompt part %s; its requests "
-            "are refused",
-            ",".join(named.server_ids),
-            named.part_id,
-        )
-        record = self._quarantine.impose(named, now)
-        self._metrics.increment(
-            "quarantines", part=record.part_id, term=str(record.term)
-        )
+        if record is not None:
+            self._metrics.increment(
+                "quarantines", part=record.part_id, term=str(record.term)
+            )
 
     def abandon(self, request_ids: list[str]) -> None:
         """Drop requests whose host is unreachable."""
@@ -179,9 +173,7 @@
     def _get_or_create_dispatcher(self, zone: str) -> ZoneDispatcher:
         dispatcher = self._dispatchers_by_zone.get(zone)
         if dispatcher is None:
-            dispatcher = ZoneDispatcher(
-                zone, self._quarantine, self._attribution, self._pacer
-            )
+            dispatcher = ZoneDispatcher(zone, self._screening, self._pacer)
             dispatcher.configure(self._services())
             for entry in self._servers():
                 dispatcher.put_server(entry)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -11,7 +11,7 @@
 import logging
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
 from galenadrum._internal.directory.registry import ServerEntry
@@ -21,7 +21,11 @@
     fallback_due_time,
     forecast_first_event,
 )
-from galenadrum._internal.dispatch.engine_pool import EngineDemand, EnginePool
+from galenadrum._internal.dispatch.engine_pool import (
+    EngineDemand,
+    EnginePool,
+    Run,
+)
 from galenadrum._internal.dispatch.messages import (
     Action,
     CallFailure,
@@ -37,6 +41,7 @@
     StageProgress,
     StageResults,
 )
+from galenadrum._internal.dispatch.prompt_screening import PromptScreening
 from galenadrum._internal.dispatch.stage_graph import StageGraph
 from galenadrum._internal.dispatch.stage_pool import (
     RunningCall,
@@ -46,7 +51,6 @@
 from galenadrum._internal.exceptions import InvariantError
 from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.models.routing import Service
-from galenadrum._internal.quarantine.attribution import CrashAttribution
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.routing.request_pacer import RequestPacer
 
@@ -64,8 +68,6 @@
 # Releases are batched over this interval: a call to a server costs half a millisecond
 # of CPU time, and each request releases results at five servers.
 _RELEASE_INTERVAL_S = 0.06
-# A response that lasts longer than this after its first event clears its prompt.
-_MIN_SURVIVAL_S = 0.3
 
 
 @dataclass(slots=True)
@@ -97,22 +99,19 @@
 
     Args:
         zone: Zone whose servers it owns; empty if it owns all zones.
-        quarantine: Prompt parts whose requests it refuses.
-        attribution: Attributes crashes of engines to prompt parts.
+        screening: Finds the prompts whose requests are refused.
         pacer: Spaces the requests to servers that name a limit.
     """
 
     def __init__(
         self,
         zone: str,
-        quarantine: PartQuarantine | None = None,
-        attribution: CrashAttribution | None = None,
+        screening: PromptScreening | None = None,
         pacer: RequestPacer | None = None,
     ) -> None:
         self.zone = zone
-        self._quarantine = quarantine or PartQuarantine()
-        self._quarantine_revision = self._quarantine.revision
-        self._attribution = attribution or CrashAttribution()
+        self._screening = screening or PromptScreening(PartQuarantine())
+        self._screening_revision = self._screening.revision
         self._pacer = pacer or RequestPacer(lambda server_id: None)
         self._services_by_name: Mapping[str, Service] = {}
         self._stage_pools_by_service: dict[str, StagePool] = {}
@@ -199,7 +198,7 @@
         graph = StageGraph(request.route.stages, request.pieces)
         self._restore_results(graph, request.results, now)
         expected = self._forecast(request, graph, now)
-        bar = self._quarantine.find_bar(request.part_ids, now)
+        bar = self._screening.find_bar(request, now)
         if bar is not None:
             self._release_results(graph.unreleased_handles(), now)
             self._refuse(request, self._barred(expected, bar, now), "quarantined", now)
@@ -270,7 +269,7 @@
         """
         active = self._active_by_request.get(request_id)
         if active is not None:
-            self._quarantine.fail_tests(request_id, now)
+            self._screening.record_abandonment(request_id, now)
             self._remove_request(active)
 
     def report(
@@ -281,7 +280,8 @@
         if active is None:
             return
         pool = self._engine_pools_by_service.get(active.request.service)
-        self._record_prompt_outcome(active, pool, server_id, outcome, now)
+        run = pool.find_run(server_id, request_id) if pool is not None else None
+        self._screening.record_outcome(active.request, run, outcome, now)
         if outcome is PlacementOutcome.STARTED:
             if pool is not None:
                 pool.record_start(server_id, request_id, now)
@@ -297,36 +297,15 @@
             self._retry_placement(active, pool, server_id, outcome, now)
         self._place_ready_requests(now)
 
-    def _record_prompt_outcome(
-        self,
-        active: _ActiveRequest,
-        pool: EnginePool | None,
-        server_id: str,
-        outcome: PlacementOutcome,
-        now: float,
-    ) -> None:
-        """Clear a prompt whose response succeeded, or end the tests of its parts."""
-        request = active.request
-        run = pool.find_run(server_id, request.request_id) if pool else None
-        has_started = run is not None and run.started_at is not None
-        if outcome is PlacementOutcome.FINISHED and has_started:
-            self._attribution.record_success(request.part_ids)
-            self._quarantine.acquit(request.part_ids, now)
-        elif outcome in (PlacementOutcome.FAILED, PlacementOutcome.CANCELLED):
-            self._quarantine.fail_tests(request.request_id, now)
-        elif outcome is not PlacementOutcome.STARTED:
-            self._quarantine.cancel_tests(request.request_id)
-
     def record_crash(self, server_id: str, now: float) -> None:
-        """Record that a server crashed, and clear the prompts that run elsewhere."""
+        """Record that a server crashed."""
         for pool in self._engine_pools_by_service.values():
             pool.record_crash(server_id, now)
-            for run in pool.list_runs():
-                if run.started_at is not None and (
-                    now - run.started_at >= _MIN_SURVIVAL_S
-                ):
-                    part_ids = tuple(part.part_id for part in run.prompt)
-                    self._attribution.record_success(part_ids)
+
+    def list_runs(self) -> Iterator[Run]:
+        """Yield the runs of all placed requests."""
+        for pool in self._engine_pools_by_service.values():
+            yield from pool.list_runs()
 
     def _retry_placement(
         self,
@@ -512,8 +491,8 @@
 
         Callers must call it at intervals of about 50 ms or less.
         """
-        if self._quarantine_revision != self._quarantine.revision:
-            self._quarantine_revision = self._quarantine.revision
+        if self._screening_revision != self._screening.revision:
+            self._screening_revision = self._screening.revision
             self._refuse_quarantined(now)
         for pool in self._stage_pools_by_service.values():
             for call in pool.mark_overdue_calls(now):
@@ -555,7 +534,7 @@
                 self._refuse_if_barred(active, now)
 
     def _refuse_if_barred(self, active: _ActiveRequest, now: float) -> bool:
-        bar = self._quarantine.find_bar(active.request.part_ids, now)
+        bar = self._screening.find_bar(active.request, now)
         if bar is None:
             return False
         expected = self._forecast(active.request, active.graph, now)
@@ -566,7 +545,7 @@
 
     def _barred(self, expected: Forecast, bar: QuarantinedPart, now: float) -> Forecast:
         """Return a forecast with the time until a quarantine ends as retry delay."""
-        return replace(expected, retry_after_s=self._quarantine.retry_after_s(bar, now))
+        return replace(expected, retry_after_s=self._screening.retry_after_s(bar, now))
 
     def collect_actions(self) -> tuple[Action, ...]:
         """Return and clear the pending actions, in order."""
@@ -737,7 +716,7 @@
         if engine is None:
             return False
         pool.place(engine, request.request_id, demand, now)
-        self._quarantine.begin_tests(request.part_ids, request.request_id, now)
+        self._screening.record_placement(request, now)
         active.server_id = engine.announcement.server_id
         logger.info(
             "placed at %s after %.3f s (objective in %.3f s, stages completed: %s)",
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -49,6 +49,7 @@
 )
 from galenadrum._internal.network.http1.server import Exchange
 from galenadrum._internal.observability.metrics import Metrics
+from galenadrum._internal.quarantine.attribution import MIN_SURVIVAL_S
 
 logger = logging.getLogger(__name__)
 
@@ -62,9 +63,6 @@
 # An engine that sends no first event within this share of the caller's timeout counts
 # as hung, if the request may be sent again; another engine can still respond in time.
 _HANG_TIMEOUT_SHARE = 0.4
-# A response that lasts longer than this after its first event has begun well: what
-# comes later is not due to the beginning of its generation.
-_MIN_SURVIVAL_S = 0.3
 
 
 class _AttemptResult(Enum):
@@ -281,7 +279,7 @@
         now = self._loop.time()
         if (
             stream.first_event_at is None
-            or now - stream.first_event_at < _MIN_SURVIVAL_S
+            or now - stream.first_event_at < MIN_SURVIVAL_S
         ):
             stream.attempts.early_breaks += 1
             prompt = stream.context.metadata.prompt
--- a/src/galenadrum/_internal/quarantine/attribution.py
+++ b/src/galenadrum/_internal/quarantine/attribution.py
@@ -14,6 +14,9 @@
 
 from galenadrum._internal.models.quarantine import NamedPart, ServerCrash
 
+# A response that lasts longer than this after its first event has begun well: what
+# comes later is not due to the beginning of its generation.
+MIN_SURVIVAL_S = 0.3
 # Number of incidents after which a part is named. A part with which requests have
 # succeeded before needs more: it is in most prompts, also in those that run where
 # servers crash for other reasons.
