--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -7,7 +7,7 @@
 import pytest
 
 from galenadrum._internal.network.http1.client import BrokenResponseError
-from lib.routing_deployment import RoutingDeployment, configuration
+from lib.routing_deployment import configuration, run_deployment
 
 PROMPT = (
     (b"X-Model", b"m"),
@@ -19,18 +19,6 @@
 STAGES = ((b"X-Chunks", b"2,3"), (b"X-Chunk-Key", b"key"))
 
 
-def run_steps(folder, steps, engines=()):
-    async def run():
-        async with RoutingDeployment(folder) as deployment:
-            for server_id, service, zone in engines:
-                await deployment.add_engine(server_id, service, zone)
-            await deployment.replace_configuration(configuration())
-            await deployment.wait_ready()
-            await steps(deployment)
-
-    asyncio.run(run())
-
-
 async def check_stream_is_incomplete(deployment):
     """Check that a stream that engines cut doesn't reach the caller as complete."""
     request_id = "00000000000000c1"
@@ -91,7 +79,7 @@
             assert head.get(b"authorization") is None
             assert 4_000 < int(head.get(b"x-deadline-ms")) <= 5_000
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_unknown_route_and_key_are_denied(self, tmp_path):
         async def steps(deployment):
@@ -99,7 +87,7 @@
             assert (await deployment.send_request("/stock/x", key="bad"))[1] == 401
             assert (await deployment.send_request("/stock/x", key=None))[1] == 401
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_repeatable_request_is_retried_on_another_server(self, tmp_path):
         async def steps(deployment):
@@ -109,7 +97,7 @@
             ]
             assert statuses == [200] * 5
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_unsigned_success_is_not_forwarded(self, tmp_path):
         async def steps(deployment):
@@ -119,7 +107,7 @@
             assert status == 502
             assert b"answer to" not in body
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_non_repeatable_request_runs_once_and_fails_with_502(self, tmp_path):
         async def steps(deployment):
@@ -135,7 +123,7 @@
             )
             assert ran == 1
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_rejected_non_repeatable_request_is_sent_to_another_server(self, tmp_path):
         async def steps(deployment):
@@ -146,7 +134,7 @@
             assert status == 200
             assert deployment.engines["p2"].run_count_by_request_id[request_id] == 1
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_refusal_has_retry_after(self, tmp_path):
         async def steps(deployment):
@@ -160,7 +148,7 @@
                 e.run_count_by_request_id for e in deployment.engines.values()
             )
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
 
 class TestStreams:
@@ -188,7 +176,7 @@
             assert len(inputs) == 3
             await deployment.wait_until(lambda: not deployment.engines["e1"].results)
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_pieces_of_many_requests_are_batched(self, tmp_path):
         async def steps(deployment):
@@ -212,7 +200,7 @@
             assert {a[1] for a in answers} == {200}
             assert len(deployment.engines["e1"].stage_calls) < 18
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_broken_stream_is_resumed_on_another_engine(self, tmp_path):
         async def steps(deployment):
@@ -226,7 +214,7 @@
                 ids = [line for line in body.split(b"\n") if line.startswith(b"id:")]
                 assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_resumed_stream_has_no_bytes_of_the_broken_run(self, tmp_path):
         # The start of the event that broke off was joined to the same event, resumed.
@@ -236,7 +224,7 @@
             await check_streams_are_whole(deployment)
             assert cutting.run_count_by_request_id
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_broken_stream_that_may_not_be_resumed_is_incomplete(self, tmp_path):
         async def steps(deployment):
@@ -244,7 +232,7 @@
                 engine.faults.add("cut")
             await check_stream_is_incomplete(deployment)
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_unframed_stream_cut_inside_an_event_is_not_complete(self, tmp_path):
         # The end of the connection was taken for the end of the stream.
@@ -253,7 +241,7 @@
                 engine.faults |= {"unframed", "cut"}
             await check_stream_is_incomplete(deployment)
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_unframed_stream_that_ends_after_an_event_is_complete(self, tmp_path):
         async def steps(deployment):
@@ -261,7 +249,7 @@
                 engine.faults.add("unframed")
             await check_streams_are_whole(deployment)
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_unframed_stream_without_any_event_is_not_complete(self, tmp_path):
         # The head alone, and the end of the connection, made an empty stream.
@@ -271,7 +259,7 @@
                 engine.faults |= {"unframed", "cut"}
             await check_stream_is_incomplete(deployment)
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_unframed_stream_cut_inside_an_event_is_resumed(self, tmp_path):
         async def steps(deployment):
@@ -280,7 +268,7 @@
             await check_streams_are_whole(deployment)
             assert cutting.run_count_by_request_id
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_stream_broken_inside_a_large_event_is_not_resumed(self, tmp_path):
         # The part that the caller had got already was followed by the whole event.
@@ -290,7 +278,7 @@
                 deployment.engines[server_id].faults.add("cut")
             await check_stream_is_not_resumed(deployment)
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_broken_stream_without_event_ids_is_not_resumed(self, tmp_path):
         # The next engine began anew, and the caller got the first events twice.
@@ -299,7 +287,7 @@
                 deployment.engines[server_id].faults |= {"anonymous", "cut"}
             await check_stream_is_not_resumed(deployment)
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
     def test_engine_request_is_cancelled_when_caller_disconnects(self, tmp_path):
         async def steps(deployment):
@@ -323,7 +311,7 @@
                 lambda: engines["l1"].cancelled or engines["l2"].cancelled
             )
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
 
 @pytest.mark.parametrize("fault", ["endless_head", "endless_body"])
@@ -340,7 +328,7 @@
             assert health.ejected or health.failure_share > 0
 
         engines = [("p-1", "plain", "a"), ("p-2", "plain", "b")]
-        run_steps(tmp_path, steps, engines)
+        run_deployment(tmp_path, steps, engines)
 
     def test_non_repeatable_request_has_an_unknown_outcome(self, fault, tmp_path):
         async def steps(deployment):
@@ -351,7 +339,7 @@
             assert status == 502
             assert deployment.engines["p-1"].run_count_by_request_id[request_id] == 1
 
-        run_steps(tmp_path, steps, [("p-1", "plain", "a")])
+        run_deployment(tmp_path, steps, [("p-1", "plain", "a")])
 
     def test_stream_is_broken_off_or_served_by_another_engine(self, fault, tmp_path):
         async def steps(deployment):
@@ -365,7 +353,7 @@
             await check_streams_are_whole(deployment)
 
         engines = [("g-1", "llm", "a"), ("g-2", "llm", "b")]
-        run_steps(tmp_path, steps, engines)
+        run_deployment(tmp_path, steps, engines)
 
     def test_pieces_are_processed_by_another_server(self, fault, tmp_path):
         async def steps(deployment):
@@ -376,7 +364,7 @@
             assert (status, body) == (200, STREAM)
 
         engines = [("g-1", "llm", "a"), ("s-1", "enc", "a"), ("s-2", "enc", "b")]
-        run_steps(tmp_path, steps, engines)
+        run_deployment(tmp_path, steps, engines)
 
 
 class TestConfigurations:
@@ -400,7 +388,7 @@
                 )
             )[1]["Version"] == 1
 
-        run_steps(tmp_path, steps)
+        run_deployment(tmp_path, steps)
 
     def test_configuration_is_applied_and_readable_on_all_hosts(self, tmp_path):
         async def steps(deployment):
@@ -420,7 +408,7 @@
                     1
                 ] == 200
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_same_and_older_versions_are_acknowledged_and_ignored(self, tmp_path):
         async def steps(deployment):
@@ -438,7 +426,7 @@
             )
             assert document == configuration(5)
 
-        run_steps(tmp_path, steps)
+        run_deployment(tmp_path, steps)
 
     def test_concurrent_documents_of_one_version_have_one_winner(self, tmp_path):
         async def steps(deployment):
@@ -455,7 +443,7 @@
             assert read[0] == read[1] == read[2]
             assert read[0][1] in (one, two)
 
-        run_steps(tmp_path, steps)
+        run_deployment(tmp_path, steps)
 
 
 class TestLostControlHosts:
@@ -471,7 +459,7 @@
             await deployment.wait_until(lambda: not gateway.is_ready)
             assert (await deployment.send_request("/stock/x", "c"))[1] == 503
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
     def test_control_host_rejoins_after_losing_its_disk(self, tmp_path):
         async def steps(deployment):
@@ -487,7 +475,7 @@
             members = joined.member_addresses
             await deployment.wait_until(lambda: len(members()) == 3)
 
-        run_steps(tmp_path, steps)
+        run_deployment(tmp_path, steps)
 
     def test_entry_host_places_requests_without_control_hosts(self, tmp_path):
         async def steps(deployment):
@@ -501,7 +489,7 @@
             assert status == 200
             assert body.count(b"data: piece") == 4
 
-        run_steps(tmp_path, steps, MODEL_ENGINES)
+        run_deployment(tmp_path, steps, MODEL_ENGINES)
 
 
 class TestServers:
@@ -519,4 +507,4 @@
                 assert (await deployment.send_request("/stock/x"))[1] == 200
             assert sum(engine.run_count_by_request_id.values()) == before
 
-        run_steps(tmp_path, steps, PLAIN_ENGINES)
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
--- a/tests/functional/routing/test_server_limits.py
+++ b/tests/functional/routing/test_server_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lib.routing_deployment import RoutingDeployment, configuration
+from lib.routing_deployment import run_deployment
 
 ZONES = ("a", "b", "c")
 # Every host in contact with the others obeys a limit after this time.
@@ -50,18 +50,6 @@
     return count_in_window(engine.received_at, since), statuses
 
 
-def run_steps(folder, steps, engines):
-    async def run():
-        async with RoutingDeployment(folder) as deployment:
-            for server_id, service, zone in engines:
-                await deployment.add_engine(server_id, service, zone)
-            await deployment.replace_configuration(configuration())
-            await deployment.wait_ready()
-            await steps(deployment)
-
-    asyncio.run(run())
-
-
 @pytest.mark.parametrize("limit_per_s", [1.4, 0.4])
 class TestLimitOfOneServer:
     def test_model_engine_gets_more_than_its_limit(self, limit_per_s, tmp_path):
@@ -80,7 +68,7 @@
             assert statuses.count(200) >= 0.9 * len(statuses)
 
         engines = [("g-1", "llm", "a"), ("g-2", "llm", "b"), ("g-3", "llm", "c")]
-        run_steps(tmp_path, steps, engines)
+        run_deployment(tmp_path, steps, engines)
 
     def test_plain_server_gets_more_than_its_limit(self, limit_per_s, tmp_path):
         # As above; here each entry host chooses servers by itself.
@@ -92,7 +80,7 @@
             assert statuses.count(200) >= 0.9 * len(statuses)
 
         engines = [("p-1", "plain", "a"), ("p-2", "plain", "b"), ("p-3", "plain", "c")]
-        run_steps(tmp_path, steps, engines)
+        run_deployment(tmp_path, steps, engines)
 
     def test_stage_server_gets_more_than_its_limit(self, limit_per_s, tmp_path):
         # As above; calls of pieces and releases of results count as requests.
@@ -115,7 +103,7 @@
             ("s-2", "enc", "b"),
             ("s-3", "enc", "c"),
         ]
-        run_steps(tmp_path, steps, engines)
+        run_deployment(tmp_path, steps, engines)
 
 
 class TestLimitOfAllServers:
@@ -137,7 +125,7 @@
             _, status, headers, _ = await deployment.send_request(path, **more)
             assert status == 200 or float(headers[b"retry-after"]) > 0
 
-        run_steps(folder, steps, engines)
+        run_deployment(folder, steps, engines)
 
     def test_plain_requests_beyond_all_limits_are_refused(self, tmp_path):
         engines = [("p-1", "plain", "a"), ("p-2", "plain", "b")]
@@ -158,4 +146,4 @@
             statuses = await send_load(deployment, "/stock/x", 1.0, 30)
             assert statuses.count(200) == len(statuses)
 
-        run_steps(tmp_path, steps, [("p-1", "plain", "a")])
+        run_deployment(tmp_path, steps, [("p-1", "plain", "a")])
--- a/tests/functional/test_stage_client.py
+++ b/tests/functional/test_stage_client.py
@@ -35,17 +35,24 @@
 
 
 @contextlib.contextmanager
-def scripted_server(reply):
-    """Run a server that sends fixed bytes on each connection and closes it."""
+def scripted_server(reply, repeated=b""):
+    """Run a server that sends fixed bytes on each connection and closes it.
+
+    Args:
+        reply: Bytes to send.
+        repeated: Bytes to send after them until the client closes the connection.
+    """
     listener = socket.create_server(("127.0.0.1", 0))
 
     def serve():
         with contextlib.suppress(OSError):
             while True:
                 connection, _ = listener.accept()
-                with connection:
+                with connection, contextlib.suppress(OSError):
                     connection.recv(65_536)
                     connection.sendall(reply)
+                    while repeated:
+                        connection.sendall(repeated)
 
     thread = threading.Thread(target=serve)
     thread.start()
@@ -175,31 +182,6 @@
         assert reply.result.outcome is Outcome.CANCELLED
 
 
-@contextlib.contextmanager
-def endless_server(beginning, repeated):
-    """Run a server that sends bytes on a connection until its client closes it."""
-    listener = socket.create_server(("127.0.0.1", 0))
-
-    def serve():
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = listener.accept()
-                with connection, contextlib.suppress(OSError):
-                    connection.recv(65_536)
-                    connection.sendall(beginning)
-                    while True:
-                        connection.sendall(repeated)
-
-    thread = threading.Thread(target=serve)
-    thread.start()
-    try:
-        yield f"127.0.0.1:{listener.getsockname()[1]}"
-    finally:
-        listener.shutdown(socket.SHUT_RDWR)
-        listener.close()
-        thread.join()
-
-
 STREAM_HEAD = (
     encode_reply()
     .replace(
@@ -232,7 +214,7 @@
         self, beginning, repeated, timeout_s
     ):
         # Only the reads of a body had the attempt's deadline, and none had a bound.
-        with endless_server(beginning, repeated) as address:
+        with scripted_server(beginning, repeated) as address:
             started = time.monotonic()
             reply = call(address, timeout_s=timeout_s)
             assert time.monotonic() - started < 10.0
--- a/tests/lib/routing_deployment.py
+++ b/tests/lib/routing_deployment.py
@@ -249,3 +249,23 @@
         return await self.caller.send_request(
             self.caller_address_by_zone[zone], "x.example", path, key=key, **more
         )
+
+
+def run_deployment(folder, steps, engines=()):
+    """Run steps against a deployment with a configuration and engines.
+
+    Args:
+        folder: Folder for the data of control hosts.
+        steps: Coroutine function that takes the deployment.
+        engines: Id, service and zone of each engine.
+    """
+
+    async def run():
+        async with RoutingDeployment(folder) as deployment:
+            for server_id, service, zone in engines:
+                await deployment.add_engine(server_id, service, zone)
+            await deployment.replace_configuration(configuration())
+            await deployment.wait_ready()
+            await steps(deployment)
+
+    asyncio.run(run())
