Track no prompt parts with long ids in the attribution of crashes

Found on reading: callers choose the ids, up to their head's 16 KiB, and 16,384 known good parts are kept: 256 MB at most. Change: ids of more than 256 characters, which no quarantine takes either, aren't tracked: 4 MB at most.

--- a/src/galenadrum/_internal/models/quarantine.py
+++ b/src/galenadrum/_internal/models/quarantine.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# Callers choose the ids; parts with longer ones are not tracked.
+MAX_PART_ID_CHARACTERS = 256
+
 
 @dataclass(frozen=True, slots=True)
 class ServerCrash:
--- a/src/galenadrum/_internal/quarantine/attribution.py
+++ b/src/galenadrum/_internal/quarantine/attribution.py
@@ -12,7 +12,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from galenadrum._internal.models.quarantine import NamedPart, ServerCrash
+from galenadrum._internal.models.quarantine import (
+    MAX_PART_ID_CHARACTERS,
+    NamedPart,
+    ServerCrash,
+)
 
 # A response that lasts longer than this after its first event has begun well: what
 # comes later is not due to the beginning of its generation.
@@ -58,7 +62,7 @@
 
     def record_success(self, part_ids: Iterable[str]) -> None:
         """Clear the parts of a prompt whose response went on well after its start."""
-        for part_id in part_ids:
+        for part_id in filter(_is_tracked, part_ids):
             self._suspicions_by_part.pop(part_id, None)
             self._known_good[part_id] = None
             self._known_good.move_to_end(part_id)
@@ -72,12 +76,13 @@
             The part to which the crashes are attributed, None if that is not certain.
         """
         incident = self._find_incident(crash, now)
-        for prompt in crash.prompts:
+        prompts = [tuple(filter(_is_tracked, prompt)) for prompt in crash.prompts]
+        for prompt in prompts:
             for position, part_id in enumerate(prompt):
                 self._suspect(part_id, position, incident, crash.server_id, now)
         while len(self._suspicions_by_part) > _MAX_SUSPICIONS:
             self._suspicions_by_part.popitem(last=False)
-        return self._name_part({part for prompt in crash.prompts for part in prompt})
+        return self._name_part({part_id for prompt in prompts for part_id in prompt})
 
     def _find_incident(self, crash: ServerCrash, now: float) -> int:
         key = (crash.server_id, crash.incarnation_ms)
@@ -135,3 +140,7 @@
             suspicion.position,
             part_id,
         )
+
+
+def _is_tracked(part_id: str) -> bool:
+    return len(part_id) <= MAX_PART_ID_CHARACTERS
--- a/src/galenadrum/_internal/quarantine/part_quarantine.py
+++ b/src/galenadrum/_internal/quarantine/part_quarantine.py
@@ -13,7 +13,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
-from galenadrum._internal.models.quarantine import NamedPart, QuarantinedPart
+from galenadrum._internal.models.quarantine import (
+    MAX_PART_ID_CHARACTERS,
+    NamedPart,
+    QuarantinedPart,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -23,7 +27,6 @@
 # Minimum time for which a part stays on probation before it is forgotten.
 _MIN_PROBATION_S = 3_600.0
 _MAX_PARTS = 256
-_MAX_PART_ID_CHARACTERS = 256
 # Sent with refusals while another request tests the part.
 _MIN_RETRY_AFTER_S = 1.0
 
@@ -151,7 +154,7 @@
         Returns:
             False if the record is outdated, too long or known.
         """
-        if not 0 < len(record.part_id) <= _MAX_PART_ID_CHARACTERS or record.term < 1:
+        if not 0 < len(record.part_id) <= MAX_PART_ID_CHARACTERS or record.term < 1:
             logger.warning(
                 "ignored a quarantine of host %s: its part id has %d characters, its "
                 "term is %d",
--- a/tests/unit/quarantine/test_attribution.py
+++ b/tests/unit/quarantine/test_attribution.py
@@ -90,3 +90,18 @@
         results = [crashes.crash_server(now) for now in (1.0, 2.0, 3.0, 4.0, 5.0)]
         assert results[:4] == [None] * 4
         assert results[4].part_id == LETHAL
+
+    def test_parts_with_long_ids_are_not_tracked(self):
+        attribution = CrashAttribution()
+        for number in range(5):
+            crash = ServerCrash(f"s-{number}", 1, (("x" * 1_000, f"own-{number}"),))
+            assert attribution.record_crash(crash, float(number)) is None
+
+    def test_evidence_is_bounded(self):
+        attribution = CrashAttribution()
+        for number in range(300):
+            parts = tuple(f"{number}-{i}" for i in range(100))
+            attribution.record_crash(ServerCrash(f"s-{number}", 1, (parts,)), number)
+            attribution.record_success(f"good-{number}-{i}" for i in range(100))
+        assert len(attribution._suspicions_by_part) == 4_096
+        assert len(attribution._known_good) == 16_384
