Begin no longer term for crashes of requests sent before a part was named

Found on reading: three more crashes, of requests that were under way when a part was named, named it again and began the second term of an hour, without a test. A crash with more parts than are tracked ended in KeyError.

Change: a part in its term isn't named again; only tracked parts are named.

--- a/src/galenadrum/_internal/dispatch/prompt_screening.py
+++ b/src/galenadrum/_internal/dispatch/prompt_screening.py
@@ -93,7 +93,8 @@
             if run.started_at is not None and now - run.started_at >= MIN_SURVIVAL_S:
                 self._attribution.record_success(part.part_id for part in run.prompt)
         named = self._attribution.record_crash(crash, now)
-        if named is None:
+        # Requests that were sent before the part was named may crash more servers.
+        if named is None or self._quarantine.find_in_force((named.part_id,), now):
             return None
         logger.warning(
             "servers %s crashed as they began to answer prompt part %s; its requests "
--- a/src/galenadrum/_internal/quarantine/attribution.py
+++ b/src/galenadrum/_internal/quarantine/attribution.py
@@ -113,7 +113,8 @@
 
         Parts are ordered from the most common to the request's own.
         """
-        candidates = [part_id for part_id in part_ids if self._may_be_named(part_id)]
+        suspected = part_ids & self._suspicions_by_part.keys()
+        candidates = [part_id for part_id in suspected if self._may_be_named(part_id)]
         if not candidates:
             return None
         named = max(candidates, key=self._rank)
--- a/tests/unit/quarantine/test_attribution.py
+++ b/tests/unit/quarantine/test_attribution.py
@@ -105,3 +105,8 @@
             attribution.record_success(f"good-{number}-{i}" for i in range(100))
         assert len(attribution._suspicions_by_part) == 4_096
         assert len(attribution._known_good) == 16_384
+
+    def test_crash_with_more_parts_than_are_tracked_names_none(self):
+        parts = tuple(f"part-{i}" for i in range(5_000))
+        attribution = CrashAttribution()
+        assert attribution.record_crash(ServerCrash("s", 1, (parts,)), 1.0) is None
