Share the evidence of crashes with the control hosts that may dispatch next

What callers would see: a dispatcher that is lost takes its evidence along; the part crashes three more engines before the next one names it.

Change: the dispatcher's host passes each crash on to the other control hosts, without the parts that are known to be good, as the others don't know of those successes. They name nothing by themselves.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -26,7 +26,10 @@
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.gateway.control_links import ControlLinks
 from galenadrum._internal.gateway.dialect import Dialect
-from galenadrum._internal.gateway.link_codec import decode_announcement
+from galenadrum._internal.gateway.link_codec import (
+    decode_announcement,
+    decode_crash,
+)
 from galenadrum._internal.models.routing_settings import RoutingControlSettings
 from galenadrum._internal.network.grpc_server import GrpcServer
 from galenadrum._internal.network.host_link import HostLink
@@ -247,6 +250,10 @@
                 )
             elif body == "quarantine":
                 self.links.receive_quarantine(message.quarantine)
+            elif body == "crash":
+                self.dispatch.add_crash_evidence(
+                    decode_crash(message.crash, self._loop.time())
+                )
             elif body == "limit":
                 self.links.receive_limit(message.limit)
         finally:
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -27,6 +27,7 @@
     decode_crash,
     decode_limit,
     decode_quarantine,
+    encode_crash,
     encode_limit,
     encode_placement_update,
     encode_quarantine,
@@ -226,7 +227,8 @@
             self._handle_placement_report(link, message.report)
         elif body == "crash":
             now = self._loop.time()
-            self._dispatch.record_crash(decode_crash(message.crash, now))
+            evidence = self._dispatch.record_crash(decode_crash(message.crash, now))
+            self._broadcast(encode_crash(evidence, now), is_control=True)
         elif body == "quarantine":
             self.receive_quarantine(message.quarantine)
         elif body == "limit":
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -136,8 +136,13 @@
             del self._replies_by_request[request_id]
         self._execute_actions(dispatcher)
 
-    def record_crash(self, crash: ServerCrash) -> None:
-        """Record a crashed server; quarantine the part that caused it, if certain."""
+    def record_crash(self, crash: ServerCrash) -> ServerCrash:
+        """Record a crashed server; quarantine the part that caused it, if certain.
+
+        Returns:
+            The crash as evidence for other control hosts, one of which may become the
+            dispatcher.
+        """
         now = self._loop.time()
         dispatchers = self._dispatchers_by_zone.values()
         for dispatcher in dispatchers:
@@ -149,6 +154,11 @@
             self._metrics.increment(
                 "quarantines", part=record.part_id, term=str(record.term)
             )
+        return self._screening.remove_known_good(crash)
+
+    def add_crash_evidence(self, crash: ServerCrash) -> None:
+        """Record a crashed server that another control host reports."""
+        self._screening.add_evidence(crash, self._loop.time())
 
     def abandon(self, request_ids: list[str]) -> None:
         """Drop requests whose host is unreachable."""
--- a/src/galenadrum/_internal/dispatch/prompt_screening.py
+++ b/src/galenadrum/_internal/dispatch/prompt_screening.py
@@ -79,6 +79,18 @@
         """Record that the host of a request, and so its outcome, is unknown."""
         self._quarantine.fail_tests(request_id, now)
 
+    def add_evidence(self, crash: ServerCrash, now: float) -> None:
+        """Record a crash that another control host reports."""
+        self._attribution.add_evidence(crash, now)
+
+    def remove_known_good(self, crash: ServerCrash) -> ServerCrash:
+        """Return a crash as evidence for other control hosts.
+
+        Parts with which requests have succeeded are left out, as the others don't
+        know of these requests.
+        """
+        return self._attribution.remove_known_good(crash)
+
     def record_crash(
         self, crash: ServerCrash, runs: Iterable[Run], now: float
     ) -> QuarantinedPart | None:
--- a/src/galenadrum/_internal/quarantine/attribution.py
+++ b/src/galenadrum/_internal/quarantine/attribution.py
@@ -11,7 +11,7 @@
 import itertools
 from collections import OrderedDict, deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from galenadrum._internal.models.quarantine import (
     MAX_PART_ID_CHARACTERS,
@@ -89,6 +89,14 @@
         while len(self._suspicions_by_part) > _MAX_SUSPICIONS:
             self._suspicions_by_part.popitem(last=False)
 
+    def remove_known_good(self, crash: ServerCrash) -> ServerCrash:
+        """Return a crash without the parts with which requests have succeeded."""
+        prompts = (
+            tuple(part_id for part_id in prompt if part_id not in self._known_good)
+            for prompt in crash.prompts
+        )
+        return replace(crash, prompts=tuple(filter(None, prompts)))
+
     def _find_incident(self, crash: ServerCrash) -> int:
         key = (crash.server_id, crash.incarnation_ms)
         known = self._incident_by_crash.get(key)
--- a/tests/functional/routing/test_lethal_prompts.py
+++ b/tests/functional/routing/test_lethal_prompts.py
@@ -48,6 +48,9 @@
     def crash_count(self):
         return len(self.crashed) + sum(engine.has_crashed for engine in self._running)
 
+    def count_usable(self):
+        return sum(not engine.has_crashed for engine in self._running)
+
     def count_runs(self, request_ids):
         """Return how often requests reached an engine."""
         return sum(
@@ -143,6 +146,21 @@
 
         run_outbreak(tmp_path, steps)
 
+    def test_part_is_named_though_its_dispatcher_is_lost(self, tmp_path):
+        async def steps(deployment, outbreak):
+            await crash_engines(outbreak, 2)
+            dispatcher = deployment.control_daemon_by_zone["a"]
+            await deployment.wait_until(lambda: dispatcher.dispatch.request_count == 0)
+            # Reports of the last crash are on their way to the other control hosts.
+            await asyncio.sleep(0.5)
+            await dispatcher.stop()
+            await asyncio.sleep(1.0)
+            await deployment.wait_until(lambda: outbreak.count_usable() > 2)
+            await crash_engines(outbreak, 9)
+            assert outbreak.crash_count <= 5
+
+        run_outbreak(tmp_path, steps)
+
     def test_requests_that_share_the_other_parts_are_served(self, tmp_path):
         async def steps(deployment, outbreak):
             await crash_engines(outbreak, 5)
--- a/tests/unit/quarantine/test_attribution.py
+++ b/tests/unit/quarantine/test_attribution.py
@@ -105,6 +105,21 @@
         assert results[:4] == [None] * 4
         assert results[4].part_id == LETHAL
 
+    def test_next_dispatcher_goes_on_with_the_evidence_of_a_lost_one(self):
+        crashes = Crashes()
+        crashes.attribution.record_success(("first",))
+        successor = CrashAttribution()
+        for number in range(2):
+            crash = ServerCrash(
+                f"s-{number}", 1, number, (("first", LETHAL, f"o-{number}"),)
+            )
+            crashes.attribution.record_crash(crash, float(number))
+            evidence = crashes.attribution.remove_known_good(crash)
+            assert evidence.prompts == ((LETHAL, f"o-{number}"),)
+            successor.add_evidence(evidence, float(number))
+        crash = ServerCrash("s-2", 1, 2.0, (("first", LETHAL, "o-2"),))
+        assert successor.record_crash(crash, 2.0).part_id == LETHAL
+
     def test_parts_with_long_ids_are_not_tracked(self):
         attribution = CrashAttribution()
         for number in range(5):
