--- a/tests/unit/gateway/test_link_codec.py
+++ b/tests/unit/gateway/test_link_codec.py
@@ -7,8 +7,13 @@
 from galenadrum._internal.dispatch.messages import StageResults
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
+    decode_crash,
+    decode_quarantine,
+    encode_crash,
+    encode_quarantine,
     encode_request,
 )
+from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
 from lib.routing_values import request
 
@@ -46,3 +51,18 @@
         original = request(now=100.0, is_resumed=True, results=results)
         decoded = self.transfer(original, 100.25)
         assert decoded.results[0].expires_at <= 100.25 + CLOCK_OFFSET_S
+
+
+class TestNewsOfServersAndPrompts:
+    def test_crash_keeps_its_age_and_prompts(self):
+        crash = ServerCrash("s", 7, 10.0, (("first", "own"), ("other",)))
+        record = encode_crash(crash, 10.5).crash
+        assert decode_crash(record, 100.5) == replace(crash, broken_at=100.0)
+
+    @pytest.mark.parametrize("is_lifted", [False, True])
+    @pytest.mark.parametrize("left_s", [600.0, -5.0])
+    def test_quarantine_keeps_the_rest_of_its_term(self, left_s, is_lifted):
+        record = QuarantinedPart("part", "host", 2, 10.0 + left_s, 3, is_lifted)
+        encoded = encode_quarantine(record, 10.0).quarantine
+        decoded = decode_quarantine(encoded, 100.0)
+        assert decoded == replace(record, expires_at=100.0 + left_s)
