--- a/tests/unit/gateway/test_link_codec.py
+++ b/tests/unit/gateway/test_link_codec.py
@@ -8,12 +8,15 @@
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
     decode_crash,
+    decode_limit,
     decode_quarantine,
     encode_crash,
+    encode_limit,
     encode_quarantine,
     encode_request,
 )
 from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
+from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
 from lib.routing_values import request
 
@@ -66,3 +69,9 @@
         encoded = encode_quarantine(record, 10.0).quarantine
         decoded = decode_quarantine(encoded, 100.0)
         assert decoded == replace(record, expires_at=100.0 + left_s)
+
+    @pytest.mark.parametrize("per_s", [1.4, 0.0, None])
+    def test_limit_keeps_its_rate_and_age(self, per_s):
+        limit = ServerLimit("s", 7, per_s, 9.0)
+        record = encode_limit(limit, 10.0).limit
+        assert decode_limit(record, 100.0) == replace(limit, heard_at=99.0)
