--- a/tests/unit/platform_adapter/test_dialect.py
+++ b/tests/unit/platform_adapter/test_dialect.py
@@ -185,3 +185,25 @@
     def test_release(self):
         data = dialect.release_request(ResultsRelease("10.0.0.1:80", ("a", "b")))
         assert json.loads(data.partition(b"\r\n\r\n")[2]) == {"Handles": ["a", "b"]}
+
+
+class TestServerLimit:
+    @pytest.mark.parametrize(
+        ("value", "limit_per_s"),
+        [
+            (b"1.4", 1.4),
+            (b"0", 0.0),
+            (b"12", 12.0),
+            (b"", None),
+            (b"-1", None),
+            (b"nan", None),
+            (b"inf", None),
+            (b"fast", None),
+        ],
+    )
+    def test_invalid_limit_counts_as_absent(self, value, limit_per_s):
+        head = ResponseHead(200, ((b"Server-Limit", value),))
+        assert dialect.parse_response_head(head).limit_per_s == limit_per_s
+
+    def test_response_without_a_limit_names_none(self):
+        assert dialect.parse_response_head(ResponseHead(200, ())).limit_per_s is None
