--- a/tests/unit/platform_adapter/test_dialect.py
+++ b/tests/unit/platform_adapter/test_dialect.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
