Log elections, votes, members and joins of the replicated log; add gauges

The users' record couldn't tell a log without a leader from hosts that don't find each other: no line was written for an election, a vote, a change of members or a join that fails.

No decision has changed.

--- a/src/galenadrum/_internal/control/daemon.py
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -16,6 +16,7 @@
 from galenadrum._internal.control.orders.report_service import EngineReportsService
 from galenadrum._internal.control.proposer import Proposer
 from galenadrum._internal.control.replication.driver import ReplicatedLog
+from galenadrum._internal.control.replication.log_metrics import register_log_gauges
 from galenadrum._internal.control.state.machine import ControlState
 from galenadrum._internal.control.state.revision_confirmations import (
     RevisionConfirmations,
@@ -48,6 +49,7 @@
         self.log = ReplicatedLog(
             settings, self.state, rng, on_leadership=self._forward_leadership
         )
+        register_log_gauges(self.metrics, lambda: self.log)
         self.in_force = RevisionConfirmations()
         proposer = Proposer(self.log, self.state, rng, settings.change_id_retention_s)
         self.orders = OrdersDriver(
--- a/src/galenadrum/_internal/control/replication/append_sender.py
+++ b/src/galenadrum/_internal/control/replication/append_sender.py
@@ -25,7 +25,7 @@
 
 def _send_appends_to(state: ReplicaState, member_id: str, progress: Progress) -> None:
     if state.log.term_at(progress.next_index - 1) is None:
-        snapshot_sender.start_snapshot(state, progress)
+        snapshot_sender.start_snapshot(state, member_id, progress)
         snapshot_sender.send_chunk(state, member_id, progress)
         return
     while _can_send_entries(state, progress):
--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from dataclasses import dataclass
 
@@ -44,6 +45,8 @@
 )
 from galenadrum._internal.exceptions import InvariantError, NotLeaderError
 
+logger = logging.getLogger(__name__)
+
 _HANDLER_BY_CLASS = {
     PreVoteRequest: election.handle_pre_vote_request,
     PreVoteResponse: election.handle_pre_vote_response,
@@ -169,6 +172,12 @@
             return
         reason = self._rejection_reason(message)
         if reason:
+            logger.warning(
+                "member %s refuses messages of %s: %s",
+                state.member_id,
+                message.sender_id,
+                reason,
+            )
             state.send(message.sender_id, MemberRefusal(reason))
             return
         if message.term > state.term and isinstance(message.body, _RESPONSES):
@@ -281,6 +290,13 @@
             for member_id, progress in leader_state.progress_by_id.items()
         }
 
+    def leaderless_s(self, now: float) -> float:
+        """Return the seconds for which this member has known no leader, or 0."""
+        state = self._state
+        if state.role is Role.LEADER or state.has_active_leader(now):
+            return 0.0
+        return max(0.0, now - (state.last_leader_contact or state.started_at))
+
     def transfer_leadership(self, now: float) -> str | None:
         """Step down and ask a voter that holds the whole log to take over.
 
@@ -320,7 +336,7 @@
         """
         state = self._state
         if state.role is Role.LEADER and now >= rounds.step_down_at(state):
-            state.become_follower(state.term, now)
+            rounds.step_down_without_quorum(state, now)
 
     def lease_until(self, now: float) -> float | None:
         """Return the loop time in seconds until which no other leader can exist.
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from galenadrum._internal.control.replication import joining
+from galenadrum._internal.control.replication import codec, joining
 from galenadrum._internal.control.replication import messages as m
 from galenadrum._internal.control.replication.core import ReplicaCore, ReplicaStatus
 from galenadrum._internal.control.replication.disk import Disk, FolderDisk
@@ -312,6 +312,18 @@
             return {}
         return self._current_core().silences_by_id(self._loop.time())
 
+    @property
+    def is_running(self) -> bool:
+        """Whether this member has started and has not failed."""
+        return self._is_running()
+
+    @property
+    def leaderless_s(self) -> float:
+        """Seconds for which this member has known no leader, or 0."""
+        if not self._is_running():
+            return 0.0
+        return self._current_core().leaderless_s(self._loop.time())
+
     @property
     def is_leader(self) -> bool:
         """Whether this member holds the leader lease now, by its own clock."""
@@ -489,6 +501,12 @@
             if entry.kind is EntryKind.COMMAND:
                 result = self._state_machine.apply(entry.index, entry.data)
             elif entry.kind is EntryKind.MEMBERSHIP:
+                membership = codec.membership_from_bytes(entry.data)
+                logger.info(
+                    "members committed at entry %d: %s",
+                    entry.index,
+                    membership.describe(),
+                )
                 members = self._core.membership.members
                 self._peers.close_links_except({member.member_id for member in members})
             self._applied_index = entry.index
--- a/src/galenadrum/_internal/control/replication/election.py
+++ b/src/galenadrum/_internal/control/replication/election.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from galenadrum._internal.control.replication import leader
 from galenadrum._internal.control.replication.messages import (
     Message,
@@ -12,6 +14,8 @@
 )
 from galenadrum._internal.control.replication.state import ReplicaState, Role
 
+logger = logging.getLogger(__name__)
+
 
 def tick(state: ReplicaState, now: float) -> None:
     """Start a pre-vote when the election deadline has passed.
@@ -34,6 +38,15 @@
     state.leader_id = ""
     state.votes = {state.member_id}
     state.reset_election_deadline(now)
+    logger.info(
+        "member %s hears no leader and asks for pre-votes for term %d "
+        "(last entry %d of term %d; %s)",
+        state.member_id,
+        state.term + 1,
+        state.log.last_index,
+        state.log.last_term,
+        state.membership.describe(),
+    )
     request = PreVoteRequest(state.term + 1, state.log.last_index, state.log.last_term)
     for member_id in state.peer_voter_ids():
         state.send(member_id, request)
@@ -56,6 +69,14 @@
     state.votes = set()
     state.disk_ids_by_voter_id = {}
     state.reset_election_deadline(now)
+    logger.info(
+        "member %s asks for votes for term %d (last entry %d of term %d; %s)",
+        state.member_id,
+        state.term,
+        state.log.last_index,
+        state.log.last_term,
+        state.membership.describe(),
+    )
     request = VoteRequest(
         state.log.last_index, state.log.last_term, leader_stepped_down
     )
@@ -66,12 +87,15 @@
 def handle_pre_vote_request(state: ReplicaState, message: Message, now: float) -> None:
     """Answer whether a vote would be granted, without granting one."""
     body = message.body
-    granted = (
-        not state.has_active_leader(now)
-        and body.next_term > state.term
-        and _is_up_to_date(state, body.last_index, body.last_term)
-    )
-    state.send(message.sender_id, PreVoteResponse(body.next_term, granted))
+    reason = ""
+    if state.has_active_leader(now):
+        reason = f"leader {state.leader_id or 'before its restart'} may hold a lease"
+    elif body.next_term <= state.term:
+        reason = f"this member is in term {state.term}"
+    elif not _is_up_to_date(state, body.last_index, body.last_term):
+        reason = _describe_missing_entries(state, body.last_index, body.last_term)
+    _log_vote(state, "pre-vote", message.sender_id, body.next_term, reason)
+    state.send(message.sender_id, PreVoteResponse(body.next_term, not reason))
 
 
 def handle_pre_vote_response(state: ReplicaState, message: Message, now: float) -> None:
@@ -95,15 +119,23 @@
     body = message.body
     has_active_leader = state.has_active_leader(now) and not body.leader_stepped_down
     if has_active_leader or message.term < state.term:
+        reason = (
+            f"leader {state.leader_id or 'before its restart'} may hold a lease"
+            if has_active_leader
+            else f"this member is in term {state.term}"
+        )
+        _log_vote(state, "vote", message.sender_id, message.term, reason)
         state.send(message.sender_id, VoteResponse(granted=False))
         return
     if message.term > state.term:
         state.become_follower(message.term, now)
-    granted = (
-        state.voted_for in ("", message.sender_id)
-        and not state.term_leader_id
-        and _is_up_to_date(state, body.last_index, body.last_term)
-    )
+    reason = ""
+    if state.voted_for not in ("", message.sender_id) or state.term_leader_id:
+        reason = f"it was given to {state.voted_for or state.term_leader_id}"
+    elif not _is_up_to_date(state, body.last_index, body.last_term):
+        reason = _describe_missing_entries(state, body.last_index, body.last_term)
+    _log_vote(state, "vote", message.sender_id, message.term, reason)
+    granted = not reason
     if granted:
         state.become_follower(message.term, now)
         state.set_hard_state(state.term, message.sender_id)
@@ -131,6 +163,29 @@
         leader.become_leader(state, now)
 
 
+def _log_vote(
+    state: ReplicaState, kind: str, candidate_id: str, term: int, reason: str
+) -> None:
+    outcome = f"denied: {reason}" if reason else "granted"
+    logger.info(
+        "%s of member %s for %s in term %d %s",
+        kind,
+        state.member_id,
+        candidate_id,
+        term,
+        outcome,
+    )
+
+
+def _describe_missing_entries(
+    state: ReplicaState, last_index: int, last_term: int
+) -> str:
+    return (
+        f"its last entry is {last_index} of term {last_term}, this member's "
+        f"{state.log.last_index} of term {state.log.last_term}"
+    )
+
+
 def _is_up_to_date(state: ReplicaState, last_index: int, last_term: int) -> bool:
     own = (state.log.last_term, state.log.last_index)
     return (last_term, last_index) >= own
--- a/src/galenadrum/_internal/control/replication/follower.py
+++ b/src/galenadrum/_internal/control/replication/follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from galenadrum._internal.control.replication.entries import Entry, Snapshot
 from galenadrum._internal.control.replication.messages import (
     AppendRequest,
@@ -18,6 +20,8 @@
 )
 from galenadrum._internal.exceptions import InvariantError
 
+logger = logging.getLogger(__name__)
+
 
 def handle_append_request(state: ReplicaState, message: Message, now: float) -> None:
     """Append the entries that match the own log and answer once they are synced.
@@ -97,6 +101,13 @@
         state.become_follower(message.term, now)
     if state.term_leader_id not in ("", message.sender_id):
         raise InvariantError(f"two leaders in term {state.term}")
+    if state.leader_id != message.sender_id:
+        logger.info(
+            "member %s follows leader %s in term %d",
+            state.member_id,
+            message.sender_id,
+            state.term,
+        )
     state.term_leader_id = message.sender_id
     state.leader_id = message.sender_id
     state.last_leader_contact = now
@@ -191,4 +202,10 @@
     state.advance_commit(snapshot.index)
     state.applied_index = snapshot.index
     state.verified_index = max(state.verified_index, snapshot.index)
+    logger.info(
+        "member %s installed the snapshot at entry %d (%d bytes)",
+        state.member_id,
+        snapshot.index,
+        len(snapshot.data),
+    )
     state.outbox.append(Restore(snapshot))
--- a/src/galenadrum/_internal/control/replication/joining.py
+++ b/src/galenadrum/_internal/control/replication/joining.py
@@ -96,18 +96,22 @@
         MemberRefusedError: When the cluster permanently refuses this member.
     """
     delay_s = _MIN_JOIN_DELAY_S
+    outcomes_by_address: dict[str, str] = {}
+    logger.info(
+        "member %s asks to join the cluster through %s",
+        request.member_id,
+        ", ".join(addresses) or "no address",
+    )
     while not is_member():
         target_addresses = list(addresses)
         for address in target_addresses:
             response = await _send_join_request(address, request)
             if response.refused:
                 raise MemberRefusedError(response.message)
-            if response.message:
-                logger.info(
-                    "%s did not add this member, will retry: %s",
-                    address,
-                    response.message,
-                )
+            outcome = _describe_outcome(response)
+            if outcomes_by_address.get(address) != outcome:
+                outcomes_by_address[address] = outcome
+                logger.info("join request to %s: %s", address, outcome)
             leader_address = response.leader_address
             if leader_address and leader_address not in target_addresses:
                 target_addresses.append(leader_address)
@@ -115,13 +119,20 @@
         delay_s = min(delay_s * 2, _MAX_JOIN_DELAY_S)
 
 
+def _describe_outcome(response: pb.JoinResponse) -> str:
+    if response.accepted:
+        return "accepted"
+    if response.message:
+        return f"not added, retrying: {response.message}"
+    return f"it doesn't lead, the leader is {response.leader_address or 'unknown'}"
+
+
 async def _send_join_request(address: str, request: pb.JoinRequest) -> pb.JoinResponse:
     host, port = split_address(address)
     channel = Channel(host, port)
     try:
         return await ReplicationStub(channel).Join(request, timeout=_JOIN_TIMEOUT_S)
     except STREAM_ERRORS as error:
-        logger.debug("join request to %s failed: %r", address, error)
-        return pb.JoinResponse()
+        return pb.JoinResponse(message=f"no answer: {error!r}")
     finally:
         channel.close()
--- a/src/galenadrum/_internal/control/replication/leader.py
+++ b/src/galenadrum/_internal/control/replication/leader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from galenadrum._internal.control.replication import (
     codec,
     membership,
@@ -24,6 +26,8 @@
     MembershipError,
 )
 
+logger = logging.getLogger(__name__)
+
 _CLUSTER_ID_BITS = 64
 
 
@@ -52,13 +56,20 @@
     else:
         append_entry(state, EntryKind.TERM_START, b"")
     _sync_progress_with_members(state)
+    logger.info(
+        "member %s leads term %d from entry %d (%s)",
+        state.member_id,
+        state.term,
+        state.leader.first_index,
+        state.membership.describe(),
+    )
     rounds.start_round(state, now)
 
 
 def tick(state: ReplicaState, now: float) -> None:
     """Step down if the lease has expired; else start a heartbeat round if due."""
     if now >= rounds.step_down_at(state):
-        state.become_follower(state.term, now)
+        rounds.step_down_without_quorum(state, now)
         return
     if now >= state.leader.next_round_at:
         rounds.start_round(state, now)
@@ -127,7 +138,16 @@
 
 def append_membership(state: ReplicaState, changed: Membership) -> int:
     """Append a membership that differs from the latest one in a single member."""
-    return append_entry(state, EntryKind.MEMBERSHIP, codec.membership_to_bytes(changed))
+    index = append_entry(
+        state, EntryKind.MEMBERSHIP, codec.membership_to_bytes(changed)
+    )
+    logger.info(
+        "leader %s proposes members at entry %d: %s",
+        state.member_id,
+        index,
+        changed.describe(),
+    )
+    return index
 
 
 def change_membership(state: ReplicaState, changed: Membership, now: float) -> int:
--- a/src/galenadrum/_internal/control/replication/membership.py
+++ b/src/galenadrum/_internal/control/replication/membership.py
@@ -81,6 +81,12 @@
         voters = self.voter_ids()
         return bool(voters) and len(voters & set(member_ids)) >= self.quorum_size()
 
+    def describe(self) -> str:
+        """Return the ids of the voters and learners as text for a log line."""
+        voters = ",".join(sorted(self.voter_ids())) or "none"
+        learners = ",".join(m.member_id for m in self.members if not m.voter)
+        return f"voters {voters}; learners {learners or 'none'}"
+
     def accepts_disk(self, member_id: str, disk_id: str) -> bool:
         """Return whether a disk id is valid for a member.
 
--- a/src/galenadrum/_internal/control/replication/rounds.py
+++ b/src/galenadrum/_internal/control/replication/rounds.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from galenadrum._internal.control.replication.messages import (
     LeadershipChanged,
     Message,
@@ -14,6 +16,8 @@
 )
 from galenadrum._internal.exceptions import InvariantError, LogBusyError
 
+logger = logging.getLogger(__name__)
+
 
 def step_down_at(state: ReplicaState) -> float:
     """Return the loop time in seconds at which the leader must step down.
@@ -28,6 +32,27 @@
     return since + state.options.lease_s
 
 
+def step_down_without_quorum(state: ReplicaState, now: float) -> None:
+    """End the leadership because no quorum has answered in time."""
+    silent = [
+        f"{member_id} for {now - _last_answer(state, progress):.1f} s"
+        for member_id, progress in sorted(state.leader.progress_by_id.items())
+        if state.membership.is_voter(member_id)
+        and now - _last_answer(state, progress) > state.options.heartbeat_s
+    ]
+    logger.warning(
+        "leader %s has lost its quorum and steps down in term %d (silent voters: %s)",
+        state.member_id,
+        state.term,
+        ", ".join(silent) or "none",
+    )
+    state.become_follower(state.term, now)
+
+
+def _last_answer(state: ReplicaState, progress: Progress) -> float:
+    return max(progress.answered_at or 0.0, state.leader.started_at)
+
+
 def lease_until(state: ReplicaState) -> float | None:
     """Return the loop time in seconds until which no other leader can exist.
 
--- a/src/galenadrum/_internal/control/replication/snapshot_sender.py
+++ b/src/galenadrum/_internal/control/replication/snapshot_sender.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from galenadrum._internal.control.replication.messages import (
     SnapshotChunk,
     SnapshotResponse,
@@ -13,8 +15,10 @@
 )
 from galenadrum._internal.exceptions import InvariantError
 
+logger = logging.getLogger(__name__)
+
 
-def start_snapshot(state: ReplicaState, progress: Progress) -> None:
+def start_snapshot(state: ReplicaState, member_id: str, progress: Progress) -> None:
     """Start sending the latest snapshot to a member.
 
     Raises:
@@ -22,6 +26,13 @@
     """
     if state.snapshot is None:
         raise InvariantError("log entries were compacted without a snapshot")
+    logger.info(
+        "leader %s sends %s the snapshot at entry %d (%d bytes)",
+        state.member_id,
+        member_id,
+        state.snapshot.index,
+        len(state.snapshot.data),
+    )
     progress.mode = SendMode.SNAPSHOT
     progress.snapshot = state.snapshot
     progress.snapshot_offset = 0
--- a/src/galenadrum/_internal/control/replication/state.py
+++ b/src/galenadrum/_internal/control/replication/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -24,6 +25,8 @@
 )
 from galenadrum._internal.exceptions import InvariantError
 
+logger = logging.getLogger(__name__)
+
 
 class Role(StrEnum):
     """Role of a member in its current term."""
@@ -164,6 +167,7 @@
         acked_index: Last index acknowledged to the current leader.
         leader_round: Latest heartbeat round received from the current leader.
         term_leader_id: Id of the leader of the current term; empty if unknown.
+        started_at: Loop time in seconds at which this member started.
         last_leader_contact: Loop time in seconds; None if this member started
             without a stored term and has had no contact with a leader since, so
             that no vote can violate a lease.
@@ -215,6 +219,7 @@
         # Before its restart, this member may have acknowledged a leader whose lease
         # is still valid, so it grants no vote for one election timeout.
         self.last_leader_contact = now if self.term > 0 else None
+        self.started_at = now
         self.election_deadline = now
         self.reset_election_deadline(now)
 
@@ -274,6 +279,7 @@
         self.incoming_snapshot = None
 
     def _end_leadership(self) -> None:
+        logger.info("member %s no longer leads term %d", self.member_id, self.term)
         for token in (*self.leader.confirming_reads, *self.leader.waiting_reads):
             self.outbox.append(ReadFailed(token))
         self.outbox.append(LeadershipChanged(self.term, None))
--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -12,6 +12,7 @@
     ConfigurationState,
     VersionedDocument,
 )
+from galenadrum._internal.control.replication.log_metrics import register_log_gauges
 from galenadrum._internal.control.routing.api import RoutingApi
 from galenadrum._internal.control.routing.availability import Availability
 from galenadrum._internal.control.routing.configurations import Configurations
@@ -178,6 +179,7 @@
         supervisor.add("peer-links", self._peer_links.run)
         supervisor.add("dispatch", self.dispatch.run)
         supervisor.add("directory", self._run_maintenance)
+        register_log_gauges(self.metrics, lambda: self.log_runner.log)
         self.metrics.register_gauge("version", lambda: self.state.version)
         self.metrics.register_gauge("quarantined_parts", lambda: len(self.quarantine))
         self.metrics.register_gauge("limited_servers", lambda: len(self.limits))
