--- a/tests/lib/log_simulation.py
+++ b/tests/lib/log_simulation.py
@@ -15,6 +15,9 @@
 from galenadrum._internal.control.replication.membership import Member, Membership
 from galenadrum._internal.control.replication.state import ReplicaOptions
 from galenadrum._internal.control.replication.storage import open_storage
+from galenadrum._internal.control.routing.member_removal import (
+    select_member_to_remove,
+)
 from galenadrum._internal.exceptions import (
     LogBusyError,
     MembershipError,
@@ -59,6 +62,7 @@
         self.stale_clock_reads = 0
         self.sync_s = _MEAN_SYNC_S
         self.replaces = ""
+        self.joins = False
         self.applied = []
         self.proposals_by_index = {}
         self.reads_by_token = {}
@@ -69,9 +73,13 @@
 
     Args:
         confirm_before_sync: Makes members report writes as synced before they are.
+        removes_lost_members: Makes leaders remove members as control hosts of a
+            routing configuration do.
     """
 
-    def __init__(self, seed, founders=3, confirm_before_sync=False):
+    def __init__(
+        self, seed, founders=3, confirm_before_sync=False, removes_lost_members=False
+    ):
         self.rng = random.Random(seed)
         self.now = 100.0
         self.loss = 0.0
@@ -91,6 +99,8 @@
         )
         for member in self._founders.members:
             self._add_node(member.member_id)
+        if removes_lost_members:
+            self._remove_lost_members()
 
     def _add_node(self, member_id):
         node = Node(member_id, clock_rate=self.rng.uniform(0.97, 1.03))
@@ -115,7 +125,7 @@
         if stored.snapshot is not None:
             self._check_restored(node, stored.snapshot)
         self._process_event(node, lambda core, now: core.tick(now))
-        if node.replaces:
+        if node.joins:
             self._request_join(node, node.core)
 
     def crash(self, node, power=True):
@@ -149,11 +159,25 @@
 
     def replace(self, node):
         """Start a new member that requests to replace a lost one."""
+        return self.join(replaces=node.member_id)
+
+    def join(self, replaces=""):
+        """Start a new member with an empty disk that requests to join."""
         new = self._add_node(f"m{len(self.nodes_by_id)}")
-        new.replaces = node.member_id
+        new.replaces = replaces
+        new.joins = True
         self._request_join(new, new.core)
         return new
 
+    def _remove_lost_members(self):
+        self._schedule(1.0, self._remove_lost_members)
+        for node in self.running():
+            members = node.core.membership.members
+            silences = node.core.silences_by_id(self.clock(node))
+            member_id = select_member_to_remove(members, silences)
+            if node.core.is_leader and member_id is not None:
+                self.remove(node, member_id)
+
     def _request_join(self, new, core):
         if new.core is not core or core.membership.get(new.member_id):
             return
--- /dev/null
+++ b/tests/unit/control/replication/test_replaced_members.py
@@ -0,0 +1,85 @@
+"""Members that are replaced or lose their disks one after the other.
+
+At most one member is lost at a time, and a replacement has `CATCH_UP_S` before the next
+loss, so that a leader is owed after each of them.
+"""
+
+import pytest
+
+from lib.log_simulation import OPTIONS, Simulation
+
+CATCH_UP_S = 4.0
+# Two election timeouts at most until a candidate stands, and as much for a second try.
+LEADER_BOUND_S = 6 * OPTIONS.election_timeout_s
+
+
+def get_leader(simulation):
+    leaders = [n for n in simulation.running() if n.core.status().lease_until]
+    return leaders[0] if len(leaders) == 1 else None
+
+
+def run_until(simulation, condition, bound_s=LEADER_BOUND_S):
+    """Run until a condition holds; return whether it did within the bound."""
+    end = simulation.now + bound_s
+    while not condition() and simulation.now < end:
+        simulation.run(0.01)
+    return condition()
+
+
+def accept_change(simulation):
+    """Propose until a change is accepted; return whether one was in time."""
+    accepted = len(simulation.accepted)
+
+    def is_accepted():
+        leader = get_leader(simulation)
+        if leader is not None:
+            simulation.propose(leader)
+        return len(simulation.accepted) > accepted
+
+    return run_until(simulation, is_accepted)
+
+
+def start_group(seed, founders=3):
+    simulation = Simulation(seed, founders, removes_lost_members=True)
+    simulation.run(5)
+    assert accept_change(simulation)
+    return simulation
+
+
+def choose_victim(simulation, kind, newcomer):
+    leader = get_leader(simulation)
+    if kind == "newcomer":
+        return newcomer
+    if kind == "leader":
+        return leader
+    return next(
+        n for n in simulation.running() if n.core and n not in (leader, newcomer)
+    )
+
+
+def lose_and_return_empty(simulation, node, away_s=5.0):
+    simulation.lose_disk(node)
+    simulation.run(away_s)
+    return simulation.replace(node)
+
+
+class TestReplacedMember:
+    # A replaced member counted as a voter until ten seconds of silence had passed.
+    @pytest.mark.parametrize("victim", ["newcomer", "leader", "follower"])
+    @pytest.mark.parametrize("seed", range(5))
+    def test_lost_disk_after_a_replacement_leaves_no_leader(self, seed, victim):
+        simulation = start_group(seed)
+        replaced = get_leader(simulation)
+        others = [n for n in simulation.nodes_by_id.values() if n is not replaced]
+        simulation.blocked = {(n.member_id, replaced.member_id) for n in others}
+        simulation.run(4)
+        simulation.heal()
+        simulation.run(4)
+        simulation.lose_disk(replaced)
+        simulation.run(1)
+        newcomer = simulation.join()
+        simulation.run(CATCH_UP_S)
+        assert accept_change(simulation)
+        lose_and_return_empty(simulation, choose_victim(simulation, victim, newcomer))
+        assert accept_change(simulation)
+        simulation.recover_and_verify()
