Replace a lost voter of the replicated log in one step

Cause: a successor at another address was promoted beside the member that it replaces: four voters, one of them gone for good. The lost one was removed only after ten seconds of silence. Another allowed loss in between left two of four, and a member with an empty disk needs a leader to join. Class: a change of members that needs two steps, with less tolerance between them.

Change: joint consensus. A standby takes the place of a voter that it replaces, that doesn't answer for an election timeout, or that says that it stops, and the open change is completed or undone by the next leader. A silent voter is demoted, not removed. Further members stand by beyond an odd number of voters.

--- a/src/galenadrum/_internal/control/replication/codec.py
+++ b/src/galenadrum/_internal/control/replication/codec.py
@@ -40,6 +40,7 @@
         members=members,
         removed_ids=membership.removed_ids,
         cluster_id=membership.cluster_id,
+        outgoing_voter_ids=membership.outgoing_voter_ids,
     )
 
 
@@ -49,7 +50,12 @@
         Member(r.member_id, r.address, r.disk_id, r.voter, r.replaces)
         for r in record.members
     )
-    return Membership(members, tuple(record.removed_ids), record.cluster_id)
+    return Membership(
+        members,
+        tuple(record.removed_ids),
+        record.cluster_id,
+        tuple(record.outgoing_voter_ids),
+    )
 
 
 def membership_to_bytes(membership: Membership) -> bytes:
--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -286,10 +286,22 @@
         if leader_state is None:
             return {}
         return {
-            member_id: now - max(progress.answered_at or 0.0, leader_state.started_at)
+            member_id: rounds.silence_s(self._state, progress, now)
             for member_id, progress in leader_state.progress_by_id.items()
         }
 
+    def record_leaving(self, member_id: str, now: float) -> bool:
+        """Let a standby vote in place of a member that is about to stop.
+
+        Returns:
+            Whether the member is, or is about to be, no voter any more.
+
+        Raises:
+            NotLeaderError: When this member is not the leader.
+        """
+        self._require_leadership(now)
+        return leader.record_leaving(self._state, member_id, now)
+
     def leaderless_s(self, now: float) -> float:
         """Return the seconds for which this member has known no leader, or 0."""
         state = self._state
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -126,6 +126,7 @@
             self._peers.receive_inbound,
             self._peers.remove_inbound,
             self._handle_join_request,
+            self._handle_leave_request,
         )
 
     def services(self) -> list[ReplicationService]:
@@ -247,6 +248,33 @@
         logger.info("member %s is asked to lead", successor_id)
         return True
 
+    async def leave(self, timeout_s: float) -> None:
+        """Let a standby vote in place of this member, which is about to stop.
+
+        Returns at once if this member is no voter or no standby is ready, and after
+        ``timeout_s`` seconds in any case.
+        """
+        member_id = self._settings.member_id
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._is_running() and self._core.membership.is_voter(member_id):
+                    if not await self._request_leave(member_id):
+                        return
+                    await asyncio.sleep(_POLL_INTERVAL_S)
+        except TimeoutError:
+            logger.info("no standby took this member's place within %s s", timeout_s)
+
+    async def _request_leave(self, member_id: str) -> bool:
+        """Ask the leader once; return whether to go on asking."""
+        request = pb.LeaveRequest(member_id=member_id)
+        address = self.leader_address
+        if address is None:
+            return True
+        if address == self._settings.peer_address:
+            return self._handle_leave_request(request).accepted
+        response = await joining.send_leave_request(address, request)
+        return response is None or bool(response.accepted or response.leader_address)
+
     async def read_barrier(self, timeout_s: float) -> None:
         """Wait until all entries committed before the call are applied here.
 
@@ -406,6 +434,16 @@
         self._schedule_actions()
         return response
 
+    def _handle_leave_request(self, request: pb.LeaveRequest) -> pb.LeaveResponse:
+        try:
+            accepted = self._running_core().record_leaving(
+                request.member_id, self._loop.time()
+            )
+        except NotLeaderError as error:
+            return pb.LeaveResponse(leader_address=error.leader_address or "")
+        self._schedule_actions()
+        return pb.LeaveResponse(accepted=accepted)
+
     def _receive(self, message: m.Message) -> None:
         if not self._is_running():
             return
--- a/src/galenadrum/_internal/control/replication/joining.py
+++ b/src/galenadrum/_internal/control/replication/joining.py
@@ -23,6 +23,7 @@
 logger = logging.getLogger(__name__)
 
 _JOIN_TIMEOUT_S = 2.0
+_LEAVE_TIMEOUT_S = 0.5
 _MIN_JOIN_DELAY_S = 0.2
 _MAX_JOIN_DELAY_S = 5.0
 
@@ -128,11 +129,28 @@
 
 
 async def _send_join_request(address: str, request: pb.JoinRequest) -> pb.JoinResponse:
-    host, port = split_address(address)
-    channel = Channel(host, port)
+    channel = Channel(*split_address(address))
     try:
         return await ReplicationStub(channel).Join(request, timeout=_JOIN_TIMEOUT_S)
     except STREAM_ERRORS as error:
         return pb.JoinResponse(message=f"no answer: {error!r}")
     finally:
         channel.close()
+
+
+async def send_leave_request(
+    address: str, request: pb.LeaveRequest
+) -> pb.LeaveResponse | None:
+    """Ask a leader to let a standby vote in the sender's place.
+
+    Returns:
+        The response; None if there was none.
+    """
+    channel = Channel(*split_address(address))
+    try:
+        return await ReplicationStub(channel).Leave(request, timeout=_LEAVE_TIMEOUT_S)
+    except STREAM_ERRORS as error:
+        logger.info("request to leave sent to %s failed: %r", address, error)
+        return None
+    finally:
+        channel.close()
--- a/src/galenadrum/_internal/control/replication/leader.py
+++ b/src/galenadrum/_internal/control/replication/leader.py
@@ -29,6 +29,9 @@
 logger = logging.getLogger(__name__)
 
 _CLUSTER_ID_BITS = 64
+# Time for which a member that says it leaves gets no vote; a restart takes longer than
+# the request, and a member that has restarted answers again.
+_LEAVING_S = 2.0
 
 
 def become_leader(state: ReplicaState, now: float) -> None:
@@ -55,7 +58,7 @@
         append_membership(state, founding)
     else:
         append_entry(state, EntryKind.TERM_START, b"")
-    _sync_progress_with_members(state)
+    _sync_progress_with_members(state, now)
     logger.info(
         "member %s leads term %d from entry %d (%s)",
         state.member_id,
@@ -137,7 +140,17 @@
 
 
 def append_membership(state: ReplicaState, changed: Membership) -> int:
-    """Append a membership that differs from the latest one in a single member."""
+    """Append a membership; a quorum of it must share members with one of the latest.
+
+    Raises:
+        InvariantError: When several voters change without a joint membership.
+    """
+    before = state.membership
+    changed_ids = before.incoming_voter_ids() ^ changed.incoming_voter_ids()
+    if len(changed_ids) > 1 and not changed.is_joint:
+        raise InvariantError(
+            f"voters {','.join(sorted(changed_ids))} would change in one entry"
+        )
     index = append_entry(
         state, EntryKind.MEMBERSHIP, codec.membership_to_bytes(changed)
     )
@@ -157,14 +170,14 @@
         MembershipError: When another change is under way, or the responsive voters
             would not form a quorum after the change.
     """
-    if not _can_change_membership(state):
+    if state.membership.is_joint or not _can_change_membership(state):
         raise MembershipError("another change of members is under way; try again")
     if not _has_answering_quorum(state, changed, now):
         raise MembershipError(
             "the voters that answer would be no quorum after this change"
         )
     index = append_membership(state, changed)
-    _sync_progress_with_members(state)
+    _sync_progress_with_members(state, now)
     return index
 
 
@@ -188,7 +201,7 @@
     )
 
 
-def _sync_progress_with_members(state: ReplicaState) -> None:
+def _sync_progress_with_members(state: ReplicaState, now: float) -> None:
     """Track the progress of exactly the other members of the latest membership."""
     leader = state.leader
     member_ids = {m.member_id for m in state.membership.members}
@@ -196,7 +209,9 @@
     for member_id in set(leader.progress_by_id) - member_ids:
         del leader.progress_by_id[member_id]
     for member_id in sorted(member_ids - set(leader.progress_by_id)):
-        progress = Progress(next_index=state.log.last_index + 1, heartbeat_due=True)
+        progress = Progress(
+            next_index=state.log.last_index + 1, added_at=now, heartbeat_due=True
+        )
         leader.progress_by_id[member_id] = progress
 
 
@@ -262,7 +277,7 @@
         for member_id, progress in leader.progress_by_id.items()
     }
     synced[state.member_id] = state.log.stable_index
-    index = rounds.quorum_value(state, synced)
+    index = state.membership.quorum_value(synced)
     if index <= state.commit_index or state.log.term_at(index) != state.term:
         return
     is_first_of_term = state.commit_index < leader.first_index
@@ -280,12 +295,42 @@
     """Append the next pending promotion or replacement, if one is possible."""
     if not _can_change_membership(state):
         return
+    changed = _find_next_change(state, now)
+    if changed is None:
+        return
+    # An open change is completed in any case; nothing else can end it.
+    if state.membership.is_joint or _has_answering_quorum(state, changed, now):
+        append_membership(state, changed)
+        _sync_progress_with_members(state, now)
+
+
+def _find_next_change(state: ReplicaState, now: float) -> Membership | None:
     caught_up = {
         member_id: progress.disk_id
         for member_id, progress in state.leader.progress_by_id.items()
         if progress.match_index >= state.commit_index
     }
-    changed = membership.next_change(state.membership, caught_up)
-    if changed is not None and _has_answering_quorum(state, changed, now):
-        append_membership(state, changed)
-        _sync_progress_with_members(state)
+    return membership.next_change(
+        state.membership, caught_up, _find_lost_members(state, now)
+    )
+
+
+def _find_lost_members(state: ReplicaState, now: float) -> set[str]:
+    """Return the ids of members that don't answer or have said that they leave."""
+    return {
+        member_id
+        for member_id, progress in state.leader.progress_by_id.items()
+        if now < progress.leaving_until
+        or rounds.silence_s(state, progress, now) > state.options.election_timeout_s
+    }
+
+
+def record_leaving(state: ReplicaState, member_id: str, now: float) -> bool:
+    """Record that a voter is about to stop; return whether a standby replaces it."""
+    progress = state.leader.progress_by_id.get(member_id)
+    if progress is not None:
+        progress.leaving_until = now + _LEAVING_S
+    if not state.membership.is_voter(member_id):
+        return True
+    changed = _find_next_change(state, now)
+    return changed is not None and member_id not in changed.incoming_voter_ids()
--- a/src/galenadrum/_internal/control/replication/rounds.py
+++ b/src/galenadrum/_internal/control/replication/rounds.py
@@ -35,10 +35,10 @@
 def step_down_without_quorum(state: ReplicaState, now: float) -> None:
     """End the leadership because no quorum has answered in time."""
     silent = [
-        f"{member_id} for {now - _last_answer(state, progress):.1f} s"
+        f"{member_id} for {silence_s(state, progress, now):.1f} s"
         for member_id, progress in sorted(state.leader.progress_by_id.items())
         if state.membership.is_voter(member_id)
-        and now - _last_answer(state, progress) > state.options.heartbeat_s
+        and silence_s(state, progress, now) > state.options.heartbeat_s
     ]
     logger.warning(
         "leader %s has lost its quorum and steps down in term %d (silent voters: %s)",
@@ -49,8 +49,12 @@
     state.become_follower(state.term, now)
 
 
-def _last_answer(state: ReplicaState, progress: Progress) -> float:
-    return max(progress.answered_at or 0.0, state.leader.started_at)
+def silence_s(state: ReplicaState, progress: Progress, now: float) -> float:
+    """Return the seconds since a member last answered this leader.
+
+    A member that has not answered is counted from the start of the leadership.
+    """
+    return now - max(progress.answered_at or 0.0, state.leader.started_at)
 
 
 def lease_until(state: ReplicaState) -> float | None:
@@ -124,7 +128,7 @@
         for member_id, progress in leader.progress_by_id.items()
     }
     acked[state.member_id] = leader.round
-    quorum_round = quorum_value(state, acked)
+    quorum_round = state.membership.quorum_value(acked)
     if quorum_round <= leader.quorum_round:
         return
     leader.quorum_round = quorum_round
@@ -141,16 +145,6 @@
         state.outbox.append(LeadershipChanged(state.term, until))
 
 
-def quorum_value(state: ReplicaState, value_by_id: dict[str, int]) -> int:
-    """Return the largest value that a quorum of voters has reached.
-
-    A voter without a value counts as 0.
-    """
-    voters = state.membership.voter_ids()
-    values = sorted((value_by_id.get(v, 0) for v in voters), reverse=True)
-    return values[state.membership.quorum_size() - 1]
-
-
 def add_read(state: ReplicaState, token: int) -> None:
     """Queue a read to be confirmed by the next round.
 
--- a/src/galenadrum/_internal/control/replication/service.py
+++ b/src/galenadrum/_internal/control/replication/service.py
@@ -20,12 +20,13 @@
 
 
 class ReplicationService(ReplicationBase):
-    """Passes messages and join requests of other members to the driver.
+    """Passes messages and requests to join or leave to the driver.
 
     Args:
         on_message: Called with each message and the stream for its answer.
         on_stream_closed: Called with each stream that has ended.
         handle_join_request: Called with each join request; returns the response.
+        handle_leave_request: The same for requests of members that stop.
     """
 
     def __init__(
@@ -33,10 +34,12 @@
         on_message: Callable[[Message, InboundStream], None],
         on_stream_closed: Callable[[InboundStream], None],
         handle_join_request: Callable[[pb.JoinRequest], pb.JoinResponse],
+        handle_leave_request: Callable[[pb.LeaveRequest], pb.LeaveResponse],
     ) -> None:
         self._on_message = on_message
         self._on_stream_closed = on_stream_closed
         self._handle_join_request = handle_join_request
+        self._handle_leave_request = handle_leave_request
 
     async def Exchange(self, stream: Stream) -> None:  # noqa: N802
         """Receive messages until the other member ends the stream."""
@@ -61,3 +64,9 @@
         request = await stream.recv_message()
         if request is not None:
             await stream.send_message(self._handle_join_request(request))
+
+    async def Leave(self, stream: Stream) -> None:  # noqa: N802
+        """Answer the request of a member that is about to stop."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(self._handle_leave_request(request))
--- a/src/galenadrum/_internal/control/replication/state.py
+++ b/src/galenadrum/_internal/control/replication/state.py
@@ -97,16 +97,21 @@
         in_flight: Last index of each unanswered append request.
         acked_round: Latest heartbeat round that the member has answered.
         answered_at: Loop time in seconds of the latest response.
+        added_at: Loop time in seconds since which the leader replicates to the member.
+        leaving_until: Loop time in seconds until which the member counts as lost, as
+            it has said that it stops.
         disk_id: Disk id of the member in its latest response.
         snapshot_offset: Bytes of ``snapshot`` that the member has received.
     """
 
     next_index: int
+    added_at: float
     match_index: int = 0
     mode: SendMode = SendMode.PROBE
     in_flight: deque[int] = field(default_factory=deque)
     acked_round: int = 0
     answered_at: float | None = None
+    leaving_until: float = 0.0
     disk_id: str = ""
     heartbeat_due: bool = False
     probe_sent: bool = False
--- a/src/galenadrum/_internal/control/routing/log_runner.py
+++ b/src/galenadrum/_internal/control/routing/log_runner.py
@@ -43,6 +43,7 @@
 _LOST_MEMBER_CHECK_INTERVAL_S = 1.0
 _REMOVE_TIMEOUT_S = 2.0
 _STEP_DOWN_TIMEOUT_S = 1.0
+_LEAVE_TIMEOUT_S = 1.0
 # Well above the compressed size of a configuration with thousands of routes.
 _MAX_COMMAND_BYTES = 8 * 1024 * 1024
 _HEARTBEAT_S = 0.15
@@ -200,9 +201,11 @@
             logger.warning("removed member %s: no answer for too long", member_id)
 
     async def step_down(self) -> None:
-        """Transfer leadership to another member before this host stops."""
-        if self.log is not None:
-            await self.log.step_down(_STEP_DOWN_TIMEOUT_S)
+        """Hand over leadership and the vote of this host before it stops."""
+        log = self.log
+        if log is not None:
+            await log.step_down(_STEP_DOWN_TIMEOUT_S)
+            await log.leave(_LEAVE_TIMEOUT_S)
 
     def member_addresses(self) -> tuple[str, ...]:
         """Return the peer addresses of all known members."""
@@ -227,6 +230,11 @@
         for service in self._services():
             await service.Join(stream)
 
+    async def Leave(self, stream: Stream) -> None:  # noqa: N802
+        """Forward the request of a member that is about to stop."""
+        for service in self._services():
+            await service.Leave(stream)
+
     def _services(self) -> list[ReplicationBase]:
         log = self._runner.log
         return list(log.services()) if log is not None else []
--- a/src/galenadrum/_internal/protocol/replication_grpc.py
+++ b/src/galenadrum/_internal/protocol/replication_grpc.py
@@ -22,6 +22,10 @@
     async def Join(self, stream: 'grpclib.server.Stream[galenadrum._internal.protocol.replication_pb2.JoinRequest, galenadrum._internal.protocol.replication_pb2.JoinResponse]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Leave(self, stream: 'grpclib.server.Stream[galenadrum._internal.protocol.replication_pb2.LeaveRequest, galenadrum._internal.protocol.replication_pb2.LeaveResponse]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/galenadrum.v1.Replication/Exchange': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 galenadrum._internal.protocol.replication_pb2.JoinRequest,
                 galenadrum._internal.protocol.replication_pb2.JoinResponse,
             ),
+            '/galenadrum.v1.Replication/Leave': grpclib.const.Handler(
+                self.Leave,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                galenadrum._internal.protocol.replication_pb2.LeaveRequest,
+                galenadrum._internal.protocol.replication_pb2.LeaveResponse,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             galenadrum._internal.protocol.replication_pb2.JoinRequest,
             galenadrum._internal.protocol.replication_pb2.JoinResponse,
         )
+        self.Leave = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/galenadrum.v1.Replication/Leave',
+            galenadrum._internal.protocol.replication_pb2.LeaveRequest,
+            galenadrum._internal.protocol.replication_pb2.LeaveResponse,
+        )
--- a/tests/functional/control/test_peer_link.py
+++ b/tests/functional/control/test_peer_link.py
@@ -41,7 +41,7 @@
                 await asyncio.sleep(0.02)
             silent.close()
             service = ReplicationService(
-                send_vote_response, lambda _: None, lambda _: None
+                send_vote_response, lambda _: None, lambda _: None, lambda _: None
             )
             server = Server([service])
             await server.start(sock=sock.dup())
@@ -68,7 +68,7 @@
                 link.send(vote_request_message())
                 await asyncio.sleep(0.3)
             service = ReplicationService(
-                send_vote_response, lambda _: None, lambda _: None
+                send_vote_response, lambda _: None, lambda _: None, lambda _: None
             )
             server = Server([service])
             await server.start(sock=sock.dup())
--- a/tests/lib/log_simulation.py
+++ b/tests/lib/log_simulation.py
@@ -193,6 +193,13 @@
             )
             self._propose_change(node, lambda c, now, m=member: c.add_member(m, now))
 
+    def leave(self, node):
+        """Let a member that is about to stop ask the leader for a replacement."""
+        for other in self.running():
+            self._propose_change(
+                other, lambda c, now: c.record_leaving(node.member_id, now)
+            )
+
     def remove(self, node, member_id):
         self._propose_change(node, lambda core, now: core.remove_member(member_id, now))
 
--- a/tests/unit/control/replication/test_replaced_members.py
+++ b/tests/unit/control/replication/test_replaced_members.py
@@ -83,3 +83,66 @@
         lose_and_return_empty(simulation, choose_victim(simulation, victim, newcomer))
         assert accept_change(simulation)
         simulation.recover_and_verify()
+
+
+class TestPlannedReplacement:
+    # The vote of a host that stops was lost until its silence was noticed.
+    @pytest.mark.parametrize("seed", range(5))
+    def test_disk_lost_as_a_replaced_host_stops_leaves_no_leader(self, seed):
+        simulation = start_group(seed)
+        newcomer = simulation.join()
+        simulation.run(CATCH_UP_S)
+        stopping = next(
+            n
+            for n in simulation.running()
+            if n not in (newcomer, get_leader(simulation))
+        )
+        simulation.leave(stopping)
+        simulation.run(0.1)
+        simulation.lose_disk(stopping)
+        assert accept_change(simulation)
+        lose_and_return_empty(simulation, choose_victim(simulation, "leader", newcomer))
+        assert accept_change(simulation)
+        simulation.recover_and_verify()
+
+
+class TestFourMembers:
+    # An even number of voters tolerates no more losses than one voter less.
+    @pytest.mark.parametrize("seed", range(5))
+    def test_second_disk_lost_after_a_standby_took_over_leaves_no_leader(self, seed):
+        simulation = start_group(seed)
+        standby = simulation.join()
+        simulation.run(CATCH_UP_S)
+        simulation.lose_disk(get_leader(simulation))
+        simulation.run(CATCH_UP_S)
+        assert accept_change(simulation)
+        simulation.lose_disk(choose_victim(simulation, "newcomer", standby))
+        assert accept_change(simulation)
+
+
+class TestLeaderLostDuringAChange:
+    # A change of voters that its leader leaves open must be completed or undone.
+    @pytest.mark.parametrize("delay_ms", range(0, 40, 2))
+    def test_open_change_ends_after_its_leader_is_lost(self, delay_ms):
+        simulation = start_group(seed=3)
+        leader = get_leader(simulation)
+        lost = next(n for n in simulation.running() if n is not leader)
+        simulation.lose_disk(lost)
+        newcomer = simulation.join()
+        assert run_until(
+            simulation, lambda: leader.core.membership.is_voter(newcomer.member_id)
+        )
+        simulation.run(delay_ms / 1_000)
+        simulation.crash(leader)
+        simulation.run(2)
+        simulation.start(leader)
+        assert accept_change(simulation)
+        assert run_until(
+            simulation,
+            lambda: all(
+                not n.core.membership.is_joint
+                and n.core.membership.is_voter(newcomer.member_id)
+                for n in simulation.running()
+            ),
+        )
+        simulation.recover_and_verify()
--- a/tests/unit/control/replication/test_simulation.py
+++ b/tests/unit/control/replication/test_simulation.py
@@ -201,11 +201,25 @@
 
     def test_when_a_leader_transfers_leadership_and_keeps_its_lease(self, monkeypatch):
         def send_without_stepping_down(state, now):
-            for member_id in state.peer_voter_ids():
-                state.send(member_id, TimeoutNow())
+            state.send(state.peer_voter_ids()[0], TimeoutNow())
 
+        for seed in range(5):
+            self.isolate_leader_after_transfer(seed)
         monkeypatch.setattr(leader, "transfer", send_without_stepping_down)
-        self.assert_detected(range(10))
+        for seed in range(5):
+            with pytest.raises(Violation, match="in the lease of"):
+                self.isolate_leader_after_transfer(seed)
+
+    def isolate_leader_after_transfer(self, seed):
+        """Block all messages to a leader once its successor has been asked."""
+        simulation = Simulation(seed)
+        simulation.run(5)
+        (leading,) = [n for n in simulation.running() if n.core.is_leader]
+        others = [n for n in simulation.running() if n is not leading]
+        simulation.transfer_leadership(leading)
+        simulation.blocked = {(n.member_id, leading.member_id) for n in others}
+        simulation.run(5)
+        assert any(n.core.is_leader for n in others)
 
     def test_when_a_majority_suffices_to_found_after_a_disk_loss(self, monkeypatch):
         self.lose_disk_before_founding_completes()
