Ask all hosts to join at the same time

A replacement counted two seconds late, as it waited for the lost host's answer before it asked the next.

Cause: join requests were sent one after the other, 2 s each, with pauses of up to 5 s. Change: each address has its own requests, at most 0.8 s apart; the leader that an answer names is asked at once.

--- a/src/galenadrum/_internal/control/replication/joining.py
+++ b/src/galenadrum/_internal/control/replication/joining.py
@@ -22,10 +22,11 @@
 
 logger = logging.getLogger(__name__)
 
-_JOIN_TIMEOUT_S = 2.0
+_JOIN_TIMEOUT_S = 1.0
 _LEAVE_TIMEOUT_S = 0.5
-_MIN_JOIN_DELAY_S = 0.2
-_MAX_JOIN_DELAY_S = 5.0
+_MIN_JOIN_DELAY_S = 0.1
+# Shorter than `ReplicaOptions.newcomer_wait_s`, for which a leader waits for newcomers.
+_MAX_JOIN_DELAY_S = 0.8
 
 
 def handle_join_request(
@@ -88,6 +89,9 @@
 ) -> None:
     """Send join requests, with backoff, until this member is in the cluster.
 
+    All addresses are asked at the same time, so that a host that doesn't answer delays
+    nothing, and the leader too once an answer names it.
+
     Args:
         addresses: Peer addresses of members of the running cluster.
         request: Request that identifies this member.
@@ -96,26 +100,49 @@
     Raises:
         MemberRefusedError: When the cluster permanently refuses this member.
     """
-    delay_s = _MIN_JOIN_DELAY_S
-    outcomes_by_address: dict[str, str] = {}
     logger.info(
         "member %s asks to join the cluster through %s",
         request.member_id,
         ", ".join(addresses) or "no address",
     )
+    tasks_by_address: dict[str, asyncio.Task[None]] = {}
+
+    def ask(address: str) -> None:
+        if address not in tasks_by_address:
+            tasks_by_address[address] = asyncio.create_task(
+                _ask_repeatedly(address, request, is_member, ask)
+            )
+
+    for address in addresses:
+        ask(address)
+    try:
+        while pending := [t for t in tasks_by_address.values() if not t.done()]:
+            done, _ = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+    finally:
+        for task in tasks_by_address.values():
+            task.cancel()
+
+
+async def _ask_repeatedly(
+    address: str,
+    request: pb.JoinRequest,
+    is_member: Callable[[], bool],
+    ask_leader: Callable[[str], None],
+) -> None:
+    delay_s = _MIN_JOIN_DELAY_S
+    last_outcome = ""
     while not is_member():
-        target_addresses = list(addresses)
-        for address in target_addresses:
-            response = await _send_join_request(address, request)
-            if response.refused:
-                raise MemberRefusedError(response.message)
-            outcome = _describe_outcome(response)
-            if outcomes_by_address.get(address) != outcome:
-                outcomes_by_address[address] = outcome
-                logger.info("join request to %s: %s", address, outcome)
-            leader_address = response.leader_address
-            if leader_address and leader_address not in target_addresses:
-                target_addresses.append(leader_address)
+        response = await _send_join_request(address, request)
+        if response.refused:
+            raise MemberRefusedError(response.message)
+        outcome = _describe_outcome(response)
+        if outcome != last_outcome:
+            last_outcome = outcome
+            logger.info("join request to %s: %s", address, outcome)
+        if response.leader_address:
+            ask_leader(response.leader_address)
         await asyncio.sleep(delay_s)
         delay_s = min(delay_s * 2, _MAX_JOIN_DELAY_S)
 
--- a/tests/lib/log_cluster.py
+++ b/tests/lib/log_cluster.py
@@ -98,13 +98,17 @@
             **more,
         )
 
-    def add_joining_member(self, name, replaces=""):
+    def add_joining_member(self, name, replaces="", silent=None):
+        """Add a member; ``silent`` is an address that it asks first in vain."""
         sock = bind_free_port()
         member = ControlMember(name, address_of(sock))
         settings = self.settings(
             member,
             members=(),
-            join_addresses=tuple(f.peer_address for f in self.founders),
+            join_addresses=(
+                *([silent] if silent else []),
+                *(f.peer_address for f in self.founders),
+            ),
             replaces=replaces,
         )
         self.members_by_id[name] = RunningMember(settings, sock)
