Acknowledge no change while a standby is about to take a lost voter's place

What callers would see: an acknowledged version that is never read back, and no leader.

Cause: a change was acknowledged as soon as it was committed. After a partition in which a successor could not join, the new leader acknowledged with two of three voters, one of them gone for good, before it knew of either; the loss of the leader's disk then left one of three. A change sent again was acknowledged by any host that had applied it.

Change: an acknowledgement waits until no change of voters is open or due, and a new leader that misses a voter first waits until it is known to be lost and newcomers have asked. Submitted versions that are held already go through the leader too.

--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -302,6 +302,15 @@
         self._require_leadership(now)
         return leader.record_leaving(self._state, member_id, now)
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether a committed change may be acknowledged now.
+
+        Raises:
+            NotLeaderError: When this member is not the leader.
+        """
+        self._require_leadership(now)
+        return leader.is_settled(self._state, now)
+
     def leaderless_s(self, now: float) -> float:
         """Return the seconds for which this member has known no leader, or 0."""
         state = self._state
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -204,7 +204,32 @@
         if self._is_stepping_down:
             raise NotLeaderError(None)
         index, term = core.propose(command, self._loop.time())
-        return await self._wait_until_committed(index, term, timeout_s)
+        deadline = self._loop.time() + timeout_s
+        result = await self._wait_until_committed(index, term, timeout_s)
+        await self.wait_until_settled(deadline - self._loop.time())
+        return result
+
+    async def wait_until_settled(self, timeout_s: float) -> None:
+        """Wait until what is committed may be acknowledged.
+
+        A committed change isn't acknowledged while a standby is about to take the place
+        of a lost voter, since the loss of one more member could end the quorum.
+
+        Raises:
+            OutcomeUnknownError: If this member has lost leadership or the time is up.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self._running_core().is_settled(self._loop.time()):
+                    await asyncio.sleep(_POLL_INTERVAL_S)
+        except NotLeaderError:
+            raise OutcomeUnknownError(
+                "this member no longer leads; the change may be committed"
+            ) from None
+        except TimeoutError:
+            raise OutcomeUnknownError(
+                f"a change of voters was not completed within {timeout_s:.1f} s"
+            ) from None
 
     async def _wait_until_committed(
         self, index: int, term: int, timeout_s: float
--- a/src/galenadrum/_internal/control/replication/leader.py
+++ b/src/galenadrum/_internal/control/replication/leader.py
@@ -334,3 +334,36 @@
         return True
     changed = _find_next_change(state, now)
     return changed is not None and member_id not in changed.incoming_voter_ids()
+
+
+def is_settled(state: ReplicaState, now: float) -> bool:
+    """Return whether a change may be acknowledged now.
+
+    It may not while a standby could take the place of a lost voter: the group would
+    not survive the loss of one more member, though it soon will. A new leader waits
+    until a silent voter is known to be lost, and for newcomers to ask it to join.
+    """
+    if state.membership.is_joint or not _can_change_membership(state):
+        return False
+    if _find_next_change(state, now) is not None:
+        return False
+    options = state.options
+    leader = state.leader
+    judged_at = leader.started_at + options.election_timeout_s + options.newcomer_wait_s
+    progress_by_voter_id = {
+        voter_id: leader.progress_by_id[voter_id] for voter_id in state.peer_voter_ids()
+    }
+    if now < judged_at and any(
+        progress.answered_at is None for progress in progress_by_voter_id.values()
+    ):
+        return not options.newcomer_wait_s and not _has_learners(state)
+    lost_ids = _find_lost_members(state, now)
+    return not lost_ids.intersection(progress_by_voter_id) or not any(
+        now < progress.added_at + options.newcomer_wait_s
+        for member_id, progress in leader.progress_by_id.items()
+        if member_id not in progress_by_voter_id and member_id not in lost_ids
+    )
+
+
+def _has_learners(state: ReplicaState) -> bool:
+    return any(not member.voter for member in state.membership.members)
--- a/src/galenadrum/_internal/control/replication/state.py
+++ b/src/galenadrum/_internal/control/replication/state.py
@@ -62,6 +62,9 @@
         lease_s: Duration of the leader lease, counted from the start of the last
             heartbeat round that a quorum answered. It is shorter than the
             election timeout to tolerate clocks that run at different rates.
+        newcomer_wait_s: Time for which a new leader that misses a voter acknowledges
+            no change, so that a member that replaces it can join first; for members
+            that join by themselves.
         max_append_bytes: Limit on the data in one append request.
         max_in_flight: Limit on unanswered append requests to one member.
         max_uncommitted_bytes: Limit on the data of uncommitted proposals.
@@ -74,6 +77,7 @@
     heartbeat_s: float = 0.15
     election_timeout_s: float = 1.0
     lease_s: float = 0.9
+    newcomer_wait_s: float = 0.0
     max_append_entries: int = 512
     max_append_bytes: int = 256 * 1024
     max_in_flight: int = 16
--- a/src/galenadrum/_internal/control/routing/configurations.py
+++ b/src/galenadrum/_internal/control/routing/configurations.py
@@ -67,8 +67,6 @@
 
     async def submit(self, document: VersionedDocument) -> str:
         """Submit a document to the leader; return an outcome constant."""
-        if document.version <= self._state.version:
-            return SUPERSEDED
         response = await self.submit_if_leader(document)
         if response.outcome == NOT_LEADER and response.leader_address:
             return await self._forward(document, response.leader_address)
@@ -79,9 +77,10 @@
         log = self._log()
         if log is None:
             return pb.SubmitResponse(outcome=NOT_LEADER)
-        if document.version <= self._state.version:
-            return pb.SubmitResponse(outcome=SUPERSEDED)
         try:
+            if document.version <= self._state.version and log.is_leader:
+                await log.wait_until_settled(_PROPOSE_TIMEOUT_S)
+                return pb.SubmitResponse(outcome=SUPERSEDED)
             result = await log.propose(document.to_command(), _PROPOSE_TIMEOUT_S)
         except NotLeaderError as error:
             return pb.SubmitResponse(
--- a/src/galenadrum/_internal/control/routing/log_runner.py
+++ b/src/galenadrum/_internal/control/routing/log_runner.py
@@ -49,11 +49,13 @@
 _HEARTBEAT_S = 0.15
 _ELECTION_TIMEOUT_S = 0.6
 _LEASE_S = 0.5
+_NEWCOMER_WAIT_S = 1.0
 
 ROUTING_OPTIONS = ReplicaOptions(
     heartbeat_s=_HEARTBEAT_S,
     election_timeout_s=_ELECTION_TIMEOUT_S,
     lease_s=_LEASE_S,
+    newcomer_wait_s=_NEWCOMER_WAIT_S,
     max_command_bytes=_MAX_COMMAND_BYTES,
     max_uncommitted_bytes=4 * _MAX_COMMAND_BYTES,
 )
--- a/tests/lib/log_simulation.py
+++ b/tests/lib/log_simulation.py
@@ -78,8 +78,14 @@
     """
 
     def __init__(
-        self, seed, founders=3, confirm_before_sync=False, removes_lost_members=False
+        self,
+        seed,
+        founders=3,
+        confirm_before_sync=False,
+        removes_lost_members=False,
+        options=OPTIONS,
     ):
+        self.options = options
         self.rng = random.Random(seed)
         self.now = 100.0
         self.loss = 0.0
@@ -117,7 +123,7 @@
         founders = self._founders
         if founders.get(node.member_id) is None:
             founders = Membership()
-        options, now = OPTIONS, self.clock(node)
+        options, now = self.options, self.clock(node)
         node.core = ReplicaCore(
             node.member_id, stored, founders, options, self.rng, now
         )
@@ -292,6 +298,13 @@
         index = node.core.status().applied_index
         self._process_event(node, lambda core, now: core.record_snapshot(index, data))
 
+    def is_settled(self, node):
+        """Return whether a member may acknowledge what it has applied."""
+        try:
+            return node.core.is_settled(self.clock(node))
+        except NotLeaderError:
+            return False
+
     # Clocks, network and disks.
 
     def clock(self, node):
--- a/tests/unit/control/replication/test_replaced_members.py
+++ b/tests/unit/control/replication/test_replaced_members.py
@@ -4,6 +4,8 @@
 loss, so that a leader is owed after each of them.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from lib.log_simulation import OPTIONS, Simulation
@@ -46,6 +48,18 @@
     return simulation
 
 
+def acknowledge_change(simulation):
+    """Have a change accepted and acknowledged; return the leader that did."""
+    assert accept_change(simulation)
+
+    def is_settled():
+        leader = get_leader(simulation)
+        return leader is not None and simulation.is_settled(leader)
+
+    assert run_until(simulation, is_settled)
+    return get_leader(simulation)
+
+
 def choose_victim(simulation, kind, newcomer):
     leader = get_leader(simulation)
     if kind == "newcomer":
@@ -146,3 +160,43 @@
             ),
         )
         simulation.recover_and_verify()
+
+
+class TestAcknowledgement:
+    # A change was acknowledged by two of three voters, one of them gone for good,
+    # while a successor that had been up for long waited for the end of a partition.
+    @pytest.mark.parametrize("seed", range(20))
+    def test_disk_lost_after_an_acknowledgement_leaves_no_leader(self, seed):
+        simulation = Simulation(
+            seed,
+            removes_lost_members=True,
+            options=replace(OPTIONS, newcomer_wait_s=1.0),
+        )
+        simulation.run(5)
+        leader = acknowledge_change(simulation)
+        lost, other = [n for n in simulation.nodes_by_id.values() if n is not leader]
+        simulation.lose_disk(lost)
+        simulation.partition([{leader.member_id}, {other.member_id}])
+        newcomer = simulation.join()
+        simulation.partition(
+            [{leader.member_id}, {other.member_id, newcomer.member_id}]
+        )
+        simulation.run(CATCH_UP_S + 1)
+        simulation.heal()
+        lose_and_return_empty(simulation, acknowledge_change(simulation))
+        assert accept_change(simulation)
+        simulation.recover_and_verify()
+
+    def test_change_is_acknowledged_at_once_while_all_voters_answer(self):
+        simulation = Simulation(1, options=replace(OPTIONS, newcomer_wait_s=1.0))
+        simulation.run(5)
+        assert simulation.is_settled(get_leader(simulation))
+
+    def test_lost_voter_without_a_standby_delays_no_acknowledgement_for_long(self):
+        simulation = Simulation(1, options=replace(OPTIONS, newcomer_wait_s=1.0))
+        simulation.run(5)
+        simulation.crash(get_leader(simulation))
+        assert run_until(simulation, lambda: get_leader(simulation) is not None)
+        elected_at = simulation.now
+        acknowledge_change(simulation)
+        assert simulation.now - elected_at < 2.2
