Ask to join until a committed membership names the newcomer

What callers would see: a replacement that never counts, and no leader after the next lost disk.

Cause: a newcomer stopped asking as soon as its own log held an entry that adds it. A leader that was cut off wrote that entry; the next leader's log lacked it, and nobody replicates to a member that isn't in the membership.

Change: only a committed membership ends the requests.

--- a/src/galenadrum/_internal/control/replication/core.py
+++ b/src/galenadrum/_internal/control/replication/core.py
@@ -276,6 +276,14 @@
         committed = self._state.log.membership_at(self._state.commit_index)
         return member_id in committed.removed_ids
 
+    def has_joined(self) -> bool:
+        """Return whether a committed membership includes this member.
+
+        An uncommitted one may be replaced by the next leader's, which doesn't.
+        """
+        committed = self._state.log.membership_at(self._state.commit_index)
+        return committed.get(self._state.member_id) is not None
+
     def silences_by_id(self, now: float) -> dict[str, float]:
         """Return the seconds since the last response of each other member.
 
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -163,7 +163,7 @@
         )
         self._writer = PersistenceWriter(self._storage, self._record_synced, self._fail)
         self._spawn(self._writer.run())
-        if self._settings.join_addresses and not self._is_member():
+        if self._settings.join_addresses and not self._core.has_joined():
             self._spawn(self._join())
         self._tick()
 
@@ -428,9 +428,6 @@
             raise NotLeaderError(None)
         return self._core
 
-    def _is_member(self) -> bool:
-        return self._core.membership.get(self._settings.member_id) is not None
-
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -449,7 +446,7 @@
             replaces=self._settings.replaces,
         )
         await joining.join_cluster(
-            self._settings.join_addresses, request, self._is_member
+            self._settings.join_addresses, request, self._core.has_joined
         )
 
     def _handle_join_request(self, request: pb.JoinRequest) -> pb.JoinResponse:
--- a/tests/lib/log_simulation.py
+++ b/tests/lib/log_simulation.py
@@ -185,7 +185,7 @@
                 self.remove(node, member_id)
 
     def _request_join(self, new, core):
-        if new.core is not core or core.membership.get(new.member_id):
+        if new.core is not core or core.has_joined():
             return
         self._schedule(0.5, self._request_join, new, core)
         for node in self.running():
