Fault soak: control hosts that are replaced, and a last loss of power with a lost disk

At most one disk is lost at a time, and the next one 4 s later (12 s before), now of any control host; up to two hosts are replaced for good by empty ones at another address, planned or not. At the end all hosts are killed right after a change was acknowledged, and one control host's disk is lost.

--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -41,6 +41,9 @@
 )
 REVOCATION_BOUND_S = 3.0
 RECOVERY_S = 12.0
+# Time after which a control host that was replaced or lost its disk must count again.
+CATCH_UP_S = 4.0
+MAX_REPLACEMENTS = 2
 CALL_TIMEOUT_S = 4.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 FAULT_KINDS = (
@@ -49,6 +52,7 @@
     "pause",
     "reload",
     "wipe",
+    "replace",
     "engine_reset",
     "engine_hang",
     "engine_reject",
@@ -107,6 +111,7 @@
         self._seeds = seeds
         self.process = None
         self.is_first_start = True
+        self.is_gone = False
 
     def _settings(self):
         listen = {
@@ -135,6 +140,8 @@
         }
 
     def start(self):
+        if self.is_gone:
+            return
         path = self.folder / "settings.yaml"
         path.write_text(yaml.safe_dump(self._settings()))
         log = (self.folder / "log").open("a")
@@ -199,6 +206,8 @@
         self.broken = []
         self.statuses = Counter()
         self.faults = Counter()
+        self._folder, self._network, self._seeds = folder, network, seeds
+        self._replacements = 0
         self.accepted = (0, None)
         self._version = 0
         self._revoked_at_by_key = {}
@@ -226,6 +235,9 @@
             await self._check_limit()
             self._check_memory()
             await self._check_final_configuration()
+            await self._lose_power_and_a_disk()
+            await self._wait_until_served(RECOVERY_S, "after the loss of power")
+            await self._check_final_configuration()
         finally:
             for task in tasks:
                 task.cancel()
@@ -440,7 +452,14 @@
     async def _inject_fault(self, fault):
         if fault == "silence":
             self._relay.silence()
-            return
+        elif fault == "replace":
+            await self._replace_control()
+        elif fault.startswith("engine_"):
+            await self._inject_engine_fault(fault)
+        else:
+            await self._inject_host_fault(fault)
+
+    async def _inject_engine_fault(self, fault):
         if fault == "engine_limit":
             await self._limit_engine()
             return
@@ -453,17 +472,15 @@
             engine = self.rng.choice(self._all_engines())
             await self._add_faults(engine, {fault.removeprefix("engine_")})
             return
-        if fault.startswith("engine_"):
-            names = set(fault.removeprefix("engine_").split("_"))
-            engine = self.rng.choice(
-                self.model_engines
-                if names & {"cut", "unframed"}
-                else self._all_engines()
-            )
-            if "cut" in names:
-                self._draw_cut(engine)
-            await self._add_faults(engine, names)
-            return
+        names = set(fault.removeprefix("engine_").split("_"))
+        engine = self.rng.choice(
+            self.model_engines if names & {"cut", "unframed"} else self._all_engines()
+        )
+        if "cut" in names:
+            self._draw_cut(engine)
+        await self._add_faults(engine, names)
+
+    async def _inject_host_fault(self, fault):
         host = self.rng.choice([*self.controls, *self.entries])
         if fault == "pause":
             host.signal(signal.SIGSTOP)
@@ -492,12 +509,10 @@
         engine.cut_event = event[: self.rng.randint(1, len(event) - 1)]
 
     async def _restart(self, host, fault):
-        # At most one disk is lost at a time, so that a majority of disks remains.
         if fault == "wipe":
-            host = self.controls[0]
-            if self.faults["wiping"] or not self._all_controls_run():
+            host = self.rng.choice(self.controls)
+            if not self._begin_disk_loss():
                 return
-            self.faults["wiping"] = 1
         process = host.process
         host.signal(signal.SIGCONT)
         host.signal(signal.SIGTERM if fault == "terminate" else signal.SIGKILL)
@@ -508,8 +523,65 @@
         if host.process is process:
             host.start()
         if fault == "wipe":
-            await asyncio.sleep(RECOVERY_S)
-            self.faults["wiping"] = 0
+            await self._end_disk_loss()
+
+    def _begin_disk_loss(self):
+        """Return whether a disk may be lost now: one at a time."""
+        if self.faults["wiping"] or not self._all_controls_run():
+            return False
+        self.faults["wiping"] = 1
+        return True
+
+    async def _end_disk_loss(self):
+        await asyncio.sleep(CATCH_UP_S)
+        self.faults["wiping"] = 0
+
+    async def _replace_control(self):
+        """Replace a control host for good by an empty one at another address."""
+        if self._replacements == MAX_REPLACEMENTS or not self._begin_disk_loss():
+            return
+        self._replacements += 1
+        place = self.rng.randrange(len(self.controls))
+        old = self.controls[place]
+        is_planned = self.rng.random() < 0.5
+        new = Host(
+            "control",
+            f"{old.zone}-{self._replacements + 1}",
+            f"{self._network}.{50 + self._replacements}",
+            self._seeds,
+            self._folder,
+        )
+        new.is_first_start = False
+        old.is_gone = True
+        old.signal(signal.SIGCONT)
+        if is_planned:
+            new.start()
+            await asyncio.sleep(CATCH_UP_S)
+            old.signal(signal.SIGTERM)
+            await old.wait_ended()
+            self.controls[place] = new
+        else:
+            old.signal(signal.SIGKILL)
+            await old.wait_ended()
+            self.controls[place] = new
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+            new.start()
+        await self._end_disk_loss()
+
+    async def _lose_power_and_a_disk(self):
+        """Kill all hosts at once right after a change; one disk is lost."""
+        accepted = self.accepted
+        while self.accepted is accepted:
+            await asyncio.sleep(0.001)
+        hosts = [*self.controls, *self.entries]
+        for host in hosts:
+            host.signal(signal.SIGKILL)
+        for host in hosts:
+            await host.wait_ended()
+        self.rng.choice(self.controls).delete_data()
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        for host in hosts:
+            host.start()
 
     def _all_controls_run(self):
         return all(host.process.poll() is None for host in self.controls)
