Log the digest of requests whose responses broke off

The logs couldn't tell whether requests under which servers end are one request that comes again: each attempt has an id of its own. No decision has changed.

--- a/src/galenadrum/_internal/gateway/attempts.py
+++ b/src/galenadrum/_internal/gateway/attempts.py
@@ -58,6 +58,7 @@
     """A caller's request that passed all checks.
 
     Attributes:
+        digest: Id of the request, the same under each request id.
         service: Service drawn by weight among those of the route.
         received_at: Loop time in seconds at which the request was received.
         first_requested_at: Estimated loop time in seconds of the caller's first
@@ -68,6 +69,7 @@
 
     head: RequestHead
     body: bytes
+    digest: str
     metadata: RequestMetadata
     route: Route
     organisation: OrganisationKeys | None
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -37,6 +37,7 @@
 )
 from galenadrum._internal.network.http1.server import Exchange
 from galenadrum._internal.observability.metrics import Metrics
+from galenadrum._internal.quarantine.request_digest import describe_suspect
 
 logger = logging.getLogger(__name__)
 
@@ -228,10 +229,11 @@
             now = self._loop.time()
             self._balancer.ended(server_id, True, now - started_at, None, now)
             logger.info(
-                "no response from server %s after %.3f s: %s",
+                "no response from server %s after %.3f s: %s (%s)",
                 server_id,
                 now - started_at,
                 str(error) or "timed out",
+                describe_suspect(context.digest),
                 extra={"request_id": context.metadata.request_id},
             )
             return None, "timeout" if isinstance(error, TimeoutError) else "broken"
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -18,6 +18,7 @@
 from galenadrum._internal.models.routing import OrganisationKeys, Route, RouteKind
 from galenadrum._internal.network.http1.server import Exchange
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.quarantine.request_digest import digest_request
 
 logger = logging.getLogger(__name__)
 
@@ -160,6 +161,7 @@
         return RequestContext(
             head=exchange.head,
             body=exchange.body,
+            digest=_digest(exchange, metadata, organisation),
             metadata=metadata,
             route=route,
             organisation=organisation,
@@ -168,3 +170,17 @@
             first_requested_at=first_requested_at,
             deadline_at=exchange.received_at + limit_s,
         )
+
+
+def _digest(
+    exchange: Exchange,
+    metadata: RequestMetadata,
+    organisation: OrganisationKeys | None,
+) -> str:
+    head = exchange.head
+    caller = organisation.name.encode() if organisation is not None else b""
+    return digest_request(
+        (head.method, head.get(b"host") or b"", head.target, caller),
+        (part.part_id for part in metadata.prompt),
+        exchange.body,
+    )
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -50,6 +50,7 @@
 from galenadrum._internal.network.http1.server import Exchange
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.attribution import MIN_SURVIVAL_S
+from galenadrum._internal.quarantine.request_digest import describe_suspect
 
 logger = logging.getLogger(__name__)
 
@@ -259,11 +260,12 @@
             stream.reason = "timeout" if isinstance(error, TimeoutError) else "broken"
             self._log(
                 stream,
-                "stream from server %s failed after %d events: %s (%s)",
+                "stream from server %s failed after %d events: %s (%s, %s)",
                 placement.server_id,
                 stream.splitter.events,
                 str(error) or "timed out",
                 self._record_end(stream, connection, "failed"),
+                describe_suspect(context.digest),
             )
             connection.close()
             if isinstance(error, BrokenResponseError):
