--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -37,7 +37,9 @@
         cut_event: Bytes that it sends in place of that event.
         born: Start of its incarnation, in Unix milliseconds.
         lethal_parts: Prompt parts that crash the engine when it begins to answer them.
-        has_crashed: Whether such a part has crashed it.
+        lethal_targets: Targets of requests that do the same; a plain one gets no head.
+        lethal_piece_keys: Keys of stage pieces that crash it when it begins their call.
+        has_crashed: Whether one of these has crashed it.
         limit_per_s: Limit that its responses name; None for none.
         received_at: Loop times in seconds at which requests arrived.
     """
@@ -63,6 +65,8 @@
         self.state = "ready"
         self.born = 1_700_000_000_000
         self.lethal_parts = set()
+        self.lethal_targets = set()
+        self.lethal_piece_keys = set()
         self.has_crashed = False
         self.limit_per_s = None
         self.received_at = []
@@ -150,6 +154,8 @@
         await asyncio.sleep(self.work_s)
         if self.events and head.method == b"POST" and head.get(b"x-model"):
             await self._send_stream(exchange)
+        elif head.target in self.lethal_targets:
+            self.crash()
         else:
             body = b"answer to " + request_id.encode()
             exchange.respond(200, self._common_headers(exchange), body)
@@ -177,7 +183,8 @@
             exchange.head = replace(exchange.head, is_http10=True)
         exchange.start(200, headers)
         prompt = (exchange.head.get(b"x-prefix-hash") or b"").split(b",")
-        if self.lethal_parts & {part.split(b":")[0] for part in prompt}:
+        parts = {part.split(b":")[0] for part in prompt}
+        if self.lethal_parts & parts or exchange.head.target in self.lethal_targets:
             await asyncio.sleep(PREFILL_S)
             self.crash()
             return
@@ -205,6 +212,9 @@
             exchange.respond(503, [(b"X-Not-Executed", b"1")], b"")
             return
         await asyncio.sleep(self.work_s)
+        if self.lethal_piece_keys & {entry.get("Key") for entry in entries}:
+            self.crash()
+            return
         answers = []
         for _ in entries:
             handle = f"{self.address}/h{next(self._handles)}"
