Quarantine a request that crashes server after server

Cause: crashes were attributed to parts of prompts only. A plain request has none, and nobody reported its broken responses; a stream's parts are cleared by every other request that shares them.

Change: the digest of a request is a suspect beside the parts of its prompt, in the same attribution, quarantine and terms. A part is named only if no single request was in all its crashes; a request only if no other one was in all of its, and servers that were lost together count at most twice. Plain requests whose responses break off are reported, end after two such breaks, and are checked again before each send. A host that saw a plain request succeed since its first crash lifts its quarantine. After its term a plain request has one crash until the next term.

--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -39,6 +39,7 @@
 from galenadrum._internal.protocol import gateway_pb2 as pb
 from galenadrum._internal.protocol.gateway_grpc import GatewayControlBase
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.quarantine.request_digest import describe_suspect
 from galenadrum._internal.routing.request_pacer import RequestPacer
 
 logger = logging.getLogger(__name__)
@@ -141,8 +142,8 @@
         """Send a quarantined prompt part to all linked hosts."""
         self._broadcast(encode_quarantine(record, self._loop.time()))
         logger.info(
-            "sent the quarantine of prompt part %s (term %d) to hosts %s",
-            record.part_id,
+            "sent the quarantine of %s (term %d) to hosts %s",
+            describe_suspect(record.part_id),
             record.term,
             ",".join(sorted(link.peer.host_id for link in self._links)) or "none",
         )
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -53,6 +53,7 @@
         is_returning: True for a retry of a request that was refused before.
         is_resumed: True if a dispatcher that is now lost had admitted the request.
         results: Stage results that were reported by that dispatcher.
+        digest: Id of the request, the same under each request id.
     """
 
     request_id: str
@@ -69,11 +70,13 @@
     is_returning: bool = False
     is_resumed: bool = False
     results: tuple[StageResults, ...] = ()
+    digest: str = ""
 
     @property
-    def part_ids(self) -> tuple[str, ...]:
-        """Ids of the prompt's parts, in order."""
-        return tuple(part.part_id for part in self.prompt)
+    def suspect_ids(self) -> tuple[str, ...]:
+        """Ids of what may crash its engines: the prompt's parts and the request."""
+        part_ids = tuple(part.part_id for part in self.prompt)
+        return (*part_ids, self.digest) if self.digest else part_ids
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/dispatch/prompt_screening.py
+++ b/src/galenadrum/_internal/dispatch/prompt_screening.py
@@ -11,12 +11,20 @@
 
 from galenadrum._internal.dispatch.engine_pool import Run
 from galenadrum._internal.dispatch.messages import PlacementOutcome, PlacementRequest
-from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
+from galenadrum._internal.models.quarantine import (
+    NamedPart,
+    QuarantinedPart,
+    ServerCrash,
+)
 from galenadrum._internal.quarantine.attribution import (
     MIN_SURVIVAL_S,
     CrashAttribution,
 )
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.quarantine.request_digest import (
+    describe_suspect,
+    is_request_digest,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -41,7 +49,7 @@
 
     def find_bar(self, request: PlacementRequest, now: float) -> QuarantinedPart | None:
         """Return the quarantine that keeps a request from being placed."""
-        return self._quarantine.find_bar(request.part_ids, now)
+        return self._quarantine.find_bar(request.suspect_ids, now)
 
     def retry_after_s(self, bar: QuarantinedPart, now: float) -> float:
         """Return the seconds after which a refused request may come again."""
@@ -49,7 +57,7 @@
 
     def record_placement(self, request: PlacementRequest, now: float) -> None:
         """Record that a request is placed at an engine."""
-        self._quarantine.begin_tests(request.part_ids, request.request_id, now)
+        self._quarantine.begin_tests(request.suspect_ids, request.request_id, now)
 
     def record_outcome(
         self,
@@ -68,8 +76,8 @@
         """
         has_started = run is not None and run.started_at is not None
         if outcome is PlacementOutcome.FINISHED and has_started:
-            self._attribution.record_success(request.part_ids)
-            self._quarantine.acquit(request.part_ids, now)
+            self._attribution.record_success(request.suspect_ids)
+            self._quarantine.acquit(request.suspect_ids, now)
         elif outcome in _FAILED_TEST_OUTCOMES:
             self._quarantine.fail_tests(request.request_id, now)
         elif outcome is not PlacementOutcome.STARTED:
@@ -104,14 +112,27 @@
         for run in runs:
             if run.started_at is not None and now - run.started_at >= MIN_SURVIVAL_S:
                 self._attribution.record_success(part.part_id for part in run.prompt)
-        named = self._attribution.record_crash(crash, now)
+        named = self._attribution.record_crash(crash, now) or self._find_relapse(
+            crash, now
+        )
         # Requests that were sent before the part was named may crash more servers.
         if named is None or self._quarantine.find_in_force((named.part_id,), now):
             return None
         logger.warning(
-            "servers %s crashed as they began to answer prompt part %s; its requests "
-            "are refused",
+            "servers %s crashed as they began to answer %s; its requests are refused",
             ",".join(named.server_ids),
-            named.part_id,
+            describe_suspect(named.part_id),
         )
         return self._quarantine.impose(named, now)
+
+    def _find_relapse(self, crash: ServerCrash, now: float) -> NamedPart | None:
+        """Return a request on probation that was on a crashed server.
+
+        Plain requests are placed by their entry hosts, which accept them again when
+        the term has ended.
+        """
+        for prompt in crash.prompts:
+            for suspect_id in filter(is_request_digest, prompt):
+                if self._quarantine.is_on_probation(suspect_id, now):
+                    return NamedPart(suspect_id, (crash.server_id,), crash.broken_at)
+        return None
--- a/src/galenadrum/_internal/gateway/attempts.py
+++ b/src/galenadrum/_internal/gateway/attempts.py
@@ -78,6 +78,11 @@
     first_requested_at: float
     deadline_at: float
 
+    @property
+    def suspect_ids(self) -> tuple[str, ...]:
+        """Ids of what may crash its servers: the prompt's parts and the request."""
+        return (*(part.part_id for part in self.metadata.prompt), self.digest)
+
     @property
     def is_returning(self) -> bool:
         """Whether the caller is estimated to have sent the request before."""
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -52,6 +52,8 @@
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.quarantine.request_digest import describe_suspect
+from galenadrum._internal.quarantine.request_successes import RequestSuccesses
 from galenadrum._internal.routing.request_pacer import RequestPacer
 from galenadrum._internal.supervision.supervisor import Supervisor
 
@@ -136,6 +138,7 @@
         budgets = RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, lambda: self.links.entry_hosts
         )
+        self._successes = RequestSuccesses()
         self._handler = self._build_handler(budgets, rng)
         self._caller_server = Http1Server(
             settings.caller_address,
@@ -168,6 +171,9 @@
                 pool,
                 self.balancer,
                 budgets,
+                crashes,
+                self.quarantine,
+                self._successes,
                 self.limits,
                 self.permits,
                 answers,
@@ -251,8 +257,9 @@
                 VersionedDocument(record.version, record.compressed)
             )
         elif body == "quarantine":
-            now = self._loop.time()
-            self.quarantine.merge(decode_quarantine(message.quarantine, now), now)
+            self._merge_quarantine(
+                decode_quarantine(message.quarantine, self._loop.time())
+            )
         elif body == "limit":
             self.limits.merge(decode_limit(message.limit, self._loop.time()))
         elif body == "permit":
@@ -260,6 +267,17 @@
         else:
             self.placements.handle_message(link, message)
 
+    def _merge_quarantine(self, record: QuarantinedPart) -> None:
+        now = self._loop.time()
+        if not self.quarantine.merge(record, now) or record.is_lifted:
+            return
+        if self._successes.refute(record):
+            logger.warning(
+                "%s has succeeded since it was suspected; lifting its quarantine",
+                describe_suspect(record.part_id),
+            )
+            self.quarantine.acquit((record.part_id,), now)
+
     def _handle_limit_change(self, limit: ServerLimit) -> None:
         message = encode_limit(limit, self._loop.time())
         for link in self.links.links_up():
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -87,6 +87,7 @@
             is_returning=record.is_returning,
             is_resumed=record.is_resumed,
             results=tuple(decode_results(r, now) for r in record.results),
+            digest=record.digest,
         )
 
 
@@ -115,6 +116,7 @@
             is_returning=request.is_returning,
             is_resumed=request.is_resumed,
             results=[_encode_results(results, now) for results in request.results],
+            digest=request.digest,
         )
     )
 
@@ -216,6 +218,7 @@
             left_ms=int((record.expires_at - now) * _MS_PER_S),
             crashes=record.crashes,
             is_lifted=record.is_lifted,
+            suspected_ms=max(0, int((now - record.suspected_since) * _MS_PER_S)),
         )
     )
 
@@ -229,6 +232,7 @@
         now + record.left_ms / _MS_PER_S,
         record.crashes,
         record.is_lifted,
+        now - record.suspected_ms / _MS_PER_S,
     )
 
 
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -10,6 +10,7 @@
 from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.gateway.attempts import Attempts, RequestContext
 from galenadrum._internal.gateway.balancer import PlainBalancer
+from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import (
     Dialect,
     ForwardingFields,
@@ -37,7 +38,9 @@
 )
 from galenadrum._internal.network.http1.server import Exchange
 from galenadrum._internal.observability.metrics import Metrics
+from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.quarantine.request_digest import describe_suspect
+from galenadrum._internal.quarantine.request_successes import RequestSuccesses
 
 logger = logging.getLogger(__name__)
 
@@ -66,6 +69,9 @@
         pool: ConnectionPool,
         balancer: PlainBalancer,
         budgets: RetryBudgets,
+        crashes: CrashDetector,
+        quarantine: PartQuarantine,
+        successes: RequestSuccesses,
         limits: ServerLimits,
         permits: PermitClient,
         answers: ErrorResponder,
@@ -75,6 +81,9 @@
         self._pool = pool
         self._balancer = balancer
         self._budgets = budgets
+        self._crashes = crashes
+        self._quarantine = quarantine
+        self._successes = successes
         self._limits = limits
         self._permits = permits
         self._answers = answers
@@ -97,6 +106,9 @@
                 if wait_s is not None:
                     failure, retry_after_s = "limited", wait_s
                 break
+            if self._quarantine.find_in_force(context.suspect_ids, now):
+                failure = "quarantined"
+                break
             if not attempts.is_first and not self._budgets.withdraw(context.service):
                 failure = "retry_budget"
                 break
@@ -226,6 +238,9 @@
         except (BrokenResponseError, TimeoutError) as error:
             connection.close()
             attempts.possible_runs += 1
+            if isinstance(error, BrokenResponseError):
+                attempts.early_breaks += 1
+                self._crashes.record_break(server_id, context.suspect_ids)
             now = self._loop.time()
             self._balancer.ended(server_id, True, now - started_at, None, now)
             logger.info(
@@ -322,5 +337,6 @@
             return None, "overloaded"
         attempts.possible_runs += 1
         failed = reply.head.status >= 500
+        self._successes.record(context.digest, now)
         self._balancer.ended(server_id, failed, now - started_at, reply.metadata, now)
         return reply, "server_error"
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -105,21 +105,21 @@
             organisation = self._find_organisation(exchange, metadata, table)
             if organisation is None:
                 return None
-        if self._refuse_if_quarantined(exchange, metadata):
+        context = self._build_context(exchange, metadata, route, organisation)
+        if self._refuse_if_quarantined(exchange, context):
             return None
-        return self._build_context(exchange, metadata, route, organisation)
+        return context
 
     def _refuse_if_quarantined(
-        self, exchange: Exchange, metadata: RequestMetadata
+        self, exchange: Exchange, context: RequestContext
     ) -> bool:
         now = self._loop.time()
-        part_ids = (part.part_id for part in metadata.prompt)
-        record = self._quarantine.find_in_force(part_ids, now)
+        record = self._quarantine.find_in_force(context.suspect_ids, now)
         if record is None:
             return False
         self._answers.refuse_request(
             exchange,
-            metadata,
+            context.metadata,
             "quarantined",
             self._quarantine.retry_after_s(record, now),
             f"part={record.part_id}",
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -199,6 +199,7 @@
             give_up_at=self._give_up_at(context),
             zone=self._zone,
             is_returning=context.is_returning,
+            digest=context.digest,
         )
 
     def _caller_timeout_s(self, context: RequestContext) -> float:
@@ -284,10 +285,7 @@
             or now - stream.first_event_at < MIN_SURVIVAL_S
         ):
             stream.attempts.early_breaks += 1
-            prompt = stream.context.metadata.prompt
-            self._crashes.record_break(
-                placement.server_id, tuple(part.part_id for part in prompt)
-            )
+            self._crashes.record_break(placement.server_id, stream.context.suspect_ids)
 
     async def _exchange(
         self, stream: _Stream, placement: Placement, connection: BackendConnection
--- a/src/galenadrum/_internal/models/quarantine.py
+++ b/src/galenadrum/_internal/models/quarantine.py
@@ -1,4 +1,7 @@
-"""Value types of crashes of backend servers and of quarantined prompt parts."""
+"""Value types of crashes of backend servers and of what is quarantined for them.
+
+A suspect is a prompt part or a whole request, which its digest identifies.
+"""
 
 from __future__ import annotations
 
@@ -16,8 +19,8 @@
         server_id: Id of the server.
         incarnation_ms: Start time of the crashed process, in Unix milliseconds.
         broken_at: Loop time in seconds at which the first response broke off.
-        prompts: Part ids, in order, of each prompt whose response had not begun or had
-            just begun.
+        prompts: Ids of the suspects of each request whose response had not begun or
+            had just begun: the parts of its prompt, in order, then its digest.
     """
 
     server_id: str
@@ -28,19 +31,21 @@
 
 @dataclass(frozen=True, slots=True)
 class NamedPart:
-    """A prompt part to which crashes are attributed.
+    """A suspect to which crashes are attributed.
 
     Attributes:
         server_ids: Ids of the servers that crashed.
+        suspected_since: Loop time in seconds of the first of the crashes.
     """
 
     part_id: str
     server_ids: tuple[str, ...]
+    suspected_since: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class QuarantinedPart:
-    """A prompt part whose requests are refused.
+    """A suspect whose requests are refused.
 
     Attributes:
         named_by: Id of the host that attributed the crashes to the part. Only its
@@ -49,6 +54,7 @@
         expires_at: Loop time in seconds at which the term ends.
         crashes: Number of crashes attributed to the part.
         is_lifted: Whether the term ended early, as a request with the part succeeded.
+        suspected_since: Loop time in seconds of the first of the crashes.
     """
 
     part_id: str
@@ -57,3 +63,4 @@
     expires_at: float
     crashes: int
     is_lifted: bool = False
+    suspected_since: float = 0.0
--- a/src/galenadrum/_internal/quarantine/part_quarantine.py
+++ b/src/galenadrum/_internal/quarantine/part_quarantine.py
@@ -1,4 +1,6 @@
-"""Prompt parts in quarantine, as one host knows them.
+"""Prompt parts and requests in quarantine, as one host knows them.
+
+What is said of parts here holds for whole requests too, under their digests.
 
 All hosts refuse requests with a quarantined part. A quarantine lasts for a term. After
 it, the part is on probation: the dispatcher of the host that named it sends a single
@@ -18,6 +20,7 @@
     NamedPart,
     QuarantinedPart,
 )
+from galenadrum._internal.quarantine.request_digest import describe_suspect
 
 logger = logging.getLogger(__name__)
 
@@ -91,16 +94,36 @@
                 return record
         return None
 
+    def is_on_probation(self, part_id: str, now: float) -> bool:
+        """Return whether the term of a quarantine has ended without a success."""
+        record = self._records_by_part.get(part_id)
+        return (
+            record is not None
+            and not record.is_lifted
+            and record.expires_at <= now < _forget_at(record)
+        )
+
     def impose(self, named: NamedPart, now: float) -> QuarantinedPart:
         """Begin the next term of a part to which crashes are attributed."""
-        return self._impose(named.part_id, len(named.server_ids), now)
+        return self._impose(
+            named.part_id, len(named.server_ids), now, named.suspected_since
+        )
 
-    def _impose(self, part_id: str, crashes: int, now: float) -> QuarantinedPart:
+    def _impose(
+        self, part_id: str, crashes: int, now: float, suspected_since: float
+    ) -> QuarantinedPart:
         known = self._records_by_part.get(part_id)
         term = known.term + 1 if known else 1
         expires_at = now + _term_s(term)
         crashes += known.crashes if known else 0
-        record = QuarantinedPart(part_id, self._host_id, term, expires_at, crashes)
+        record = QuarantinedPart(
+            part_id,
+            self._host_id,
+            term,
+            expires_at,
+            crashes,
+            suspected_since=suspected_since,
+        )
         self._store(record, now)
         self._on_changed(record)
         return record
@@ -113,8 +136,8 @@
             if record is not None and not record.is_lifted:
                 self._test_request_by_part[part_id] = request_id
                 logger.info(
-                    "testing prompt part %s after term %d of its quarantine",
-                    part_id,
+                    "testing %s after term %d of its quarantine",
+                    describe_suspect(part_id),
                     record.term,
                     extra={"request_id": request_id},
                 )
@@ -128,7 +151,7 @@
         """Begin the next term of the parts that a failed request tested."""
         for part_id in self._tested_parts(request_id):
             del self._test_request_by_part[part_id]
-            self._impose(part_id, 0, now)
+            self._impose(part_id, 0, now, now)
 
     def _tested_parts(self, request_id: str) -> list[str]:
         return [p for p, r in self._test_request_by_part.items() if r == request_id]
@@ -181,15 +204,14 @@
             first = min(self._records_by_part.values(), key=lambda r: r.expires_at)
             del self._records_by_part[first.part_id]
             logger.error(
-                "more than %d prompt parts are quarantined; requests with part %s are "
-                "accepted again",
+                "more than %d suspects are quarantined; %s is accepted again",
                 _MAX_PARTS,
-                first.part_id,
+                describe_suspect(first.part_id),
             )
         self.revision += 1
         logger.warning(
-            "prompt part %s is %s (term %d, named by host %s, %d crashes, %.0f s left)",
-            record.part_id,
+            "%s is %s (term %d, named by host %s, %d crashes, %.0f s left)",
+            describe_suspect(record.part_id),
             "no longer quarantined" if record.is_lifted else "quarantined",
             record.term,
             record.named_by,
--- a/tests/functional/routing/test_crashing_requests.py
+++ b/tests/functional/routing/test_crashing_requests.py
@@ -125,3 +125,25 @@
             assert outbreak.count_runs(request_ids) <= MAX_FURTHER_RUNS
 
         run_outbreak(tmp_path, kind, steps)
+
+    @pytest.mark.parametrize("kind", ["plain", "stream"])
+    def test_sound_requests_are_served_and_a_late_host_refuses(self, tmp_path, kind):
+        async def steps(deployment, outbreak):
+            await outbreak.crash_servers(3)
+            await deployment.wait_until(
+                lambda: all(
+                    len(daemon.quarantine)
+                    for daemon in deployment.entry_daemon_by_zone.values()
+                )
+            )
+            await deployment.wait_until(lambda: outbreak.crash_count >= 3)
+            await deployment.entry_daemon_by_zone["c"].stop()
+            await deployment.start_gateway("c")
+            await deployment.wait_ready()
+            request_id, status = await outbreak.send("c", "lethal")
+            assert status == 503
+            assert outbreak.count_runs((request_id,)) == 0
+            statuses = [(await outbreak.send(zone, "sound"))[1] for zone in ZONES * 3]
+            assert statuses == [200] * 9
+
+        run_outbreak(tmp_path, kind, steps)
--- a/tests/unit/gateway/test_link_codec.py
+++ b/tests/unit/gateway/test_link_codec.py
@@ -65,10 +65,12 @@
     @pytest.mark.parametrize("is_lifted", [False, True])
     @pytest.mark.parametrize("left_s", [600.0, -5.0])
     def test_quarantine_keeps_the_rest_of_its_term(self, left_s, is_lifted):
-        record = QuarantinedPart("part", "host", 2, 10.0 + left_s, 3, is_lifted)
+        record = QuarantinedPart("part", "host", 2, 10.0 + left_s, 3, is_lifted, 7.0)
         encoded = encode_quarantine(record, 10.0).quarantine
         decoded = decode_quarantine(encoded, 100.0)
-        assert decoded == replace(record, expires_at=100.0 + left_s)
+        assert decoded == replace(
+            record, expires_at=100.0 + left_s, suspected_since=97.0
+        )
 
     @pytest.mark.parametrize("per_s", [1.4, 0.0, None])
     def test_limit_keeps_its_rate_and_age(self, per_s):
--- a/tests/unit/quarantine/test_attribution.py
+++ b/tests/unit/quarantine/test_attribution.py
@@ -142,3 +142,70 @@
         parts = tuple(f"part-{i}" for i in range(5_000))
         attribution = CrashAttribution()
         assert attribution.record_crash(ServerCrash("s", 1, 1.0, (parts,)), 1.0) is None
+
+
+class TestNamedRequest:
+    """Requests that come again unchanged; "session" is a part that others have too."""
+
+    def crash(self, attribution, number, *names, now=None):
+        now = 1.0 + number if now is None else now
+        prompts = tuple(("first", "session", f"request:{name}") for name in names)
+        return attribution.record_crash(
+            ServerCrash(f"s-{number}", 1, now, prompts), now
+        )
+
+    def test_request_in_three_crashes_is_named_before_its_parts(self):
+        attribution = CrashAttribution()
+        results = [self.crash(attribution, number, "bad") for number in range(3)]
+        assert results[:2] == [None, None]
+        assert results[2].part_id == "request:bad"
+        assert results[2].server_ids == ("s-0", "s-1", "s-2")
+        assert results[2].suspected_since == 1.0
+
+    def test_part_of_several_requests_is_named_before_them(self):
+        attribution = CrashAttribution()
+        assert self.crash(attribution, 0, "a") is None
+        assert self.crash(attribution, 1, "a") is None
+        named = self.crash(attribution, 2, "b")
+        assert named.part_id == "session"
+
+    def test_part_whose_named_request_explains_two_crashes_needs_two_more(self):
+        attribution = CrashAttribution()
+        for number in range(3):
+            named = self.crash(attribution, number, "bad")
+        assert named.part_id == "request:bad"
+        assert self.crash(attribution, 3, "b") is None
+        assert self.crash(attribution, 4, "c").part_id == "session"
+
+    def test_companion_in_all_crashes_delays_the_name(self):
+        attribution = CrashAttribution()
+        for number in range(3):
+            assert self.crash(attribution, number, "bad", "sound") is None
+        assert self.crash(attribution, 3, "bad", "b").part_id == "request:bad"
+        assert self.crash(attribution, 4, "sound", "c") is None
+
+    def test_companions_in_five_crashes_are_named(self):
+        attribution = CrashAttribution()
+        results = [self.crash(attribution, n, "a", "b") for n in range(5)]
+        assert results[:4] == [None] * 4
+        assert results[4].part_id in ("request:a", "request:b")
+
+    def test_request_on_servers_lost_together_is_not_named(self):
+        attribution = CrashAttribution()
+        for number in range(20):
+            named = self.crash(attribution, number, "x", now=1.0 + number * 0.004)
+            assert named is None
+
+    def test_request_that_crashes_two_servers_an_attempt_is_named(self):
+        attribution = CrashAttribution()
+        times = (1.0, 1.05, 3.0)
+        results = [
+            self.crash(attribution, n, "bad", now=now) for n, now in enumerate(times)
+        ]
+        assert results[2].part_id == "request:bad"
+
+    def test_request_that_succeeds_in_between_is_not_named(self):
+        attribution = CrashAttribution()
+        for number in range(20):
+            assert self.crash(attribution, number, "x") is None
+            attribution.record_success(("first", "session", "request:x"))
