Accuse a request whose piece ends the servers of a stage

Cause: a broken stage call was charged to its server alone; a piece was sent to four servers within 20 ms, and nobody was accused.

Change: the dispatcher checks the server of a call that broke off, as entry hosts do, and all requests with pieces in the call are suspected by their digests. A broken call counts as two of a piece's four failures.

--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -27,6 +27,7 @@
 )
 from galenadrum._internal.dispatch.prompt_screening import PromptScreening
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
+from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect
 from galenadrum._internal.models.quarantine import ServerCrash
 from galenadrum._internal.models.routing import Service
@@ -82,6 +83,9 @@
         self._limits = limits
         self._pacer = pacer
         self._screening = PromptScreening(quarantine)
+        self._crashes = CrashDetector(
+            pool, self._find_server, self.record_crash, metrics
+        )
         self._dispatchers_by_zone: dict[str, ZoneDispatcher] = {}
         self._replies_by_request: dict[str, tuple[ZoneDispatcher, Reply]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -222,12 +226,27 @@
         outcome = await self._send_call(call)
         now = self._loop.time()
         self._record_call(call, outcome, now - started_at)
+        if outcome is CallFailure.BROKEN:
+            self._record_broken_call(dispatcher, call)
         if isinstance(outcome, CallFailure):
             dispatcher.fail_stage_call(service, call.call_id, outcome, now)
         else:
             dispatcher.complete_stage_call(service, call.call_id, outcome, now)
         self._execute_actions(dispatcher)
 
+    def _record_broken_call(self, dispatcher: ZoneDispatcher, call: StageCall) -> None:
+        """Check the server of a call; all requests with pieces in it are suspected."""
+        for request_id in {piece.request_id for piece in call.pieces}:
+            digest = dispatcher.find_digest(request_id)
+            if digest:
+                self._crashes.record_break(call.server.server_id, (digest,))
+
+    def _find_server(self, server_id: str) -> ServerEntry | None:
+        for entry in self._servers():
+            if entry.server_id == server_id:
+                return entry
+        return None
+
     def _record_call(
         self,
         call: StageCall,
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -60,6 +60,8 @@
 _MAX_RESULT_LOSSES = 2
 # Number of failed calls for one piece at which its request is refused.
 _MAX_PIECE_FAILURES = 4
+# Number of failures for which a call that broke off counts.
+_BROKEN_CALL_FAILURES = 2
 # A stage call times out this long after it becomes overdue.
 _CALL_TIMEOUT_S = 5.0
 # An unplaced request is refused this long before its caller gives up, as no engine
@@ -466,6 +468,11 @@
         else:
             self._advance(active, now)
 
+    def find_digest(self, request_id: str) -> str:
+        """Return the digest of a request; empty if it is unknown."""
+        active = self._active_by_request.get(request_id)
+        return active.request.digest if active is not None else ""
+
     def fail_stage_call(
         self, service: str, call_id: int, failure: CallFailure, now: float
     ) -> None:
@@ -482,8 +489,11 @@
                 if active is not None:
                     if failure is CallFailure.FULL:
                         self._requeue(active, pool, piece)
-                    else:
-                        self._retry_piece(active, pool, piece, now)
+                        continue
+                    if failure is CallFailure.BROKEN:
+                        # The piece may be what ends its servers.
+                        piece.failures += _BROKEN_CALL_FAILURES - 1
+                    self._retry_piece(active, pool, piece, now)
         self._start_calls(now)
 
     def tick(self, now: float) -> None:
--- a/tests/functional/routing/test_crashing_requests.py
+++ b/tests/functional/routing/test_crashing_requests.py
@@ -147,3 +147,80 @@
             assert statuses == [200] * 9
 
         run_outbreak(tmp_path, kind, steps)
+
+
+class StageOutbreak:
+    """Servers of a stage that crash on one piece and start again under other ids."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._numbers = itertools.count()
+        self._servers = []
+
+    async def start_server(self):
+        number = next(self._numbers)
+        server = await self._deployment.add_engine(
+            f"t-{number}", "enc", ZONES[number % len(ZONES)]
+        )
+        server.lethal_piece_keys.add("dead")
+        self._servers.append(server)
+
+    async def restart_crashed_servers(self):
+        while True:
+            await asyncio.sleep(RESTART_S)
+            for server in list(self._deployment.engines.values()):
+                if server.has_crashed:
+                    del self._deployment.engines[server.server_id]
+                    await self.start_server()
+
+    def count_calls(self):
+        return sum(
+            any(entry.get("Key") == "dead" for entry in call)
+            for server in self._servers
+            for call in server.stage_calls
+        )
+
+    async def send(self, zone, key):
+        headers = (*PROMPT_HEADERS, (b"X-Chunks", b"1,1"), (b"X-Chunk-Key", key))
+        try:
+            _, status, _, _ = await self._deployment.send_request(
+                "/plan/x", zone, method=b"POST", headers=headers, body=key
+            )
+        except BackendError:
+            return 0
+        return status
+
+    async def crash_servers(self, count):
+        for zone in itertools.islice(itertools.cycle(ZONES), 12):
+            await self.send(zone, b"dead")
+            if self.count_calls() >= count:
+                return
+            await asyncio.sleep(0.3)
+
+
+class TestRequestThatCrashesStageServers:
+    # Nobody was accused when a server of a stage ended during a call.
+    def test_request_that_crashed_three_stage_servers_is_sent_to_more(self, tmp_path):
+        async def steps(deployment):
+            outbreak = StageOutbreak(deployment)
+            await deployment.add_engine("engine", "llm", "a")
+            for _ in range(SERVER_COUNT):
+                await outbreak.start_server()
+            await deployment.replace_configuration(configuration())
+            await deployment.wait_ready()
+            restarts = asyncio.ensure_future(outbreak.restart_crashed_servers())
+            await outbreak.crash_servers(3)
+            await asyncio.sleep(CONTACT_S)
+            before = outbreak.count_calls()
+            for zone in ZONES * 3:
+                await outbreak.send(zone, b"dead")
+                await asyncio.sleep(0.2)
+            restarts.cancel()
+            assert outbreak.count_calls() - before <= MAX_FURTHER_RUNS
+            assert await outbreak.send("a", b"beef") == 200
+
+        async def run():
+            async with RoutingDeployment(tmp_path) as deployment:
+                await steps(deployment)
+
+        asyncio.run(run())
