Choose crashed plain servers no more

What callers saw: beside the crashing lookup, reservations were refused with retry_budget and unreachable for three seconds: each attempt was sent to servers that had just ended, and the refused connections used up the hosts' retries.

Change: a server that refuses a connection after its response broke off isn't chosen for 4 s; its next incarnation is.

--- a/src/galenadrum/_internal/gateway/balancer.py
+++ b/src/galenadrum/_internal/gateway/balancer.py
@@ -28,6 +28,8 @@
 # Time for which a server that rejected a request or was unreachable is avoided.
 _REJECTED_PAUSE_S = 0.1
 _UNREACHABLE_PAUSE_S = 1.0
+# Time after which a crashed server is silent, or known to go on after all.
+_CRASHED_PAUSE_S = 4.0
 
 
 @dataclass(slots=True)
@@ -40,6 +42,7 @@
         reported_at: Loop time in seconds of the last load report.
         latency_s: Exponential moving average; 0 if no request succeeded.
         paused_until: Loop time in seconds until which the server is avoided.
+        crashed_until: Loop time in seconds until which it is never chosen.
     """
 
     entry: ServerEntry
@@ -48,6 +51,7 @@
     reported_at: float = -math.inf
     latency_s: float = 0.0
     paused_until: float = 0.0
+    crashed_until: float = 0.0
     health: ejection.ServerHealth = field(default_factory=ejection.ServerHealth)
 
 
@@ -88,6 +92,12 @@
             service = known.entry.announcement.service
             self._ids_by_service[service].discard(server_id)
 
+    def record_crash(self, server_id: str, now: float) -> None:
+        """Choose a crashed server no more; its next incarnation is a new server."""
+        server = self._servers_by_id.get(server_id)
+        if server is not None:
+            server.crashed_until = now + _CRASHED_PAUSE_S
+
     def choose_server(
         self, service: str, excluded_ids: set[str], now: float
     ) -> ServerEntry | None:
@@ -96,6 +106,7 @@
             self._servers_by_id[server_id]
             for server_id in self._ids_by_service.get(service, ())
             if server_id not in excluded_ids
+            and now >= self._servers_by_id[server_id].crashed_until
         ]
         self._eject_outlier(service, now)
         probes = [s for s in servers if ejection.is_probe_due(s.health, now)]
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -38,7 +38,7 @@
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.gateway.server_directory import ServerDirectory
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
-from galenadrum._internal.models.quarantine import QuarantinedPart
+from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.models.routing_settings import GatewaySettings
 from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.network.host_link import HostLink
@@ -159,7 +159,7 @@
         crashes = CrashDetector(
             pool,
             self.servers.registry.get,
-            self.placements.report_crash,
+            self._handle_crash,
             metrics,
         )
         return RequestHandler(
@@ -267,6 +267,10 @@
         else:
             self.placements.handle_message(link, message)
 
+    def _handle_crash(self, crash: ServerCrash) -> None:
+        self.balancer.record_crash(crash.server_id, self._loop.time())
+        self.placements.report_crash(crash)
+
     def _merge_quarantine(self, record: QuarantinedPart) -> None:
         now = self._loop.time()
         if not self.quarantine.merge(record, now) or record.is_lifted:
--- a/tests/unit/gateway/test_balancer.py
+++ b/tests/unit/gateway/test_balancer.py
@@ -58,6 +58,20 @@
         balancer.rejected("s0", report(6, 20), 0.0)
         assert balancer.choose_server("stock", set(), 0.05).server_id == "s1"
 
+    # Requests were sent to crashed servers until the retry budget was used up.
+    def test_crashed_server_is_chosen_though_it_is_gone(self):
+        balancer = make_balancer("a")
+        balancer.record_crash("s0", 1.0)
+        assert balancer.choose_server("stock", set(), 2.0) is None
+        again = entry("s0", "stock", "a", incarnation_ms=2)
+        balancer.put_server(again)
+        assert balancer.choose_server("stock", set(), 2.0).server_id == "s0"
+
+    def test_server_that_goes_on_after_all_is_chosen_again(self):
+        balancer = make_balancer("a")
+        balancer.record_crash("s0", 1.0)
+        assert balancer.choose_server("stock", set(), 5.0).server_id == "s0"
+
 
 class TestFailingServer:
     """One server of three fails 60% of requests or is slow; its peers are healthy."""
