--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -63,15 +63,17 @@
     "engine_endless_body",
     "engine_limit",
     "engine_lethal",
+    "engine_lethal_request",
     "silence",
 )
 LETHAL_PART = b"dead"
+LETHAL_TARGET = b"/stock/lethal"
 LETHAL_HEADERS = (
     (b"X-Model", b"m"),
     (b"X-Token-Usage", b"900,20"),
     (b"X-Prefix-Hash", b"5c1e:800,dead:100,91bd:100"),
 )
-# Crashes that a part may cause before its requests are refused.
+# Crashes that a part or a request may cause before its requests are refused.
 MAX_LETHAL_RUNS = 5
 CONTACT_S = 3.0
 LIMIT_PER_S = 1.5
@@ -232,6 +234,8 @@
             await self._inject_faults()
             await self._wait_until_served(RECOVERY_S, "after the last fault")
             await self._check_lethal_part()
+            await self._check_lethal_request()
+            await self._wait_until_served(RECOVERY_S, "after the crashes")
             await self._check_limit()
             self._check_memory()
             await self._check_final_configuration()
@@ -316,6 +320,38 @@
             for request_id in request_ids
         )
 
+    async def _send_lethal_lookups(self, count):
+        """Send a plain request that crashes its servers; return how many ran."""
+        request_ids = []
+        for engine in self.engines:
+            engine.lethal_targets.add(LETHAL_TARGET)
+        for number in range(count):
+            request_id = f"{self.rng.getrandbits(60):016x}"
+            request_ids.append(request_id)
+            with contextlib.suppress(GalenadrumError, TimeoutError):
+                await self.caller.send_request(
+                    f"{self.entries[number % 2].ip}:{FRONT_PORT}",
+                    "x.example",
+                    LETHAL_TARGET.decode(),
+                    key="k1",
+                    request_id=request_id,
+                    deadline_ms=1_500,
+                    timeout_s=2.0,
+                )
+            await asyncio.sleep(0.3)
+        # The relay in front of the last engine goes on listening when that crashes.
+        return sum(
+            engine.run_count_by_request_id[request_id]
+            for engine in self.engines[:-1]
+            for request_id in request_ids
+        )
+
+    async def _check_lethal_request(self):
+        """Check that a request that crashes servers is refused after a few crashes."""
+        runs = await self._send_lethal_lookups(20)
+        if runs > MAX_LETHAL_RUNS:
+            self.broken.append(f"the lethal request reached servers {runs} times")
+
     async def _check_lethal_part(self):
         """Check that a part that crashes engines is refused after a few crashes."""
         for engine in self.model_engines:
@@ -463,6 +499,9 @@
         if fault == "engine_limit":
             await self._limit_engine()
             return
+        if fault == "engine_lethal_request":
+            await self._send_lethal_lookups(self.rng.randint(1, 6))
+            return
         if fault == "engine_lethal":
             for engine in self.model_engines:
                 engine.lethal_parts.add(LETHAL_PART)
