--- a/src/galenadrum/_internal/control/daemon.py
+++ b/src/galenadrum/_internal/control/daemon.py
@@ -32,6 +32,7 @@
 logger = logging.getLogger(__name__)
 
 _STEP_DOWN_TIMEOUT_S = 3.0
+_LEAVE_TIMEOUT_S = 1.0
 _OPERATOR_LIMITS = CallerLimits(workers=32)
 
 
@@ -110,8 +111,9 @@
             task.result()
 
     async def drain(self) -> None:
-        """Hand leadership over, so that changes and claims continue at once."""
+        """Hand over leadership and the vote, so that changes continue at once."""
         await self.log.step_down(_STEP_DOWN_TIMEOUT_S)
+        await self.log.leave(_LEAVE_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Stop the servers, all tasks and the replicated log."""
--- a/src/galenadrum/_internal/control/replication/driver.py
+++ b/src/galenadrum/_internal/control/replication/driver.py
@@ -46,6 +46,7 @@
 _MIN_LOG_BYTES_BETWEEN_SNAPSHOTS = 1024 * 1024
 _ENTRY_OVERHEAD_BYTES = 64
 _POLL_INTERVAL_S = 0.01
+_LEAVE_INTERVAL_S = 0.05
 
 
 class StateMachine(Protocol):
@@ -285,7 +286,7 @@
                 while self._is_running() and self._core.membership.is_voter(member_id):
                     if not await self._request_leave(member_id):
                         return
-                    await asyncio.sleep(_POLL_INTERVAL_S)
+                    await asyncio.sleep(_LEAVE_INTERVAL_S)
         except TimeoutError:
             logger.info("no standby took this member's place within %s s", timeout_s)
 
