--- a/src/galenadrum/_internal/quarantine/__init__.py
+++ b/src/galenadrum/_internal/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Attribution of server crashes to prompt parts, and the parts in quarantine."""
+"""Attribution of server crashes to prompt parts and requests, and their quarantine."""
--- a/src/galenadrum/_internal/quarantine/attribution.py
+++ b/src/galenadrum/_internal/quarantine/attribution.py
@@ -201,9 +201,9 @@
         keys = suspicion.server_id_by_incident.keys()
         is_request = is_request_digest(named)
         incidents = {self._incident_by_crash.get(key) for key in keys}
+        crashes = [k for k, i in self._incident_by_crash.items() if i in keys]
         for part_id, other in self._suspicions_by_part.items():
             if not is_request:
-                crashes = [k for k, i in self._incident_by_crash.items() if i in keys]
                 other.remove(crashes if is_request_digest(part_id) else keys)
             elif is_request_digest(part_id):
                 other.remove(keys)
