--- a/tests/functional/routing/test_replaced_control_host.py
+++ b/tests/functional/routing/test_replaced_control_host.py
@@ -137,3 +137,33 @@
             assert await group.read_version(RECOVERY_S) == 4
 
         run_group(tmp_path, "127.220.1", steps)
+
+    # The vote of a host that was stopped as planned was lost at once.
+    def test_disk_lost_as_a_replaced_host_stops_leaves_no_leader(self, tmp_path):
+        async def steps(group):
+            group.start_newcomer("d")
+            await asyncio.sleep(CATCH_UP_S)
+            replaced = await group.accept_version(RECOVERY_S)
+            stopping = group.hosts_by_zone.pop(replaced)
+            stopping.signal(signal.SIGTERM)
+            await stopping.wait_ended()
+            acknowledged_by = await group.accept_version(RECOVERY_S)
+            await group.wipe(acknowledged_by, away_s=1.0)
+            await group.accept_version(RECOVERY_S)
+            assert await group.read_version(RECOVERY_S) == 4
+
+        run_group(tmp_path, "127.220.2", steps)
+
+    # The users' new term: a disk is lost while all other hosts lose power.
+    def test_disk_lost_while_all_others_are_killed_loses_a_change(self, tmp_path):
+        async def steps(group):
+            acknowledged_by = await group.accept_version(RECOVERY_S)
+            hosts = list(group.hosts_by_zone)
+            await asyncio.gather(*(group.kill(zone) for zone in hosts))
+            group.hosts_by_zone[acknowledged_by].delete_data()
+            for host in group.hosts_by_zone.values():
+                host.start()
+            assert await group.read_version(RECOVERY_S) == 2
+            await group.accept_version(RECOVERY_S)
+
+        run_group(tmp_path, "127.220.3", steps)
