Name the software version that serves a stream in logs

What operators could not see: which software version of an engine served a stream, or that a request takes up the stream of another one. So a take-up that met an entry host without knowledge, a continuation within one answer and a stale directory entry looked the same.

Change: announcements, links and placements carry the server's software version. The lines of server entries, placements, broken and complete streams name it; a take-up names the request that began its stream.

No decision depends on the version yet.

--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -44,7 +44,8 @@
         return (
             f"server {latest.server_id} of {latest.service} at {latest.address}: "
             f"{latest.state.value}{', silent' if self.is_silent else ''} "
-            f"(incarnation {latest.incarnation_ms}, sequence {latest.sequence})"
+            f"(version {latest.software_version or 'unknown'}, incarnation "
+            f"{latest.incarnation_ms}, sequence {latest.sequence})"
         )
 
     @property
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -86,12 +86,14 @@
     Attributes:
         address: Address of the engine.
         inputs: Handles of the results that the engine fetches as inputs.
+        software_version: Version of the engine's software.
     """
 
     request_id: str
     server_id: str
     address: str
     inputs: tuple[str, ...]
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -729,8 +729,10 @@
         self._screening.record_placement(request, now)
         active.server_id = engine.announcement.server_id
         logger.info(
-            "placed at %s after %.3f s (objective in %.3f s, stages completed: %s)",
+            "placed at %s (version %s) after %.3f s (objective in %.3f s, stages "
+            "completed: %s)",
             active.server_id,
+            engine.announcement.software_version or "unknown",
             now - active.submitted_at,
             request.objective_at - now,
             " ".join(f"{stage}@{at:.3f}" for stage, at in active.completed_stages),
@@ -742,6 +744,7 @@
                 active.server_id,
                 engine.announcement.address,
                 active.graph.final_handles(),
+                engine.announcement.software_version,
             )
         )
         return True
--- a/src/galenadrum/_internal/gateway/dialect.py
+++ b/src/galenadrum/_internal/gateway/dialect.py
@@ -36,6 +36,10 @@
             not given.
         pieces: Number of pieces of each stage of the route.
         piece_key: Key of the input of the route's first stages.
+        last_event_id: Id of the event after which the caller takes a stream up; None
+            if it begins a new one.
+        resumed_id: Id of the request that brought the first event of the stream that
+            the caller takes up; None if not given, empty if invalid.
     """
 
     request_id: str
@@ -47,6 +51,8 @@
     expected_output_tokens: int = 0
     pieces: tuple[int, ...] = ()
     piece_key: str = ""
+    last_event_id: str | None = None
+    resumed_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -39,6 +39,7 @@
             state=announcement.state.value,
             warm_up_ms=max(0, int((entry.warm_up_ends_at - now) * _MS_PER_S)),
             is_silent=entry.is_silent,
+            software_version=announcement.software_version,
         )
     )
 
@@ -55,6 +56,7 @@
         record.concurrency,
         ServerState(record.state),
         record.warm_up_ms / _MS_PER_S,
+        record.software_version,
     )
 
 
@@ -145,6 +147,7 @@
                     server_id=update.server_id,
                     address=update.address,
                     inputs=update.inputs,
+                    software_version=update.software_version,
                 )
             )
         case StageProgress():
@@ -167,7 +170,11 @@
 def decode_placement(record: pb.Placement) -> Placement:
     """Decode a placement."""
     return Placement(
-        record.request_id, record.server_id, record.address, tuple(record.inputs)
+        record.request_id,
+        record.server_id,
+        record.address,
+        tuple(record.inputs),
+        record.software_version,
     )
 
 
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -132,6 +132,7 @@
         stream = _Stream(exchange, context, Attempts(context.route))
         request_id = context.metadata.request_id
         self._budgets.deposit(context.service)
+        self._log_take_up(stream)
         try:
             await self._run(stream)
         except asyncio.CancelledError:
@@ -139,6 +140,16 @@
             raise
         self._placements.report(request_id, PlacementOutcome.FINISHED)
 
+    def _log_take_up(self, stream: _Stream) -> None:
+        metadata = stream.context.metadata
+        if metadata.last_event_id is not None or metadata.resumed_id is not None:
+            self._log(
+                stream,
+                "takes up the stream of request %s after event %s",
+                metadata.resumed_id or "unknown",
+                metadata.last_event_id,
+            )
+
     async def _run(self, stream: _Stream) -> None:
         context = stream.context
         answer = await self._placements.place(self._build_placement_request(context))
@@ -261,8 +272,10 @@
             stream.reason = "timeout" if isinstance(error, TimeoutError) else "broken"
             self._log(
                 stream,
-                "stream from server %s failed after %d events: %s (%s, %s)",
+                "stream from server %s (version %s) failed after %d events: %s (%s, "
+                "%s)",
                 placement.server_id,
+                placement.software_version or "unknown",
                 stream.splitter.events,
                 str(error) or "timed out",
                 self._record_end(stream, connection, "failed"),
@@ -308,7 +321,7 @@
             return self._handle_error_response(stream, placement, head, body)
         async with asyncio.timeout_at(first_event_at):
             part = await connection.read_part()
-        await self._forward_events(stream, connection, head, part)
+        await self._forward_events(stream, placement, connection, head, part)
         self._pool.put(connection)
         return _AttemptResult.DONE
 
@@ -392,6 +405,7 @@
     async def _forward_events(
         self,
         stream: _Stream,
+        placement: Placement,
         connection: BackendConnection,
         head: ResponseHead,
         part: bytes,
@@ -431,9 +445,11 @@
         self._metrics.record_duration("answer_seconds", elapsed_s)
         self._log(
             stream,
-            "streamed %d events in %.3f s (%s)",
+            "streamed %d events in %.3f s, the last from server %s (version %s) (%s)",
             stream.splitter.events,
             elapsed_s,
+            placement.server_id,
+            placement.software_version or "unknown",
             end,
         )
 
--- a/src/galenadrum/_internal/models/announcements.py
+++ b/src/galenadrum/_internal/models/announcements.py
@@ -25,6 +25,7 @@
         concurrency: Maximum number of requests that run at the same time.
         warm_up_s: Remaining warm-up time, in seconds, during which the server
             is slow.
+        software_version: Version of the server's software; empty if not given.
     """
 
     server_id: str
@@ -36,6 +37,7 @@
     concurrency: int
     state: ServerState
     warm_up_s: float = 0.0
+    software_version: str = ""
 
     @property
     def order(self) -> tuple[int, int]:
--- a/tests/lib/routing_values.py
+++ b/tests/lib/routing_values.py
@@ -34,6 +34,7 @@
     sequence=1,
     state=ServerState.READY,
     concurrency=1,
+    software_version="v1",
 ):
     number = sum(map(ord, server_id)) % 200 + 1
     return Announcement(
@@ -45,6 +46,7 @@
         zone,
         concurrency,
         state,
+        software_version=software_version,
     )
 
 
--- a/tests/unit/gateway/test_link_codec.py
+++ b/tests/unit/gateway/test_link_codec.py
@@ -7,6 +7,7 @@
 from galenadrum._internal.dispatch.messages import StageResults
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
+    decode_announcement,
     decode_crash,
     decode_limit,
     decode_quarantine,
@@ -14,15 +15,23 @@
     encode_limit,
     encode_quarantine,
     encode_request,
+    encode_server_entry,
 )
 from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
-from lib.routing_values import request
+from lib.routing_values import entry, request
 
 CLOCK_OFFSET_S = 500.0
 
 
+class TestServerEntry:
+    def test_software_version_is_kept(self):
+        message = encode_server_entry(entry(software_version="v1.1"), 0.0)
+        record = LinkMessage.FromString(message.SerializeToString()).server
+        assert decode_announcement(record).software_version == "v1.1"
+
+
 class TestPlacementRequest:
     def transfer(self, original, now):
         data = encode_request(original, "", 7, now).SerializeToString()
--- a/tests/unit/platform_adapter/test_announcements.py
+++ b/tests/unit/platform_adapter/test_announcements.py
@@ -35,6 +35,7 @@
         assert announcement.order == (1_700_000_000_000, 4)
         assert announcement.warm_up_s == 0.5
         assert announcement.state is ServerState.READY
+        assert announcement.software_version == "v1"
 
     def test_draining(self):
         assert decode(State="draining").state is ServerState.DRAINING
--- a/tests/unit/platform_adapter/test_dialect.py
+++ b/tests/unit/platform_adapter/test_dialect.py
@@ -47,6 +47,16 @@
             ("91bd", 410),
         ]
         assert facts.pieces == (2, 0, 7)
+        assert (facts.last_event_id, facts.resumed_id) == (None, None)
+
+    def test_take_up_names_the_request_that_began_the_stream(self):
+        head = request_head((b"Last-Event-Id", b"3"), (b"Resumes", b"28912adc"))
+        facts = dialect.parse_request_head(head)
+        assert (facts.last_event_id, facts.resumed_id) == ("3", "28912adc")
+
+    def test_two_named_requests_are_invalid(self):
+        head = request_head((b"Resumes", b"28912adc"), (b"Resumes", b"7d305cd0"))
+        assert dialect.parse_request_head(head).resumed_id == ""
 
     def test_other_scheme_is_not_a_key(self):
         head = RequestHead(b"GET", b"/", ((b"Authorization", b"Basic k1"),))
