--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -25,6 +25,9 @@
     Attributes:
         announced_address: Address in its heartbeats, which may be that of a relay.
         events: Number of events in a stream; 0 disables streams.
+        event_interval_s: Time between two events, in seconds.
+        software_version: Version of its software in its heartbeats.
+        names_version: Whether the text of each event names that version.
         work_s: Time that a request or stage call runs, in seconds.
         ran: Number of times that each request ran, by request id.
         requests: Heads of the requests that ran, by request id.
@@ -51,6 +54,9 @@
         self.announced_address = address
         self.zone = zone
         self.events = events
+        self.event_interval_s = EVENT_INTERVAL_S
+        self.software_version = "v1"
+        self.names_version = False
         self.work_s = work_s
         self.run_count_by_request_id = Counter()
         self.head_by_request_id = {}
@@ -91,7 +97,7 @@
             "Service": self.service,
             "Address": self.announced_address,
             "Zone": self.zone,
-            "Version": "v1",
+            "Version": self.software_version,
             "Concurrency": 4,
             "State": self.state,
             "WarmupLeftMs": 0,
@@ -198,8 +204,11 @@
                     exchange.abort()
                 return
             event_id = b"" if "anonymous" in self.faults else b"id: %d\n" % number
-            await exchange.send(b"%sdata: piece %d\n\n" % (event_id, number))
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            text = b"piece %d" % number
+            if self.names_version:
+                text = b"%s %s" % (self.software_version.encode(), text)
+            await exchange.send(b"%sdata: %s\n\n" % (event_id, text))
+            await asyncio.sleep(self.event_interval_s)
         exchange.finish()
 
     async def _run_stage(self, exchange):
