Bind each stream to the software version that sent its first event

What callers saw: streams joined from two software versions, answered 200 and whole, with nothing in the answer to show it.

Cause: the version of an engine's software was known nowhere, so that any engine of the service could go on with a stream. Two ways led in: the entry host's next placement after a response broke off, and a take-up by the caller, whose record would have been lost with the entry host that began the stream.

Change: before the first bytes of an event leave the entry host, the stream is bound to the version of the engine that sent them. The binding goes to all control hosts, and the event waits until one has it, for 0.1 s at most; they write it behind to disk, and hosts that link up hand over what they know. Placements of a bound stream take engines of its version only, wait for a paused one and are refused at once when the last one leaves. A take-up whose binding is unknown goes on only where the service had a single version for as long as streams can be taken up and the host has missed no server in that time; else it is refused. So the rule doesn't depend on the record's survival, only how many go on.

--- /dev/null
+++ b/src/galenadrum/_internal/control/routing/binding_file.py
@@ -0,0 +1,133 @@
+"""File of stream bindings on a control host, so that they outlive its process.
+
+Bindings are written behind and not synced: one that is lost can't be taken up, and any
+copy on another host serves as well. The file is replaced by an empty one when its
+bindings have expired.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import zlib
+from collections.abc import Iterable
+from pathlib import Path
+
+from galenadrum._internal.models.stream_bindings import StreamBinding
+from galenadrum._internal.streams.binding_table import MAX_BINDING_AGE_S
+
+logger = logging.getLogger(__name__)
+
+_FILE_NAME = "stream-bindings"
+_PREVIOUS_FILE_NAME = "stream-bindings.1"
+_WRITE_INTERVAL_S = 0.05
+# Bindings that wait for a disk that hangs; more are dropped.
+_MAX_PENDING = 20_000
+
+
+class BindingFile:
+    """Appends bindings to a file in the data folder.
+
+    Args:
+        folder: Data folder of the host.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / _FILE_NAME
+        self._previous_path = folder / _PREVIOUS_FILE_NAME
+        self._pending: list[StreamBinding] = []
+        self._added = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._begun_at = self._loop.time()
+
+    def load(self) -> list[StreamBinding]:
+        """Return the bindings on disk; lines that are torn or unreadable are skipped.
+
+        They expire as if they were new, since the clocks of a host that restarts don't
+        tell their age.
+        """
+        now = self._loop.time()
+        bindings = []
+        for path in (self._previous_path, self._path):
+            try:
+                lines = [line for line in path.read_bytes().splitlines() if line]
+            except FileNotFoundError:
+                continue
+            except OSError as error:
+                logger.error(
+                    "can't read stream bindings from %s: %s; their streams can't be "
+                    "taken up",
+                    path,
+                    error,
+                )
+                continue
+            decoded = [_decode_line(line, now) for line in lines]
+            bindings += [binding for binding in decoded if binding is not None]
+            if None in decoded:
+                logger.warning(
+                    "skipped %d unreadable lines of %s", decoded.count(None), path
+                )
+        return bindings
+
+    def append(self, bindings: Iterable[StreamBinding]) -> None:
+        """Queue bindings for the next write."""
+        if len(self._pending) >= _MAX_PENDING:
+            return
+        self._pending += bindings
+        self._added.set()
+
+    async def run(self) -> None:
+        """Write queued bindings until cancelled."""
+        while True:
+            await self._added.wait()
+            await asyncio.sleep(_WRITE_INTERVAL_S)
+            self._added.clear()
+            bindings, self._pending = self._pending, []
+            is_due = self._loop.time() - self._begun_at > MAX_BINDING_AGE_S
+            if is_due:
+                self._begun_at = self._loop.time()
+            data = b"".join(map(_encode_line, bindings))
+            try:
+                await self._loop.run_in_executor(None, self._write, data, is_due)
+            except OSError as error:
+                logger.error(
+                    "can't write %d stream bindings to %s: %s; they are lost if all "
+                    "hosts end",
+                    len(bindings),
+                    self._path,
+                    error,
+                )
+
+    def _write(self, data: bytes, is_due: bool) -> None:
+        if is_due and self._path.exists():
+            self._path.replace(self._previous_path)
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        with self._path.open("ab", buffering=0) as file:
+            file.write(data)
+
+
+def _encode_line(binding: StreamBinding) -> bytes:
+    text = json.dumps(
+        [
+            binding.request_id,
+            binding.organisation,
+            binding.service,
+            binding.software_version,
+            binding.server_id,
+            binding.is_ambiguous,
+        ]
+    ).encode()
+    # Begins with a line end, which separates it from a line that was torn.
+    return b"\n%08x %s" % (zlib.crc32(text), text)
+
+
+def _decode_line(line: bytes, now: float) -> StreamBinding | None:
+    checksum, _, text = line.partition(b" ")
+    try:
+        if int(checksum, 16) != zlib.crc32(text):
+            return None
+        *names, is_ambiguous = json.loads(text)
+        return StreamBinding(*names, now, now + MAX_BINDING_AGE_S, is_ambiguous)
+    except (ValueError, TypeError):
+        return None
--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -15,6 +15,7 @@
 from galenadrum._internal.control.replication.log_metrics import register_log_gauges
 from galenadrum._internal.control.routing.api import RoutingApi
 from galenadrum._internal.control.routing.availability import Availability
+from galenadrum._internal.control.routing.binding_file import BindingFile
 from galenadrum._internal.control.routing.configurations import Configurations
 from galenadrum._internal.control.routing.link_service import LinkService
 from galenadrum._internal.control.routing.log_runner import (
@@ -25,6 +26,7 @@
 from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.exceptions import CheckFailedError
+from galenadrum._internal.gateway.binding_recorder import send_all_bindings
 from galenadrum._internal.gateway.control_links import ControlLinks
 from galenadrum._internal.gateway.dialect import Dialect
 from galenadrum._internal.gateway.link_codec import (
@@ -45,6 +47,9 @@
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.streams.binding_table import BindingTable
+from galenadrum._internal.streams.version_history import VersionHistory
+from galenadrum._internal.streams.version_resolver import VersionResolver
 from galenadrum._internal.supervision.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -102,6 +107,12 @@
         pacer = RequestPacer(
             self.limits.find_rate, has_limits=lambda: len(self.limits) > 0
         )
+        self.versions = VersionResolver(
+            BindingTable(), VersionHistory(self._find_covered_since()), self.metrics
+        )
+        self.binding_file = BindingFile(settings.data_folder)
+        for binding in self.binding_file.load():
+            self.versions.table.put(binding)
         self.dispatch = DispatchDriver(
             dialect,
             self._pool,
@@ -111,6 +122,7 @@
             self.quarantine,
             self.limits,
             pacer,
+            self.versions,
         )
         self.links = LinkService(
             self._build_hello,
@@ -123,6 +135,8 @@
             self.quarantine,
             self.limits,
             pacer,
+            self.versions.table,
+            self.binding_file.append,
         )
         self.api = RoutingApi(
             dialect.decode_configuration,
@@ -136,7 +150,7 @@
             self._other_control_hosts,
             self._handle_link_message,
             self.configurations.confirm,
-            lambda link: None,
+            self._handle_peer_link_change,
             rng,
             _MAX_PEER_LINKS,
             settings.peer_address,
@@ -148,6 +162,14 @@
         self._supervisor = self._build_supervisor(rng)
         self._task: asyncio.Task[None] | None = None
 
+    def _find_covered_since(self) -> float:
+        """Return the loop time in seconds since which no server can be unknown."""
+        folder = self._settings.data_folder
+        is_empty = not folder.exists() or not any(folder.iterdir())
+        if self._settings.is_first_start and is_empty:
+            return float("-inf")
+        return self._loop.time()
+
     def _build_log_runner(self, rng: random.Random) -> LogRunner:
         settings = self._settings
         founders = settings.seed_addresses if settings.is_first_start else ()
@@ -179,6 +201,7 @@
         supervisor.add("peer-links", self._peer_links.run)
         supervisor.add("dispatch", self.dispatch.run)
         supervisor.add("directory", self._run_maintenance)
+        supervisor.add("stream-bindings", self.binding_file.run)
         register_log_gauges(self.metrics, lambda: self.log_runner.log)
         self.metrics.register_gauge("version", lambda: self.state.version)
         self.metrics.register_gauge("quarantined_parts", lambda: len(self.quarantine))
@@ -202,6 +225,9 @@
             is_control=True,
             version=self.state.version,
             available_ms=int((self._loop.time() - self._availability.since) * 1_000),
+            servers_covered_ms=int(
+                self.versions.history.covered_s(self._loop.time()) * 1_000
+            ),
         )
 
     def _observe_availability(self) -> bool:
@@ -235,9 +261,17 @@
 
     def _publish_server(self, entry: ServerEntry) -> None:
         logger.info("server entry changed: %s", entry)
+        self.binding_file.append(self.versions.record_entry(entry))
         self.links.send_entry(entry, not self._is_handling_link_message)
         self.dispatch.put_server(entry)
 
+    def _handle_peer_link_change(self, link: HostLink) -> None:
+        if not link.is_up:
+            return
+        now = self._loop.time()
+        self.versions.history.adopt_coverage(link.peer.servers_covered_ms / 1_000, now)
+        send_all_bindings(link, self.versions.table, now)
+
     def _handle_link_message(self, link: HostLink, message: LinkMessage) -> None:
         self._is_handling_link_message = True
         try:
@@ -269,11 +303,15 @@
                     "this host was suspended or disconnected from other control hosts; "
                     "its period of availability restarts"
                 )
+                self.versions.history.restart(self._loop.time())
                 self.links.send_hello()
             now = self._loop.time()
             self.registry.expire(now)
-            for server_id in self.registry.prune(now):
+            removed_ids = self.registry.prune(now)
+            for server_id in removed_ids:
                 self.limits.remove_server(server_id)
+            self.versions.history.remove_servers(removed_ids, now)
+            self.versions.table.remove_expired(now)
             self._pool.close_expired()
 
     async def start(self) -> None:
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from grpclib.server import Stream
 
@@ -24,6 +24,7 @@
 )
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
+    decode_bindings,
     decode_crash,
     decode_limit,
     decode_quarantine,
@@ -35,12 +36,14 @@
 )
 from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.models.server_limits import ServerLimit
+from galenadrum._internal.models.stream_bindings import StreamBinding
 from galenadrum._internal.network.host_link import InboundLink
 from galenadrum._internal.protocol import gateway_pb2 as pb
 from galenadrum._internal.protocol.gateway_grpc import GatewayControlBase
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.quarantine.request_digest import describe_suspect
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.streams.binding_table import BindingTable
 
 logger = logging.getLogger(__name__)
 
@@ -67,6 +70,8 @@
         quarantine: Quarantined prompt parts that this host knows.
         limits: Limits that the servers name.
         pacer: Spaces the requests to servers that name a limit.
+        bindings: Bindings of streams that this host knows.
+        save_bindings: Queues bindings for this host's disk.
     """
 
     def __init__(
@@ -81,6 +86,8 @@
         quarantine: PartQuarantine,
         limits: ServerLimits,
         pacer: RequestPacer,
+        bindings: BindingTable,
+        save_bindings: Callable[[Iterable[StreamBinding]], None],
     ) -> None:
         self._hello = hello
         self._members = members
@@ -92,6 +99,8 @@
         self._quarantine = quarantine
         self._limits = limits
         self._pacer = pacer
+        self._bindings = bindings
+        self._save_bindings = save_bindings
         self._loop = asyncio.get_running_loop()
         self._links: set[InboundLink] = set()
         self._request_ids_by_link: dict[InboundLink, set[str]] = {}
@@ -236,11 +245,20 @@
             self.receive_limit(message.limit)
         elif body == "permit_request":
             self._handle_permit_request(link, message.permit_request)
+        elif body == "bindings":
+            self._handle_bindings(link, message.bindings)
         else:
             logger.warning(
                 "unexpected message %s from host %s", body, link.peer.host_id
             )
 
+    def _handle_bindings(self, link: InboundLink, record: pb.StreamBindings) -> None:
+        bindings = decode_bindings(record, self._loop.time())
+        self._save_bindings([b for b in bindings if self._bindings.put(b)])
+        if record.number:
+            answer = pb.StreamBindingsRecorded(number=record.number)
+            link.send(pb.LinkMessage(bindings_recorded=answer))
+
     def _handle_hello(self, link: InboundLink, peer: pb.LinkHello) -> None:
         link.peer = peer
         self._links.add(link)
--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -17,6 +17,8 @@
 from galenadrum._internal.dispatch.messages import PlacementRequest
 from galenadrum._internal.dispatch.stage_pool import PRIORITY_WEIGHT_S, StagePool
 
+# Reason of a refusal: no engine of the version that began the stream is left.
+NO_VERSION_REASON = "no_server_of_version"
 # Refused callers are told to wait until the excess queue has drained. The queue does
 # not change noticeably in less than the minimum.
 _MIN_RETRY_AFTER_S = 0.3
@@ -80,10 +82,17 @@
     stages_s = max(done_s, default=0.0)
     engine_s = math.inf
     if engines is not None:
-        demand = EngineDemand(request.prompt, request.prompt_tokens, request.zone)
+        demand = EngineDemand(
+            request.prompt,
+            request.prompt_tokens,
+            request.zone,
+            software_version=request.software_version,
+        )
         engine_s = engines.estimate_shortest_delay(demand, now, count_waiting)
     total_s = stages_s + engine_s
     reason = "overloaded" if math.isfinite(total_s) else "no_server"
+    if math.isinf(engine_s) and request.software_version is not None:
+        reason = NO_VERSION_REASON
     excess_s = total_s - max(0.0, due_time(request) - now)
     return Forecast(total_s, reason, _retry_after_s(excess_s))
 
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -40,12 +40,15 @@
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.streams.version_resolver import VersionResolver
 
 logger = logging.getLogger(__name__)
 
 _TICK_INTERVAL_S = 0.02
 _CONNECT_TIMEOUT_S = 0.5
 _RELEASE_TIMEOUT_S = 1.0
+# Hosts that reconnect hand over what they know of streams within this time.
+_UNKNOWN_VERSION_RETRY_AFTER_S = 0.5
 
 Reply = Callable[[PlacementUpdate], None]
 
@@ -62,6 +65,7 @@
         quarantine: Prompt parts whose requests are refused.
         limits: Limits that the servers name.
         pacer: Spaces the requests to servers that name a limit.
+        versions: Finds the versions at which taken-up streams must go on.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         quarantine: PartQuarantine,
         limits: ServerLimits,
         pacer: RequestPacer,
+        versions: VersionResolver,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
@@ -82,6 +87,7 @@
         self._metrics = metrics
         self._limits = limits
         self._pacer = pacer
+        self._versions = versions
         self._screening = PromptScreening(quarantine)
         self._crashes = CrashDetector(
             pool, self._find_server, self.record_crash, metrics
@@ -117,6 +123,17 @@
             reply: Callback for the request's progress, placement or refusal;
                 called on the event loop.
         """
+        resolved = self._versions.resolve(request)
+        if resolved is None:
+            reason = "unknown_version"
+            self._metrics.increment("placement_refusals", reason=reason)
+            reply(
+                PlacementRefusal(
+                    request.request_id, reason, _UNKNOWN_VERSION_RETRY_AFTER_S
+                )
+            )
+            return
+        request = resolved
         dispatcher = self._get_or_create_dispatcher(zone)
         self._active.set()
         self._replies_by_request[request.request_id] = (dispatcher, reply)
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -53,12 +53,15 @@
         prompt_tokens: Length of the prompt in tokens.
         zone: Zone that holds its inputs, or in which the request arrived.
         input_bytes: Size of the inputs in bytes.
+        software_version: Version of the only engines that may serve it; None if any
+            may.
     """
 
     prompt: tuple[PromptPart, ...]
     prompt_tokens: int
     zone: str
     input_bytes: float = 0.0
+    software_version: str | None = None
 
 
 class PrefixCache:
@@ -218,7 +221,7 @@
         """
         best: tuple[float, Engine] | None = None
         is_paced = self._pacer.has_limits()
-        for engine in self._usable_engines(now):
+        for engine in self._usable_engines(demand, now):
             server_id = engine.announcement.server_id
             if server_id in excluded or self.is_full(engine):
                 continue
@@ -229,13 +232,29 @@
                 best = (delay_s, engine)
         return best[1] if best else None
 
-    def _usable_engines(self, now: float) -> list[Engine]:
-        unpaused = [e for e in self.engines_by_id.values() if now >= e.paused_until]
+    def has_version(self, software_version: str) -> bool:
+        """Return whether an engine of a software version takes requests."""
+        return any(
+            engine.announcement.software_version == software_version
+            for engine in self.engines_by_id.values()
+        )
+
+    def _usable_engines(self, demand: EngineDemand, now: float) -> list[Engine]:
+        engines = self._list_engines(demand.software_version)
+        unpaused = [e for e in engines if now >= e.paused_until]
         if self._zone and self._pacer.has_limits():
             unpaused = [e for e in unpaused if not self._is_paced_elsewhere(e)]
         responsive = [e for e in unpaused if not e.is_silent]
         return responsive or unpaused
 
+    def _list_engines(self, software_version: str | None) -> list[Engine]:
+        engines = self.engines_by_id.values()
+        if software_version is None:
+            return list(engines)
+        return [
+            e for e in engines if e.announcement.software_version == software_version
+        ]
+
     def _is_paced_elsewhere(self, engine: Engine) -> bool:
         """Return whether the dispatcher of another zone spaces an engine's requests."""
         announcement = engine.announcement
@@ -288,9 +307,9 @@
             count_waiting: Returns the number of requests that will be placed before;
                 called if all engines name a limit.
         """
-        engines = self._usable_engines(now)
+        engines = self._usable_engines(demand, now)
         if not engines:
-            return math.inf
+            return self._estimate_delay_after_pause(demand, now)
         if not self._pacer.has_limits():
             return min(self.estimate_first_token_delay(e, demand, now) for e in engines)
         server_ids = [e.announcement.server_id for e in engines]
@@ -304,6 +323,22 @@
             delay_s += count_waiting() / sum(rates)
         return delay_s
 
+    def _estimate_delay_after_pause(self, demand: EngineDemand, now: float) -> float:
+        """Return the shortest delay of engines whose version alone may serve.
+
+        Any other request is better refused than to wait for a paused engine.
+        """
+        if demand.software_version is None:
+            return math.inf
+        return min(
+            (
+                self.estimate_first_token_delay(engine, demand, now)
+                + max(0.0, engine.paused_until - now)
+                for engine in self._list_engines(demand.software_version)
+            ),
+            default=math.inf,
+        )
+
     def place(
         self, engine: Engine, request_id: str, demand: EngineDemand, now: float
     ) -> None:
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -7,6 +7,7 @@
 
 from galenadrum._internal.models.announcements import Announcement
 from galenadrum._internal.models.routing import Route
+from galenadrum._internal.models.stream_bindings import TakenUpStream
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,9 @@
         is_resumed: True if a dispatcher that is now lost had admitted the request.
         results: Stage results that were reported by that dispatcher.
         digest: Id of the request, the same under each request id.
+        software_version: Version of the only engines that may serve it; None if any
+            may.
+        taken_up: The broken stream that it takes up; None if it begins one.
     """
 
     request_id: str
@@ -71,6 +75,8 @@
     is_resumed: bool = False
     results: tuple[StageResults, ...] = ()
     digest: str = ""
+    software_version: str | None = None
+    taken_up: TakenUpStream | None = None
 
     @property
     def suspect_ids(self) -> tuple[str, ...]:
@@ -94,6 +100,7 @@
     address: str
     inputs: tuple[str, ...]
     software_version: str = ""
+    service: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -16,6 +16,7 @@
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.dispatch.admission import (
+    NO_VERSION_REASON,
     Forecast,
     due_time,
     fallback_due_time,
@@ -508,6 +509,7 @@
             for call in pool.mark_overdue_calls(now):
                 self._requeue_overdue(pool, call, now)
         self._refuse_expired(now)
+        self._refuse_without_version(now)
         self._start_calls(now)
         self._place_ready_requests(now)
         if now - self._releases_flushed_at >= _RELEASE_INTERVAL_S:
@@ -537,6 +539,16 @@
             if now + _REFUSAL_MARGIN_S >= active.request.give_up_at:
                 self._end_with_refusal(active, "deadline", now)
 
+    def _refuse_without_version(self, now: float) -> None:
+        """Refuse unplaced requests whose software version has no engine any more."""
+        for active in list(self._active_by_request.values()):
+            version = active.request.software_version
+            if version is None or active.server_id:
+                continue
+            pool = self._engine_pools_by_service.get(active.request.service)
+            if pool is None or not pool.has_version(version):
+                self._end_with_refusal(active, NO_VERSION_REASON, now)
+
     def _refuse_quarantined(self, now: float) -> None:
         """Refuse unplaced requests whose prompts have a quarantined part."""
         for active in list(self._active_by_request.values()):
@@ -721,7 +733,13 @@
         zone, input_bytes = self._locate_inputs(
             active, active.graph.final_handles(), active.graph.final_stages()
         )
-        demand = EngineDemand(request.prompt, request.prompt_tokens, zone, input_bytes)
+        demand = EngineDemand(
+            request.prompt,
+            request.prompt_tokens,
+            zone,
+            input_bytes,
+            request.software_version,
+        )
         engine = pool.choose_engine(demand, frozenset(active.excluded), now)
         if engine is None:
             return False
@@ -745,6 +763,7 @@
                 engine.announcement.address,
                 active.graph.final_handles(),
                 engine.announcement.software_version,
+                request.service,
             )
         )
         return True
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -14,6 +14,7 @@
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.gateway.balancer import PlainBalancer
+from galenadrum._internal.gateway.binding_recorder import BindingRecorder
 from galenadrum._internal.gateway.control_links import ControlLinks
 from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect
@@ -55,6 +56,9 @@
 from galenadrum._internal.quarantine.request_digest import describe_suspect
 from galenadrum._internal.quarantine.request_successes import RequestSuccesses
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.streams.binding_table import BindingTable
+from galenadrum._internal.streams.version_history import VersionHistory
+from galenadrum._internal.streams.version_resolver import VersionResolver
 from galenadrum._internal.supervision.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -109,6 +113,9 @@
         self.quarantine = PartQuarantine(
             settings.host_id, self._handle_quarantine_change
         )
+        self.versions = VersionResolver(
+            BindingTable(), VersionHistory(self._loop.time()), self.metrics
+        )
         self.dispatch = DispatchDriver(
             dialect,
             self._pool,
@@ -118,6 +125,10 @@
             self.quarantine,
             self.limits,
             pacer,
+            self.versions,
+        )
+        self.bindings = BindingRecorder(
+            self.versions.table, lambda: self.links.links_up(), self.metrics
         )
         self.permits = PermitClient(lambda: choose_link(self.links.links_up()), pacer)
         self.links = ControlLinks(
@@ -186,6 +197,7 @@
                 budgets,
                 crashes,
                 self.limits,
+                self.bindings,
                 answers,
                 metrics,
                 zone,
@@ -264,6 +276,8 @@
             self.limits.merge(decode_limit(message.limit, self._loop.time()))
         elif body == "permit":
             self.permits.handle_permit(message.permit)
+        elif body == "bindings_recorded":
+            self.bindings.handle_answer(message.bindings_recorded.number)
         else:
             self.placements.handle_message(link, message)
 
@@ -313,6 +327,7 @@
 
     def _handle_server_change(self, entry: ServerEntry) -> None:
         logger.info("server entry changed: %s", entry)
+        self.versions.record_entry(entry)
         self.balancer.put_server(entry)
         self.dispatch.put_server(entry)
         if not entry.accepts_requests:
@@ -322,8 +337,13 @@
         if not link.is_up:
             self.servers.remove_link(link.address)
             self.placements.handle_link_loss(link)
+            if not self.links.links_up():
+                # Servers that announce themselves meanwhile are missed.
+                self.versions.history.restart(self._loop.time())
             return
         now = self._loop.time()
+        self.versions.history.adopt_coverage(link.peer.servers_covered_ms / 1_000, now)
+        self.bindings.hand_over(link)
         for record in self.quarantine.list_records(now):
             link.send(encode_quarantine(record, now))
         for limit in self.limits.list_limits():
@@ -349,9 +369,13 @@
                 was_ready = not was_ready
                 logger.info("readiness changed to %s", was_ready)
             self._pool.close_expired()
-            for server_id in self.servers.registry.prune(self._loop.time()):
+            now = self._loop.time()
+            removed_ids = self.servers.registry.prune(now)
+            for server_id in removed_ids:
                 self.balancer.remove_server(server_id)
                 self.limits.remove_server(server_id)
+            self.versions.history.remove_servers(removed_ids, now)
+            self.versions.table.remove_expired(now)
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
 
     async def start(self) -> None:
--- a/src/galenadrum/_internal/gateway/dialect.py
+++ b/src/galenadrum/_internal/gateway/dialect.py
@@ -54,6 +54,11 @@
     last_event_id: str | None = None
     resumed_id: str | None = None
 
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the caller takes up a stream that broke off."""
+        return self.last_event_id is not None or self.resumed_id is not None
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from galenadrum._internal.directory.registry import ServerEntry
@@ -19,6 +20,7 @@
 from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.models.routing import Route
 from galenadrum._internal.models.server_limits import ServerLimit
+from galenadrum._internal.models.stream_bindings import StreamBinding, TakenUpStream
 from galenadrum._internal.protocol import gateway_pb2 as pb
 
 _MS_PER_S = 1_000
@@ -90,6 +92,14 @@
             is_resumed=record.is_resumed,
             results=tuple(decode_results(r, now) for r in record.results),
             digest=record.digest,
+            software_version=(
+                record.software_version if record.HasField("software_version") else None
+            ),
+            taken_up=(
+                TakenUpStream(record.taken_up.request_id, record.taken_up.organisation)
+                if record.HasField("taken_up")
+                else None
+            ),
         )
 
 
@@ -119,10 +129,20 @@
             is_resumed=request.is_resumed,
             results=[_encode_results(results, now) for results in request.results],
             digest=request.digest,
+            software_version=request.software_version,
+            taken_up=_encode_taken_up(request.taken_up),
         )
     )
 
 
+def _encode_taken_up(stream: TakenUpStream | None) -> pb.TakenUpStream | None:
+    if stream is None:
+        return None
+    return pb.TakenUpStream(
+        request_id=stream.request_id, organisation=stream.organisation
+    )
+
+
 def _encode_results(results: StageResults, now: float) -> pb.StageResults:
     return pb.StageResults(
         stage=results.stage,
@@ -148,6 +168,7 @@
                     address=update.address,
                     inputs=update.inputs,
                     software_version=update.software_version,
+                    service=update.service,
                 )
             )
         case StageProgress():
@@ -175,6 +196,7 @@
         record.address,
         tuple(record.inputs),
         record.software_version,
+        record.service,
     )
 
 
@@ -263,3 +285,46 @@
         record.per_s if record.HasField("per_s") else None,
         now - record.age_ms / _MS_PER_S,
     )
+
+
+def encode_bindings(
+    bindings: Iterable[StreamBinding], number: int, now: float
+) -> pb.LinkMessage:
+    """Encode bindings of streams; times become durations, as host clocks differ.
+
+    Args:
+        bindings: The bindings.
+        number: Number for the answer; 0 if none is wanted.
+        now: Loop time in seconds.
+    """
+    records = [
+        pb.StreamBinding(
+            request_id=binding.request_id,
+            organisation=binding.organisation,
+            service=binding.service,
+            software_version=binding.software_version,
+            server_id=binding.server_id,
+            age_ms=max(0, int((now - binding.bound_at) * _MS_PER_S)),
+            left_ms=max(0, int((binding.expires_at - now) * _MS_PER_S)),
+            is_ambiguous=binding.is_ambiguous,
+        )
+        for binding in bindings
+    ]
+    return pb.LinkMessage(bindings=pb.StreamBindings(number=number, bindings=records))
+
+
+def decode_bindings(record: pb.StreamBindings, now: float) -> tuple[StreamBinding, ...]:
+    """Decode bindings of streams, with times in this host's loop time."""
+    return tuple(
+        StreamBinding(
+            binding.request_id,
+            binding.organisation,
+            binding.service,
+            binding.software_version,
+            binding.server_id,
+            now - binding.age_ms / _MS_PER_S,
+            now + binding.left_ms / _MS_PER_S,
+            binding.is_ambiguous,
+        )
+        for binding in record.bindings
+    )
--- a/src/galenadrum/_internal/gateway/placement_client.py
+++ b/src/galenadrum/_internal/gateway/placement_client.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from galenadrum._internal.dispatch.admission import NO_VERSION_REASON
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.dispatch.messages import (
     Placement,
@@ -45,7 +46,7 @@
 # the first by address is chosen among them, so that all entry hosts choose the same.
 _AVAILABILITY_TOLERANCE_S = 3.0
 # Refusal reasons after which the dispatcher of another zone may have capacity.
-_OTHER_ZONE_REASONS = frozenset({"overloaded", "no_server"})
+_OTHER_ZONE_REASONS = frozenset({"overloaded", "no_server", NO_VERSION_REASON})
 
 
 @dataclass(slots=True)
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from galenadrum._internal.directory.server_limits import ServerLimits
@@ -19,6 +19,7 @@
     PlacementRequest,
 )
 from galenadrum._internal.gateway.attempts import Attempts, RequestContext
+from galenadrum._internal.gateway.binding_recorder import BindingRecorder
 from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import (
     Dialect,
@@ -36,6 +37,7 @@
 )
 from galenadrum._internal.gateway.placement_client import PlacementClient
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
+from galenadrum._internal.models.stream_bindings import StreamBinding, TakenUpStream
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
@@ -51,6 +53,7 @@
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.attribution import MIN_SURVIVAL_S
 from galenadrum._internal.quarantine.request_digest import describe_suspect
+from galenadrum._internal.streams.binding_table import MAX_BINDING_AGE_S
 
 logger = logging.getLogger(__name__)
 
@@ -64,6 +67,8 @@
 # An engine that sends no first event within this share of the caller's timeout counts
 # as hung, if the request may be sent again; another engine can still respond in time.
 _HANG_TIMEOUT_SHARE = 0.4
+# Callers measure their deadline from before the request is received.
+_TAKE_UP_MARGIN_S = 2.0
 
 
 class _AttemptResult(Enum):
@@ -90,6 +95,8 @@
     Attributes:
         first_event_at: Loop time in seconds of the first event of the current attempt;
             None before it.
+        binding: Binding to the version that began the stream; None before its first
+            event.
     """
 
     exchange: Exchange
@@ -99,6 +106,7 @@
     first_event_at: float | None = None
     has_sent_head: bool = False
     reason: str = ""
+    binding: StreamBinding | None = None
 
 
 class StreamForwarder:
@@ -112,6 +120,7 @@
         budgets: RetryBudgets,
         crashes: CrashDetector,
         limits: ServerLimits,
+        bindings: BindingRecorder,
         answers: ErrorResponder,
         metrics: Metrics,
         zone: str,
@@ -123,6 +132,7 @@
         self._budgets = budgets
         self._crashes = crashes
         self._limits = limits
+        self._bindings = bindings
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -132,7 +142,7 @@
         stream = _Stream(exchange, context, Attempts(context.route))
         request_id = context.metadata.request_id
         self._budgets.deposit(context.service)
-        self._log_take_up(stream)
+        self._find_binding(stream)
         try:
             await self._run(stream)
         except asyncio.CancelledError:
@@ -140,19 +150,31 @@
             raise
         self._placements.report(request_id, PlacementOutcome.FINISHED)
 
-    def _log_take_up(self, stream: _Stream) -> None:
-        metadata = stream.context.metadata
-        if metadata.last_event_id is not None or metadata.resumed_id is not None:
-            self._log(
-                stream,
-                "takes up the stream of request %s after event %s",
-                metadata.resumed_id or "unknown",
-                metadata.last_event_id,
-            )
+    def _find_binding(self, stream: _Stream) -> None:
+        """Bind a taken-up stream if this host itself knows its version.
+
+        Otherwise the dispatcher finds it.
+        """
+        context = stream.context
+        metadata = context.metadata
+        if not metadata.is_take_up:
+            return
+        self._log(
+            stream,
+            "takes up the stream of request %s after event %s",
+            metadata.resumed_id or "unknown",
+            metadata.last_event_id,
+        )
+        known = self._bindings.find(
+            _organisation_name(context), metadata.resumed_id or ""
+        )
+        services = {backend.service for backend in context.route.backends}
+        if known is not None and known.service in services:
+            stream.binding = known
 
     async def _run(self, stream: _Stream) -> None:
         context = stream.context
-        answer = await self._placements.place(self._build_placement_request(context))
+        answer = await self._placements.place(self._build_placement_request(stream))
         while True:
             if isinstance(answer, PlacementRefusal):
                 self._handle_refusal(stream, answer)
@@ -181,7 +203,7 @@
             return await self._placements.request_next_placement(
                 context.metadata.request_id, outcome
             )
-        return await self._placements.place(self._build_placement_request(context))
+        return await self._placements.place(self._build_placement_request(stream))
 
     def _may_retry(self, stream: _Stream) -> bool:
         now = self._loop.time()
@@ -190,17 +212,22 @@
             return False
         if not stream.attempts.may_send or not stream.splitter.may_continue:
             return False
+        if stream.binding is not None and not self._bindings.is_certain(stream.binding):
+            stream.reason = "unknown_version"
+            return False
         if not self._budgets.withdraw(stream.context.service):
             stream.reason = "retry_budget"
             return False
         return True
 
-    def _build_placement_request(self, context: RequestContext) -> PlacementRequest:
+    def _build_placement_request(self, stream: _Stream) -> PlacementRequest:
+        context = stream.context
         metadata = context.metadata
+        binding = stream.binding
         return PlacementRequest(
             request_id=metadata.request_id,
             route=context.route,
-            service=context.service,
+            service=binding.service if binding else context.service,
             pieces=metadata.pieces,
             piece_key=metadata.piece_key,
             prompt=metadata.prompt,
@@ -211,6 +238,8 @@
             zone=self._zone,
             is_returning=context.is_returning,
             digest=context.digest,
+            software_version=binding.software_version if binding else None,
+            taken_up=_taken_up_stream(context),
         )
 
     def _caller_timeout_s(self, context: RequestContext) -> float:
@@ -425,6 +454,7 @@
         while part:
             complete = stream.splitter.feed(part)
             if complete:
+                await self._bind(stream, placement)
                 self._start_response(stream, head)
                 await exchange.send(complete)
             if stream.splitter.is_event_too_large:
@@ -453,6 +483,34 @@
             end,
         )
 
+    async def _bind(self, stream: _Stream, placement: Placement) -> None:
+        """Bind a stream to the version of the engine that sends its first event."""
+        context = stream.context
+        metadata = context.metadata
+        is_bindable = context.route.is_resumable or metadata.is_take_up
+        if stream.binding is not None or not is_bindable:
+            return
+        now = self._loop.time()
+        left_s = metadata.deadline_s or context.route.timeout_s
+        stream.binding = StreamBinding(
+            metadata.request_id,
+            _organisation_name(context),
+            placement.service or context.service,
+            placement.software_version,
+            placement.server_id,
+            now,
+            min(
+                context.received_at + left_s + _TAKE_UP_MARGIN_S,
+                now + MAX_BINDING_AGE_S,
+            ),
+        )
+        # Callers name the request that brought the first event, this one only if none
+        # did before.
+        bindings = [stream.binding]
+        if metadata.resumed_id:
+            bindings.append(replace(stream.binding, request_id=metadata.resumed_id))
+        await self._bindings.record(tuple(bindings))
+
     def _record_end(
         self, stream: _Stream, connection: BackendConnection, outcome: str
     ) -> str:
@@ -479,6 +537,17 @@
         logger.info(message, *args, extra={"request_id": request_id})
 
 
+def _organisation_name(context: RequestContext) -> str:
+    return context.organisation.name if context.organisation else ""
+
+
+def _taken_up_stream(context: RequestContext) -> TakenUpStream | None:
+    metadata = context.metadata
+    if not metadata.is_take_up:
+        return None
+    return TakenUpStream(metadata.resumed_id or "", _organisation_name(context))
+
+
 def _is_event_stream(head: ResponseHead) -> bool:
     content_type = head.get(b"content-type")
     return content_type is None or content_type.lower().startswith(_EVENT_STREAM_TYPE)
--- /dev/null
+++ b/src/galenadrum/_internal/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams that must go on at the software version that began them."""
--- a/tests/unit/gateway/test_link_codec.py
+++ b/tests/unit/gateway/test_link_codec.py
@@ -8,9 +8,11 @@
 from galenadrum._internal.gateway.link_codec import (
     RemotePlacementRequest,
     decode_announcement,
+    decode_bindings,
     decode_crash,
     decode_limit,
     decode_quarantine,
+    encode_bindings,
     encode_crash,
     encode_limit,
     encode_quarantine,
@@ -19,6 +21,7 @@
 )
 from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.models.server_limits import ServerLimit
+from galenadrum._internal.models.stream_bindings import StreamBinding, TakenUpStream
 from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
 from lib.routing_values import entry, request
 
@@ -86,3 +89,22 @@
         limit = ServerLimit("s", 7, per_s, 9.0)
         record = encode_limit(limit, 10.0).limit
         assert decode_limit(record, 100.0) == replace(limit, heard_at=99.0)
+
+
+class TestStreamBindings:
+    def test_times_are_converted_and_names_kept(self):
+        original = StreamBinding("r1", "t1", "llm", "v1", "s1", 98.0, 110.0, True)
+        message = encode_bindings([original], 7, 100.0)
+        record = LinkMessage.FromString(message.SerializeToString()).bindings
+        (decoded,) = decode_bindings(record, 100.0 + CLOCK_OFFSET_S)
+        assert record.number == 7
+        assert decoded == replace(original, bound_at=598.0, expires_at=610.0)
+
+    @pytest.mark.parametrize("version", [None, "", "v1"])
+    def test_version_and_stream_of_a_placement_request_are_kept(self, version):
+        stream = TakenUpStream("r0", "t1")
+        original = request(now=0.0, software_version=version, taken_up=stream)
+        data = encode_request(original, "", 7, 0.0).SerializeToString()
+        record = LinkMessage.FromString(data).place
+        decoded = RemotePlacementRequest(record).resolve(original.route, 0.0)
+        assert (decoded.software_version, decoded.taken_up) == (version, stream)
