Count a stream that goes on as due when its caller leaves, not at its objective

What callers saw: a stream that broke off after its objective for the first event was refused as overloaded, and one that had lasted longer than the callers' patience for a first event was refused at once, though callers wait that long after each event.

Cause: the placement of a stream that goes on was judged by the times of a new one.

Change: a bound request is due shortly before its caller leaves, which is counted from the last event that was forwarded; among requests of one priority it is placed first, as its caller has a part of the response.

Measured: two unit tests, which fail without it, and a test of LOST: 24 streams taken up beside a load of 18 new streams at a time go on at least half as often as new ones begin.

--- a/src/galenadrum/_internal/dispatch/admission.py
+++ b/src/galenadrum/_internal/dispatch/admission.py
@@ -110,13 +110,14 @@
 
     A request that was refused before has already missed its objective. It is due
     shortly before its caller gives up, so that it takes no capacity from requests
-    that can still meet their objective and isn't refused twice. A request resumed
+    that can still meet their objective and isn't refused twice. The same holds for one
+    that goes on with a stream, whose caller has its first events. A request resumed
     after the loss of a dispatcher may be slightly late. Its results occupy memory
     until it ends, so it is served soon or refused.
     """
     if request.is_resumed:
         return min(request.objective_at + _RESUMED_GRACE_S, fallback_due_time(request))
-    if request.is_returning:
+    if request.is_returning or request.is_bound:
         return max(request.objective_at, fallback_due_time(request))
     return min(request.objective_at, request.give_up_at)
 
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -78,6 +78,11 @@
     software_version: str | None = None
     taken_up: TakenUpStream | None = None
 
+    @property
+    def is_bound(self) -> bool:
+        """Whether it goes on with a stream, at one software version only."""
+        return self.software_version is not None
+
     @property
     def suspect_ids(self) -> tuple[str, ...]:
         """Ids of what may crash its engines: the prompt's parts and the request."""
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -543,7 +543,7 @@
         """Refuse unplaced requests whose software version has no engine any more."""
         for active in list(self._active_by_request.values()):
             version = active.request.software_version
-            if version is None or active.server_id:
+            if not active.request.is_bound or active.server_id:
                 continue
             pool = self._engine_pools_by_service.get(active.request.service)
             if pool is None or not pool.has_version(version):
@@ -707,6 +707,8 @@
     def _place_ready_requests(self, now: float) -> None:
         """Place requests whose stages are complete, the most urgent first.
 
+        Among equals those come first whose callers have a part of their response.
+
         Requests with a part that was quarantined meanwhile are refused.
         """
         if not self._unplaced_ids:
@@ -716,7 +718,13 @@
             for request_id in self._unplaced_ids
             if (active := self._active_by_request.get(request_id)) is not None
         ]
-        ready.sort(key=lambda a: (a.request.priority, due_time(a.request)))
+        ready.sort(
+            key=lambda a: (
+                a.request.priority,
+                not a.request.is_bound,
+                due_time(a.request),
+            )
+        )
         self._unplaced_ids = [
             active.request.request_id
             for active in ready
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -95,6 +95,8 @@
     Attributes:
         first_event_at: Loop time in seconds of the first event of the current attempt;
             None before it.
+        last_event_at: Loop time in seconds of the last event that was forwarded; None
+            before any.
         binding: Binding to the version that began the stream; None before its first
             event.
     """
@@ -104,6 +106,7 @@
     attempts: Attempts
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_event_at: float | None = None
+    last_event_at: float | None = None
     has_sent_head: bool = False
     reason: str = ""
     binding: StreamBinding | None = None
@@ -234,7 +237,7 @@
             prompt_tokens=metadata.prompt_tokens,
             priority=context.priority,
             objective_at=context.first_requested_at + context.route.objective_s,
-            give_up_at=self._give_up_at(context),
+            give_up_at=self._give_up_at(stream),
             zone=self._zone,
             is_returning=context.is_returning,
             digest=context.digest,
@@ -250,10 +253,10 @@
             _EVENT_GAP_TIMEOUT_FACTOR * route.event_gap_objective_s,
         )
 
-    def _give_up_at(self, context: RequestContext) -> float:
-        return min(
-            context.deadline_at, context.received_at + self._caller_timeout_s(context)
-        )
+    def _give_up_at(self, stream: _Stream) -> float:
+        context = stream.context
+        waits_since = stream.last_event_at or context.received_at
+        return min(context.deadline_at, waits_since + self._caller_timeout_s(context))
 
     def _handle_refusal(self, stream: _Stream, refusal: PlacementRefusal) -> None:
         context = stream.context
@@ -374,7 +377,7 @@
         """Return the loop time until which to wait for the first event."""
         context = stream.context
         now = self._loop.time()
-        give_up_at = self._give_up_at(context)
+        give_up_at = self._give_up_at(stream)
         route = context.route
         if (
             route.is_repeatable
@@ -457,6 +460,7 @@
                 await self._bind(stream, placement)
                 self._start_response(stream, head)
                 await exchange.send(complete)
+                stream.last_event_at = self._loop.time()
             if stream.splitter.is_event_too_large:
                 raise BrokenResponseError(
                     f"an event has more than {MAX_EVENT_BYTES} bytes"
--- a/tests/functional/routing/test_joined_versions.py
+++ b/tests/functional/routing/test_joined_versions.py
@@ -110,6 +110,49 @@
         run_deployment(tmp_path, ("v1", "v1", "v2", "v2"), steps)
 
 
+class TestShareOfTakenUpStreams:
+    # LOST: streams that are taken up go on at least half as often as new ones begin.
+    def test_taken_up_streams_go_on_under_load(self, tmp_path):
+        async def begin_repeatedly(deployment, caller, begun):
+            addresses = list(deployment.caller_address_by_zone.values())
+            while True:
+                begun += await asyncio.gather(
+                    *(caller.begin(a) for a in addresses for _ in range(6))
+                )
+                await asyncio.sleep(0.1)
+
+        async def steps(deployment, engines, caller):
+            addresses = list(deployment.caller_address_by_zone.values())
+            broken, begun = [], []
+            for engine in engines:
+                cut(engine, 5)
+            while len(broken) < STREAMS:
+                streams = await asyncio.gather(
+                    *(caller.begin(addresses[n % 3]) for n in range(BATCH))
+                )
+                broken += [s for s in streams if s.events and not s.is_complete]
+                await asyncio.sleep(0.4)
+            for engine in engines:
+                engine.faults.clear()
+                engine.event_interval_s = 0.1
+            load = asyncio.ensure_future(begin_repeatedly(deployment, caller, begun))
+            await asyncio.sleep(1.0)
+            for start in range(0, STREAMS, BATCH):
+                await asyncio.gather(
+                    *(
+                        caller.take_up(addresses[n % 3], stream)
+                        for n, stream in enumerate(broken[start : start + BATCH])
+                    )
+                )
+            load.cancel()
+            share_begun = sum(bool(s.events) for s in begun) / len(begun)
+            share_gone_on = sum(s.is_complete for s in broken[:STREAMS]) / STREAMS
+            assert count_joined(broken) == 0
+            assert share_gone_on >= share_begun / 2, (share_gone_on, share_begun)
+
+        run_deployment(tmp_path, ("v1", "v1", "v2", "v2"), steps)
+
+
 async def begin_and_kill(deployment, caller, hosts, engines_left=()):
     """Begin streams, kill hosts under them, and return the broken streams.
 
--- a/tests/unit/dispatch/test_bound_streams.py
+++ b/tests/unit/dispatch/test_bound_streams.py
@@ -73,3 +73,19 @@
         dispatcher.tick(0.2)
         (placed,) = dispatcher.collect_actions()
         assert (placed.request_id, placed.server_id) == ("r1", "s0")
+
+    def test_goes_on_after_its_objective_has_passed(self, dispatcher):
+        dispatcher.put_server(engine("s0", "v1"))
+        (placed,) = submit(
+            dispatcher, "r0", 5.0, objective_at=4.0, software_version="v1"
+        )
+        assert isinstance(placed, Placement)
+
+    def test_is_placed_before_new_ones_that_wait(self, dispatcher):
+        dispatcher.put_server(engine("s0", "v1"))
+        submit(dispatcher, "r0")
+        assert submit(dispatcher, "r1") == ()
+        assert submit(dispatcher, "r2", software_version="v1") == ()
+        dispatcher.report("r0", "s0", PlacementOutcome.FINISHED, 0.1)
+        (placed,) = dispatcher.collect_actions()
+        assert placed.request_id == "r2"
