Fault soak: two software versions, releases, hosts killed together, take-ups

The model engines' texts name their version, so that joining shows; an engine may be replaced by one of the other version; all entry or all control hosts are killed at once; callers take up streams that break off, at any host.

--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -29,6 +29,7 @@
 from lib.platform_engine import FakePlatformEngine, PlatformClient
 from lib.routing_deployment import configuration
 from lib.silent_relay import SilentRelay
+from lib.stream_caller import StreamCaller
 
 ROOT = Path(__file__).parents[2]
 ZONES = ("a", "b", "c")
@@ -64,6 +65,9 @@
     "engine_limit",
     "engine_lethal",
     "engine_lethal_request",
+    "engine_release",
+    "kill_entries",
+    "kill_controls",
     "silence",
 )
 LETHAL_PART = b"dead"
@@ -91,9 +95,13 @@
     return path.startswith(("/note", "/draft"))
 
 
-def build_event(number):
+SOFTWARE_VERSIONS = ("v1", "v2")
+MAX_TAKE_UPS = 8
+
+
+def build_event(number, version):
     """Return an event of the fake engines' streams."""
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+    return b"id: %d\ndata: %s piece %d\n\n" % (number, version.encode(), number)
 
 
 def build_draft_route(document):
@@ -178,6 +186,7 @@
     Attributes:
         broken: Descriptions of the violated guarantees.
         statuses: Number of responses by status, or by the name of the error.
+        take_ups: Number of requests that took a stream up, by status.
         faults: Number of injected faults by kind; "wiping" is 1 while a disk is lost.
         accepted: Version and document of the newest acknowledged configuration.
     """
@@ -201,10 +210,17 @@
             for i in range(3)
         ]
         self.model_engines = [
-            FakePlatformEngine(f"l{i}", "llm", f"{network}.{40 + i}:8080", ZONES[i])
-            for i in range(2)
+            FakePlatformEngine(f"l{i}", "llm", f"{network}.{40 + i}:8080", ZONES[i % 3])
+            for i in range(4)
         ]
+        for number, engine in enumerate(self.model_engines):
+            engine.software_version = SOFTWARE_VERSIONS[number % 2]
+            engine.names_version = True
+            engine.events = 12
+            engine.event_interval_s = 0.03
         self.caller = PlatformClient()
+        self.stream_caller = StreamCaller()
+        self.take_ups = Counter()
         self.broken = []
         self.statuses = Counter()
         self.faults = Counter()
@@ -254,6 +270,7 @@
         yield from (self._announce_repeatedly(e) for e in self._all_engines())
         yield self._replace_configurations()
         yield self._poll_configuration()
+        yield from (self._stream_repeatedly() for _ in range(4))
         yield from (
             self._send_requests(entry, path, method)
             for entry in self.entries
@@ -447,6 +464,33 @@
                 self._refused_request_ids.add(request_id)
             await asyncio.sleep(self.rng.uniform(0.0, 0.05))
 
+    async def _stream_repeatedly(self):
+        """Begin streams and take up those that break off, at any host."""
+        while True:
+            entry = self.rng.choice(self.entries)
+            stream = await self.stream_caller.begin(
+                f"{entry.ip}:{FRONT_PORT}", deadline_ms=4_000, timeout_s=4.5
+            )
+            for _ in range(MAX_TAKE_UPS):
+                if stream.is_complete or not stream.events:
+                    break
+                await asyncio.sleep(self.rng.uniform(0.0, 0.6))
+                entry = self.rng.choice(self.entries)
+                status = await self.stream_caller.take_up(
+                    f"{entry.ip}:{FRONT_PORT}", stream, deadline_ms=4_000, timeout_s=4.5
+                )
+                self.take_ups[status] += 1
+            self._check_stream(stream)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.1))
+
+    def _check_stream(self, stream):
+        if len(stream.versions) > 1:
+            self.broken.append(f"{stream.request_id} joined {stream.events!r}")
+        if not stream.is_in_order():
+            self.broken.append(f"{stream.request_id} lost events: {stream.events!r}")
+        if stream.is_complete and len(stream.events) != self.model_engines[0].events:
+            self.broken.append(f"{stream.request_id} ended as complete too early")
+
     async def _send_request(self, entry, path, method, key, request_id):
         try:
             _, status, headers, body = await self.caller.send_request(
@@ -463,11 +507,14 @@
         except (GalenadrumError, TimeoutError) as error:
             return type(error).__name__
         if status == 200:
-            expected = b"answer to " + request_id.encode()
+            expected = [b"answer to " + request_id.encode()]
             if is_stream(path):
                 events = range(1, self.model_engines[0].events + 1)
-                expected = b"".join(map(build_event, events))
-            is_complete = body == expected
+                expected = [
+                    b"".join(build_event(number, version) for number in events)
+                    for version in SOFTWARE_VERSIONS
+                ]
+            is_complete = body in expected
             is_signed = headers.get(b"x-response-signature") == b"s." + (
                 request_id.encode()
             )
@@ -490,6 +537,9 @@
             self._relay.silence()
         elif fault == "replace":
             await self._replace_control()
+        elif fault.startswith("kill_"):
+            hosts = self.entries if fault == "kill_entries" else self.controls
+            await asyncio.gather(*(self._restart(host, "kill") for host in hosts))
         elif fault.startswith("engine_"):
             await self._inject_engine_fault(fault)
         else:
@@ -499,6 +549,9 @@
         if fault == "engine_limit":
             await self._limit_engine()
             return
+        if fault == "engine_release":
+            await self._release_engine()
+            return
         if fault == "engine_lethal_request":
             await self._send_lethal_lookups(self.rng.randint(1, 6))
             return
@@ -541,10 +594,25 @@
         await asyncio.sleep(self.rng.uniform(0.3, 3.0))
         engine.limit_per_s = None
 
+    async def _release_engine(self):
+        """Replace a model engine by one of the other version."""
+        engine = self.rng.choice(self.model_engines)
+        if engine.state != "ready" or engine.has_crashed:
+            return
+        engine.state = "draining"
+        await asyncio.sleep(self.rng.uniform(0.3, 1.5))
+        engine.stop()
+        await asyncio.sleep(self.rng.uniform(0.0, 0.5))
+        engine.server_id += "n"
+        engine.born += 1
+        engine.software_version = self.rng.choice(SOFTWARE_VERSIONS)
+        engine.state = "ready"
+        await engine.start()
+
     def _draw_cut(self, engine):
         """Choose where an engine breaks off its streams, inside an event."""
         engine.cut_number = self.rng.randint(1, engine.events)
-        event = build_event(engine.cut_number)
+        event = build_event(engine.cut_number, engine.software_version)
         engine.cut_event = event[: self.rng.randint(1, len(event) - 1)]
 
     async def _restart(self, host, fault):
@@ -708,6 +776,7 @@
         failed += bool(soak.broken)
         statuses = {str(k): v for k, v in soak.statuses.items()}
         row = {"seed": seed, "broken": soak.broken[:5], "statuses": statuses}
+        row["take_ups"] = dict(soak.take_ups)
         print(json.dumps({**row, "faults": dict(soak.faults)}), flush=True)
     sys.exit(1 if failed else 0)
 
