Say which backend servers a host itself can't reach

What operators could not see: a request was refused as unreachable, or for want of retries, and nothing told whether the server was down or this host was cut off from it, or from which others at that moment.

Change: an entry host writes a line when new connections to a server begin to fail, with the reason and all servers that fail now, and one when they work again; the gauge unreachable_servers counts them. No decision depends on it yet.

Measured: unit tests and tests/functional/routing/test_routing_end_to_end.py pass.

--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -32,6 +32,7 @@
     choose_link,
 )
 from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
+from galenadrum._internal.gateway.reachability import Reachability
 from galenadrum._internal.gateway.request_handler import (
     ActiveRouteTable,
     RequestHandler,
@@ -113,6 +114,7 @@
         self.quarantine = PartQuarantine(
             settings.host_id, self._handle_quarantine_change
         )
+        self.reachability = Reachability(self.metrics)
         self.versions = VersionResolver(
             BindingTable(), VersionHistory(self._loop.time()), self.metrics
         )
@@ -187,6 +189,7 @@
                 self._successes,
                 self.limits,
                 self.permits,
+                self.reachability,
                 answers,
                 metrics,
             ),
@@ -198,6 +201,7 @@
                 crashes,
                 self.limits,
                 self.bindings,
+                self.reachability,
                 answers,
                 metrics,
                 zone,
@@ -331,6 +335,7 @@
         self.balancer.put_server(entry)
         self.dispatch.put_server(entry)
         if not entry.accepts_requests:
+            self.reachability.remove_server(entry.server_id)
             self._pool.close_idle(entry.announcement.address)
 
     def _handle_link_change(self, link: HostLink) -> None:
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -25,6 +25,7 @@
     send_failure,
 )
 from galenadrum._internal.gateway.permits import Permit, PermitClient
+from galenadrum._internal.gateway.reachability import Reachability
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
@@ -74,6 +75,7 @@
         successes: RequestSuccesses,
         limits: ServerLimits,
         permits: PermitClient,
+        reachability: Reachability,
         answers: ErrorResponder,
         metrics: Metrics,
     ) -> None:
@@ -86,6 +88,7 @@
         self._successes = successes
         self._limits = limits
         self._permits = permits
+        self._reachability = reachability
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -225,6 +228,7 @@
             )
         except ConnectError as error:
             attempts.rejections += 1
+            self._reachability.record_failure(server_id, str(error))
             self._balancer.rejected(server_id, None, self._loop.time())
             logger.info(
                 "failed to connect to server %s: %s",
@@ -267,6 +271,8 @@
         connection: BackendConnection,
         attempts: Attempts,
     ) -> _Reply:
+        if connection.is_fresh:
+            self._reachability.record_success(entry.server_id)
         now = self._loop.time()
         remaining_s = max(0.001, context.deadline_at - now)
         organisation = context.organisation
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -36,6 +36,7 @@
     send_failure,
 )
 from galenadrum._internal.gateway.placement_client import PlacementClient
+from galenadrum._internal.gateway.reachability import Reachability
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.models.stream_bindings import StreamBinding, TakenUpStream
 from galenadrum._internal.network.http1.client import (
@@ -124,6 +125,7 @@
         crashes: CrashDetector,
         limits: ServerLimits,
         bindings: BindingRecorder,
+        reachability: Reachability,
         answers: ErrorResponder,
         metrics: Metrics,
         zone: str,
@@ -136,6 +138,7 @@
         self._crashes = crashes
         self._limits = limits
         self._bindings = bindings
+        self._reachability = reachability
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -294,6 +297,7 @@
             )
         except ConnectError as error:
             stream.reason = "unreachable"
+            self._reachability.record_failure(placement.server_id, str(error))
             self._log(
                 stream, "failed to connect to server %s: %s", placement.server_id, error
             )
@@ -336,6 +340,8 @@
         self, stream: _Stream, placement: Placement, connection: BackendConnection
     ) -> _AttemptResult:
         context = stream.context
+        if connection.is_fresh:
+            self._reachability.record_success(placement.server_id)
         stream.splitter.begin_response()
         stream.first_event_at = None
         sent_at = self._loop.time()
