--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -31,7 +31,7 @@
 from lib.silent_relay import SilentRelay
 from lib.stream_caller import StreamCaller
 
-ROOT = Path(__file__).parents[2]
+CUTTABLE_HOST = Path(__file__).parent / "cuttable_host.py"
 ZONES = ("a", "b", "c")
 ADMIN_PORT, PEER_PORT, FRONT_PORT, READY_PORT, METRICS_PORT = (
     8628,
@@ -119,6 +119,7 @@
         self.folder = folder / f"{role}-{zone}"
         self.folder.mkdir()
         self._seeds = seeds
+        self.cut_path = self.folder / "cut"
         self.process = None
         self.is_first_start = True
         self.is_gone = False
@@ -156,7 +157,7 @@
         path.write_text(yaml.safe_dump(self._settings()))
         log = (self.folder / "log").open("a")
         self.process = subprocess.Popen(
-            [sys.executable, str(ROOT / "platform" / "main.py"), self.role],
+            [sys.executable, str(CUTTABLE_HOST), str(self.cut_path), self.role],
             env={**os.environ, "GALENADRUM_SETTINGS": str(path)},
             stdout=log,
             stderr=log,
@@ -167,6 +168,10 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def cut_off(self, mode):
+        """Cut the host off from all servers until ``mode`` is empty."""
+        self.cut_path.write_text(mode)
+
     def peak_memory_kb(self):
         """Return the largest resident memory of the process so far."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
