Send requests to unreachable servers through hosts that reach them

What callers saw: entry hosts that were cut off from all servers refused their requests, or let them wait on silent connections, though other hosts reached every server.

Cause: an entry host had one way to a server, its own connection. A failed connection counted against the server, and the next server failed as well.

Change: a connection that fails has sent nothing, so the request goes to the same server through another host at once, an entry host or, last, a control host. If that works, this host is cut off from the server: its requests pass others until a probe connects. A request without a response for 0.4 s, from a server that sends nothing else, has its path checked; cut off from two servers while none answers, a host presumes all. A relayed request makes one hop, keeps its checks, budgets, deadline and binding at its own host, and is cancelled with it. Refused connections count as a crash only if no other host reaches the server.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -33,6 +33,7 @@
     decode_announcement,
     decode_crash,
 )
+from galenadrum._internal.gateway.relay_service import RELAY_LIMITS, RelayService
 from galenadrum._internal.models.routing_settings import RoutingControlSettings
 from galenadrum._internal.network.grpc_server import GrpcServer
 from galenadrum._internal.network.host_link import HostLink
@@ -60,6 +61,8 @@
 _MAINTENANCE_INTERVAL_S = 0.5
 # Time to send pending answers before the process ends.
 _DRAIN_WAIT_S = 0.3
+# Control hosts forward requests only where no entry host reaches the server.
+_MAX_RELAYED_REQUESTS = 32
 
 ApiApp = Callable[[RoutingApi], Callable[[Exchange], Awaitable[None]]]
 
@@ -202,6 +205,8 @@
         supervisor.add("dispatch", self.dispatch.run)
         supervisor.add("directory", self._run_maintenance)
         supervisor.add("stream-bindings", self.binding_file.run)
+        if settings.relay_address:
+            supervisor.add("relays", self._build_relay_server().run)
         register_log_gauges(self.metrics, lambda: self.log_runner.log)
         self.metrics.register_gauge("version", lambda: self.state.version)
         self.metrics.register_gauge("quarantined_parts", lambda: len(self.quarantine))
@@ -209,6 +214,18 @@
         self.metrics.register_gauge("placed", lambda: self.dispatch.request_count)
         return supervisor
 
+    def _build_relay_server(self) -> Http1Server:
+        relay = RelayService(
+            self._dialect,
+            self._pool,
+            self.registry.get,
+            lambda server_id: False,
+            _MAX_RELAYED_REQUESTS,
+            self.metrics,
+        )
+        address = self._settings.relay_address
+        return Http1Server(address, relay.handle, lambda: RELAY_LIMITS, "other hosts")
+
     def _get_services(self):
         return (
             self._route_table.configuration.services_by_name
@@ -228,6 +245,7 @@
             servers_covered_ms=int(
                 self.versions.history.covered_s(self._loop.time()) * 1_000
             ),
+            relay_address=self._settings.relay_address,
         )
 
     def _observe_availability(self) -> bool:
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Iterable
 
 from grpclib.server import Stream
@@ -49,6 +50,9 @@
 
 _RENEWAL_INTERVAL_S = 1.0
 _UNKNOWN_ROUTE_RETRY_AFTER_S = 0.5
+# Entry hosts that are named to the others for forwarding; a zone that is cut off as a
+# whole has to find one outside.
+_MAX_ENTRY_RELAYS = 24
 
 
 class LinkService(GatewayControlBase):
@@ -101,11 +105,13 @@
         self._pacer = pacer
         self._bindings = bindings
         self._save_bindings = save_bindings
+        self._rng = random.Random()
         self._loop = asyncio.get_running_loop()
         self._links: set[InboundLink] = set()
         self._request_ids_by_link: dict[InboundLink, set[str]] = {}
         self._renewed_server_ids: set[str] = set()
-        self._last_broadcast_hosts: tuple[tuple[str, ...], int] = ((), 0)
+        self._last_broadcast_hosts: tuple[object, ...] = ((), 0, ())
+        self._relays: tuple[pb.RelayHost, ...] = ()
         state.add_listener(self._send_document)
 
     @property
@@ -203,15 +209,38 @@
             self._broadcast_hosts_if_changed()
 
     def _broadcast_hosts_if_changed(self) -> None:
-        hosts = (self._members(), self.entry_host_count)
+        addresses = self._list_relay_addresses()
+        hosts = (self._members(), self.entry_host_count, addresses)
         if hosts != self._last_broadcast_hosts and hosts[0]:
             self._last_broadcast_hosts = hosts
+            self._relays = self._choose_relays()
             self._broadcast(self._build_hosts_message())
 
+    def _list_relay_addresses(self) -> tuple[str, ...]:
+        return tuple(sorted(link.peer.relay_address for link in self._links))
+
+    def _choose_relays(self) -> tuple[pb.RelayHost, ...]:
+        """Return hosts that forward requests: control hosts, and some entry hosts."""
+        peers = [*(link.peer for link in self._links), self._hello()]
+        entries = {p.relay_address for p in peers if not p.is_control}
+        controls = {p.relay_address for p in peers if p.is_control}
+        chosen = sorted(entries - {""})
+        if len(chosen) > _MAX_ENTRY_RELAYS:
+            chosen = self._rng.sample(chosen, _MAX_ENTRY_RELAYS)
+        return (
+            *(pb.RelayHost(address=address) for address in chosen),
+            *(
+                pb.RelayHost(address=address, is_control=True)
+                for address in sorted(controls - {""})
+            ),
+        )
+
     def _build_hosts_message(self) -> pb.LinkMessage:
         return pb.LinkMessage(
             control_hosts=pb.ControlHosts(
-                addresses=self._members(), entry_hosts=self.entry_host_count
+                addresses=self._members(),
+                entry_hosts=self.entry_host_count,
+                relays=self._relays,
             )
         )
 
--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from galenadrum._internal.network.host_link import HostLink
+from galenadrum._internal.network.relayed_connection import RelayHost
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 
 logger = logging.getLogger(__name__)
@@ -64,6 +65,7 @@
         self._down_since_by_address: dict[str, float] = {}
         self._member_addresses: tuple[str, ...] = ()
         self.entry_hosts = 1
+        self.relays: tuple[RelayHost, ...] = ()
 
     def links_up(self) -> list[HostLink]:
         """Return the links that are up, sorted by address."""
@@ -141,6 +143,10 @@
         elif body == "control_hosts":
             self._member_addresses = tuple(message.control_hosts.addresses)
             self.entry_hosts = max(1, message.control_hosts.entry_hosts)
+            self.relays = tuple(
+                RelayHost(relay.address, relay.is_control)
+                for relay in message.control_hosts.relays
+            )
         else:
             self._on_message(link, message)
 
--- a/src/galenadrum/_internal/gateway/crash_detector.py
+++ b/src/galenadrum/_internal/gateway/crash_detector.py
@@ -2,14 +2,15 @@
 
 A server whose response broke off may go on serving others. It is therefore connected
 to once more: where its process has ended, the connection is refused. A host that is
-cut off or has lost power doesn't answer at all, and counts as neither.
+cut off or has lost power doesn't answer at all, and counts as neither. Where this host
+is cut off itself, connections may be refused as well: another host is asked.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.models.quarantine import ServerCrash
@@ -42,6 +43,8 @@
         find_server: Returns the directory entry of a server id, None if unknown.
         on_crash: Called with each crash, and again with the prompts of later reports.
         metrics: Counts the checked servers by their state.
+        is_reachable_elsewhere: Returns whether another host reaches a server that
+            this one does not, which is then cut off itself.
     """
 
     def __init__(
@@ -50,11 +53,13 @@
         find_server: Callable[[str], ServerEntry | None],
         on_crash: Callable[[ServerCrash], None],
         metrics: Metrics,
+        is_reachable_elsewhere: Callable[[str], Awaitable[bool]] | None = None,
     ) -> None:
         self._pool = pool
         self._find_server = find_server
         self._on_crash = on_crash
         self._metrics = metrics
+        self._is_reachable_elsewhere = is_reachable_elsewhere
         self._loop = asyncio.get_running_loop()
         self._prompts_by_server: dict[_ServerKey, list[tuple[str, ...]]] = {}
         self._crashed_at_by_server: dict[_ServerKey, float] = {}
@@ -109,11 +114,17 @@
             try:
                 await self._pool.open_idle(address, _CONNECT_TIMEOUT_S)
             except ConnectionRefusedByServerError:
-                return "refusing"
+                return await self._judge_refusal(key[0])
             except ConnectError:
                 return "unreachable"
         return "listening"
 
+    async def _judge_refusal(self, server_id: str) -> str:
+        if self._is_reachable_elsewhere is None:
+            return "refusing"
+        is_cut_off = await self._is_reachable_elsewhere(server_id)
+        return "cut_off" if is_cut_off else "refusing"
+
     def _is_still_known(self, key: _ServerKey) -> bool:
         """Return whether the server hasn't said meanwhile that it leaves."""
         entry = self._find_server(key[0])
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -33,12 +33,14 @@
 )
 from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
 from galenadrum._internal.gateway.reachability import Reachability
+from galenadrum._internal.gateway.relay_service import RELAY_LIMITS, RelayService
 from galenadrum._internal.gateway.request_handler import (
     ActiveRouteTable,
     RequestHandler,
 )
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.gateway.server_directory import ServerDirectory
+from galenadrum._internal.gateway.server_paths import ServerPaths
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
 from galenadrum._internal.models.quarantine import QuarantinedPart, ServerCrash
 from galenadrum._internal.models.routing_settings import GatewaySettings
@@ -74,6 +76,8 @@
 # before it is killed.
 _SHUTDOWN_MARGIN_S = 0.6
 _DRAIN_POLL_S = 0.05
+# Half of what a small host streams at its busiest; its own callers go first.
+_MAX_RELAYED_REQUESTS = 96
 
 
 class GatewayDaemon:
@@ -114,7 +118,31 @@
         self.quarantine = PartQuarantine(
             settings.host_id, self._handle_quarantine_change
         )
-        self.reachability = Reachability(self.metrics)
+        self.paths = ServerPaths(
+            settings.host_id,
+            settings.relay_address,
+            self._pool,
+            self.servers.registry.get,
+            lambda: self.links.relays,
+            Reachability(self.metrics),
+            self.metrics,
+            rng,
+        )
+        self.paths.set_server_list(self._list_server_ids)
+        self._relay = RelayService(
+            dialect,
+            self._pool,
+            self.servers.registry.get,
+            self.paths.is_cut_off,
+            _MAX_RELAYED_REQUESTS,
+            self.metrics,
+        )
+        self._relay_server = Http1Server(
+            settings.relay_address,
+            self._relay.handle,
+            lambda: RELAY_LIMITS,
+            "other hosts",
+        )
         self.versions = VersionResolver(
             BindingTable(), VersionHistory(self._loop.time()), self.metrics
         )
@@ -166,14 +194,15 @@
     def _build_handler(
         self, budgets: RetryBudgets, rng: random.Random
     ) -> RequestHandler:
-        dialect, pool, metrics = self._dialect, self._pool, self.metrics
+        dialect, paths, metrics = self._dialect, self.paths, self.metrics
         zone = self._settings.zone
         answers = ErrorResponder(dialect, metrics, rng)
         crashes = CrashDetector(
-            pool,
+            self._pool,
             self.servers.registry.get,
             self._handle_crash,
             metrics,
+            self.paths.is_reachable_elsewhere,
         )
         return RequestHandler(
             dialect,
@@ -181,7 +210,7 @@
             self.lease,
             PlainForwarder(
                 dialect,
-                pool,
+                paths,
                 self.balancer,
                 budgets,
                 crashes,
@@ -189,19 +218,17 @@
                 self._successes,
                 self.limits,
                 self.permits,
-                self.reachability,
                 answers,
                 metrics,
             ),
             StreamForwarder(
                 dialect,
-                pool,
+                paths,
                 self.placements,
                 budgets,
                 crashes,
                 self.limits,
                 self.bindings,
-                self.reachability,
                 answers,
                 metrics,
                 zone,
@@ -224,6 +251,9 @@
         supervisor.add("dispatch", self.dispatch.run)
         supervisor.add("callers", self._caller_server.run)
         supervisor.add("ready", ready.run)
+        supervisor.add("paths", self.paths.run)
+        if settings.relay_address:
+            supervisor.add("relays", self._relay_server.run)
         supervisor.add(
             "metrics", create_metrics_server(settings.metrics_address, self.metrics).run
         )
@@ -241,12 +271,16 @@
         table = self.in_force.table
         return table.configuration.services_by_name if table is not None else {}
 
+    def _list_server_ids(self) -> list[str]:
+        return [e.server_id for e in self.servers.registry if e.accepts_requests]
+
     def _build_hello(self) -> LinkHello:
         return LinkHello(
             host_id=self._settings.host_id,
             zone=self._settings.zone,
             is_control=False,
             version=self.lease.version,
+            relay_address=self._settings.relay_address,
         )
 
     def _connection_limits(self) -> ConnectionLimits:
@@ -335,7 +369,7 @@
         self.balancer.put_server(entry)
         self.dispatch.put_server(entry)
         if not entry.accepts_requests:
-            self.reachability.remove_server(entry.server_id)
+            self.paths.remove_server(entry.server_id)
             self._pool.close_idle(entry.announcement.address)
 
     def _handle_link_change(self, link: HostLink) -> None:
@@ -395,13 +429,14 @@
     async def drain(self) -> None:
         """Report not ready and finish the requests in flight within the grace time."""
         self._is_stopping = True
+        self._relay.is_stopping = True
         stop_at = self._loop.time() + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
         logger.info("entry host %s is draining", self._settings.host_id)
         await asyncio.sleep(_DEREGISTRATION_DELAY_S)
         self._caller_server.stop_listening()
         while self._loop.time() < stop_at:
             self._caller_server.close_connections_when_idle()
-            if not self._caller_server.busy_count:
+            if not self._caller_server.busy_count and not self._relay_server.busy_count:
                 break
             await asyncio.sleep(_DRAIN_POLL_S)
         logger.info(
--- a/src/galenadrum/_internal/gateway/forwarding.py
+++ b/src/galenadrum/_internal/gateway/forwarding.py
@@ -5,10 +5,10 @@
 from galenadrum._internal.gateway.attempts import Attempts, RequestContext
 from galenadrum._internal.gateway.dialect import ResponseMetadata
 from galenadrum._internal.gateway.error_responder import ErrorResponder
+from galenadrum._internal.gateway.server_paths import PathAttempts, ServerPaths
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
-    ConnectionPool,
 )
 from galenadrum._internal.network.http1.heads import (
     ResponseHead,
@@ -27,7 +27,12 @@
 
 
 async def connect(
-    pool: ConnectionPool, address: str, context: RequestContext, remaining_s: float
+    paths: ServerPaths,
+    server_id: str,
+    address: str,
+    context: RequestContext,
+    remaining_s: float,
+    attempts: PathAttempts,
 ) -> BackendConnection:
     """Return a pooled or new connection on which the request may be sent.
 
@@ -35,7 +40,8 @@
         ConnectError: No connection could be made; nothing was sent.
     """
     max_idle_s = None if context.route.is_repeatable else _MAX_IDLE_NON_REPEATABLE_S
-    return await pool.get(address, min(_CONNECT_TIMEOUT_S, remaining_s), max_idle_s)
+    timeout_s = min(_CONNECT_TIMEOUT_S, remaining_s)
+    return await paths.connect(server_id, address, timeout_s, max_idle_s, attempts)
 
 
 def send_failure(
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -25,19 +25,19 @@
     send_failure,
 )
 from galenadrum._internal.gateway.permits import Permit, PermitClient
-from galenadrum._internal.gateway.reachability import Reachability
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
+from galenadrum._internal.gateway.server_paths import PathAttempts, ServerPaths
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
     ConnectError,
-    ConnectionPool,
 )
 from galenadrum._internal.network.http1.heads import (
     ResponseHead,
     encode_request,
 )
 from galenadrum._internal.network.http1.server import Exchange
+from galenadrum._internal.network.relayed_connection import NotForwardedError
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.quarantine.request_digest import describe_suspect
@@ -67,7 +67,7 @@
     def __init__(
         self,
         dialect: Dialect,
-        pool: ConnectionPool,
+        paths: ServerPaths,
         balancer: PlainBalancer,
         budgets: RetryBudgets,
         crashes: CrashDetector,
@@ -75,12 +75,11 @@
         successes: RequestSuccesses,
         limits: ServerLimits,
         permits: PermitClient,
-        reachability: Reachability,
         answers: ErrorResponder,
         metrics: Metrics,
     ) -> None:
         self._dialect = dialect
-        self._pool = pool
+        self._paths = paths
         self._balancer = balancer
         self._budgets = budgets
         self._crashes = crashes
@@ -88,7 +87,6 @@
         self._successes = successes
         self._limits = limits
         self._permits = permits
-        self._reachability = reachability
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -218,17 +216,42 @@
         Returns:
             The response, or None if there is none, and the failure reason.
         """
+        self._balancer.started(entry.server_id)
+        paths = PathAttempts()
+        while True:
+            try:
+                return await self._send_on_path(context, entry, attempts, paths)
+            except NotForwardedError as error:
+                paths.error = error
+                logger.info(
+                    "%s", error, extra={"request_id": context.metadata.request_id}
+                )
+
+    async def _send_on_path(
+        self,
+        context: RequestContext,
+        entry: ServerEntry,
+        attempts: Attempts,
+        paths: PathAttempts,
+    ) -> tuple[_Reply | None, str]:
+        """Send the request on the next path to a server.
+
+        Raises:
+            NotForwardedError: Another host has not sent it.
+        """
         server_id = entry.server_id
-        self._balancer.started(server_id)
         started_at = self._loop.time()
         try:
-            remaining_s = context.deadline_at - started_at
             connection = await connect(
-                self._pool, entry.announcement.address, context, remaining_s
+                self._paths,
+                server_id,
+                entry.announcement.address,
+                context,
+                context.deadline_at - started_at,
+                paths,
             )
         except ConnectError as error:
             attempts.rejections += 1
-            self._reachability.record_failure(server_id, str(error))
             self._balancer.rejected(server_id, None, self._loop.time())
             logger.info(
                 "failed to connect to server %s: %s",
@@ -256,6 +279,9 @@
                 extra={"request_id": context.metadata.request_id},
             )
             return None, "timeout" if isinstance(error, TimeoutError) else "broken"
+        except NotForwardedError:
+            connection.close()
+            raise
         except asyncio.CancelledError:
             connection.close()
             self._balancer.ended(
@@ -271,8 +297,6 @@
         connection: BackendConnection,
         attempts: Attempts,
     ) -> _Reply:
-        if connection.is_fresh:
-            self._reachability.record_success(entry.server_id)
         now = self._loop.time()
         remaining_s = max(0.001, context.deadline_at - now)
         organisation = context.organisation
@@ -283,8 +307,12 @@
         headers = self._dialect.request_headers(head, forwarding)
         if context.body or head.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             headers.append((b"Content-Length", b"%d" % len(context.body)))
+        headers += self._paths.request_headers(connection, entry.server_id)
         data = encode_request(head.method, head.target, headers) + context.body
         connection.send(data, head.method == b"HEAD")
+        watch = self._paths.watch(
+            connection, entry.server_id, context.route.is_repeatable
+        )
         wait_s = remaining_s
         if context.route.is_repeatable and attempts.possible_runs + 1 < (
             context.route.max_attempts
@@ -293,9 +321,13 @@
             wait_s = min(
                 wait_s, max(_MIN_HANG_TIMEOUT_S, _HANG_TIMEOUT_FACTOR * median_s)
             )
-        async with asyncio.timeout(wait_s):
-            reply = await self._read_reply(connection, context.metadata.request_id)
-        self._pool.put(connection)
+        try:
+            async with asyncio.timeout(wait_s):
+                reply = await self._read_reply(connection, context.metadata.request_id)
+        finally:
+            watch.cancel()
+        self._paths.record_response(connection, entry.server_id)
+        self._paths.put(connection)
         return reply
 
     async def _read_reply(
--- a/src/galenadrum/_internal/gateway/reachability.py
+++ b/src/galenadrum/_internal/gateway/reachability.py
@@ -62,6 +62,10 @@
                 self._loop.time() - known.since,
             )
 
+    def is_failing(self, server_id: str) -> bool:
+        """Return whether the last new connection to a server failed."""
+        return server_id in self._failures_by_server
+
     def remove_server(self, server_id: str) -> None:
         """Forget a server that left."""
         self._failures_by_server.pop(server_id, None)
--- /dev/null
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -0,0 +1,211 @@
+"""Forwards requests of other hosts to backend servers that they can't reach.
+
+A request makes one hop at most: it is sent to the server directly, or not at all. Its
+checks, budgets, limits and deadline are those of the host that received it from the
+caller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.gateway.dialect import Dialect
+from galenadrum._internal.network.http1.client import (
+    BackendConnection,
+    BrokenResponseError,
+    ConnectError,
+    ConnectionPool,
+    Framing,
+)
+from galenadrum._internal.network.http1.heads import (
+    ResponseHead,
+    encode_request,
+    select_end_to_end_headers,
+)
+from galenadrum._internal.network.http1.server import (
+    CallerDisconnectedError,
+    ConnectionLimits,
+    Exchange,
+)
+from galenadrum._internal.network.relayed_connection import (
+    CHECK_HEADER,
+    OUTCOME_HEADER,
+    SENDER_HEADER,
+    SERVER_HEADER,
+    RelayOutcome,
+    remove_relay_headers,
+)
+from galenadrum._internal.observability.metrics import Metrics
+
+logger = logging.getLogger(__name__)
+
+RELAY_LIMITS = ConnectionLimits(
+    max_header_bytes=64 * 1024, max_body_bytes=16 * 1024 * 1024
+)
+_CONNECT_TIMEOUT_S = 0.4
+# A server may close a connection that was idle for longer while a request is on its
+# way, and the request may not be repeatable.
+_MAX_IDLE_S = 0.5
+
+
+class RelayService:
+    """Handles the exchanges of the server that other hosts connect to.
+
+    Attributes:
+        is_stopping: Whether new requests are refused.
+
+    Args:
+        dialect: Wire formats of backend servers.
+        pool: Connections to the backend servers.
+        find_server: Returns the directory entry of a server id, None if unknown.
+        is_cut_off: Returns whether this host can't reach a server itself.
+        max_requests: Requests that are forwarded at the same time.
+        metrics: Counts the requests by outcome.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        find_server: Callable[[str], ServerEntry | None],
+        is_cut_off: Callable[[str], bool],
+        max_requests: int,
+        metrics: Metrics,
+    ) -> None:
+        self._dialect = dialect
+        self._pool = pool
+        self._find_server = find_server
+        self._is_cut_off = is_cut_off
+        self._max_requests = max_requests
+        self._metrics = metrics
+        self.is_stopping = False
+        self._running = 0
+        metrics.register_gauge("relayed_running", lambda: self._running)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Forward one request, or say why it isn't forwarded."""
+        server_id = (exchange.head.get(SERVER_HEADER) or b"").decode("latin-1")
+        if self.is_stopping:
+            self._respond(exchange, RelayOutcome.STOPPING)
+            return
+        if self._running >= self._max_requests:
+            self._respond(exchange, RelayOutcome.BUSY)
+            return
+        entry = self._find_server(server_id)
+        if entry is None or not entry.accepts_requests:
+            self._respond(exchange, RelayOutcome.UNKNOWN_SERVER)
+            return
+        if self._is_cut_off(server_id):
+            self._respond(exchange, RelayOutcome.UNREACHABLE)
+            return
+        self._running += 1
+        try:
+            await self._connect_and_forward(exchange, entry)
+        finally:
+            self._running -= 1
+
+    async def _connect_and_forward(
+        self, exchange: Exchange, entry: ServerEntry
+    ) -> None:
+        address = entry.announcement.address
+        is_check = exchange.head.get(CHECK_HEADER) is not None
+        try:
+            if is_check:
+                await self._pool.open_idle(address, _CONNECT_TIMEOUT_S)
+            else:
+                connection = await self._pool.get(
+                    address, _CONNECT_TIMEOUT_S, _MAX_IDLE_S
+                )
+        except ConnectError as error:
+            logger.info("server %s can't be reached either: %s", entry.server_id, error)
+            self._respond(exchange, RelayOutcome.UNREACHABLE)
+            return
+        if is_check:
+            self._respond(exchange, RelayOutcome.REACHABLE)
+            return
+        task = asyncio.current_task()
+        exchange.on_caller_disconnected = task.cancel
+        try:
+            if exchange.is_caller_disconnected:
+                raise CallerDisconnectedError
+            await self._forward(exchange, entry, connection)
+        except (BrokenResponseError, CallerDisconnectedError) as error:
+            connection.close()
+            exchange.abort()
+            self._record(exchange, entry, f"failed: {error or 'sender left'}", "failed")
+        except asyncio.CancelledError:
+            connection.close()
+            if not exchange.is_caller_disconnected:
+                raise
+            self._record(exchange, entry, "cancelled by its sender", "cancelled")
+
+    async def _forward(
+        self, exchange: Exchange, entry: ServerEntry, connection: BackendConnection
+    ) -> None:
+        head = exchange.head
+        data = encode_request(
+            head.method, head.target, remove_relay_headers(head.headers)
+        )
+        connection.send(data + exchange.body, head.method == b"HEAD")
+        response = await self._read_head(exchange, connection)
+        headers = [
+            (name, value)
+            for name, value in select_end_to_end_headers(response.headers)
+            if name.lower() != b"content-length"
+        ]
+        headers.append((OUTCOME_HEADER, RelayOutcome.FORWARDED.value.encode()))
+        if head.method == b"HEAD":
+            exchange.respond(response.status, headers, b"")
+        else:
+            exchange.start(response.status, headers)
+            await self._forward_body(exchange, connection)
+        self._pool.put(connection)
+        self._record(exchange, entry, f"status {response.status}", "complete")
+
+    async def _read_head(
+        self, exchange: Exchange, connection: BackendConnection
+    ) -> ResponseHead:
+        request_id = self._dialect.parse_request_head(exchange.head).request_id
+        while True:
+            head = await connection.read_head()
+            metadata = self._dialect.parse_response_head(head)
+            if metadata.request_id in ("", request_id):
+                return head
+            # A late second response to the previous request on this connection.
+            await connection.read_body()
+            connection.discard_response()
+
+    async def _forward_body(
+        self, exchange: Exchange, connection: BackendConnection
+    ) -> None:
+        size = 0
+        while part := await connection.read_part():
+            size += len(part)
+            await exchange.send(part)
+        if not size and connection.framing is Framing.CONNECTION:
+            raise BrokenResponseError("the connection ended before the body")
+        exchange.finish()
+
+    def _respond(self, exchange: Exchange, outcome: RelayOutcome) -> None:
+        self._metrics.increment("relayed_for_others", outcome=outcome.value)
+        if not exchange.is_caller_disconnected:
+            headers = [(OUTCOME_HEADER, outcome.value.encode())]
+            exchange.respond(503, headers, b"")
+
+    def _record(
+        self, exchange: Exchange, entry: ServerEntry, detail: str, outcome: str
+    ) -> None:
+        self._metrics.increment("relayed_for_others", outcome=outcome)
+        sender = (exchange.head.get(SENDER_HEADER) or b"").decode("latin-1")
+        logger.info(
+            "forwarded a request of host %s to server %s: %s",
+            sender,
+            entry.server_id,
+            detail,
+            extra={
+                "request_id": self._dialect.parse_request_head(exchange.head).request_id
+            },
+        )
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -36,14 +36,13 @@
     send_failure,
 )
 from galenadrum._internal.gateway.placement_client import PlacementClient
-from galenadrum._internal.gateway.reachability import Reachability
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
+from galenadrum._internal.gateway.server_paths import PathAttempts, ServerPaths
 from galenadrum._internal.models.stream_bindings import StreamBinding, TakenUpStream
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
     ConnectError,
-    ConnectionPool,
     Framing,
 )
 from galenadrum._internal.network.http1.heads import (
@@ -51,6 +50,7 @@
     encode_request,
 )
 from galenadrum._internal.network.http1.server import Exchange
+from galenadrum._internal.network.relayed_connection import NotForwardedError
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.attribution import MIN_SURVIVAL_S
 from galenadrum._internal.quarantine.request_digest import describe_suspect
@@ -119,26 +119,24 @@
     def __init__(
         self,
         dialect: Dialect,
-        pool: ConnectionPool,
+        paths: ServerPaths,
         placements: PlacementClient,
         budgets: RetryBudgets,
         crashes: CrashDetector,
         limits: ServerLimits,
         bindings: BindingRecorder,
-        reachability: Reachability,
         answers: ErrorResponder,
         metrics: Metrics,
         zone: str,
     ) -> None:
         self._zone = zone
         self._dialect = dialect
-        self._pool = pool
+        self._paths = paths
         self._placements = placements
         self._budgets = budgets
         self._crashes = crashes
         self._limits = limits
         self._bindings = bindings
-        self._reachability = reachability
         self._answers = answers
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -291,19 +289,40 @@
         if remaining_s <= MIN_SEND_TIME_S:
             stream.reason = "deadline"
             return _AttemptResult.UNREACHABLE
+        attempts = PathAttempts()
+        while True:
+            try:
+                return await self._send_on_path(stream, placement, attempts)
+            except NotForwardedError as error:
+                attempts.error = error
+                self._log(stream, "%s", error)
+
+    async def _send_on_path(
+        self, stream: _Stream, placement: Placement, attempts: PathAttempts
+    ) -> _AttemptResult:
+        """Send a request on the next path to its engine.
+
+        Raises:
+            NotForwardedError: Another host has not sent it.
+        """
+        context = stream.context
         try:
             connection = await connect(
-                self._pool, placement.address, context, remaining_s
+                self._paths,
+                placement.server_id,
+                placement.address,
+                context,
+                context.deadline_at - self._loop.time(),
+                attempts,
             )
         except ConnectError as error:
             stream.reason = "unreachable"
-            self._reachability.record_failure(placement.server_id, str(error))
             self._log(
                 stream, "failed to connect to server %s: %s", placement.server_id, error
             )
             return _AttemptResult.UNREACHABLE
         try:
-            result = await self._exchange(stream, placement, connection)
+            return await self._exchange(stream, placement, connection)
         except (BrokenResponseError, TimeoutError) as error:
             stream.reason = "timeout" if isinstance(error, TimeoutError) else "broken"
             self._log(
@@ -325,7 +344,6 @@
             # Also when the caller is gone: closing makes the engine cancel the request.
             connection.close()
             raise
-        return result
 
     def _record_break(self, stream: _Stream, placement: Placement) -> None:
         now = self._loop.time()
@@ -340,30 +358,37 @@
         self, stream: _Stream, placement: Placement, connection: BackendConnection
     ) -> _AttemptResult:
         context = stream.context
-        if connection.is_fresh:
-            self._reachability.record_success(placement.server_id)
         stream.splitter.begin_response()
         stream.first_event_at = None
         sent_at = self._loop.time()
-        connection.send(self._encode_request(stream, placement))
+        connection.send(self._encode_request(stream, placement, connection))
+        watch = self._paths.watch(
+            connection, placement.server_id, context.route.is_repeatable
+        )
         first_event_at = self._first_event_deadline(stream)
-        async with asyncio.timeout_at(first_event_at):
-            head, metadata = await self._read_head(stream, connection)
+        try:
+            async with asyncio.timeout_at(first_event_at):
+                head, metadata = await self._read_head(stream, connection)
+        finally:
+            watch.cancel()
+        self._paths.record_response(connection, placement.server_id)
         self._limits.record_response(
             placement.server_id, metadata.limit_per_s, sent_at, self._loop.time()
         )
         if head.status != 200:
             async with asyncio.timeout_at(context.deadline_at):
                 body = await connection.read_body()
-            self._pool.put(connection)
+            self._paths.put(connection)
             return self._handle_error_response(stream, placement, head, body)
         async with asyncio.timeout_at(first_event_at):
             part = await connection.read_part()
         await self._forward_events(stream, placement, connection, head, part)
-        self._pool.put(connection)
+        self._paths.put(connection)
         return _AttemptResult.DONE
 
-    def _encode_request(self, stream: _Stream, placement: Placement) -> bytes:
+    def _encode_request(
+        self, stream: _Stream, placement: Placement, connection: BackendConnection
+    ) -> bytes:
         context = stream.context
         organisation = context.organisation
         forwarding = ForwardingFields(
@@ -377,6 +402,7 @@
         head = context.head
         headers = self._dialect.request_headers(head, forwarding)
         headers.append((b"Content-Length", b"%d" % len(context.body)))
+        headers += self._paths.request_headers(connection, placement.server_id)
         return encode_request(head.method, head.target, headers) + context.body
 
     def _first_event_deadline(self, stream: _Stream) -> float:
@@ -473,6 +499,7 @@
                 )
             async with asyncio.timeout_at(context.deadline_at):
                 part = await connection.read_part()
+            self._paths.record_response(connection, placement.server_id)
         if _is_event_stream(head):
             _check_end(stream.splitter, connection, events_before)
         end = self._record_end(stream, connection, "complete")
--- a/src/galenadrum/_internal/models/routing_settings.py
+++ b/src/galenadrum/_internal/models/routing_settings.py
@@ -41,6 +41,8 @@
             balancer.
         metrics_address: IP address and port for metrics.
         control_addresses: Peer addresses of some or all control hosts.
+        relay_address: IP address and port for requests that this host forwards for
+            others; empty to forward none.
     """
 
     host_id: str
@@ -51,6 +53,7 @@
     control_addresses: tuple[str, ...]
     bounds: RoutingBounds = RoutingBounds()
     observability: ObservabilitySettings = _LOG_DEFAULTS
+    relay_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +66,8 @@
         metrics_address: IP address and port for metrics.
         seed_addresses: Peer addresses of some or all control hosts.
         is_first_start: True if the whole system starts for the first time.
+        relay_address: IP address and port for requests that this host forwards for
+            others; empty to forward none.
     """
 
     host_id: str
@@ -75,3 +80,4 @@
     is_first_start: bool = False
     bounds: RoutingBounds = RoutingBounds()
     observability: ObservabilitySettings = _LOG_DEFAULTS
+    relay_address: str = ""
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -205,6 +205,16 @@
         """How the connection ended, for logs; ``open`` while it has not."""
         return self._end
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether requests pass another host of the system."""
+        return False
+
+    @property
+    def has_response(self) -> bool:
+        """Whether the head of the current response was received."""
+        return self._head is not None
+
     @property
     def is_usable(self) -> bool:
         """Whether another request may be sent on the connection."""
@@ -317,6 +327,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """End the connection, so that reading raises an error with the reason."""
+        self._fail(reason)
+        self._notify_reader()
+
     def _fail(self, reason: str) -> None:
         if self._error is None:
             self._error = reason
@@ -348,11 +363,17 @@
 
     Args:
         on_connected: Called with the address after each new connection.
+        connection_class: Class of the connections.
     """
 
-    def __init__(self, on_connected: Callable[[str], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_connected: Callable[[str], None] | None = None,
+        connection_class: type[BackendConnection] = BackendConnection,
+    ) -> None:
         self._idle_by_address: dict[str, list[BackendConnection]] = defaultdict(list)
         self._on_connected = on_connected
+        self._connection_class = connection_class
 
     async def get(
         self, address: str, timeout_s: float, max_idle_s: float | None = None
@@ -379,7 +400,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: BackendConnection(address), host, port
+                    lambda: self._connection_class(address), host, port
                 )
         except ConnectionRefusedError as error:
             raise ConnectionRefusedByServerError(f"{address}: {error}") from error
--- a/tests/lib/routing_deployment.py
+++ b/tests/lib/routing_deployment.py
@@ -154,6 +154,7 @@
             data_folder=self._folder / zone,
             is_first_start=first,
             bounds=BOUNDS,
+            relay_address=reserve_address(),
         )
         daemon = RoutingControlDaemon(
             settings, PLATFORM_DIALECT, build_app, self._get_seed_addresses
@@ -170,6 +171,7 @@
             metrics_address=reserve_address(),
             control_addresses=self._get_seed_addresses(),
             bounds=BOUNDS,
+            relay_address=reserve_address(),
         )
         self.entry_daemon_by_zone[zone] = GatewayDaemon(
             settings, PLATFORM_DIALECT, self._get_seed_addresses
--- a/tests/lib/stream_caller.py
+++ b/tests/lib/stream_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import re
 from dataclasses import dataclass, field
 
@@ -13,6 +14,8 @@
     (b"X-Token-Usage", b"900,20"),
     (b"X-Prefix-Hash", b"5c1e:800,91bd:100"),
 )
+# Ids are unique over all callers of a test, and differ from those of `PlatformClient`.
+_numbers = itertools.count(0xC0000000)
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) piece (\d+)\n\n")
 
 
@@ -45,11 +48,10 @@
 
     def __init__(self):
         self._pool = ConnectionPool()
-        self._numbers = iter(range(1, 1_000_000))
 
     async def begin(self, address, path="/note/x", timeout_s=8.0, **more):
         """Begin a stream and return it as far as it came."""
-        stream = ReceivedStream(f"{next(self._numbers):016x}")
+        stream = ReceivedStream(f"{next(_numbers):016x}")
         await self._send(address, path, stream, stream.request_id, (), timeout_s, more)
         return stream
 
@@ -60,7 +62,7 @@
             (b"Resumes", stream.request_id.encode()),
         )
         headers = more.pop("take_up_headers", headers)
-        request_id = f"{next(self._numbers):016x}"
+        request_id = f"{next(_numbers):016x}"
         await self._send(address, path, stream, request_id, headers, timeout_s, more)
         return stream.statuses[-1]
 
