Count failures of an engine while it is paused as one

Cause: each failed request doubled the pause of its engine. A host that loses its connections fails all its streams at once, so that one event paused an engine for the longest time, for all hosts.

Change: requests that fail while their engine is paused were placed before the pause and don't extend it.

--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -393,10 +393,14 @@
             engine.remove_run(request_id)
 
     def record_failure(self, server_id: str, request_id: str, now: float) -> None:
-        """Free the slot of a failed request and pause its engine with backoff."""
+        """Free the slot of a failed request and pause its engine with backoff.
+
+        Requests that fail while the engine is paused were placed before, and are of one
+        failure.
+        """
         self.record_end(server_id, request_id)
         engine = self.engines_by_id.get(server_id)
-        if engine is not None:
+        if engine is not None and now >= engine.paused_until:
             pause_s = _INITIAL_BACKOFF_S * 2**engine.consecutive_failures
             engine.paused_until = now + min(pause_s, _MAX_BACKOFF_S)
             engine.consecutive_failures += 1
