Count the requests at brittle servers over all hosts

What callers saw: servers that say that they fall over when they reject many requests were sent requests until they rejected them, by every host for itself.

Cause: Server-Brittle was read nowhere. Class: a sum over hosts that no host keeps, as with the limits that servers name.

Change: what a server says travels with its limit. The host that gives permits counts the requests at a brittle server and grants no more than it has slots; after a rejection none for 2/N seconds, and then no more than ran. An entry host returns each permit with the outcome. Dispatchers pause a brittle engine or stage server for as long. At most 12 requests an entry host wait for room; more are refused at once.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -48,6 +48,7 @@
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.routing.server_room import ServerRoom
 from galenadrum._internal.streams.binding_table import BindingTable
 from galenadrum._internal.streams.version_history import VersionHistory
 from galenadrum._internal.streams.version_resolver import VersionResolver
@@ -108,8 +109,11 @@
             self.registry.get, lambda limit: self.links.send_limit(limit)
         )
         pacer = RequestPacer(
-            self.limits.find_rate, has_limits=lambda: len(self.limits) > 0
+            self.limits.find_rate,
+            has_limits=lambda: len(self.limits) > 0,
+            find_brittle=self.limits.find_brittle,
         )
+        room = ServerRoom(self.limits.find_brittle)
         self.versions = VersionResolver(
             BindingTable(), VersionHistory(self._find_covered_since()), self.metrics
         )
@@ -138,6 +142,7 @@
             self.quarantine,
             self.limits,
             pacer,
+            room,
             self.versions.table,
             self.binding_file.append,
         )
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from grpclib.server import Stream
 
@@ -35,6 +36,7 @@
     encode_quarantine,
     encode_server_entry,
 )
+from galenadrum._internal.gateway.permits import grant_permit
 from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.models.stream_bindings import StreamBinding
@@ -44,6 +46,7 @@
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.quarantine.request_digest import describe_suspect
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.routing.server_room import ServerRoom
 from galenadrum._internal.streams.binding_table import BindingTable
 
 logger = logging.getLogger(__name__)
@@ -74,6 +77,7 @@
         quarantine: Quarantined prompt parts that this host knows.
         limits: Limits that the servers name.
         pacer: Spaces the requests to servers that name a limit.
+        room: Requests of all hosts at brittle servers.
         bindings: Bindings of streams that this host knows.
         save_bindings: Queues bindings for this host's disk.
     """
@@ -90,6 +94,7 @@
         quarantine: PartQuarantine,
         limits: ServerLimits,
         pacer: RequestPacer,
+        room: ServerRoom,
         bindings: BindingTable,
         save_bindings: Callable[[Iterable[StreamBinding]], None],
     ) -> None:
@@ -103,6 +108,7 @@
         self._quarantine = quarantine
         self._limits = limits
         self._pacer = pacer
+        self._room = room
         self._bindings = bindings
         self._save_bindings = save_bindings
         self._rng = random.Random()
@@ -112,6 +118,18 @@
         self._renewed_server_ids: set[str] = set()
         self._last_broadcast_hosts: tuple[object, ...] = ((), 0, ())
         self._relays: tuple[pb.RelayHost, ...] = ()
+        self._handlers_by_body: dict[str, Callable[[InboundLink, Any], None]] = {
+            "hello": self._handle_hello,
+            "ping": self._handle_ping,
+            "place": self._handle_placement_request,
+            "report": self._handle_placement_report,
+            "crash": self._handle_crash,
+            "quarantine": lambda _, record: self.receive_quarantine(record),
+            "limit": lambda _, record: self.receive_limit(record),
+            "permit_request": self._handle_permit_request,
+            "permit_release": self._handle_permit_release,
+            "bindings": self._handle_bindings,
+        }
         state.add_listener(self._send_document)
 
     @property
@@ -183,13 +201,33 @@
     def _handle_permit_request(
         self, link: InboundLink, record: pb.PermitRequest
     ) -> None:
-        is_granted, wait_s = self._pacer.reserve_request(
-            record.server_id, record.max_wait_ms / 1_000, self._loop.time()
+        permit = grant_permit(
+            self._room,
+            self._pacer,
+            link.peer.host_id,
+            record.number,
+            record.server_id,
+            record.max_wait_ms / 1_000,
         )
-        permit = pb.Permit(
-            number=record.number, is_granted=is_granted, wait_ms=int(wait_s * 1_000)
+        answer = pb.Permit(
+            number=record.number,
+            is_granted=permit.is_granted,
+            wait_ms=int(permit.wait_s * 1_000),
+            is_for_room=permit.is_for_room,
+            server_id=record.server_id,
+        )
+        link.send(pb.LinkMessage(permit=answer))
+
+    def _handle_permit_release(
+        self, link: InboundLink, record: pb.PermitRelease
+    ) -> None:
+        self._room.release(
+            record.server_id,
+            link.peer.host_id,
+            record.number,
+            record.is_rejected,
+            self._loop.time(),
         )
-        link.send(pb.LinkMessage(permit=permit))
 
     def send_hello(self) -> None:
         """Send an updated hello message on all links."""
@@ -256,30 +294,21 @@
 
     def _handle_message(self, link: InboundLink, message: pb.LinkMessage) -> None:
         body = message.WhichOneof("body")
-        if body == "hello":
-            self._handle_hello(link, message.hello)
-        elif body == "ping":
-            link.send(self._configurations.pong(message.ping))
-        elif body == "place":
-            self._handle_placement_request(link, message.place)
-        elif body == "report":
-            self._handle_placement_report(link, message.report)
-        elif body == "crash":
-            now = self._loop.time()
-            evidence = self._dispatch.record_crash(decode_crash(message.crash, now))
-            self._broadcast(encode_crash(evidence, now), is_control=True)
-        elif body == "quarantine":
-            self.receive_quarantine(message.quarantine)
-        elif body == "limit":
-            self.receive_limit(message.limit)
-        elif body == "permit_request":
-            self._handle_permit_request(link, message.permit_request)
-        elif body == "bindings":
-            self._handle_bindings(link, message.bindings)
-        else:
+        handle = self._handlers_by_body.get(body)
+        if handle is None:
             logger.warning(
                 "unexpected message %s from host %s", body, link.peer.host_id
             )
+            return
+        handle(link, getattr(message, body))
+
+    def _handle_ping(self, link: InboundLink, record: pb.LinkPing) -> None:
+        link.send(self._configurations.pong(record))
+
+    def _handle_crash(self, _: InboundLink, record: pb.ServerCrash) -> None:
+        now = self._loop.time()
+        evidence = self._dispatch.record_crash(decode_crash(record, now))
+        self._broadcast(encode_crash(evidence, now), is_control=True)
 
     def _handle_bindings(self, link: InboundLink, record: pb.StreamBindings) -> None:
         bindings = decode_bindings(record, self._loop.time())
@@ -315,6 +344,7 @@
         if link in self._links:
             self._links.discard(link)
             logger.info("link of host %s closed", link.peer.host_id)
+            self._room.release_all(link.peer.host_id)
         self._dispatch.abandon(list(self._request_ids_by_link.pop(link, ())))
 
     def _handle_placement_request(
--- a/src/galenadrum/_internal/directory/server_limits.py
+++ b/src/galenadrum/_internal/directory/server_limits.py
@@ -11,6 +11,7 @@
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.models.server_limits import ServerLimit
+from galenadrum._internal.routing.server_room import BrittleServer
 
 logger = logging.getLogger(__name__)
 
@@ -35,22 +36,40 @@
 
     def __len__(self) -> int:
         limits = self._limits_by_server.values()
-        return sum(limit.per_s is not None for limit in limits)
+        return sum(limit.is_limited for limit in limits)
 
     def find_rate(self, server_id: str) -> float | None:
         """Return the requests per second that a server accepts, None if unlimited."""
         known = self._find_current(server_id)
         return known.per_s if known is not None else None
 
+    def is_limited(self, server_id: str) -> bool:
+        """Return whether requests to a server need a permit."""
+        known = self._find_current(server_id)
+        return known is not None and known.is_limited
+
+    def find_brittle(self, server_id: str) -> BrittleServer | None:
+        """Return what is known of a server that is brittle, None if it isn't."""
+        known = self._find_current(server_id)
+        if known is None or known.max_rejections_per_s is None:
+            return None
+        announcement = self._find_server(server_id).announcement
+        return BrittleServer(announcement.concurrency, known.max_rejections_per_s)
+
     def list_limits(self) -> list[ServerLimit]:
         """Return the limits of the servers' current incarnations."""
         current = map(self._find_current, list(self._limits_by_server))
         return [limit for limit in current if limit is not None]
 
     def record_response(
-        self, server_id: str, per_s: float | None, sent_at: float, now: float
+        self,
+        server_id: str,
+        per_s: float | None,
+        sent_at: float,
+        now: float,
+        max_rejections_per_s: float | None = None,
     ) -> None:
-        """Record the limit that a response names.
+        """Record the limits that a response names.
 
         Args:
             server_id: Id of the server.
@@ -59,19 +78,26 @@
                 responses may overtake each other.
             sent_at: Loop time in seconds at which the request was sent.
             now: Loop time in seconds.
+            max_rejections_per_s: Rejections in a second that a brittle server survives;
+                None if it isn't brittle, which ends it in the same way.
         """
         known = self._find_current(server_id)
-        if per_s is None and (
-            known is None or known.per_s is None or sent_at <= known.heard_at
-        ):
+        if known is not None and sent_at <= known.heard_at:
+            per_s = known.per_s if per_s is None else per_s
+            if max_rejections_per_s is None:
+                max_rejections_per_s = known.max_rejections_per_s
+        named = (per_s, max_rejections_per_s)
+        if named == (None, None) and (known is None or not known.is_limited):
             return
-        if known is not None and known.per_s == per_s:
+        if known is not None and named == (known.per_s, known.max_rejections_per_s):
             self._limits_by_server[server_id] = replace(known, heard_at=now)
             return
         entry = self._find_server(server_id)
         if entry is not None:
             incarnation_ms = entry.announcement.incarnation_ms
-            limit = ServerLimit(server_id, incarnation_ms, per_s, now)
+            limit = ServerLimit(
+                server_id, incarnation_ms, per_s, now, max_rejections_per_s
+            )
             self._store(limit, known)
             self._on_changed(limit)
 
@@ -87,7 +113,9 @@
         known = self._find_current(limit.server_id)
         if known is not None and limit.heard_at <= known.heard_at:
             return False
-        if limit.per_s == (known.per_s if known else None):
+        if known is None and not limit.is_limited:
+            return False
+        if known is not None and replace(limit, heard_at=known.heard_at) == known:
             return False
         self._store(limit, known)
         return True
@@ -115,3 +143,12 @@
             limit.per_s,
             known.per_s if known else None,
         )
+        before = known.max_rejections_per_s if known else None
+        if limit.max_rejections_per_s != before:
+            logger.info(
+                "server %s falls over when it rejects more than %s requests per second "
+                "(before: %s)",
+                limit.server_id,
+                limit.max_rejections_per_s,
+                before,
+            )
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -314,11 +314,13 @@
             connection.close()
             return CallFailure.BROKEN
         self._pool.put(connection)
+        metadata = self._dialect.parse_response_head(head)
         self._limits.record_response(
             call.server.server_id,
-            self._dialect.parse_response_head(head).limit_per_s,
+            metadata.limit_per_s,
             sent_at,
             self._loop.time(),
+            metadata.max_rejections_per_s,
         )
         return self._dialect.stage_results(head, body, call)
 
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -402,6 +402,9 @@
         engine = self.engines_by_id.get(server_id)
         if engine is not None and now >= engine.paused_until:
             pause_s = _INITIAL_BACKOFF_S * 2**engine.consecutive_failures
+            brittle = self._pacer.find_brittle(server_id)
+            if brittle is not None:
+                pause_s = max(pause_s, brittle.rejection_pause_s)
             engine.paused_until = now + min(pause_s, _MAX_BACKOFF_S)
             engine.consecutive_failures += 1
 
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -537,6 +537,9 @@
 
     def _back_off(self, server: StageServer, now: float) -> None:
         pause_s = _INITIAL_BACKOFF_S * 2**server.consecutive_failures
+        brittle = self._pacer.find_brittle(server.announcement.server_id)
+        if brittle is not None:
+            pause_s = max(pause_s, brittle.rejection_pause_s)
         server.paused_until = now + min(pause_s, _MAX_BACKOFF_S)
         server.consecutive_failures += 1
 
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -59,6 +59,7 @@
 from galenadrum._internal.quarantine.request_digest import describe_suspect
 from galenadrum._internal.quarantine.request_successes import RequestSuccesses
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.routing.server_room import ServerRoom
 from galenadrum._internal.streams.binding_table import BindingTable
 from galenadrum._internal.streams.version_history import VersionHistory
 from galenadrum._internal.streams.version_resolver import VersionResolver
@@ -111,6 +112,7 @@
             self.limits.find_rate,
             lambda: 1 / max(1, self.links.entry_hosts),
             lambda: len(self.limits) > 0,
+            self.limits.find_brittle,
         )
         self._pool = ConnectionPool(
             lambda _: self.metrics.increment("connections_opened")
@@ -160,7 +162,12 @@
         self.bindings = BindingRecorder(
             self.versions.table, lambda: self.links.links_up(), self.metrics
         )
-        self.permits = PermitClient(lambda: choose_link(self.links.links_up()), pacer)
+        room = ServerRoom(
+            self.limits.find_brittle, lambda: 1 / max(1, self.links.entry_hosts)
+        )
+        self.permits = PermitClient(
+            lambda: choose_link(self.links.links_up()), pacer, room
+        )
         self.links = ControlLinks(
             self._build_hello,
             seeds,
@@ -313,7 +320,7 @@
         elif body == "limit":
             self.limits.merge(decode_limit(message.limit, self._loop.time()))
         elif body == "permit":
-            self.permits.handle_permit(message.permit)
+            self.permits.handle_permit(link, message.permit)
         elif body == "bindings_recorded":
             self.bindings.handle_answer(message.bindings_recorded.number)
         else:
--- a/src/galenadrum/_internal/gateway/dialect.py
+++ b/src/galenadrum/_internal/gateway/dialect.py
@@ -73,6 +73,8 @@
         slots: Number of requests that the server can run at once.
         limit_per_s: Requests per second that the server accepts from all hosts
             together; None if it names no limit.
+        max_rejections_per_s: Requests that the server can reject in a second for want
+            of room without falling over; None if it isn't brittle.
     """
 
     request_id: str
@@ -82,6 +84,7 @@
     waiting: int = 0
     slots: int = 0
     limit_per_s: float | None = None
+    max_rejections_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -273,6 +273,7 @@
             incarnation_ms=limit.incarnation_ms,
             per_s=limit.per_s,
             age_ms=max(0, int((now - limit.heard_at) * _MS_PER_S)),
+            max_rejections_per_s=limit.max_rejections_per_s,
         )
     )
 
@@ -284,6 +285,11 @@
         record.incarnation_ms,
         record.per_s if record.HasField("per_s") else None,
         now - record.age_ms / _MS_PER_S,
+        (
+            record.max_rejections_per_s
+            if record.HasField("max_rejections_per_s")
+            else None
+        ),
     )
 
 
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -50,6 +50,8 @@
 _HANG_TIMEOUT_FACTOR = 4.0
 _MIN_HANG_TIMEOUT_S = 0.25
 _RETRY_AFTER_S = 0.3
+# Requests of this host that wait for room at brittle servers; more are refused.
+_MAX_WAITING_FOR_ROOM = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,21 @@
     metadata: ResponseMetadata
 
 
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """A server for a request.
+
+    Attributes:
+        entry: The server, None if there is none.
+        permit: Permit to send the request, to be released when it has ended.
+        wait_s: Seconds until one may be sent a request, None if no limit is the reason.
+    """
+
+    entry: ServerEntry | None
+    permit: Permit = Permit(True, 0.0)
+    wait_s: float | None = None
+
+
 class PlainForwarder:
     """Sends a request to one server after another until one responds."""
 
@@ -89,6 +106,7 @@
         self._permits = permits
         self._answers = answers
         self._metrics = metrics
+        self._waiting = 0
         self._loop = asyncio.get_running_loop()
 
     async def forward(self, exchange: Exchange, context: RequestContext) -> None:
@@ -102,19 +120,26 @@
             if now + MIN_SEND_TIME_S >= context.deadline_at:
                 failure = "deadline"
                 break
-            entry, wait_s = await self._choose_server(context, attempts)
-            if entry is None:
-                if wait_s is not None:
-                    failure, retry_after_s = "limited", wait_s
+            choice = await self._choose_server(context, attempts)
+            if choice.entry is None:
+                if choice.wait_s is not None:
+                    failure, retry_after_s = "limited", choice.wait_s
                 break
             if self._quarantine.find_in_force(context.suspect_ids, now):
                 failure = "quarantined"
-                break
-            if not attempts.is_first and not self._budgets.withdraw(context.service):
+            elif not attempts.is_first and not self._budgets.withdraw(context.service):
                 failure = "retry_budget"
+            else:
+                failure = ""
+            if failure:
+                self._permits.release(choice.permit)
                 break
+            entry = choice.entry
             attempts.excluded_ids.add(entry.server_id)
-            reply, failure = await self._send_request(context, entry, attempts)
+            try:
+                reply, failure = await self._send_request(context, entry, attempts)
+            finally:
+                self._permits.release(choice.permit, failure == "overloaded")
             if reply is not None and not self._should_retry(reply, attempts):
                 self._send_reply(exchange, context, reply, entry)
                 return
@@ -130,15 +155,11 @@
 
     async def _choose_server(
         self, context: RequestContext, attempts: Attempts
-    ) -> tuple[ServerEntry | None, float | None]:
+    ) -> _Choice:
         """Choose a server that may be sent the request now.
 
         If all servers are at the limits that they name, wait for the first of them
         while the objective or, once that is missed, the deadline allows.
-
-        Returns:
-            The server, None if there is none; and the seconds until one may be sent a
-            request, None if no limit is the reason.
         """
         wait_s_by_server: dict[str, float] = {}
         while True:
@@ -150,30 +171,49 @@
                 break
             permit = await self._request_permit(entry.server_id, 0.0)
             if permit.is_granted:
-                return entry, None
+                return _Choice(entry, permit)
             wait_s_by_server[entry.server_id] = permit.wait_s
         if not wait_s_by_server:
-            return None, None
+            return _Choice(None)
         return await self._wait_for_server(context, wait_s_by_server)
 
     async def _wait_for_server(
         self, context: RequestContext, wait_s_by_server: dict[str, float]
-    ) -> tuple[ServerEntry | None, float | None]:
-        server_id = min(wait_s_by_server, key=wait_s_by_server.__getitem__)
+    ) -> _Choice:
         now = self._loop.time()
         objective_at = context.first_requested_at + context.route.objective_s
         due_at = objective_at if objective_at > now else context.deadline_at
-        permit = await self._request_permit(
-            server_id, min(due_at, context.deadline_at) - now - MIN_SEND_TIME_S
-        )
-        if not permit.is_granted:
-            return None, permit.wait_s
+        due_at = min(due_at, context.deadline_at) - MIN_SEND_TIME_S
+        self._waiting += 1
+        try:
+            return await self._poll_for_permit(wait_s_by_server, due_at)
+        finally:
+            self._waiting -= 1
+
+    async def _poll_for_permit(
+        self, wait_s_by_server: dict[str, float], due_at: float
+    ) -> _Choice:
+        while True:
+            server_id = min(wait_s_by_server, key=wait_s_by_server.__getitem__)
+            left_s = due_at - self._loop.time()
+            permit = await self._request_permit(server_id, left_s)
+            if permit.is_granted:
+                break
+            is_crowded = self._waiting > _MAX_WAITING_FOR_ROOM
+            if is_crowded or not permit.is_for_room or permit.wait_s >= left_s:
+                return _Choice(None, wait_s=max(permit.wait_s, _RETRY_AFTER_S))
+            # The others may have room first.
+            wait_s_by_server[server_id] = permit.wait_s + max(wait_s_by_server.values())
+            await asyncio.sleep(permit.wait_s)
         await asyncio.sleep(permit.wait_s)
         # It may have left meanwhile.
-        return self._balancer.find_server(server_id), None
+        entry = self._balancer.find_server(server_id)
+        if entry is None:
+            self._permits.release(permit)
+        return _Choice(entry, permit)
 
     async def _request_permit(self, server_id: str, max_wait_s: float) -> Permit:
-        if self._limits.find_rate(server_id) is None:
+        if not self._limits.is_limited(server_id):
             return Permit(True, 0.0)
         if max_wait_s < 0:
             return Permit(False, _RETRY_AFTER_S)
@@ -359,7 +399,11 @@
         now = self._loop.time()
         server_id = entry.server_id
         self._limits.record_response(
-            server_id, reply.metadata.limit_per_s, started_at, now
+            server_id,
+            reply.metadata.limit_per_s,
+            started_at,
+            now,
+            reply.metadata.max_rejections_per_s,
         )
         if reply.metadata.did_not_run or reply.head.status == 421:
             attempts.rejections += 1
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -373,7 +373,11 @@
             watch.cancel()
         self._paths.record_response(connection, placement.server_id)
         self._limits.record_response(
-            placement.server_id, metadata.limit_per_s, sent_at, self._loop.time()
+            placement.server_id,
+            metadata.limit_per_s,
+            sent_at,
+            self._loop.time(),
+            metadata.max_rejections_per_s,
         )
         if head.status != 200:
             async with asyncio.timeout_at(context.deadline_at):
--- a/src/galenadrum/_internal/routing/request_pacer.py
+++ b/src/galenadrum/_internal/routing/request_pacer.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from galenadrum._internal.routing.server_room import BrittleServer
+
 # A server that accepts no requests is sent one now and then, as only a response can
 # end its limit.
 _MIN_RATE_PER_S = 0.1
@@ -37,6 +39,7 @@
             names no limit.
         share: Returns the share of each limit that this host may use.
         has_limits: Returns whether any server names a limit.
+        find_brittle: Returns what is known of a server that is brittle, else None.
     """
 
     def __init__(
@@ -44,10 +47,12 @@
         find_rate: Callable[[str], float | None],
         share: Callable[[], float] = lambda: 1.0,
         has_limits: Callable[[], bool] = lambda: True,
+        find_brittle: Callable[[str], BrittleServer | None] = lambda server_id: None,
     ) -> None:
         self._find_rate = find_rate
         self._share = share
         self.has_limits = has_limits
+        self.find_brittle = find_brittle
         self._schedules_by_server: dict[str, _Schedule] = {}
 
     def find_rate(self, server_id: str) -> float | None:
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -44,6 +44,11 @@
         lethal_piece_keys: Keys of stage pieces that crash it when it begins their call.
         has_crashed: Whether one of these has crashed it.
         limit_per_s: Limit that its responses name; None for none.
+        brittle_at: Rejections in a second at which it crashes, named in its responses;
+            None if it isn't brittle.
+        slots: Requests that it runs at once; more are rejected. None for no limit.
+        rejected_at: Loop times in seconds at which it rejected requests for want of
+            room.
         received_at: Loop times in seconds at which requests arrived.
     """
 
@@ -75,6 +80,10 @@
         self.lethal_piece_keys = set()
         self.has_crashed = False
         self.limit_per_s = None
+        self.brittle_at = None
+        self.slots = None
+        self.rejected_at = []
+        self._running = 0
         self.received_at = []
         self._sequence = itertools.count(1)
         self._handles = itertools.count(1)
@@ -129,9 +138,12 @@
         return [h for h in headers if not ("unsigned" in self.faults and b"s." in h[1])]
 
     def _limit_headers(self):
-        if self.limit_per_s is None:
-            return []
-        return [(b"Server-Limit", b"%g" % self.limit_per_s)]
+        headers = []
+        if self.limit_per_s is not None:
+            headers.append((b"Server-Limit", b"%g" % self.limit_per_s))
+        if self.brittle_at is not None:
+            headers.append((b"Server-Brittle", b"%d" % self.brittle_at))
+        return headers
 
     async def _run_request(self, exchange):
         head = exchange.head
@@ -142,6 +154,26 @@
         if "reject" in self.faults:
             exchange.respond(503, [(b"X-Not-Executed", b"1")], b"")
             return
+        if self.slots is not None and self._running >= self.slots:
+            self._reject_for_room(exchange)
+            return
+        self._running += 1
+        try:
+            await self._run_accepted(exchange, request_id)
+        finally:
+            self._running -= 1
+
+    def _reject_for_room(self, exchange):
+        now = asyncio.get_running_loop().time()
+        self.rejected_at.append(now)
+        headers = [(b"X-Not-Executed", b"1"), *self._limit_headers()]
+        exchange.respond(503, headers, b"")
+        recent = sum(at > now - 1.0 for at in self.rejected_at)
+        if self.brittle_at is not None and recent > self.brittle_at:
+            self.crash()
+
+    async def _run_accepted(self, exchange, request_id):
+        head = exchange.head
         self.run_count_by_request_id[request_id] += 1
         self.head_by_request_id[request_id] = head
         self.body_by_id[request_id] = exchange.body
--- a/tests/unit/gateway/test_permits.py
+++ b/tests/unit/gateway/test_permits.py
@@ -7,6 +7,7 @@
 from galenadrum._internal.gateway.permits import Permit, PermitClient
 from galenadrum._internal.protocol import gateway_pb2 as pb
 from galenadrum._internal.routing.request_pacer import RequestPacer
+from galenadrum._internal.routing.server_room import ServerRoom
 from lib.paused_loop import run_paused
 
 
@@ -24,7 +25,8 @@
 
 
 def build_client(link):
-    return PermitClient(lambda: link, RequestPacer(lambda server_id: 0.5))
+    room = ServerRoom(lambda server_id: None)
+    return PermitClient(lambda: link, RequestPacer(lambda server_id: 0.5), room)
 
 
 class TestPermit:
@@ -37,8 +39,9 @@
             (request,) = link.requests
             assert (request.server_id, request.max_wait_ms) == ("s", 300)
             answer = pb.Permit(number=request.number, is_granted=True, wait_ms=200)
-            client.handle_permit(answer)
-            assert await task == Permit(True, 0.2)
+            client.handle_permit(link, answer)
+            permit = await task
+            assert (permit.is_granted, permit.wait_s) == (True, 0.2)
 
         run_paused(run())
 
@@ -59,7 +62,7 @@
             client = build_client(link)
             await client.request_permit("s", 5.0)
             number = link.requests[0].number
-            client.handle_permit(pb.Permit(number=number, is_granted=True))
+            client.handle_permit(link, pb.Permit(number=number, is_granted=True))
 
         run_paused(run())
 
