--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -68,6 +68,7 @@
     "engine_release",
     "kill_entries",
     "kill_controls",
+    "cut_off",
     "silence",
 )
 LETHAL_PART = b"dead"
@@ -542,6 +543,8 @@
             self._relay.silence()
         elif fault == "replace":
             await self._replace_control()
+        elif fault == "cut_off":
+            await self._cut_off()
         elif fault.startswith("kill_"):
             hosts = self.entries if fault == "kill_entries" else self.controls
             await asyncio.gather(*(self._restart(host, "kill") for host in hosts))
@@ -695,6 +698,16 @@
         for host in hosts:
             host.start()
 
+    async def _cut_off(self):
+        """Cut entry hosts off from the servers, one or all; relayed ones excepted."""
+        hosts = self.rng.sample(self.entries, self.rng.randint(1, len(self.entries)))
+        mode = self.rng.choice(["hang", "refuse", "live"])
+        for host in hosts:
+            host.cut_off(mode)
+        await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+        for host in hosts:
+            host.cut_off("")
+
     def _all_controls_run(self):
         return all(host.process.poll() is None for host in self.controls)
 
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -26,6 +26,8 @@
         announced_address: Address in its heartbeats, which may be that of a relay.
         events: Number of events in a stream; 0 disables streams.
         event_interval_s: Time between two events, in seconds.
+        silence_s: Time for which it sends nothing before one event, in seconds.
+        silent_before: Number of that event.
         software_version: Version of its software in its heartbeats.
         names_version: Whether the text of each event names that version.
         work_s: Time that a request or stage call runs, in seconds.
@@ -60,6 +62,8 @@
         self.zone = zone
         self.events = events
         self.event_interval_s = EVENT_INTERVAL_S
+        self.silence_s = 0.0
+        self.silent_before = 1
         self.software_version = "v1"
         self.names_version = False
         self.work_s = work_s
@@ -235,6 +239,8 @@
                 else:
                     exchange.abort()
                 return
+            if number == self.silent_before:
+                await asyncio.sleep(self.silence_s)
             event_id = b"" if "anonymous" in self.faults else b"id: %d\n" % number
             text = b"piece %d" % number
             if self.names_version:
