Count a server as down once another host has failed to reach it too

What callers would have seen: a request to a server without power waited for up to three other hosts, 0.4 s each, where it had waited once before.

Cause: the answer of a host that tried and failed told no more than that of a host that is cut off as well, so that the next one was asked.

Change: a host that fails to connect for another asks a control host whether it is cut off itself, for 0.15 s at most, and says so (cut_off); else the server counts as down for a second, and its requests fail after one connection, as before. Whether a server crashed is decided by two hosts that fail, control hosts first.

Measured: test_is_given_up_after_one_other_host_failed_too, and the tests of cut-off hosts, relayed requests, joined versions, silent servers and crashing requests pass.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -65,6 +65,12 @@
 # Control hosts forward requests only where no entry host reaches the server.
 _MAX_RELAYED_REQUESTS = 32
 
+
+async def _is_never_cut_off(server_id: str, reason: str) -> bool:
+    # A control host has no other way to a server.
+    return False
+
+
 ApiApp = Callable[[RoutingApi], Callable[[Exchange], Awaitable[None]]]
 
 
@@ -225,6 +231,7 @@
             self._pool,
             self.registry.get,
             lambda server_id: False,
+            _is_never_cut_off,
             _MAX_RELAYED_REQUESTS,
             self.metrics,
         )
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -136,6 +136,7 @@
             self._pool,
             self.servers.registry.get,
             self.paths.is_cut_off,
+            self.paths.verify_cut,
             _MAX_RELAYED_REQUESTS,
             self.metrics,
         )
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.gateway.dialect import Dialect
@@ -46,6 +46,7 @@
     max_header_bytes=64 * 1024, max_body_bytes=16 * 1024 * 1024
 )
 _CONNECT_TIMEOUT_S = 0.4
+_VERIFY_TIMEOUT_S = 0.15
 # A server may close a connection that was idle for longer while a request is on its
 # way, and the request may not be repeatable.
 _MAX_IDLE_S = 0.5
@@ -62,6 +63,8 @@
         pool: Connections to the backend servers.
         find_server: Returns the directory entry of a server id, None if unknown.
         is_cut_off: Returns whether this host can't reach a server itself.
+        verify_cut: Returns whether this host is cut off from a server to which it can't
+            connect for the given reason.
         max_requests: Requests that are forwarded at the same time.
         metrics: Counts the requests by outcome.
     """
@@ -72,6 +75,7 @@
         pool: ConnectionPool,
         find_server: Callable[[str], ServerEntry | None],
         is_cut_off: Callable[[str], bool],
+        verify_cut: Callable[[str, str], Awaitable[bool]],
         max_requests: int,
         metrics: Metrics,
     ) -> None:
@@ -79,10 +83,12 @@
         self._pool = pool
         self._find_server = find_server
         self._is_cut_off = is_cut_off
+        self._verify_cut = verify_cut
         self._max_requests = max_requests
         self._metrics = metrics
         self.is_stopping = False
         self._running = 0
+        self._checks: set[asyncio.Future[bool]] = set()
         metrics.register_gauge("relayed_running", lambda: self._running)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -99,7 +105,7 @@
             self._respond(exchange, RelayOutcome.UNKNOWN_SERVER)
             return
         if self._is_cut_off(server_id):
-            self._respond(exchange, RelayOutcome.UNREACHABLE)
+            self._respond(exchange, RelayOutcome.CUT_OFF)
             return
         self._running += 1
         try:
@@ -121,7 +127,9 @@
                 )
         except ConnectError as error:
             logger.info("server %s can't be reached either: %s", entry.server_id, error)
-            self._respond(exchange, RelayOutcome.UNREACHABLE)
+            is_cut_off = not is_check and await self._verify_soon(entry, str(error))
+            outcome = RelayOutcome.CUT_OFF if is_cut_off else RelayOutcome.UNREACHABLE
+            self._respond(exchange, outcome)
             return
         if is_check:
             self._respond(exchange, RelayOutcome.REACHABLE)
@@ -142,6 +150,20 @@
                 raise
             self._record(exchange, entry, "cancelled by its sender", "cancelled")
 
+    async def _verify_soon(self, entry: ServerEntry, reason: str) -> bool:
+        """Return whether this host is found to be cut off from a server at once.
+
+        A server without power lets every host that is asked wait; the sender doesn't.
+        """
+        check = asyncio.ensure_future(self._verify_cut(entry.server_id, reason))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+        try:
+            async with asyncio.timeout(_VERIFY_TIMEOUT_S):
+                return await asyncio.shield(check)
+        except TimeoutError:
+            return False
+
     async def _forward(
         self, exchange: Exchange, entry: ServerEntry, connection: BackendConnection
     ) -> None:
--- a/src/galenadrum/_internal/gateway/server_paths.py
+++ b/src/galenadrum/_internal/gateway/server_paths.py
@@ -42,6 +42,10 @@
 _MAX_RELAYS_TRIED = 3
 # Time for which a host that could not forward a request is avoided.
 _RELAY_PAUSE_S = 1.0
+# Time for which a server that another host failed to reach as well counts as down.
+_DOWN_S = 1.0
+# Hosts that can't reach a server either, after which it counts as down.
+_MAX_UNREACHABLE_ANSWERS = 2
 # A request without a response for this long, from a server that sends nothing else
 # either, has its path checked.
 _SILENCE_S = 0.4
@@ -107,6 +111,7 @@
         self._heard_at = float("-inf")
         self._checks_by_server: dict[str, asyncio.Task[None]] = {}
         self._paused_until_by_relay: dict[str, float] = {}
+        self._down_until_by_server: dict[str, float] = {}
         self._cut_added = asyncio.Event()
         self._known_server_ids: Callable[[], list[str]] = lambda: []
         metrics.register_gauge(
@@ -153,7 +158,9 @@
                 if connection.is_fresh:
                     self._reachability.record_success(server_id)
                 return connection
-        connection = await self._connect_relay(server_id, max_idle_s, attempts)
+        connection = None
+        if not self._is_down(server_id):
+            connection = await self._connect_relay(server_id, max_idle_s, attempts)
         if connection is not None:
             return connection
         raise attempts.error or ConnectError(
@@ -161,10 +168,14 @@
         )
 
     async def _connect_relay(
-        self, server_id: str, max_idle_s: float | None, attempts: PathAttempts
+        self,
+        server_id: str,
+        max_idle_s: float | None,
+        attempts: PathAttempts,
+        prefers_control: bool = False,
     ) -> RelayedConnection | None:
         while len(attempts.relay_addresses) < _MAX_RELAYS_TRIED:
-            relay = self._choose_relay(attempts.relay_addresses)
+            relay = self._choose_relay(attempts.relay_addresses, prefers_control)
             if relay is None:
                 return None
             attempts.relay_addresses.add(relay.address)
@@ -182,8 +193,8 @@
             return connection
         return None
 
-    def _choose_relay(self, tried: set[str]) -> RelayHost | None:
-        """Return a host that may reach the server, an entry host if there is one."""
+    def _choose_relay(self, tried: set[str], prefers_control: bool) -> RelayHost | None:
+        """Return a host that may reach the server, None if all were tried."""
         now = self._loop.time()
         candidates = [
             relay
@@ -194,7 +205,7 @@
             candidates,
             key=lambda relay: (
                 now < self._paused_until_by_relay.get(relay.address, 0.0),
-                relay.is_control,
+                relay.is_control is not prefers_control,
                 self._rng.random(),
             ),
             default=None,
@@ -212,6 +223,12 @@
                 self._record_cut(server_id)
         else:
             self._pause_relay(relay_address)
+            if outcome is RelayOutcome.UNREACHABLE and not self.is_cut_off(server_id):
+                self._down_until_by_server[server_id] = self._loop.time() + _DOWN_S
+
+    def _is_down(self, server_id: str) -> bool:
+        """Return whether another host has just failed to reach a server as well."""
+        return self._loop.time() < self._down_until_by_server.get(server_id, 0.0)
 
     def request_headers(
         self, connection: BackendConnection, server_id: str
@@ -283,17 +300,25 @@
         try:
             await self._pool.open_idle(entry.announcement.address, _CONNECT_TIMEOUT_S)
         except ConnectError as error:
-            self._reachability.record_failure(server_id, str(error))
-            await self.is_reachable_elsewhere(server_id)
+            await self.verify_cut(server_id, str(error))
             return
         self._heard_at = self._heard_at_by_server[server_id] = self._loop.time()
         self._reachability.record_success(server_id)
 
+    async def verify_cut(self, server_id: str, reason: str) -> bool:
+        """Return whether this host is cut off from a server that it failed to reach."""
+        self._reachability.record_failure(server_id, reason)
+        return await self.is_reachable_elsewhere(server_id)
+
     async def is_reachable_elsewhere(self, server_id: str) -> bool:
-        """Ask other hosts whether they reach a server that this host does not."""
+        """Ask other hosts whether they reach a server that this host does not.
+
+        Control hosts are asked first, as they are rarely cut off with entry hosts.
+        """
         attempts = PathAttempts()
-        while True:
-            connection = await self._connect_relay(server_id, None, attempts)
+        refusals = 0
+        while refusals < _MAX_UNREACHABLE_ANSWERS:
+            connection = await self._connect_relay(server_id, None, attempts, True)
             if connection is None:
                 return False
             headers = relay_headers(server_id, self._host_id)
@@ -306,9 +331,11 @@
                 connection.close()
                 if error.outcome is RelayOutcome.REACHABLE:
                     return True
+                refusals += error.outcome is RelayOutcome.UNREACHABLE
             except (BackendError, TimeoutError):
                 connection.close()
                 self._pause_relay(connection.address)
+        return False
 
     def _record_cut(self, server_id: str) -> None:
         if server_id in self._cut_since_by_server:
@@ -353,6 +380,7 @@
         """Forget a server that left."""
         self._cut_since_by_server.pop(server_id, None)
         self._heard_at_by_server.pop(server_id, None)
+        self._down_until_by_server.pop(server_id, None)
         self._reachability.remove_server(server_id)
 
     async def run(self) -> None:
--- a/src/galenadrum/_internal/network/relayed_connection.py
+++ b/src/galenadrum/_internal/network/relayed_connection.py
@@ -26,11 +26,16 @@
 
 
 class RelayOutcome(StrEnum):
-    """What a relaying host did with a request; only FORWARDED ones were sent."""
+    """What a relaying host did with a request; only FORWARDED ones were sent.
+
+    After UNREACHABLE it has tried to connect; after CUT_OFF it knows that others reach
+    the server.
+    """
 
     FORWARDED = "forwarded"
     REACHABLE = "reachable"
     UNREACHABLE = "unreachable"
+    CUT_OFF = "cut_off"
     UNKNOWN_SERVER = "unknown_server"
     BUSY = "busy"
     STOPPING = "stopping"
--- a/tests/functional/routing/test_relayed_requests.py
+++ b/tests/functional/routing/test_relayed_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from galenadrum._internal.network.http1.client import (
+    ConnectError,
     ConnectionRefusedByServerError,
 )
 from lib.routing_deployment import run_deployment
@@ -172,6 +173,34 @@
         run_steps(tmp_path, steps)
 
 
+class TestServerThatIsDown:
+    # Each host that is asked may wait for a server without power.
+    def test_is_given_up_after_one_other_host_failed_too(self, tmp_path):
+        async def steps(deployment):
+            daemons = [
+                *deployment.entry_daemon_by_zone.values(),
+                *deployment.control_daemon_by_zone.values(),
+            ]
+            tried = []
+            for daemon in daemons:
+
+                async def hang(address, timeout_s, daemon=daemon):
+                    tried.append(daemon)
+                    await asyncio.sleep(timeout_s)
+                    raise ConnectError(f"{address}: timed out")
+
+                daemon._pool._connect = hang
+                for address in list(daemon._pool._idle_by_address):
+                    daemon._pool.close_idle(address)
+            for _ in range(2):
+                _, status, _, _ = await deployment.send_request("/confirm/x")
+                assert status == 503
+            # This host for each request; another host, and the two that it asks, once.
+            assert len(tried) == 5
+
+        run_steps(tmp_path, steps)
+
+
 class TestEndOfCut:
     def test_host_that_reaches_its_servers_again_sends_directly(self, tmp_path):
         async def steps(deployment):
