--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -77,7 +77,7 @@
 # before it is killed.
 _SHUTDOWN_MARGIN_S = 0.6
 _DRAIN_POLL_S = 0.05
-# Half of what a small host streams at its busiest; its own callers go first.
+# Forwarded requests at the same time; its own callers go first.
 _MAX_RELAYED_REQUESTS = 96
 
 
@@ -125,12 +125,12 @@
             settings.relay_address,
             self._pool,
             self.servers.registry.get,
+            self._list_server_ids,
             lambda: self.links.relays,
             Reachability(self.metrics),
             self.metrics,
             rng,
         )
-        self.paths.set_server_list(self._list_server_ids)
         self._relay = RelayService(
             dialect,
             self._pool,
--- a/src/galenadrum/_internal/gateway/server_paths.py
+++ b/src/galenadrum/_internal/gateway/server_paths.py
@@ -79,6 +79,7 @@
         own_address: Address on which this host forwards requests of others.
         pool: Direct connections to the backend servers.
         find_server: Returns the directory entry of a server id, None if unknown.
+        list_server_ids: Returns the ids of all servers that take requests.
         relays: Returns the hosts that forward requests.
         reachability: Records failed and established connections.
         metrics: Counts the requests through other hosts by outcome.
@@ -91,6 +92,7 @@
         own_address: str,
         pool: ConnectionPool,
         find_server: Callable[[str], ServerEntry | None],
+        list_server_ids: Callable[[], list[str]],
         relays: Callable[[], tuple[RelayHost, ...]],
         reachability: Reachability,
         metrics: Metrics,
@@ -101,6 +103,7 @@
         self._pool = pool
         self._relay_pool = ConnectionPool(connection_class=RelayedConnection)
         self._find_server = find_server
+        self._list_server_ids = list_server_ids
         self._relays = relays
         self._reachability = reachability
         self._metrics = metrics
@@ -113,15 +116,10 @@
         self._paused_until_by_relay: dict[str, float] = {}
         self._down_until_by_server: dict[str, float] = {}
         self._cut_added = asyncio.Event()
-        self._known_server_ids: Callable[[], list[str]] = lambda: []
         metrics.register_gauge(
             "servers_cut_off", lambda: len(self._cut_since_by_server)
         )
 
-    def set_server_list(self, list_server_ids: Callable[[], list[str]]) -> None:
-        """Set the callable that returns the ids of all servers that take requests."""
-        self._known_server_ids = list_server_ids
-
     def is_cut_off(self, server_id: str) -> bool:
         """Return whether this host can't reach a server that others reach."""
         return server_id in self._cut_since_by_server
@@ -364,7 +362,7 @@
     def _presume_cut_from_all(self, now: float) -> None:
         others = [
             server_id
-            for server_id in self._known_server_ids()
+            for server_id in self._list_server_ids()
             if server_id not in self._cut_since_by_server
         ]
         for server_id in others:
