Recognise responses that a faulty server writes once more

A response without a request id was taken for the answer to whatever request a kept connection carried; an answer to a stage call names no request at all; and a response that followed a copy in the same packet was dropped, so that its request waited for its deadline.

Change: a connection keeps the responses that follow the first; a response without an id on a connection that carried other requests counts as broken; copies of answers to stage calls are told by their results, and a connection whose answer can't be told from a copy isn't used for another call. The fake engine names the request in its refusals, as the protocol says.

--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -26,17 +26,20 @@
     StageProgress,
 )
 from galenadrum._internal.dispatch.prompt_screening import PromptScreening
+from galenadrum._internal.dispatch.repeated_answers import RepeatedAnswers
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect
 from galenadrum._internal.models.quarantine import ServerCrash
 from galenadrum._internal.models.routing import Service
 from galenadrum._internal.network.http1.client import (
+    BackendConnection,
     BackendError,
     BrokenResponseError,
     ConnectError,
     ConnectionPool,
 )
+from galenadrum._internal.network.http1.heads import ResponseHead
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.routing.request_pacer import RequestPacer
@@ -88,6 +91,7 @@
         self._limits = limits
         self._pacer = pacer
         self._versions = versions
+        self._answers = RepeatedAnswers()
         self._screening = PromptScreening(quarantine)
         self._crashes = CrashDetector(
             pool, self._find_server, self.record_crash, metrics
@@ -302,8 +306,7 @@
             sent_at = self._loop.time()
             connection.send(self._dialect.stage_request(call))
             async with asyncio.timeout(call.timeout_s):
-                head = await connection.read_head()
-                body = await connection.read_body()
+                head, body = await self._read_answer(connection)
         except TimeoutError:
             connection.close()
             return CallFailure.TIMED_OUT
@@ -313,7 +316,11 @@
             )
             connection.close()
             return CallFailure.BROKEN
-        self._pool.put(connection)
+        results = self._dialect.stage_results(head, body, call)
+        if self._answers.may_reuse(connection, body, results):
+            self._pool.put(connection)
+        else:
+            connection.close()
         metadata = self._dialect.parse_response_head(head)
         self._limits.record_response(
             call.server.server_id,
@@ -322,7 +329,23 @@
             self._loop.time(),
             metadata.max_rejections_per_s,
         )
-        return self._dialect.stage_results(head, body, call)
+        return results
+
+    async def _read_answer(
+        self, connection: BackendConnection
+    ) -> tuple[ResponseHead, bytes]:
+        """Read the next answer of a stage server that isn't a copy of an earlier one.
+
+        Raises:
+            BrokenResponseError: As for `BackendConnection.read_body`.
+        """
+        while True:
+            head = await connection.read_head()
+            body = await connection.read_body()
+            if not self._answers.is_repeated(connection, body):
+                return head, body
+            logger.warning("discarded a repeated answer of %s", connection.address)
+            connection.discard_response()
 
     async def _run_release(
         self, dispatcher: ZoneDispatcher, release: ResultsRelease
@@ -341,8 +364,7 @@
         try:
             connection.send(self._dialect.release_request(release))
             async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                await connection.read_head()
-                await connection.read_body()
+                await self._read_answer(connection)
         except (BackendError, TimeoutError) as error:
             logger.debug("release failed, results remain until expiry: %r", error)
             connection.close()
--- a/src/galenadrum/_internal/gateway/forwarding.py
+++ b/src/galenadrum/_internal/gateway/forwarding.py
@@ -78,6 +78,28 @@
         )
 
 
+def is_response_to(
+    request_id: str, metadata: ResponseMetadata, connection: BackendConnection
+) -> bool:
+    """Return whether a response belongs to the request that was sent.
+
+    Servers name the request in each response. A faulty one may write the response to
+    an earlier request once more; if it names none, only the first request on a
+    connection, or the host that relays it, can be sure.
+
+    Raises:
+        BrokenResponseError: It can't be told; the request may have run.
+    """
+    if metadata.request_id:
+        return metadata.request_id == request_id
+    if connection.is_fresh or connection.is_relayed:
+        return True
+    raise BrokenResponseError(
+        f"{connection.address}: a response on a connection that carried other requests "
+        f"names no request, expected {request_id}"
+    )
+
+
 def forwarded_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of a server's response to forward to the caller."""
     return [
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -22,6 +22,7 @@
     check_signature,
     connect,
     forwarded_headers,
+    is_response_to,
     send_failure,
 )
 from galenadrum._internal.gateway.permits import Permit, PermitClient
@@ -377,7 +378,7 @@
             head = await connection.read_head()
             body = await connection.read_body()
             metadata = self._dialect.parse_response_head(head)
-            if metadata.request_id in ("", request_id):
+            if is_response_to(request_id, metadata, connection):
                 check_signature(head, metadata)
                 return _Reply(head, body, metadata)
             # A late second response to the previous request on this connection.
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -13,6 +13,7 @@
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.gateway.dialect import Dialect
+from galenadrum._internal.gateway.forwarding import is_response_to
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
@@ -195,7 +196,7 @@
         while True:
             head = await connection.read_head()
             metadata = self._dialect.parse_response_head(head)
-            if metadata.request_id in ("", request_id):
+            if is_response_to(request_id, metadata, connection):
                 return head
             # A late second response to the previous request on this connection.
             await connection.read_body()
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -33,6 +33,7 @@
     check_signature,
     connect,
     forwarded_headers,
+    is_response_to,
     send_failure,
 )
 from galenadrum._internal.gateway.placement_client import PlacementClient
@@ -431,7 +432,7 @@
         while True:
             head = await connection.read_head()
             metadata = self._dialect.parse_response_head(head)
-            if metadata.request_id in ("", request_id):
+            if is_response_to(request_id, metadata, connection):
                 check_signature(head, metadata)
                 return head, metadata
             await connection.read_body()
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -9,6 +9,7 @@
 import logging
 from collections import defaultdict, deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import Enum
 
 import httptools
@@ -33,6 +34,8 @@
 _MAX_HEAD_BYTES = 64 * 1024
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _NO_BODY_STATUSES = frozenset({204, 304})
+# Responses that are kept until it is known which of them belongs to the request.
+_MAX_RESPONSES = 4
 
 
 class BackendError(GalenadrumError):
@@ -62,9 +65,30 @@
     CONNECTION = "connection"
 
 
+@dataclass(slots=True)
+class _Response:
+    """A response as far as it was received.
+
+    Attributes:
+        headers: Headers before the head is complete.
+        has_length: Whether the end of the body is marked in it.
+        unread_bytes: Size of ``body_parts``.
+    """
+
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    head: ResponseHead | None = None
+    body_parts: deque[bytes] = field(default_factory=deque)
+    unread_bytes: int = 0
+    is_complete: bool = False
+    has_length: bool = True
+
+
 class BackendConnection(asyncio.Protocol):
     """Connection to a backend server.
 
+    A faulty server may write a response to an earlier request before that to the
+    current one, so the responses that follow the first are kept as well.
+
     Attributes:
         address: IP address and port of the backend server.
         idle_since: Loop time in seconds at which the last request was completed, or
@@ -81,13 +105,8 @@
         self.max_idle_s = _DEFAULT_MAX_IDLE_S
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._head: ResponseHead | None = None
-        self._body_parts: deque[bytes] = deque()
-        self._unread_bytes = 0
+        self._responses: deque[_Response] = deque([_Response()])
         self._overhead_bytes = 0
-        self._is_complete = False
-        self._has_length = True
         self._error: str | None = None
         self._end = "open"
         self._is_paused = False
@@ -108,8 +127,9 @@
         elif self._end == "open":
             self._end = "closed by this host"
         if self._error is None:
-            if exc is None and self._head is not None and not self._has_length:
-                self._is_complete = True
+            last = self._responses[-1]
+            if exc is None and last.head is not None and not last.has_length:
+                last.is_complete = True
             self._error = f"the connection ended: {exc or 'closed by the back end'}"
         self._notify_reader()
 
@@ -127,11 +147,12 @@
         except httptools.HttpParserUpgrade:
             self._fail("the back end wants another protocol")
         except httptools.HttpParserError as error:
-            if self._is_complete:
+            if self._responses[0].is_complete:
                 self._has_unexpected_data = True
             else:
                 self._fail(f"the response can't be parsed: {error}")
-        if self._overhead_bytes > _MAX_HEAD_BYTES and not self._is_complete:
+        is_complete = self._responses[-1].is_complete
+        if self._overhead_bytes > _MAX_HEAD_BYTES and not is_complete:
             self._fail(
                 f"the response has more than {_MAX_HEAD_BYTES} bytes before the end of "
                 f"its head or between two parts of its body"
@@ -141,62 +162,69 @@
     # Callbacks of httptools.HttpResponseParser.
 
     def on_message_begin(self) -> None:
-        if self._head is not None:
+        if self._responses[-1].head is None:
+            self._responses[-1].headers = []
+        elif len(self._responses) < _MAX_RESPONSES:
+            self._responses.append(_Response())
+        else:
             self._has_unexpected_data = True
-            return
-        self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
+        self._responses[-1].headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
         if self._has_unexpected_data:
             return
+        response = self._responses[-1]
         if 100 <= status < 200:
-            self._headers = []
+            response.headers = []
             return
         self._overhead_bytes = 0
-        headers: Headers = tuple(self._headers)
+        headers: Headers = tuple(response.headers)
         if sum(len(name) + len(value) for name, value in headers) > _MAX_HEAD_BYTES:
             self._fail(
                 f"the head of the response has more than {_MAX_HEAD_BYTES} bytes"
             )
             return
         head = ResponseHead(status, headers, self._parser.should_keep_alive())
-        self._has_length = (
+        response.has_length = (
             head.get(b"content-length") is not None
             or head.get(b"transfer-encoding") is not None
             or status in _NO_BODY_STATUSES
         )
-        self._head = head
+        response.head = head
         if self._is_head_request:
-            self._is_complete = True
+            response.is_complete = True
 
     def on_body(self, data: bytes) -> None:
-        if self._has_unexpected_data or self._is_complete:
+        response = self._responses[-1]
+        if self._has_unexpected_data or response.is_complete:
             return
         self._overhead_bytes = 0
-        self._body_parts.append(data)
-        self._unread_bytes += len(data)
-        if self._unread_bytes > _MAX_UNREAD_BYTES and not self._is_paused:
+        response.body_parts.append(data)
+        response.unread_bytes += len(data)
+        unread_bytes = sum(response.unread_bytes for response in self._responses)
+        if unread_bytes > _MAX_UNREAD_BYTES and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
 
     def on_message_complete(self) -> None:
-        if self._head is not None and not self._has_unexpected_data:
-            self._is_complete = True
+        response = self._responses[-1]
+        if response.head is not None and not self._has_unexpected_data:
+            response.is_complete = True
 
     # Public interface.
 
     @property
     def framing(self) -> Framing | None:
         """Framing of the current response; None before its head is received."""
-        if self._head is None:
+        response = self._responses[0]
+        if response.head is None:
             return None
-        if not self._has_length:
+        if not response.has_length:
             return Framing.CONNECTION
-        if self._head.get(b"transfer-encoding") is not None:
+        if response.head.get(b"transfer-encoding") is not None:
             return Framing.CHUNKS
         return Framing.LENGTH
 
@@ -213,7 +241,7 @@
     @property
     def has_response(self) -> bool:
         """Whether the head of the current response was received."""
-        return self._head is not None
+        return self._responses[0].head is not None
 
     @property
     def is_usable(self) -> bool:
@@ -231,10 +259,7 @@
         """
         self._is_busy = True
         self._is_head_request = is_head_request
-        self._head = None
-        self._is_complete = False
-        self._body_parts.clear()
-        self._unread_bytes = 0
+        self._responses = deque([_Response()])
         self._overhead_bytes = 0
         self._transport.write(data)
 
@@ -245,11 +270,11 @@
             BrokenResponseError: The response is invalid, or the connection ended
                 before it.
         """
-        while self._head is None:
+        while self._responses[0].head is None:
             if self._error is not None:
                 raise BrokenResponseError(f"{self.address}: {self._error}")
             await self._wait_for_event()
-        return self._head
+        return self._responses[0].head
 
     async def read_part(self) -> bytes:
         """Return the next bytes of the body, or empty bytes at its end.
@@ -258,23 +283,27 @@
             BrokenResponseError: The response is invalid, or the connection ended
                 before the end of the body.
         """
-        while not self._body_parts:
-            if self._is_complete:
+        response = self._responses[0]
+        while not response.body_parts:
+            if response.is_complete:
                 return b""
             if self._error is not None:
                 raise BrokenResponseError(f"{self.address}: {self._error}")
             await self._wait_for_event()
         data = (
-            self._body_parts.popleft()
-            if len(self._body_parts) == 1
-            else b"".join(self._body_parts)
+            response.body_parts.popleft()
+            if len(response.body_parts) == 1
+            else b"".join(response.body_parts)
         )
-        self._body_parts.clear()
-        self._unread_bytes = 0
+        response.body_parts.clear()
+        response.unread_bytes = 0
+        self._resume_reading()
+        return data
+
+    def _resume_reading(self) -> None:
         if self._is_paused:
             self._is_paused = False
             self._transport.resume_reading()
-        return data
 
     async def read_body(self) -> bytes:
         """Return the whole body.
@@ -299,9 +328,12 @@
 
         Used when the response belongs to a request other than the one sent.
         """
-        self._head = None
-        self._is_complete = False
-        self._body_parts.clear()
+        self._responses.popleft()
+        if not self._responses:
+            self._responses.append(_Response())
+            if self._has_unexpected_data:
+                self.fail("invalid bytes followed the response to another request")
+        self._resume_reading()
 
     def finish(self) -> None:
         """Mark the current request as completed.
@@ -311,8 +343,12 @@
         self._is_busy = False
         self.is_fresh = False
         self.idle_since = self._loop.time()
-        head = self._head
-        if head is None or not head.keep_alive or not self._has_length:
+        response = self._responses[0]
+        head = response.head
+        if head is None or not head.keep_alive or not response.has_length:
+            self.close()
+        elif len(self._responses) > 1:
+            # The further response belongs to no request.
             self.close()
         elif self._transport.get_write_buffer_size():
             # The backend server responded before it had read the whole request.
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -8,9 +8,10 @@
 import json
 from collections import Counter
 from dataclasses import replace
+from weakref import WeakKeyDictionary
 
 from galenadrum._internal.network.http1.client import ConnectionPool
-from galenadrum._internal.network.http1.heads import encode_request
+from galenadrum._internal.network.http1.heads import encode_request, encode_response
 from galenadrum._internal.network.http1.server import ConnectionLimits, Http1Server
 
 LIMITS = ConnectionLimits()
@@ -34,10 +35,12 @@
         ran: Number of times that each request ran, by request id.
         requests: Heads of the requests that ran, by request id.
         results: Handles of the stage results that are not released.
+        request_by_handle: Request id and stage of each result by its handle.
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
             ``cut``, ``unsigned``, ``unframed``, ``anonymous``, ``endless_head``,
-            ``endless_body``.
+            ``endless_body``, ``repeat``, ``repeat_anonymous``.
+        to_reject: Number of the next requests and stage calls that it rejects.
         cut_number: Number of the event that the fault ``cut`` cuts.
         cut_event: Bytes that it sends in place of that event.
         born: Start of its incarnation, in Unix milliseconds.
@@ -73,6 +76,7 @@
         self.stage_calls = []
         self.released = []
         self.results = set()
+        self.request_by_handle = {}
         self.cancelled = []
         self.faults = set()
         self.cut_number = 3
@@ -83,6 +87,8 @@
         self.lethal_targets = set()
         self.lethal_piece_keys = set()
         self.has_crashed = False
+        self.to_reject = 0
+        self._last_response_by_connection = WeakKeyDictionary()
         self.limit_per_s = None
         self.brittle_at = None
         self.slots = None
@@ -121,16 +127,45 @@
     async def _handle(self, exchange):
         head = exchange.head
         self.received_at.append(asyncio.get_running_loop().time())
+        self._repeat_last_response(exchange)
         if head.path == "/api/stage-run":
             await self._run_stage(exchange)
         elif head.path == "/api/stage-free":
             handles = json.loads(exchange.body)["Handles"]
             self.released += handles
             self.results -= set(handles)
-            exchange.respond(200, [], b"")
+            exchange.respond(200, [], b"{}")
         else:
             await self._run_request(exchange)
 
+    def _repeat_last_response(self, exchange):
+        """Write the response before once more where the next one is expected."""
+        last = self._last_response_by_connection.pop(exchange._connection, None)
+        if last is not None and self.faults & {"repeat", "repeat_anonymous"}:
+            exchange._write(last)
+
+    def _respond(self, exchange, status, headers, body):
+        """Send a response that the faults may repeat on the connection."""
+        exchange.respond(status, headers, body)
+        if "repeat_anonymous" in self.faults:
+            headers = [h for h in headers if h[0] != b"X-Attempt-Id"]
+        length = (b"Content-Length", b"%d" % len(body))
+        self._last_response_by_connection[exchange._connection] = (
+            encode_response(status, [*headers, length]) + body
+        )
+
+    def _reject(self, exchange):
+        request_id = exchange.head.get(b"x-attempt-id")
+        headers = [(b"X-Not-Executed", b"1")]
+        if request_id is not None:
+            headers.append((b"X-Attempt-Id", request_id))
+        self._respond(exchange, 503, headers, b"")
+
+    def _take_rejection(self):
+        is_due = self.to_reject > 0
+        self.to_reject -= is_due
+        return is_due
+
     def _common_headers(self, exchange):
         request_id = exchange.head.get(b"x-attempt-id") or b""
         headers = [
@@ -153,10 +188,13 @@
         head = exchange.head
         request_id = head.get(b"x-attempt-id").decode()
         if head.get(b"x-expect-instance") != self.server_id.encode():
-            exchange.respond(421, [(b"X-Instance-Id", self.server_id.encode())], b"")
+            headers = [(b"X-Instance-Id", self.server_id.encode())]
+            exchange.respond(
+                421, [*headers, (b"X-Attempt-Id", head.get(b"x-attempt-id"))], b""
+            )
             return
-        if "reject" in self.faults:
-            exchange.respond(503, [(b"X-Not-Executed", b"1")], b"")
+        if "reject" in self.faults or self._take_rejection():
+            self._reject(exchange)
             return
         if self.slots is not None and self._running >= self.slots:
             self._reject_for_room(exchange)
@@ -170,7 +208,11 @@
     def _reject_for_room(self, exchange):
         now = asyncio.get_running_loop().time()
         self.rejected_at.append(now)
-        headers = [(b"X-Not-Executed", b"1"), *self._limit_headers()]
+        headers = [
+            (b"X-Not-Executed", b"1"),
+            (b"X-Attempt-Id", exchange.head.get(b"x-attempt-id")),
+            *self._limit_headers(),
+        ]
         exchange.respond(503, headers, b"")
         recent = sum(at > now - 1.0 for at in self.rejected_at)
         if self.brittle_at is not None and recent > self.brittle_at:
@@ -200,7 +242,7 @@
             self.crash()
         else:
             body = b"answer to " + request_id.encode()
-            exchange.respond(200, self._common_headers(exchange), body)
+            self._respond(exchange, 200, self._common_headers(exchange), body)
 
     async def _send_without_end(self, exchange):
         """Send bytes that never end a head, a body or an event."""
@@ -255,20 +297,21 @@
         if self.faults & {"endless_head", "endless_body"}:
             await self._send_without_end(exchange)
             return
-        if "reject" in self.faults:
-            exchange.respond(503, [(b"X-Not-Executed", b"1")], b"")
+        if "reject" in self.faults or self._take_rejection():
+            self._reject(exchange)
             return
         await asyncio.sleep(self.work_s)
         if self.lethal_piece_keys & {entry.get("Key") for entry in entries}:
             self.crash()
             return
         answers = []
-        for _ in entries:
+        for entry in entries:
             handle = f"{self.address}/h{next(self._handles)}"
             self.results.add(handle)
+            self.request_by_handle[handle] = (entry["Id"], entry["Phase"])
             answers.append({"Handle": handle})
         body = json.dumps({"Entries": answers}).encode()
-        exchange.respond(200, self._limit_headers(), body)
+        self._respond(exchange, 200, self._limit_headers(), body)
 
 
 class PlatformClient:
