Link entry hosts to all of up to nine control hosts

Cause: an entry host kept seven links, chosen at random.

Change: nine links; beyond the limit all hosts prefer the same control hosts.

--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from galenadrum._internal.network.host_link import HostLink
 from galenadrum._internal.network.relayed_connection import RelayHost
@@ -13,9 +13,9 @@
 
 logger = logging.getLogger(__name__)
 
-# An entry host keeps a link to every control host, of which at most seven are planned:
+# An entry host keeps a link to every control host, of which at most nine are planned:
 # with links to only some, entry hosts would send requests to different dispatchers.
-MAX_LINKS = 7
+MAX_LINKS = 9
 _UPDATE_INTERVAL_S = 1.0
 # The link to a control host that is unreachable for this long is replaced by a link to
 # another control host, if more are known than links are allowed.
@@ -96,11 +96,7 @@
             ):
                 self._remove_link(address)
                 known = [a for a in known if a != address]
-        free = self._max_links - len(self._links_by_address)
-        candidates = [a for a in known if a not in self._links_by_address]
-        if len(candidates) > free:
-            self._rng.shuffle(candidates)
-        for address in candidates[: max(0, free)]:
+        for address in choose_new_links(known, self._links_by_address, self._max_links):
             self._add_link(address, now)
 
     def _add_link(self, address: str, now: float) -> None:
@@ -155,3 +151,20 @@
         sent_at = link.pop_ping_sent_at(pong.token)
         if sent_at is not None and pong.is_confirmed:
             self._on_confirmed(pong.version, sent_at - pong.age_ms / 1_000)
+
+
+def choose_new_links(
+    known: Iterable[str], linked: Collection[str], max_links: int
+) -> list[str]:
+    """Return the addresses to which links are added.
+
+    All hosts prefer the same control hosts, so that they choose the same dispatcher
+    even if they may not have a link to each control host.
+
+    Args:
+        known: Addresses of the known control hosts.
+        linked: Addresses to which this host has a link.
+        max_links: Maximum number of links.
+    """
+    missing = sorted(address for address in known if address not in linked)
+    return missing[: max(0, max_links - len(linked))]
--- a/tests/lib/routing_values.py
+++ b/tests/lib/routing_values.py
@@ -12,6 +12,7 @@
     StageLimits,
     WeightedService,
 )
+from galenadrum._internal.protocol.gateway_pb2 import LinkHello
 
 STAGE_LIMITS = StageLimits(
     concurrency=1,
@@ -94,3 +95,23 @@
     for name in stage_names or ("encode",):
         services_by_name[name] = Service(name, stage=STAGE_LIMITS)
     return services_by_name
+
+
+class FakeLink:
+    """Fake link to a control host that records the sent messages."""
+
+    def __init__(self, name, available_at=0.0):
+        self.peer = LinkHello(host_id=name, zone="a")
+        self.available_at = available_at
+        self.is_up = True
+        self.pings_often = False
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def watch(self, pings_often):
+        self.pings_often = pings_often
+
+    def placed(self):
+        return [m.place for m in self.sent if m.HasField("place")]
--- a/tests/unit/gateway/test_placement_client.py
+++ b/tests/unit/gateway/test_placement_client.py
@@ -10,36 +10,15 @@
 from galenadrum._internal.gateway.link_codec import encode_placement_update
 from galenadrum._internal.gateway.placement_client import PlacementClient
 from galenadrum._internal.protocol.gateway_pb2 import (
-    LinkHello,
     LinkMessage,
     Placement,
 )
 from lib.paused_loop import run_paused
-from lib.routing_values import request
+from lib.routing_values import FakeLink, request
 
 HANDLES = ("10.0.0.1:80/a", "10.0.0.1:80/b")
 
 
-class FakeLink:
-    """Fake link to a control host that records the sent messages."""
-
-    def __init__(self, name, available_at=0.0):
-        self.peer = LinkHello(host_id=name, zone="a")
-        self.available_at = available_at
-        self.is_up = True
-        self.pings_often = False
-        self.sent = []
-
-    def send(self, message):
-        self.sent.append(message)
-
-    def watch(self, pings_often):
-        self.pings_often = pings_often
-
-    def placed(self):
-        return [m.place for m in self.sent if m.HasField("place")]
-
-
 class TestLostDispatcher:
     def run_steps(self, steps, placement_request=None):
         async def run():
