Keep the connections of all hosts within what a server takes

Cause: each host kept up to eight idle connections to a server and opened any number, while servers take a number from all hosts together and reset those beyond it; a request on a connection that is reset may have run.

Change: routing/connection_shares.py gives each host a share that no other host uses, by the numbers of entry and control hosts; where hosts outnumber the connections a hash chooses those that get one. A host without room chooses another server, waits for 50 ms, or has another host forward the request; what reached no server is refused with a time to return. The number of entry hosts is the largest that a linked control host names, as one that has just started knows few.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -27,6 +27,7 @@
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.gateway.binding_recorder import send_all_bindings
+from galenadrum._internal.gateway.connection_limits import build_connection_limit
 from galenadrum._internal.gateway.control_links import ControlLinks
 from galenadrum._internal.gateway.dialect import Dialect
 from galenadrum._internal.gateway.link_codec import (
@@ -47,6 +48,7 @@
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
+from galenadrum._internal.routing.connection_shares import HostCounts
 from galenadrum._internal.routing.request_pacer import RequestPacer
 from galenadrum._internal.routing.server_room import ServerRoom
 from galenadrum._internal.streams.binding_table import BindingTable
@@ -107,7 +109,17 @@
         self.log_runner = self._build_log_runner(rng)
         self.configurations = Configurations(lambda: self.log_runner.log, self.state)
         self._availability = Availability(self._loop.time())
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(
+            find_limit=build_connection_limit(
+                settings.host_id,
+                True,
+                self.registry,
+                self._get_services,
+                lambda: HostCounts(
+                    self.links.entry_host_count, len(self.member_addresses())
+                ),
+            )
+        )
         self.quarantine = PartQuarantine(
             settings.host_id, lambda record: self.links.send_quarantine(record)
         )
--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -84,6 +84,11 @@
         """Return the entry of a server."""
         return self._entries_by_id.get(server_id)
 
+    def find_by_address(self, address: str) -> ServerEntry | None:
+        """Return the entry of the server that uses an address."""
+        server_id = self._id_by_address.get(address)
+        return self._entries_by_id.get(server_id) if server_id is not None else None
+
     def apply_announcement(self, announcement: Announcement, now: float) -> bool:
         """Merge an announcement.
 
--- a/src/galenadrum/_internal/gateway/balancer.py
+++ b/src/galenadrum/_internal/gateway/balancer.py
@@ -156,6 +156,13 @@
         if server is not None:
             server.health.probing = False
 
+    def not_sent(self, server_id: str) -> None:
+        """Record that a request that was started was not sent for want of a path."""
+        server = self._servers_by_id.get(server_id)
+        if server is not None:
+            server.in_flight = max(0, server.in_flight - 1)
+            server.health.probing = False
+
     def started(self, server_id: str) -> None:
         """Record that a request is sent to a server."""
         server = self._servers_by_id.get(server_id)
--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -64,9 +64,28 @@
         self._links_by_address: dict[str, tuple[HostLink, asyncio.Task[None]]] = {}
         self._down_since_by_address: dict[str, float] = {}
         self._member_addresses: tuple[str, ...] = ()
-        self.entry_hosts = 1
+        self._entry_hosts_by_address: dict[str, int] = {}
+        self._last_entry_hosts = 1
         self.relays: tuple[RelayHost, ...] = ()
 
+    @property
+    def entry_hosts(self) -> int:
+        """Number of entry hosts.
+
+        A control host that has just started knows few of them, so the largest number
+        that any linked one names is used; without links, the last one that was.
+        """
+        numbers = [
+            self._entry_hosts_by_address.get(link.address, 1)
+            for link in self.links_up()
+        ]
+        return max(numbers, default=self._last_entry_hosts)
+
+    @property
+    def control_hosts(self) -> int:
+        """Number of control hosts."""
+        return max(1, len(self._member_addresses))
+
     def links_up(self) -> list[HostLink]:
         """Return the links that are up, sorted by address."""
         links = [link for link, _ in self._links_by_address.values() if link.is_up]
@@ -114,6 +133,7 @@
 
     def _remove_link(self, address: str) -> None:
         link, task = self._links_by_address.pop(address)
+        self._entry_hosts_by_address.pop(address, None)
         task.cancel()
         self._down_since_by_address.pop(address, None)
         was_up, link.is_up = link.is_up, False
@@ -138,7 +158,9 @@
             self._handle_pong(link, message)
         elif body == "control_hosts":
             self._member_addresses = tuple(message.control_hosts.addresses)
-            self.entry_hosts = max(1, message.control_hosts.entry_hosts)
+            number = max(1, message.control_hosts.entry_hosts)
+            self._entry_hosts_by_address[link.address] = number
+            self._last_entry_hosts = self.entry_hosts
             self.relays = tuple(
                 RelayHost(relay.address, relay.is_control)
                 for relay in message.control_hosts.relays
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -15,6 +15,7 @@
 from galenadrum._internal.exceptions import CheckFailedError
 from galenadrum._internal.gateway.balancer import PlainBalancer
 from galenadrum._internal.gateway.binding_recorder import BindingRecorder
+from galenadrum._internal.gateway.connection_limits import build_connection_limit
 from galenadrum._internal.gateway.control_links import ControlLinks
 from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect
@@ -58,6 +59,7 @@
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.quarantine.request_digest import describe_suspect
 from galenadrum._internal.quarantine.request_successes import RequestSuccesses
+from galenadrum._internal.routing.connection_shares import HostCounts
 from galenadrum._internal.routing.request_pacer import RequestPacer
 from galenadrum._internal.routing.server_room import ServerRoom
 from galenadrum._internal.streams.binding_table import BindingTable
@@ -115,7 +117,14 @@
             self.limits.find_brittle,
         )
         self._pool = ConnectionPool(
-            lambda _: self.metrics.increment("connections_opened")
+            lambda _: self.metrics.increment("connections_opened"),
+            find_limit=build_connection_limit(
+                settings.host_id,
+                False,
+                self.servers.registry,
+                self._services_by_name,
+                lambda: HostCounts(self.links.entry_hosts, self.links.control_hosts),
+            ),
         )
         self.quarantine = PartQuarantine(
             settings.host_id, self._handle_quarantine_change
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -32,6 +32,7 @@
     BackendConnection,
     BrokenResponseError,
     ConnectError,
+    ConnectionLimitError,
 )
 from galenadrum._internal.network.http1.heads import (
     ResponseHead,
@@ -51,6 +52,9 @@
 _HANG_TIMEOUT_FACTOR = 4.0
 _MIN_HANG_TIMEOUT_S = 0.25
 _RETRY_AFTER_S = 0.3
+# Longest wait for one of this host's connections to a server; most requests to plain
+# servers end sooner.
+_MAX_ROOM_WAIT_S = 0.05
 # Requests of this host that wait for room at brittle servers; more are refused.
 _MAX_WAITING_FOR_ROOM = 12
 
@@ -163,13 +167,23 @@
         while the objective or, once that is missed, the deadline allows.
         """
         wait_s_by_server: dict[str, float] = {}
+        without_room: list[ServerEntry] = []
+        excluded_ids = set(attempts.excluded_ids)
         while True:
-            excluded_ids = attempts.excluded_ids | wait_s_by_server.keys()
             entry = self._balancer.choose_server(
                 context.service, excluded_ids, self._loop.time()
             )
+            if entry is None and without_room:
+                entry, without_room = without_room[0], []
+                await self._wait_for_room(context, entry)
+            elif entry is not None and not self._has_room(entry):
+                self._balancer.cancel_choice(entry.server_id)
+                excluded_ids.add(entry.server_id)
+                without_room.append(entry)
+                continue
             if entry is None:
                 break
+            excluded_ids.add(entry.server_id)
             permit = await self._request_permit(entry.server_id, 0.0)
             if permit.is_granted:
                 return _Choice(entry, permit)
@@ -178,6 +192,16 @@
             return _Choice(None)
         return await self._wait_for_server(context, wait_s_by_server)
 
+    def _has_room(self, entry: ServerEntry) -> bool:
+        """Return whether this host may open a connection to a server, or has one."""
+        return self._paths.has_room(entry.server_id, entry.announcement.address)
+
+    async def _wait_for_room(self, context: RequestContext, entry: ServerEntry) -> None:
+        """Wait for a connection to a server; without one, another host forwards."""
+        left_s = context.deadline_at - MIN_SEND_TIME_S - self._loop.time()
+        address = entry.announcement.address
+        await self._paths.wait_for_room(address, min(_MAX_ROOM_WAIT_S, left_s))
+
     async def _wait_for_server(
         self, context: RequestContext, wait_s_by_server: dict[str, float]
     ) -> _Choice:
@@ -293,14 +317,18 @@
             )
         except ConnectError as error:
             attempts.rejections += 1
-            self._balancer.rejected(server_id, None, self._loop.time())
+            is_limited = isinstance(error, ConnectionLimitError)
+            if is_limited:
+                self._balancer.not_sent(server_id)
+            else:
+                self._balancer.rejected(server_id, None, self._loop.time())
             logger.info(
                 "failed to connect to server %s: %s",
                 server_id,
                 error,
                 extra={"request_id": context.metadata.request_id},
             )
-            return None, "unreachable"
+            return None, "connections" if is_limited else "unreachable"
         try:
             reply = await self._exchange(context, entry, connection, attempts)
         except (BrokenResponseError, TimeoutError) as error:
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -18,6 +18,7 @@
     BackendConnection,
     BrokenResponseError,
     ConnectError,
+    ConnectionLimitError,
     ConnectionPool,
     Framing,
 )
@@ -127,6 +128,9 @@
                 connection = await self._pool.get(
                     address, _CONNECT_TIMEOUT_S, _MAX_IDLE_S
                 )
+        except ConnectionLimitError:
+            self._respond(exchange, RelayOutcome.FULL)
+            return
         except ConnectError as error:
             logger.info("server %s can't be reached either: %s", entry.server_id, error)
             is_cut_off = not is_check and await self._verify_soon(entry, str(error))
--- a/src/galenadrum/_internal/gateway/server_paths.py
+++ b/src/galenadrum/_internal/gateway/server_paths.py
@@ -21,6 +21,7 @@
     BackendConnection,
     BackendError,
     ConnectError,
+    ConnectionLimitError,
     ConnectionPool,
 )
 from galenadrum._internal.network.http1.heads import encode_request
@@ -65,11 +66,13 @@
         is_direct_tried: Whether this host tried to connect itself.
         relay_addresses: Hosts through which it was tried.
         error: Last error; None before any.
+        is_limited: Whether this host may not open another connection itself.
     """
 
     is_direct_tried: bool = False
     relay_addresses: set[str] = field(default_factory=set)
     error: ConnectError | None = None
+    is_limited: bool = False
 
 
 class ServerPaths:
@@ -125,6 +128,14 @@
         """Return whether this host can't reach a server that others reach."""
         return server_id in self._cut_since_by_server
 
+    def has_room(self, server_id: str, address: str) -> bool:
+        """Return whether this host may send a request to a server itself now."""
+        return self.is_cut_off(server_id) or self._pool.has_room(address)
+
+    async def wait_for_room(self, address: str, timeout_s: float) -> bool:
+        """Wait until this host may send a request to a server, up to a timeout."""
+        return await self._pool.wait_for_room(address, timeout_s)
+
     async def connect(
         self,
         server_id: str,
@@ -144,12 +155,18 @@
             attempts: Ways that were tried; the next one is added.
 
         Raises:
+            ConnectionLimitError: No host that was asked may open another connection to
+                the server. Nothing was sent.
             ConnectError: No way is left. Nothing was sent.
         """
         if not attempts.is_direct_tried and not self.is_cut_off(server_id):
             attempts.is_direct_tried = True
             try:
                 connection = await self._pool.get(address, timeout_s, max_idle_s)
+            except ConnectionLimitError as error:
+                self._metrics.increment("connection_limit_reached")
+                attempts.error = error
+                attempts.is_limited = True
             except ConnectError as error:
                 self._reachability.record_failure(server_id, str(error))
                 attempts.error = error
@@ -162,6 +179,11 @@
             connection = await self._connect_relay(server_id, max_idle_s, attempts)
         if connection is not None:
             return connection
+        if attempts.is_limited:
+            raise ConnectionLimitError(
+                f"{address}: no host that was asked may open another connection to "
+                f"server {server_id}"
+            )
         raise attempts.error or ConnectError(
             f"{address}: no host forwards requests to server {server_id}"
         )
@@ -225,7 +247,7 @@
         if outcome in (RelayOutcome.FORWARDED, RelayOutcome.REACHABLE):
             if self._reachability.is_failing(server_id):
                 self._record_cut(server_id)
-        else:
+        elif outcome is not RelayOutcome.FULL:
             self._pause_relay(relay_address)
             if outcome is RelayOutcome.UNREACHABLE and not self.is_cut_off(server_id):
                 self._down_until_by_server[server_id] = self._loop.time() + _DOWN_S
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -46,6 +46,10 @@
     """Raised when connecting fails; no part of the request was sent."""
 
 
+class ConnectionLimitError(ConnectError):
+    """Raised when this host may not open another connection to a backend server."""
+
+
 class ConnectionRefusedByServerError(ConnectError):
     """Raised when the host of a backend server answers that nothing listens there."""
 
@@ -95,6 +99,7 @@
             the connection was created.
         is_fresh: Whether no request was completed on the connection yet.
         max_idle_s: Idle time in seconds after which the connection isn't reused.
+        on_lost: Called once with the address when the connection has ended.
     """
 
     def __init__(self, address: str) -> None:
@@ -114,6 +119,7 @@
         self._is_busy = False
         self._is_head_request = False
         self._has_unexpected_data = False
+        self.on_lost: Callable[[str], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
@@ -131,6 +137,7 @@
             if exc is None and last.head is not None and not last.has_length:
                 last.is_complete = True
             self._error = f"the connection ended: {exc or 'closed by the back end'}"
+        self._report_loss()
         self._notify_reader()
 
     def data_received(self, data: bytes) -> None:
@@ -356,8 +363,14 @@
         else:
             self.max_idle_s = _parse_keep_alive_timeout(head)
 
+    def _report_loss(self) -> None:
+        on_lost, self.on_lost = self.on_lost, None
+        if on_lost is not None:
+            on_lost(self.address)
+
     def close(self) -> None:
         """Abort the connection."""
+        self._report_loss()
         if self._error is None:
             self._error = "closed"
         if self._transport is not None:
@@ -400,16 +413,64 @@
     Args:
         on_connected: Called with the address after each new connection.
         connection_class: Class of the connections.
+        find_limit: Returns the number of connections to an address that may be open;
+            None for any.
     """
 
     def __init__(
         self,
         on_connected: Callable[[str], None] | None = None,
         connection_class: type[BackendConnection] = BackendConnection,
+        find_limit: Callable[[str], int | None] = lambda address: None,
     ) -> None:
         self._idle_by_address: dict[str, list[BackendConnection]] = defaultdict(list)
         self._on_connected = on_connected
         self._connection_class = connection_class
+        self._find_limit = find_limit
+        self._open_by_address: Counter[str] = Counter()
+        self._waiters_by_address: dict[str, deque[asyncio.Future[None]]] = {}
+
+    def has_room(self, address: str) -> bool:
+        """Return whether a request may be sent to an address now."""
+        limit = self._find_limit(address)
+        if limit is None or self._open_by_address[address] < limit:
+            return True
+        return bool(self._idle_by_address.get(address))
+
+    async def wait_for_room(self, address: str, timeout_s: float) -> bool:
+        """Wait until a request may be sent to an address.
+
+        Args:
+            address: IP address and port of the backend server.
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            Whether it may be sent; another request may use the room first.
+        """
+        if self.has_room(address):
+            return True
+        waiters = self._waiters_by_address.setdefault(address, deque())
+        waiter = asyncio.get_running_loop().create_future()
+        waiters.append(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+        except TimeoutError:
+            return False
+        finally:
+            if waiter in waiters:
+                waiters.remove(waiter)
+            if not waiters:
+                self._waiters_by_address.pop(address, None)
+        return True
+
+    def _notify_waiter(self, address: str) -> None:
+        waiters = self._waiters_by_address.get(address, deque())
+        while waiters:
+            waiter = waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
 
     async def get(
         self, address: str, timeout_s: float, max_idle_s: float | None = None
@@ -424,28 +485,49 @@
 
         Raises:
             ConnectError: Connecting failed or timed out.
+            ConnectionLimitError: All connections that this host may have are in use.
         """
         connection = self._pop_idle(address, max_idle_s)
         if connection is not None:
             return connection
+        limit = self._find_limit(address)
+        if limit is not None and self._open_by_address[address] >= limit:
+            # One that was idle for too long gives way to a new one.
+            if limit == 0 or not self._idle_by_address.get(address):
+                raise ConnectionLimitError(
+                    f"{address}: all {limit} connections of this host are in use"
+                )
+            self._idle_by_address[address].pop(0).close()
         return await self._connect(address, timeout_s)
 
     async def _connect(self, address: str, timeout_s: float) -> BackendConnection:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
+        connection = self._connection_class(address)
+        connection.on_lost = self._count_lost
+        self._open_by_address[address] += 1
+        is_connected = False
         try:
             async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(
-                    lambda: self._connection_class(address), host, port
-                )
+                await loop.create_connection(lambda: connection, host, port)
+            is_connected = True
         except ConnectionRefusedError as error:
             raise ConnectionRefusedByServerError(f"{address}: {error}") from error
         except (OSError, TimeoutError) as error:
             raise ConnectError(f"{address}: {error or 'timed out'}") from error
+        finally:
+            if not is_connected:
+                connection.close()
         if self._on_connected is not None:
             self._on_connected(address)
         return connection
 
+    def _count_lost(self, address: str) -> None:
+        self._open_by_address[address] -= 1
+        if self._open_by_address[address] <= 0:
+            del self._open_by_address[address]
+        self._notify_waiter(address)
+
     def _pop_idle(
         self, address: str, max_idle_s: float | None
     ) -> BackendConnection | None:
@@ -486,6 +568,7 @@
         idle.append(connection)
         if len(idle) > _MAX_IDLE_PER_ADDRESS:
             idle.pop(0).close()
+        self._notify_waiter(connection.address)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a backend server."""
--- a/src/galenadrum/_internal/network/relayed_connection.py
+++ b/src/galenadrum/_internal/network/relayed_connection.py
@@ -29,7 +29,7 @@
     """What a relaying host did with a request; only FORWARDED ones were sent.
 
     After UNREACHABLE it has tried to connect; after CUT_OFF it knows that others reach
-    the server.
+    the server. FULL means that it may not open another connection to the server.
     """
 
     FORWARDED = "forwarded"
@@ -38,6 +38,7 @@
     CUT_OFF = "cut_off"
     UNKNOWN_SERVER = "unknown_server"
     BUSY = "busy"
+    FULL = "full"
     STOPPING = "stopping"
 
 
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -40,6 +40,7 @@
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
             ``cut``, ``unsigned``, ``unframed``, ``anonymous``, ``endless_head``,
             ``endless_body``, ``repeat``, ``repeat_anonymous``.
+        most_connections: Largest number of connections that were open at once.
         to_reject: Number of the next requests and stage calls that it rejects.
         cut_number: Number of the event that the fault ``cut`` cuts.
         cut_event: Bytes that it sends in place of that event.
@@ -87,6 +88,7 @@
         self.lethal_targets = set()
         self.lethal_piece_keys = set()
         self.has_crashed = False
+        self.most_connections = 0
         self.to_reject = 0
         self._last_response_by_connection = WeakKeyDictionary()
         self.limit_per_s = None
@@ -127,6 +129,9 @@
     async def _handle(self, exchange):
         head = exchange.head
         self.received_at.append(asyncio.get_running_loop().time())
+        self.most_connections = max(
+            self.most_connections, len(self._server.connections)
+        )
         self._repeat_last_response(exchange)
         if head.path == "/api/stage-run":
             await self._run_stage(exchange)
