Abort a stream that a response of another kind would complete

A stream that had begun and broke off went on with whatever response with status 200 the next engine gave; an error page ended it as if it were complete. Other statuses were handled.

Change: a response that isn't an event stream counts as broken once the caller has a part of its stream.

--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -385,6 +385,11 @@
                 body = await connection.read_body()
             self._paths.put(connection)
             return self._handle_error_response(stream, placement, head, body)
+        if stream.has_sent_head and not _is_event_stream(head):
+            raise BrokenResponseError(
+                f"{connection.address}: the response that goes on with a stream isn't "
+                f"an event stream but {head.get(b'content-type')!r}"
+            )
         async with asyncio.timeout_at(first_event_at):
             part = await connection.read_part()
         await self._forward_events(stream, placement, connection, head, part)
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -18,6 +18,7 @@
 EVENT_INTERVAL_S = 0.01
 # Time until a prompt that crashes the engine does so.
 PREFILL_S = 0.15
+ERROR_TEXT = b"<h1>failed</h1>"
 
 
 class FakePlatformEngine:
@@ -42,6 +43,8 @@
             ``endless_body``, ``repeat``, ``repeat_anonymous``.
         most_connections: Largest number of connections that were open at once.
         to_reject: Number of the next requests and stage calls that it rejects.
+        resume_status: Status of the error with which it answers requests that go on
+            with a stream; None to serve them.
         cut_number: Number of the event that the fault ``cut`` cuts.
         cut_event: Bytes that it sends in place of that event.
         born: Start of its incarnation, in Unix milliseconds.
@@ -80,6 +83,7 @@
         self.request_by_handle = {}
         self.cancelled = []
         self.faults = set()
+        self.resume_status = None
         self.cut_number = 3
         self.cut_event = b"id: 3\nda"
         self.state = "ready"
@@ -237,6 +241,10 @@
             return
         if "hang" in self.faults:
             await asyncio.sleep(60)
+        if self.resume_status is not None and head.get(b"last-event-id"):
+            headers = [*self._common_headers(exchange), (b"Content-Type", b"text/html")]
+            exchange.respond(self.resume_status, headers, ERROR_TEXT)
+            return
         if "error" in self.faults:
             exchange.respond(500, self._common_headers(exchange), b"failed")
             return
