--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -18,6 +18,7 @@
 EVENT_INTERVAL_S = 0.01
 # Time until a prompt that crashes the engine does so.
 PREFILL_S = 0.15
+DRIP_INTERVAL_S = 0.2
 ERROR_TEXT = b"<h1>failed</h1>"
 
 
@@ -40,7 +41,7 @@
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
             ``cut``, ``unsigned``, ``unframed``, ``anonymous``, ``endless_head``,
-            ``endless_body``, ``repeat``, ``repeat_anonymous``.
+            ``endless_body``, ``repeat``, ``repeat_anonymous``, ``drip``.
         most_connections: Largest number of connections that were open at once.
         to_reject: Number of the next requests and stage calls that it rejects.
         resume_status: Status of the error with which it answers requests that go on
@@ -285,6 +286,9 @@
             await asyncio.sleep(PREFILL_S)
             self.crash()
             return
+        if "drip" in self.faults:
+            await self._drip(exchange)
+            return
         first = int(exchange.head.get(b"last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
             if "cut" in self.faults and number == self.cut_number:
@@ -304,6 +308,12 @@
             await asyncio.sleep(self.event_interval_s)
         exchange.finish()
 
+    async def _drip(self, exchange):
+        """Send a byte of an event now and then, and never the whole event."""
+        while not exchange.is_caller_disconnected:
+            await exchange.send(b":")
+            await asyncio.sleep(DRIP_INTERVAL_S)
+
     async def _run_stage(self, exchange):
         entries = json.loads(exchange.body)["Entries"]
         self.stage_calls.append(entries)
