Bound the whole responses of control hosts to operators' commands

Change: connections of the client share one deadline over all reads of a response; those of a watch over its head, then each read has its own. Plain HTTP only: TLS sockets can't be wrapped.

Only operators' commands use this code.

--- a/src/galenadrum/_internal/network/operator_client.py
+++ b/src/galenadrum/_internal/network/operator_client.py
@@ -32,6 +32,10 @@
     ResourceEvent,
     ResourceList,
 )
+from galenadrum._internal.network.operator_connections import (
+    create_call_pool,
+    create_watch_pool,
+)
 from galenadrum._internal.network.operator_messages import (
     MalformedResponseError,
     decode_change_set_outcome,
@@ -156,9 +160,8 @@
         self._addresses = [_normalise_url(address) for address in addresses]
         self._timeouts = timeouts or ClientTimeouts()
         self._headers = {"Authorization": f"Bearer {token}"} if token else {}
-        # This client handles retries and redirects itself, since urllib3 doesn't
-        # know which calls may be repeated and at which control host.
-        self._pool = urllib3.PoolManager(retries=False)
+        self._call_pool = create_call_pool()
+        self._watch_pool = create_watch_pool()
         self._sleep = sleep
         self._clock = clock
         self._jitter = random.Random()
@@ -299,6 +302,7 @@
 
     def _read_events(self, address: str, revision: int) -> Iterator[ResourceEvent]:
         response = self._open(
+            self._watch_pool,
             address,
             "GET",
             f"/v1/watch?from={revision}",
@@ -381,7 +385,7 @@
         body: bytes | None,
         timeout_s: float,
     ) -> _JsonResponse:
-        response = self._open(address, method, path, body, timeout_s)
+        response = self._open(self._call_pool, address, method, path, body, timeout_s)
         try:
             data = self._read_all(response, timeout_s)
             return _JsonResponse(response.status, _parse_json_object(data))
@@ -389,12 +393,18 @@
             response.release_conn()
 
     def _open(
-        self, address: str, method: str, path: str, body: bytes | None, read_s: float
+        self,
+        pool: urllib3.PoolManager,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        read_s: float,
     ) -> urllib3.BaseHTTPResponse:
         headers = dict(self._headers)
         if body is not None:
             headers["Content-Type"] = "application/json"
-        return self._pool.request(
+        return pool.request(
             method,
             f"{address}{path}",
             body=body,
--- a/tests/functional/test_operator_client_bounds.py
+++ b/tests/functional/test_operator_client_bounds.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from galenadrum._internal.exceptions import ControlUnreachableError
 from galenadrum._internal.network.operator_client import ClientTimeouts, OperatorClient
 
 TIMEOUT_S = 1.0
@@ -55,3 +56,23 @@
             call.start()
             call.join(5.0)
             assert not call.is_alive()
+
+    def test_watch_waits_for_a_head_without_end(self):
+        timeouts = ClientTimeouts(
+            watch_silence_s=TIMEOUT_S, watch_unreachable_s=TIMEOUT_S
+        )
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
+        with endless_control_host(b"", interim) as address:
+            client = OperatorClient([address], timeouts=timeouts)
+            errors = []
+
+            def watch():
+                try:
+                    list(client.watch(0))
+                except ControlUnreachableError as error:
+                    errors.append(error)
+
+            call = threading.Thread(target=watch, daemon=True)
+            call.start()
+            call.join(10.0)
+            assert errors
