Let the demo listen on ports that outgoing connections don't get

Cause: the demo asked the kernel for free ports and listened on them later; meanwhile another process's outgoing connection could get one of them. Opening and closing 400 connections beside the demo did not show it (3 runs).

Change: ports from 10,000 to 19,999, none twice.

--- a/src/galenadrum/_internal/demo/runner.py
+++ b/src/galenadrum/_internal/demo/runner.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
+import itertools
 import json
+import random
 import socket
 import tempfile
 import time
@@ -51,6 +54,12 @@
 _READY_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.02
 _SERVICE_MS = 2.0
+# Below the ports that Linux gives to outgoing connections by default.
+_LISTENING_PORTS = range(10_000, 20_000)
+# No port is returned twice before all others.
+_candidate_ports = itertools.cycle(
+    random.sample(_LISTENING_PORTS, len(_LISTENING_PORTS))
+)
 
 
 class _Deployment:
@@ -58,7 +67,7 @@
 
     def __init__(self, folder: Path, declarations: Sequence[Declaration]) -> None:
         self._declarations = declarations
-        control_peer_address, operator_address = _find_free_addresses(2)
+        control_peer_address, operator_address = find_free_addresses(2)
         member = ControlMember("control-1", control_peer_address)
         digest = hashlib.sha256(_TOKEN.encode()).hexdigest()
         self._control = ControlDaemon(
@@ -160,10 +169,10 @@
 
 
 def _build_entry_daemons(control_peer_address: str) -> list[EntryDaemon]:
-    peer_addresses = _find_free_addresses(_ENTRY_HOST_COUNT)
+    peer_addresses = find_free_addresses(_ENTRY_HOST_COUNT)
     entries = []
     for number, peer_address in enumerate(peer_addresses, start=1):
-        caller_address, operator_address = _find_free_addresses(2)
+        caller_address, operator_address = find_free_addresses(2)
         settings = EntrySettings(
             host_id=f"entry-{number}",
             zone=_ZONE,
@@ -179,13 +188,28 @@
     return entries
 
 
-def _find_free_addresses(count: int) -> tuple[str, ...]:
-    """Return loopback addresses whose ports are free at present."""
-    probes = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = tuple(f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes)
-    for probe in probes:
-        probe.close()
-    return addresses
+def find_free_addresses(count: int) -> tuple[str, ...]:
+    """Return loopback addresses whose ports are free at present.
+
+    A port that the kernel chose for a probe could become that of another process's
+    outgoing connection before a host listens on it.
+
+    Raises:
+        OSError: Fewer ports are free.
+    """
+    addresses: list[str] = []
+    for port in itertools.islice(_candidate_ports, len(_LISTENING_PORTS)):
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            addresses.append(f"127.0.0.1:{port}")
+        if len(addresses) == count:
+            break
+    if len(addresses) < count:
+        raise OSError(
+            f"{len(addresses)} ports from {_LISTENING_PORTS[0]} to "
+            f"{_LISTENING_PORTS[-1]} are free, expected {count}"
+        )
+    return tuple(addresses)
 
 
 def _print_pipelines(example: str, attempts: Sequence[Attempt]) -> None:
