Answer callers that connect just before an entry host stops listening

Closing the listening socket reset the connections in its queue; one that was accepted but whose request wasn't read yet counted as idle and was closed at once.

Change: queued connections are accepted before the socket is closed; a connection without a request isn't closed for half a second, and the drain waits for it.

TestStopListening shows both cases without chance.

--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -450,12 +450,13 @@
         stop_at = self._loop.time() + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
         logger.info("entry host %s is draining", self._settings.host_id)
         await asyncio.sleep(_DEREGISTRATION_DELAY_S)
-        self._caller_server.stop_listening()
+        await self._caller_server.accept_last_connections()
         while self._loop.time() < stop_at:
             self._caller_server.close_connections_when_idle()
-            if not self._caller_server.busy_count and not self._relay_server.busy_count:
-                break
             await asyncio.sleep(_DRAIN_POLL_S)
+            unfinished = self._caller_server.unfinished_count
+            if not unfinished and not self._relay_server.busy_count:
+                break
         logger.info(
             "drain ended with %d requests in flight", self._caller_server.busy_count
         )
--- a/src/galenadrum/_internal/network/http1/server.py
+++ b/src/galenadrum/_internal/network/http1/server.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -30,6 +32,8 @@
 # Closing a socket with unread bytes resets the connection, and the caller may then
 # lose the last response. A rejected connection stays open for this long.
 _REJECTION_LINGER_S = 0.5
+# A connection without a request isn't closed before: its first one is on its way.
+_FIRST_REQUEST_GRACE_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,7 +179,8 @@
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
         self._message_started_at: float | None = None
-        self._last_data_at = self._loop.time()
+        self._opened_at = self._last_data_at = self._loop.time()
+        self._has_had_request = False
         self._is_reading_body = False
         self._pending_requests: list[tuple[RequestHead, bytes, float]] = []
         self._current_exchange: Exchange | None = None
@@ -196,6 +201,12 @@
             and self._message_started_at is None
         )
 
+    @property
+    def awaits_first_request(self) -> bool:
+        """Whether the caller has just connected, so that its request is on its way."""
+        age_s = self._loop.time() - self._opened_at
+        return not self._has_had_request and age_s < _FIRST_REQUEST_GRACE_S
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
         self._server.connections.add(self)
@@ -251,6 +262,7 @@
         self._body_parts = []
         self._body_bytes = 0
         self._message_started_at = self._last_data_at
+        self._has_had_request = True
 
     def on_url(self, url: bytes) -> None:
         self._request_target += url
@@ -347,8 +359,8 @@
             self._reject(408, "the request's head did not come in time")
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is being received or handled."""
-        if self.is_idle:
+        """Close the connection unless a request is expected, received or handled."""
+        if self.is_idle and not self.awaits_first_request:
             self._close()
 
     def _start_next(self) -> None:
@@ -430,6 +442,7 @@
         self.connections: set[_Connection] = set()
         self.is_closing = False
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
 
     async def run(self) -> None:
         """Listen and serve requests until cancelled.
@@ -451,12 +464,12 @@
         """
         host, port = split_address(self._address)
         loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.create_server(
+            (host, port), family=family, backlog=_LISTEN_BACKLOG
+        )
         self._server = await loop.create_server(
-            lambda: _Connection(self),
-            host,
-            port,
-            backlog=_LISTEN_BACKLOG,
-            reuse_address=True,
+            lambda: _Connection(self), sock=self._socket, backlog=_LISTEN_BACKLOG
         )
         logger.info("listening for %s on %s", self._name, self._address)
 
@@ -484,11 +497,35 @@
             self._server.close()
             self._server = None
 
+    async def accept_last_connections(self) -> None:
+        """Stop listening once all connections that callers have opened are accepted.
+
+        Closing the listening socket resets those that are queued.
+        """
+        accepted = []
+        if self._server is not None:
+            with contextlib.suppress(OSError):
+                while len(accepted) < _LISTEN_BACKLOG:
+                    accepted.append(self._socket.accept()[0])
+        self.stop_listening()
+        loop = asyncio.get_running_loop()
+        for connected in accepted:
+            connected.setblocking(False)
+            await loop.connect_accepted_socket(lambda: _Connection(self), connected)
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a request being received or handled."""
         return sum(not connection.is_idle for connection in self.connections)
 
+    @property
+    def unfinished_count(self) -> int:
+        """Number of connections with a request expected, received or handled."""
+        return sum(
+            not connection.is_idle or connection.awaits_first_request
+            for connection in self.connections
+        )
+
     def close_after_response(self, connection: _Connection) -> None:
         """Close a connection after its response in progress is sent."""
         exchange = connection._current_exchange
--- a/tests/unit/network/test_http1_server.py
+++ b/tests/unit/network/test_http1_server.py
@@ -1,6 +1,7 @@
 """The HTTP/1.1 server over sockets."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -63,3 +64,34 @@
 
         request = b"GET / HTTP/%s\r\n\r\n" % version
         assert asyncio.run(call(handler, request)) == body
+
+
+class TestStopListening:
+    # Connections that the kernel has opened are queued until the server accepts them.
+    def test_request_on_a_queued_connection_is_reset(self):
+        async def run():
+            address = reserve_address()
+            host, port = address.split(":")
+
+            async def answer(exchange):
+                exchange.respond(200, [], b"")
+
+            server = Http1Server(address, answer, ConnectionLimits, "callers")
+            await server.listen()
+            callers = [socket.create_connection((host, int(port))) for _ in range(8)]
+            for caller in callers[:4]:
+                caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            await server.accept_last_connections()
+            server.close_connections_when_idle()
+            for caller in callers[4:]:
+                # These send their request only after the server has stopped.
+                caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            heads = [await asyncio.to_thread(caller.recv, 1024) for caller in callers]
+            assert all(head.startswith(b"HTTP/1.1 200") for head in heads)
+            assert server.unfinished_count == 0
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection((host, int(port)))
+            for caller in callers:
+                caller.close()
+
+        asyncio.run(run())
