Log why queued connections can't be accepted before a stop

Cause: any error of accept was passed over in silence, found by reading. Change: only the end of the queue is expected; other errors are logged. Measured: test_http1_server.py and test_planned_stop.py pass.

--- a/src/galenadrum/_internal/network/http1/server.py
+++ b/src/galenadrum/_internal/network/http1/server.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 from collections.abc import Awaitable, Callable
@@ -502,17 +501,30 @@
 
         Closing the listening socket resets those that are queued.
         """
-        accepted = []
-        if self._server is not None:
-            with contextlib.suppress(OSError):
-                while len(accepted) < _LISTEN_BACKLOG:
-                    accepted.append(self._socket.accept()[0])
+        accepted = self._accept_queued() if self._server is not None else []
         self.stop_listening()
         loop = asyncio.get_running_loop()
         for connected in accepted:
             connected.setblocking(False)
             await loop.connect_accepted_socket(lambda: _Connection(self), connected)
 
+    def _accept_queued(self) -> list[socket.socket]:
+        accepted: list[socket.socket] = []
+        try:
+            while len(accepted) < _LISTEN_BACKLOG:
+                accepted.append(self._socket.accept()[0])
+        except BlockingIOError:
+            logger.debug("accepted the last %d connections", len(accepted))
+        except OSError as error:
+            logger.warning(
+                "failed to accept the connections queued for %s on %s: %s; they are "
+                "reset",
+                self._name,
+                self._address,
+                error,
+            )
+        return accepted
+
     @property
     def busy_count(self) -> int:
         """Number of connections with a request being received or handled."""
