Let faults of the soak reach a control host before its first start

A replacement of a lost control host enters the list up to a second before it is started; a kill of all control hosts in that second signalled a process that didn't exist. It is a fault of the soak, not of the product: the trace names only its files.

--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -165,8 +165,13 @@
         )
         self.is_first_start = False
 
+    @property
+    def has_started(self):
+        """Whether it was ever started; a successor is named before its start."""
+        return self.process is not None
+
     def signal(self, number):
-        if self.process.poll() is None:
+        if self.has_started and self.process.poll() is None:
             self.process.send_signal(number)
 
     def cut_off(self, mode):
@@ -179,7 +184,7 @@
         return int(status.split("VmHWM:")[1].split()[0])
 
     async def wait_ended(self):
-        while self.process.poll() is None:
+        while self.has_started and self.process.poll() is None:
             await asyncio.sleep(0.02)
 
     def delete_data(self):
@@ -628,6 +633,9 @@
             host = self.rng.choice(self.controls)
             if not self._begin_disk_loss():
                 return
+        if not host.has_started:
+            # The replacement of another host is about to start it.
+            return
         process = host.process
         host.signal(signal.SIGCONT)
         host.signal(signal.SIGTERM if fault == "terminate" else signal.SIGKILL)
@@ -709,7 +717,9 @@
             host.cut_off("")
 
     def _all_controls_run(self):
-        return all(host.process.poll() is None for host in self.controls)
+        return all(
+            host.has_started and host.process.poll() is None for host in self.controls
+        )
 
     async def _wait_until_served(self, timeout_s, when):
         """Wait until each entry host has answered a request with status 200."""
