Fetch prompt parts between engines, and keep stage results in their zone

Change: dispatch/transfer_costs.py weighs a transfer between zones by bytes and by the time that the request can lose; a call takes pieces of other zones only if the servers there would take them later than that; the rest of a stage follows its first results; an engine's inputs are counted by zone. dispatch/cache_fetch.py chooses between reading a prefix and fetching it from an engine that surely read it (a first event has come), same software version, not silent. Not covered: what the fetch of a large part delays on the engine that holds it.

--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -10,12 +10,21 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+from galenadrum._internal.dispatch.cache_fetch import (
+    CacheSource,
+    PrefillPlan,
+    find_source,
+    plan_prefill,
+)
 from galenadrum._internal.dispatch.messages import PromptPart
-from galenadrum._internal.dispatch.stage_pool import ZONE_PENALTY_S_PER_BYTE
+from galenadrum._internal.dispatch.prefix_cache import PrefixCache
+from galenadrum._internal.dispatch.transfer_costs import (
+    count_moved_bytes,
+    estimate_transfer_penalty,
+)
 from galenadrum._internal.models.announcements import Announcement
 from galenadrum._internal.models.routing import EngineLimits
 from galenadrum._internal.routing.request_pacer import RequestPacer
@@ -27,11 +36,11 @@
 _MIN_RATE_SAMPLE_TOKENS = 2_000
 # Delay of the first token by each request that runs on the same engine.
 _DELAY_PER_RUNNING_REQUEST_S = 0.001
-# Delay added to the forecast of an engine in another zone. A dispatcher that owns the
-# engines of one zone avoids those of other zones as long as it can; one that owns all
-# zones adds the smaller, shared delay.
+# Delay added to the forecast of an engine in another zone by a dispatcher that owns the
+# engines of one zone; it avoids those of other zones as long as it can.
 _OTHER_ZONE_PENALTY_S = 0.15
-_SHARED_ZONE_PENALTY_S = 0.02
+# Delay added for each byte that an engine would fetch from another one's cache.
+_FETCH_PENALTY_S_PER_BYTE = 0.15e-9
 _WARM_UP_DELAY_S = 0.2
 # Share of an engine's slots that are filled; other dispatchers may use it as well.
 _SLOT_FILL_SHARE = 0.95
@@ -51,8 +60,9 @@
     Attributes:
         prompt: Parts of the prompt in order.
         prompt_tokens: Length of the prompt in tokens.
-        zone: Zone that holds its inputs, or in which the request arrived.
-        input_bytes: Size of the inputs in bytes.
+        zone: Zone that holds most of its inputs, or in which the request arrived.
+        input_bytes_by_zone: Size of the inputs in bytes, by the zone that holds them.
+        slack_s: Time in seconds that the request can lose without being late.
         software_version: Version of the only engines that may serve it; None if any
             may.
     """
@@ -60,50 +70,21 @@
     prompt: tuple[PromptPart, ...]
     prompt_tokens: int
     zone: str
-    input_bytes: float = 0.0
+    input_bytes_by_zone: Mapping[str, float] = field(default_factory=dict)
+    slack_s: float = 0.0
     software_version: str | None = None
 
 
-class PrefixCache:
-    """LRU model of the prompt parts in an engine's prefix cache.
-
-    Args:
-        capacity_tokens: Tokens after which the least recently used parts are evicted.
-    """
-
-    def __init__(self, capacity_tokens: float) -> None:
-        self._capacity_tokens = capacity_tokens
-        self._tokens_by_part: OrderedDict[str, int] = OrderedDict()
-        self._held_tokens = 0
-
-    def cached_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
-        """Return the number of tokens in the prompt's cached prefix."""
-        tokens = 0
-        for part in prompt:
-            if part.part_id not in self._tokens_by_part:
-                break
-            tokens += part.tokens
-        return tokens
-
-    def record_use(self, prompt: tuple[PromptPart, ...]) -> None:
-        """Record the parts of a prompt as used and evict down to the capacity."""
-        for part in prompt:
-            self._held_tokens += part.tokens - self._tokens_by_part.pop(part.part_id, 0)
-            self._tokens_by_part[part.part_id] = part.tokens
-        while self._held_tokens > self._capacity_tokens and self._tokens_by_part:
-            _, tokens = self._tokens_by_part.popitem(last=False)
-            self._held_tokens -= tokens
-
-
 @dataclass(slots=True)
 class Run:
     """A request that was placed at an engine.
 
     Attributes:
-        uncached_tokens: Uncached tokens of its prompt.
+        uncached_tokens: Tokens of its prompt that the engine reads.
         placed_at: Loop time in seconds.
         queued_tokens: Pending prefill of the engine when the request was placed.
         started_at: Loop time in seconds of its first event; None before it.
+        fetch_s: Time in seconds that it takes to fetch the other tokens.
     """
 
     request_id: str
@@ -112,6 +93,24 @@
     placed_at: float
     queued_tokens: int
     started_at: float | None = None
+    fetch_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """The engine for a request, and how it gets the prompt.
+
+    Attributes:
+        prefill: What the engine reads and what it fetches.
+    """
+
+    engine: Engine
+    prefill: PrefillPlan
+
+    @property
+    def server_id(self) -> str:
+        """Id of the engine."""
+        return self.engine.announcement.server_id
 
 
 @dataclass(slots=True)
@@ -213,25 +212,64 @@
 
     def choose_engine(
         self, demand: EngineDemand, excluded: frozenset[str], now: float
-    ) -> Engine | None:
+    ) -> EngineChoice | None:
         """Return the engine with the earliest expected first token.
 
         Returns:
             None if all engines are full, excluded, paused or at their limit.
         """
-        best: tuple[float, Engine] | None = None
+        best: tuple[float, EngineChoice] | None = None
         is_paced = self._pacer.has_limits()
-        for engine in self._usable_engines(demand, now):
+        engines = self._usable_engines(demand, now)
+        source = self._find_source(engines, demand)
+        for engine in engines:
             server_id = engine.announcement.server_id
             if server_id in excluded or self.is_full(engine):
                 continue
             if is_paced and self._pacer.wait_s(server_id, now) > 0:
                 continue
-            delay_s = self.estimate_first_token_delay(engine, demand, now)
+            prefill = self._plan_prefill(engine, demand, source)
+            delay_s = self._estimate_delay(engine, demand, prefill, now)
             if best is None or delay_s < best[0]:
-                best = (delay_s, engine)
+                best = (delay_s, EngineChoice(engine, prefill))
         return best[1] if best else None
 
+    def _find_source(
+        self, engines: list[Engine], demand: EngineDemand
+    ) -> CacheSource | None:
+        """Return the engine that others can fetch the prompt's prefix from."""
+        if not self._limits or not self._limits.cache_link_bytes_per_s:
+            return None
+        return find_source(
+            demand.prompt,
+            (
+                (e.announcement.server_id, e.announcement.address, e.cache)
+                for e in engines
+                if not e.is_silent
+            ),
+        )
+
+    def _plan_prefill(
+        self, engine: Engine, demand: EngineDemand, source: CacheSource | None
+    ) -> PrefillPlan:
+        if source is not None and not self._may_fetch(engine, source):
+            source = None
+        return plan_prefill(
+            demand.prompt_tokens,
+            engine.cache.cached_tokens(demand.prompt),
+            source,
+            self._limits,
+            lambda tokens: tokens / self.prefill_tokens_per_s,
+        )
+
+    def _may_fetch(self, engine: Engine, source: CacheSource) -> bool:
+        """Return whether an engine may use what a source has in its cache.
+
+        Software of another version may keep its cache in another form.
+        """
+        holder = self.engines_by_id[source.server_id].announcement
+        return holder.software_version == engine.announcement.software_version
+
     def has_version(self, software_version: str) -> bool:
         """Return whether an engine of a software version takes requests."""
         return any(
@@ -273,28 +311,38 @@
         self, engine: Engine, demand: EngineDemand, now: float
     ) -> float:
         """Return the expected time to the first token, in seconds."""
-        prefill_tokens = (
-            self._uncached_tokens(engine, demand) + engine.pending_prefill_tokens
-        )
-        delay_s = prefill_tokens / self.prefill_tokens_per_s
+        source = self._find_source(self._usable_engines(demand, now), demand)
+        prefill = self._plan_prefill(engine, demand, source)
+        return self._estimate_delay(engine, demand, prefill, now)
+
+    def _estimate_delay(
+        self, engine: Engine, demand: EngineDemand, prefill: PrefillPlan, now: float
+    ) -> float:
+        prefill_tokens = prefill.read_tokens + engine.pending_prefill_tokens
+        delay_s = prefill_tokens / self.prefill_tokens_per_s + prefill.fetch_s
         delay_s += len(engine.runs_by_request) * _DELAY_PER_RUNNING_REQUEST_S
         delay_s = (delay_s + self.overhead_s) * engine.current_slowness(now)
         delay_s += self._zone_penalty_s(engine, demand)
+        delay_s += self._fetch_penalty_s(prefill)
         if now < engine.warm_up_ends_at:
             delay_s += _WARM_UP_DELAY_S
         return delay_s
 
-    def _uncached_tokens(self, engine: Engine, demand: EngineDemand) -> int:
-        return max(0, demand.prompt_tokens - engine.cache.cached_tokens(demand.prompt))
+    def _fetch_penalty_s(self, prefill: PrefillPlan) -> float:
+        if not prefill.fetched_tokens or self._limits is None:
+            return 0.0
+        size = prefill.fetched_tokens * self._limits.cache_token_bytes
+        return size * _FETCH_PENALTY_S_PER_BYTE
 
     def _zone_penalty_s(self, engine: Engine, demand: EngineDemand) -> float:
         """Return the delay in seconds added for an engine in another zone."""
         zone = engine.announcement.zone
         if self._zone:
             return 0.0 if zone == self._zone else _OTHER_ZONE_PENALTY_S
-        if zone == demand.zone:
+        moved_bytes = count_moved_bytes(demand.input_bytes_by_zone, zone)
+        if not moved_bytes and zone == demand.zone:
             return 0.0
-        return _SHARED_ZONE_PENALTY_S + demand.input_bytes * ZONE_PENALTY_S_PER_BYTE
+        return estimate_transfer_penalty(moved_bytes, demand.slack_s)
 
     def estimate_shortest_delay(
         self, demand: EngineDemand, now: float, count_waiting: Callable[[], int]
@@ -310,13 +358,17 @@
         engines = self._usable_engines(demand, now)
         if not engines:
             return self._estimate_delay_after_pause(demand, now)
+        source = self._find_source(engines, demand)
+        delays_s = [
+            self._estimate_delay(e, demand, self._plan_prefill(e, demand, source), now)
+            for e in engines
+        ]
         if not self._pacer.has_limits():
-            return min(self.estimate_first_token_delay(e, demand, now) for e in engines)
+            return min(delays_s)
         server_ids = [e.announcement.server_id for e in engines]
         delay_s = min(
-            self.estimate_first_token_delay(engine, demand, now)
-            + self._pacer.wait_s(server_id, now)
-            for engine, server_id in zip(engines, server_ids, strict=True)
+            delay_s + self._pacer.wait_s(server_id, now)
+            for delay_s, server_id in zip(delays_s, server_ids, strict=True)
         )
         rates = [self._pacer.find_rate(server_id) for server_id in server_ids]
         if None not in rates:
@@ -340,18 +392,19 @@
         )
 
     def place(
-        self, engine: Engine, request_id: str, demand: EngineDemand, now: float
+        self, choice: EngineChoice, request_id: str, demand: EngineDemand, now: float
     ) -> None:
         """Record the placement of a request at an engine."""
-        self._pacer.record_request(engine.announcement.server_id, now)
-        uncached_tokens = self._uncached_tokens(engine, demand)
+        engine = choice.engine
+        self._pacer.record_request(choice.server_id, now)
         engine.add_run(
             Run(
                 request_id,
                 demand.prompt,
-                uncached_tokens,
+                choice.prefill.read_tokens,
                 now,
                 engine.pending_prefill_tokens,
+                fetch_s=choice.prefill.fetch_s,
             )
         )
         # Updated before the prefill ends, so that requests with the same prompt parts
@@ -365,11 +418,12 @@
         if run is None or run.started_at is not None:
             return
         engine.start_run(run, now)
+        engine.cache.record_read(run.prompt)
         engine.consecutive_failures = 0
         self._update_estimates(engine, run, now)
 
     def _update_estimates(self, engine: Engine, run: Run, now: float) -> None:
-        duration_s = max(0.001, now - run.placed_at)
+        duration_s = max(0.001, now - run.placed_at - run.fetch_s)
         tokens = run.uncached_tokens + run.queued_tokens
         expected_s = self.overhead_s + tokens / self.prefill_tokens_per_s
         slowness = engine.current_slowness(now)
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -98,6 +98,8 @@
         address: Address of the engine.
         inputs: Handles of the results that the engine fetches as inputs.
         software_version: Version of the engine's software.
+        cache_source: Address of the engine from whose cache it fetches what it lacks
+            of the prompt; empty if it reads the prompt itself.
     """
 
     request_id: str
@@ -106,6 +108,7 @@
     inputs: tuple[str, ...]
     software_version: str = ""
     service: str = ""
+    cache_source: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -10,9 +10,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from galenadrum._internal.dispatch.transfer_costs import estimate_transfer_penalty
 from galenadrum._internal.models.announcements import Announcement
 from galenadrum._internal.models.routing import StageLimits
 from galenadrum._internal.routing.request_pacer import RequestPacer
@@ -40,10 +42,6 @@
 # Delay added to the expected start at a server in another zone. Such a server is used
 # only if the servers in the dispatcher's own zone are at least this far behind.
 OTHER_ZONE_PENALTY_S = 0.5
-# Delays added for another zone where the dispatcher owns the servers of all zones:
-# a fixed one, and one for each byte of input transferred between zones.
-_SHARED_ZONE_PENALTY_S = 0.02
-ZONE_PENALTY_S_PER_BYTE = 20e-9
 # Initial estimate of the time from the end of a call until its results have been
 # consumed and are released.
 _INITIAL_HOLD_S = 0.3
@@ -69,9 +67,10 @@
         remaining_s: Shortest time in seconds from the start of the piece's call to
             the first event.
         result_bytes: Approximate size of its result.
-        zone: Zone that holds its inputs, or in which the request arrived.
+        zone: Zone that holds its inputs or the results of other pieces of its stage,
+            or in which the request arrived.
         input_bytes: Size of the inputs that all pieces of its stage and request
-            fetch together.
+            fetch together, or of those results.
         failures: Number of calls for it that returned no result.
         fallback_due_at: Loop time in seconds by which the first event is due once
             ``objective_at`` can't be met.
@@ -89,6 +88,10 @@
     failures: int = 0
     fallback_due_at: float = math.inf
 
+    def slack_s(self, now: float) -> float:
+        """Return the time in seconds that its call can wait without being late."""
+        return max(0.0, self.objective_at - self.remaining_s - now)
+
     def start_due_at(self, now: float) -> float:
         """Return the loop time in seconds by which the piece's call should start.
 
@@ -304,14 +307,74 @@
         if not self._may_start_call(now):
             return None
         groups = self._waiting_groups()
-        head = min(groups, key=lambda group: self._queue_key(group, now)).pieces[0]
-        server = self._choose_server(head, now)
-        if server is None:
-            return None
-        zone = "" if self._zone else server.announcement.zone
-        groups.sort(key=lambda group: self._queue_key_in_zone(group, zone, now))
-        batch = self._dequeue_pieces(groups, server, now)
-        return (server, batch) if batch else None
+        groups.sort(key=lambda group: self._queue_key(group, now))
+        for head in self._first_pieces(groups):
+            server = self._choose_server(head, now)
+            if server is None:
+                continue
+            if not self._zone:
+                groups = self._select_for_zone(groups, server.announcement.zone, now)
+            batch = self._dequeue_pieces(groups, server, now)
+            return (server, batch) if batch else None
+        return None
+
+    def _first_pieces(self, groups: list[WaitingGroup]) -> Iterator[WaitingPiece]:
+        """Yield the first piece of the queue, and the first one of each other zone.
+
+        While the first piece waits for a busy server of its zone, pieces of other
+        zones may use the servers there.
+        """
+        zones: set[str] = set()
+        for group in groups:
+            piece = group.pieces[0]
+            if piece.zone not in zones:
+                zones.add(piece.zone)
+                yield piece
+            if self._zone:
+                return
+
+    def _select_for_zone(
+        self, groups: list[WaitingGroup], zone: str, now: float
+    ) -> list[WaitingGroup]:
+        """Return the groups that a call in a zone may take, in order.
+
+        A group whose inputs are in another zone is left to the servers there if these
+        are expected to take it before the delay that a transfer counts for.
+
+        Args:
+            groups: All groups in the order of the queue.
+            zone: Zone of the server that is called.
+            now: Loop time in seconds.
+        """
+        waits_by_zone = self._zone_waits(now)
+        pieces_ahead_by_zone: Counter[str] = Counter()
+        selected: list[tuple[tuple[bool, float], WaitingGroup]] = []
+        for group in groups:
+            piece = group.pieces[0]
+            is_new, start_due_at = self._queue_key(group, now)
+            if piece.zone != zone and piece.zone in waits_by_zone:
+                penalty_s = self._zone_penalty_s(piece, zone, now)
+                free_in_s, servers = waits_by_zone[piece.zone]
+                ahead = pieces_ahead_by_zone[piece.zone]
+                rounds = ahead // self.limits.batch_size / servers
+                wait_s = free_in_s + rounds * self.call_time(self.limits.batch_size)
+                pieces_ahead_by_zone[piece.zone] += len(group.pieces)
+                if wait_s < penalty_s:
+                    continue
+                start_due_at += penalty_s
+            selected.append(((is_new, start_due_at), group))
+        selected.sort(key=lambda pair: pair[0])
+        return [group for _, group in selected]
+
+    def _zone_waits(self, now: float) -> dict[str, tuple[float, int]]:
+        """Return when the next server is free and the number of servers, by zone."""
+        waits_by_zone: dict[str, tuple[float, int]] = {}
+        for server in self._usable_servers(now):
+            zone = server.announcement.zone
+            known_s, servers = waits_by_zone.get(zone, (math.inf, 0))
+            free_in_s = max(0.0, server.busy_until - now) if server.calls else 0.0
+            waits_by_zone[zone] = (min(known_s, free_in_s), servers + 1)
+        return waits_by_zone
 
     def _has_free_server(self, now: float) -> bool:
         return any(
@@ -343,19 +406,11 @@
     def _queue_key(self, group: WaitingGroup, now: float) -> tuple[bool, float]:
         return not group.is_started, group.pieces[0].start_due_at(now)
 
-    def _queue_key_in_zone(
-        self, group: WaitingGroup, zone: str, now: float
-    ) -> tuple[bool, float]:
-        is_new, start_due_at = self._queue_key(group, now)
-        if zone:
-            start_due_at += self._zone_penalty_s(group.pieces[0], zone)
-        return is_new, start_due_at
-
-    def _zone_penalty_s(self, piece: WaitingPiece, zone: str) -> float:
+    def _zone_penalty_s(self, piece: WaitingPiece, zone: str, now: float) -> float:
         """Return the delay in seconds added for moving a piece's inputs to a zone."""
         if piece.zone == zone:
             return 0.0
-        return _SHARED_ZONE_PENALTY_S + piece.input_bytes * ZONE_PENALTY_S_PER_BYTE
+        return estimate_transfer_penalty(piece.input_bytes, piece.slack_s(now))
 
     def _dequeue_pieces(
         self, groups: list[WaitingGroup], server: StageServer, now: float
@@ -386,13 +441,22 @@
                 room -= piece.result_bytes * len(chosen)
                 batch += chosen
                 group.is_started = True
-                self._replace_pieces(
-                    piece.request_id, piece.stage, group.pieces[count:]
-                )
+                kept = group.pieces[count:]
+                self._gather_in_zone(kept, len(chosen), server.announcement.zone)
+                self._replace_pieces(piece.request_id, piece.stage, kept)
             if len(batch) >= self.limits.batch_size:
                 break
         return batch
 
+    def _gather_in_zone(
+        self, pieces: list[WaitingPiece], started: int, zone: str
+    ) -> None:
+        """Prefer the zone of a stage's first results for its other pieces."""
+        for piece in pieces:
+            size = started * piece.result_bytes
+            if size > piece.input_bytes:
+                piece.zone, piece.input_bytes = zone, size
+
     def _choose_server(self, head: WaitingPiece, now: float) -> StageServer | None:
         """Return the free server that would finish first.
 
@@ -469,7 +533,7 @@
         if self._is_in_other_zone(server):
             return start_at + OTHER_ZONE_PENALTY_S
         if not self._zone:
-            start_at += self._zone_penalty_s(piece, server.announcement.zone)
+            start_at += self._zone_penalty_s(piece, server.announcement.zone, now)
         return start_at
 
     def _estimate_duration(self, server: StageServer, now: float) -> float:
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -628,9 +628,8 @@
     ) -> list[WaitingPiece]:
         request = active.request
         spec = request.route.stages[stage]
-        zone, input_bytes = self._locate_inputs(
-            active, active.graph.input_handles(stage), spec.after
-        )
+        zone, bytes_by_zone = self._locate_inputs(active, spec.after, request.zone)
+        input_bytes = sum(bytes_by_zone.values())
         remaining_s = self._remaining_s(active, stage)
         return [
             WaitingPiece(
@@ -738,30 +737,36 @@
             return False
         if self._refuse_if_barred(active, now):
             return True
-        zone, input_bytes = self._locate_inputs(
-            active, active.graph.final_handles(), active.graph.final_stages()
+        zone, bytes_by_zone = self._locate_inputs(
+            active, active.graph.final_stages(), request.zone
         )
+        read_s = request.prompt_tokens / pool.prefill_tokens_per_s
         demand = EngineDemand(
             request.prompt,
             request.prompt_tokens,
             zone,
-            input_bytes,
+            bytes_by_zone,
+            max(0.0, due_time(request) - now - pool.overhead_s - read_s),
             request.software_version,
         )
-        engine = pool.choose_engine(demand, frozenset(active.excluded), now)
-        if engine is None:
+        choice = pool.choose_engine(demand, frozenset(active.excluded), now)
+        if choice is None:
             return False
-        pool.place(engine, request.request_id, demand, now)
+        pool.place(choice, request.request_id, demand, now)
         self._screening.record_placement(request, now)
-        active.server_id = engine.announcement.server_id
+        engine, source = choice.engine, choice.prefill.source
+        active.server_id = choice.server_id
         logger.info(
             "placed at %s (version %s) after %.3f s (objective in %.3f s, stages "
-            "completed: %s)",
+            "completed: %s, reads %d tokens and fetches %d from %s)",
             active.server_id,
             engine.announcement.software_version or "unknown",
             now - active.submitted_at,
             request.objective_at - now,
             " ".join(f"{stage}@{at:.3f}" for stage, at in active.completed_stages),
+            choice.prefill.read_tokens,
+            choice.prefill.fetched_tokens,
+            source.server_id if source else "none",
             extra={"request_id": request.request_id},
         )
         self._actions.append(
@@ -772,27 +777,33 @@
                 active.graph.final_handles(),
                 engine.announcement.software_version,
                 request.service,
+                source.address if source else "",
             )
         )
         return True
 
     def _locate_inputs(
-        self, active: _ActiveRequest, handles: tuple[str, ...], stages: tuple[int, ...]
-    ) -> tuple[str, float]:
-        """Return the zone that holds most of the results, and their total size."""
-        counts: dict[str, int] = defaultdict(int)
-        for handle in handles:
-            for pool in self._stage_pools_by_service.values():
+        self, active: _ActiveRequest, stages: tuple[int, ...], caller_zone: str
+    ) -> tuple[str, dict[str, float]]:
+        """Return the zone that holds most of some stages' results, and their sizes.
+
+        Returns:
+            The zone, which is the caller's if there are no results, and the size of
+            the results in bytes by zone.
+        """
+        bytes_by_zone: dict[str, float] = defaultdict(float)
+        for index in stages:
+            spec = active.graph.stages[index]
+            pool = self._stage_pools_by_service.get(spec.service)
+            if pool is None:
+                continue
+            for handle in active.graph.stage_handles(index):
                 zone = pool.zone_of_result(handle)
                 if zone is not None:
-                    counts[zone] += 1
-                    break
-        if not counts:
-            return active.request.zone, 0.0
-        size = sum(
-            active.graph.pieces[i] * active.graph.stages[i].result_bytes for i in stages
-        )
-        return max(counts, key=counts.__getitem__), size
+                    bytes_by_zone[zone] += spec.result_bytes
+        if not bytes_by_zone:
+            return caller_zone, bytes_by_zone
+        return max(bytes_by_zone, key=bytes_by_zone.__getitem__), bytes_by_zone
 
     def _end_with_refusal(
         self, active: _ActiveRequest, reason: str, now: float
--- a/src/galenadrum/_internal/gateway/dialect.py
+++ b/src/galenadrum/_internal/gateway/dialect.py
@@ -98,6 +98,8 @@
         priority: Priority of the request at the engine, or None.
         inputs: Handles of the stage results; None if the route has no stages.
         last_event_id: Id of the event after which a stream is resumed, or None.
+        cache_source: Address of the server from whose cache this one fetches what it
+            lacks of the prompt; empty if it reads the prompt itself.
     """
 
     server_id: str
@@ -106,6 +108,7 @@
     priority: int | None = None
     inputs: tuple[str, ...] | None = None
     last_event_id: bytes | None = None
+    cache_source: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -169,6 +169,7 @@
                     inputs=update.inputs,
                     software_version=update.software_version,
                     service=update.service,
+                    cache_source=update.cache_source,
                 )
             )
         case StageProgress():
@@ -197,6 +198,7 @@
         tuple(record.inputs),
         record.software_version,
         record.service,
+        record.cache_source,
     )
 
 
--- a/src/galenadrum/_internal/models/routing.py
+++ b/src/galenadrum/_internal/models/routing.py
@@ -107,11 +107,16 @@
         concurrency: Maximum number of concurrent requests.
         kv_capacity_tokens: Capacity of its KV cache, in tokens.
         tokens_per_event: Number of tokens in one event of a stream.
+        cache_token_bytes: Size of one token in its KV cache, in bytes.
+        cache_link_bytes_per_s: Speed at which an engine fetches from another one's
+            cache, in bytes per second; 0 if it can't.
     """
 
     concurrency: int
     kv_capacity_tokens: int
     tokens_per_event: int = 1
+    cache_token_bytes: float = 0.0
+    cache_link_bytes_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lib/dispatch_simulation.py
+++ b/tests/lib/dispatch_simulation.py
@@ -46,6 +46,8 @@
         calls: Start time and content of each stage call.
         release_calls: Number of release calls.
         max_running_by_server: Highest number of simultaneous calls.
+        used_bytes: Size of all inputs that servers fetched.
+        moved_bytes: Size of those that came from another zone.
     """
 
     def __init__(self, services, entries, zone="", first_event_s=0.1):
@@ -77,6 +79,12 @@
         self.released = set()
         self.release_calls = 0
         self.max_running_by_server = Counter()
+        self.used_bytes = 0.0
+        self.moved_bytes = 0.0
+        self._zone_by_handle = {}
+        self._engine_zone_by_address = {
+            e.announcement.address: e.announcement.zone for e in entries
+        }
         self._running = Counter()
         self._entries = entries
         self.schedule_at(TICK_S, self._tick)
@@ -143,6 +151,12 @@
         self.results -= set(handles)
         self.dispatcher.confirm_release(handles, self.now)
 
+    def _fetch_inputs(self, handles, zone):
+        for handle in handles:
+            self.used_bytes += self.size_by_handle[handle]
+            if self._zone_by_handle[handle] != zone:
+                self.moved_bytes += self.size_by_handle[handle]
+
     def lose_inputs(self, call, request_id):
         """Make a running call report lost inputs for the pieces of a request."""
         self._lost_inputs_by_call[call.call_id] = {
@@ -184,6 +198,7 @@
         for piece in call.pieces:
             missing = [h for h in piece.inputs if h not in self.results]
             assert not missing, f"{piece} has inputs that were released"
+            self._fetch_inputs(piece.inputs, call.server.zone)
         self._lost_inputs_by_call[call.call_id] = {
             piece
             for piece in call.pieces
@@ -222,6 +237,7 @@
         self.results.add(handle)
         self.size_by_handle[handle] = self._size_of(piece)
         self.completed_at_by_handle[handle] = self.now
+        self._zone_by_handle[handle] = call.server.zone
         return PieceResult(handle)
 
     def _handle_placement(self, placement):
@@ -240,6 +256,9 @@
             return
         self.placed_at[request_id] = self.now
         self.placements[request_id] = placement
+        self._fetch_inputs(
+            placement.inputs, self._engine_zone_by_address[placement.address]
+        )
 
         def report(outcome):
             self.dispatcher.report(request_id, placement.server_id, outcome, self.now)
--- a/tests/unit/platform_adapter/test_dialect.py
+++ b/tests/unit/platform_adapter/test_dialect.py
@@ -82,6 +82,7 @@
             (b"X-RETENTION", b"1"),
             (b"X-Pin-Ms", b"9"),
             (b"Kv-From", b"x"),
+            (b"Kv-Fetch", b"x"),
             (b"X-Kv-Backup", b"x"),
             (b"X-Inputs", b"x"),
         ]
@@ -92,7 +93,13 @@
         assert values[b"x-inputs"] == [b"h1,h2"]
         assert values[b"x-deadline-ms"] == [b"1500"]
         assert values[b"x-expect-instance"] == [b"i-1"]
-        for name in (b"x-retention", b"x-pin-ms", b"kv-from", b"x-kv-backup"):
+        for name in (
+            b"x-retention",
+            b"x-pin-ms",
+            b"kv-from",
+            b"kv-fetch",
+            b"x-kv-backup",
+        ):
             assert name not in values
 
     def test_hop_by_hop_headers_are_dropped(self):
@@ -116,6 +123,10 @@
         ]
         assert values == [b"9"]
 
+    def test_source_of_the_prompt_is_named(self):
+        headers = dict(self.headers(cache_source="10.0.0.7:80"))
+        assert headers[b"Kv-Fetch"] == b"10.0.0.7:80"
+
 
 class TestReply:
     def test_rejection(self):
