--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -303,9 +303,7 @@
         handle(link, getattr(message, body))
 
     def _handle_ping(self, link: InboundLink, record: pb.LinkPing) -> None:
-        message = self._configurations.pong(record)
-        message.pong.dispatched_per_s = round(self._dispatch.requests_per_s)
-        link.send(message)
+        link.send(self._configurations.pong(record))
 
     def _handle_crash(self, _: InboundLink, record: pb.ServerCrash) -> None:
         now = self._loop.time()
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -13,7 +13,6 @@
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.directory.server_limits import ServerLimits
-from galenadrum._internal.dispatch.division import RequestRate
 from galenadrum._internal.dispatch.messages import (
     CallFailure,
     PieceResult,
@@ -99,7 +98,6 @@
         )
         self._dispatchers_by_zone: dict[str, ZoneDispatcher] = {}
         self._replies_by_request: dict[str, tuple[ZoneDispatcher, Reply]] = {}
-        self._rate = RequestRate()
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
         self._active = asyncio.Event()
@@ -109,11 +107,6 @@
         """Number of admitted requests that have not ended."""
         return sum(d.request_count for d in self._dispatchers_by_zone.values())
 
-    @property
-    def requests_per_s(self) -> float:
-        """Requests per second that this host's dispatchers have received."""
-        return self._rate.per_s(self._loop.time())
-
     def put_server(self, entry: ServerEntry) -> None:
         """Add or update a server in every dispatcher."""
         for dispatcher in self._dispatchers_by_zone.values():
@@ -146,8 +139,6 @@
             return
         request = resolved
         dispatcher = self._get_or_create_dispatcher(zone)
-        if request.route.stages:
-            self._rate.record(self._loop.time())
         self._active.set()
         self._replies_by_request[request.request_id] = (dispatcher, reply)
         dispatcher.submit(request, self._loop.time())
--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -66,7 +66,6 @@
         self._member_addresses: tuple[str, ...] = ()
         self._entry_hosts_by_address: dict[str, int] = {}
         self._last_entry_hosts = 1
-        self._dispatched_per_s_by_address: dict[str, int] = {}
         self.relays: tuple[RelayHost, ...] = ()
 
     @property
@@ -82,14 +81,6 @@
         ]
         return max(numbers, default=self._last_entry_hosts)
 
-    @property
-    def dispatched_per_s(self) -> int:
-        """Requests per second that the dispatchers of linked hosts receive."""
-        return sum(
-            self._dispatched_per_s_by_address.get(link.address, 0)
-            for link in self.links_up()
-        )
-
     @property
     def control_hosts(self) -> int:
         """Number of control hosts."""
@@ -143,7 +134,6 @@
     def _remove_link(self, address: str) -> None:
         link, task = self._links_by_address.pop(address)
         self._entry_hosts_by_address.pop(address, None)
-        self._dispatched_per_s_by_address.pop(address, None)
         task.cancel()
         self._down_since_by_address.pop(address, None)
         was_up, link.is_up = link.is_up, False
@@ -180,7 +170,6 @@
 
     def _handle_pong(self, link: HostLink, message: LinkMessage) -> None:
         pong = message.pong
-        self._dispatched_per_s_by_address[link.address] = pong.dispatched_per_s
         sent_at = link.pop_ping_sent_at(pong.token)
         if sent_at is not None and pong.is_confirmed:
             self._on_confirmed(pong.version, sent_at - pong.age_ms / 1_000)
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -191,7 +191,7 @@
             self.links.links_up,
             self.dispatch,
             lambda: self.lease.version,
-            lambda: self.links.dispatched_per_s,
+            lambda: self.links.entry_hosts,
         )
         budgets = RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, lambda: self.links.entry_hosts
--- a/src/galenadrum/_internal/gateway/placement_client.py
+++ b/src/galenadrum/_internal/gateway/placement_client.py
@@ -1,7 +1,6 @@
 """Requests placements from dispatchers for the requests of an entry host.
 
-All zones share one dispatcher as long as it bears the load; then the dispatcher of the
-host's own zone is preferred. When the link to a dispatcher goes
+The dispatcher of the host's own zone is preferred. When the link to a dispatcher goes
 down, its pending requests are submitted again to the next one; without any link, the
 host dispatches for itself.
 """
@@ -15,7 +14,6 @@
 from dataclasses import dataclass, field, replace
 
 from galenadrum._internal.dispatch.admission import NO_VERSION_REASON
-from galenadrum._internal.dispatch.division import is_dispatcher_shared
 from galenadrum._internal.dispatch.driver import DispatchDriver
 from galenadrum._internal.dispatch.messages import (
     Placement,
@@ -40,6 +38,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Up to this many entry hosts, one dispatcher places all requests on the servers of all
+# zones; beyond it, each zone has a dispatcher of its own. A request takes a dispatcher
+# about a millisecond; a hundred small entry hosts send some 300 requests per second.
+_MAX_ENTRY_HOSTS_FOR_SHARED_DISPATCHER = 100
 # Control hosts whose availability times are within this of the earliest count as equal;
 # the first by address is chosen among them, so that all entry hosts choose the same.
 _AVAILABILITY_TOLERANCE_S = 3.0
@@ -76,8 +78,7 @@
         links: Returns the links that are up.
         local_dispatcher: Dispatcher of this host, used if no link is up.
         version: Returns the applied configuration version.
-        dispatched_per_s: Returns the requests per second that the dispatchers of all
-            hosts receive together.
+        entry_host_count: Returns the number of entry hosts.
     """
 
     def __init__(
@@ -86,13 +87,13 @@
         links: Callable[[], list[HostLink]],
         local_dispatcher: DispatchDriver,
         version: Callable[[], int],
-        dispatched_per_s: Callable[[], float],
+        entry_host_count: Callable[[], int],
     ) -> None:
         self._zone = zone
         self._links_up = links
         self._local_dispatcher = local_dispatcher
         self._version = version
-        self._dispatched_per_s = dispatched_per_s
+        self._entry_host_count = entry_host_count
         self._pending_by_request: dict[str, _PendingRequest] = {}
         self._chosen_link: HostLink | None = None
         self._loop = asyncio.get_running_loop()
@@ -211,7 +212,7 @@
                 )
 
     def _submit(self, pending: _PendingRequest) -> None:
-        is_shared = is_dispatcher_shared(self._dispatched_per_s())
+        is_shared = self._entry_host_count() <= _MAX_ENTRY_HOSTS_FOR_SHARED_DISPATCHER
         pending.domain = "" if is_shared else self._zone
         pending.link = self._choose_link(pending.domain)
         self._watch_dispatcher(pending.link)
