Report a period's requests from the logs of all hosts

Change: the end of each caller's request, and changes of hosts and servers, are logged with an object `event`; `galenadrum report` reads the logs of all hosts and writes a page with plots (matplotlib, extra `report`) or JSON. Costs one more log line a request, not measured apart.

--- a/src/galenadrum/_internal/cli/output.py
+++ b/src/galenadrum/_internal/cli/output.py
@@ -21,6 +21,7 @@
     ConflictError,
     ControlUnreachableError,
     GalenadrumError,
+    LogError,
     MemberRefusedError,
     OperatorApiError,
     OutcomeUnknownError,
@@ -32,6 +33,7 @@
 
 _EXIT_CODE_BY_ERROR_CLASS: tuple[tuple[type[GalenadrumError], int], ...] = (
     (CheckFailedError, status_codes.FINDINGS),
+    (LogError, status_codes.FINDINGS),
     (ConflictError, status_codes.CONFLICT),
     (OperatorApiError, status_codes.REFUSED),
     (OutcomeUnknownError, status_codes.OUTCOME_UNKNOWN),
@@ -47,9 +49,14 @@
     click.echo(text)
 
 
+def encode_json(value: Any) -> str:
+    """Return machine-readable output as one line of JSON."""
+    return json.dumps(value, ensure_ascii=False)
+
+
 def write_json(value: Any) -> None:
     """Write machine-readable output as one line of JSON."""
-    click.echo(json.dumps(value, ensure_ascii=False))
+    click.echo(encode_json(value))
 
 
 def write_table(headers: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -45,6 +45,10 @@
     Http1Server,
 )
 from galenadrum._internal.network.metrics_page import create_metrics_server
+from galenadrum._internal.observability.events import (
+    build_host_event,
+    build_server_event,
+)
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
@@ -302,7 +306,9 @@
         logger.info("configuration version %d applied", document.version)
 
     def _publish_server(self, entry: ServerEntry) -> None:
-        logger.info("server entry changed: %s", entry)
+        logger.info(
+            "server entry changed: %s", entry, extra={"event": _describe_server(entry)}
+        )
         self.binding_file.append(self.versions.record_entry(entry))
         self.links.send_entry(entry, not self._is_handling_link_message)
         self.dispatch.put_server(entry)
@@ -359,7 +365,11 @@
     async def start(self) -> None:
         """Start all tasks under the supervisor."""
         self._task = asyncio.create_task(self._supervisor.run())
-        logger.info("control host %s started", self._settings.host_id)
+        logger.info(
+            "control host %s started",
+            self._settings.host_id,
+            extra={"event": build_host_event("started")},
+        )
 
     async def wait_for_failure(self) -> None:
         """Wait until this host fails, and raise the cause."""
@@ -367,7 +377,11 @@
 
     async def drain(self) -> None:
         """Transfer leadership and finish the calls in progress."""
-        logger.info("control host %s is draining", self._settings.host_id)
+        logger.info(
+            "control host %s is draining",
+            self._settings.host_id,
+            extra={"event": build_host_event("draining")},
+        )
         self._server.stop_listening()
         self._server.close_connections_when_idle()
         await self.log_runner.step_down()
@@ -378,3 +392,10 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+
+
+def _describe_server(entry: ServerEntry) -> dict[str, object]:
+    """Return the event of a changed backend server."""
+    announcement = entry.announcement
+    change = "silent" if entry.is_silent else announcement.state.value
+    return build_server_event(announcement.server_id, announcement.service, change)
--- a/src/galenadrum/_internal/exceptions.py
+++ b/src/galenadrum/_internal/exceptions.py
@@ -26,6 +26,10 @@
         self.findings = findings
 
 
+class LogError(GalenadrumError):
+    """Raised when no report can be made from log files."""
+
+
 class InvariantError(GalenadrumError):
     """Raised when an internal invariant is violated."""
 
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -54,6 +54,7 @@
     Http1Server,
 )
 from galenadrum._internal.network.metrics_page import create_metrics_server
+from galenadrum._internal.observability.events import build_host_event
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
@@ -253,6 +254,7 @@
             answers,
             self.quarantine,
             rng,
+            zone,
         )
 
     def _build_supervisor(self, rng: random.Random) -> Supervisor:
@@ -437,7 +439,11 @@
     async def start(self) -> None:
         """Start all tasks of the daemon."""
         self._task = asyncio.create_task(self._supervisor.run())
-        logger.info("entry host %s started", self._settings.host_id)
+        logger.info(
+            "entry host %s started",
+            self._settings.host_id,
+            extra={"event": build_host_event("started")},
+        )
 
     async def wait_for_failure(self) -> None:
         """Wait until a task fails permanently, and raise its error."""
@@ -448,7 +454,11 @@
         self._is_stopping = True
         self._relay.is_stopping = True
         stop_at = self._loop.time() + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
-        logger.info("entry host %s is draining", self._settings.host_id)
+        logger.info(
+            "entry host %s is draining",
+            self._settings.host_id,
+            extra={"event": build_host_event("draining")},
+        )
         await asyncio.sleep(_DEREGISTRATION_DELAY_S)
         await self._caller_server.accept_last_connections()
         while self._loop.time() < stop_at:
@@ -458,7 +468,9 @@
             if not unfinished and not self._relay_server.busy_count:
                 break
         logger.info(
-            "drain ended with %d requests in flight", self._caller_server.busy_count
+            "drain ended with %d requests in flight",
+            self._caller_server.busy_count,
+            extra={"event": build_host_event("drained")},
         )
 
     async def stop(self) -> None:
--- a/src/galenadrum/_internal/gateway/error_responder.py
+++ b/src/galenadrum/_internal/gateway/error_responder.py
@@ -42,6 +42,7 @@
         )
         headers = [(b"Retry-After", b"%.2f" % jittered_s)]
         text = f"not run: {reason}"
+        exchange.own_reason = reason
         self._send(
             exchange, metadata, 503, text, headers, f"{detail} retry={jittered_s:.2f}"
         )
@@ -54,6 +55,7 @@
         reason: str,
     ) -> None:
         """Respond that the request is not allowed, with the given status."""
+        exchange.own_reason = reason
         self._send(exchange, metadata, status, reason, [], "")
 
     def fail_request(
@@ -65,6 +67,7 @@
         detail: str = "",
     ) -> None:
         """Respond that the request was sent and its outcome is unknown."""
+        exchange.own_reason = reason
         self._send(exchange, metadata, status, f"outcome unknown: {reason}", [], detail)
 
     def _send(
--- a/src/galenadrum/_internal/gateway/placement_client.py
+++ b/src/galenadrum/_internal/gateway/placement_client.py
@@ -34,6 +34,7 @@
 )
 from galenadrum._internal.models.quarantine import ServerCrash
 from galenadrum._internal.network.host_link import HostLink
+from galenadrum._internal.observability.events import build_host_event
 from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
 
 logger = logging.getLogger(__name__)
@@ -226,7 +227,11 @@
             self._chosen_link.watch(False)
         if link is not None:
             link.watch(True)
-            logger.info("using host %s as the dispatcher", link.peer.host_id)
+            logger.info(
+                "using host %s as the dispatcher",
+                link.peer.host_id,
+                extra={"event": build_host_event(f"dispatcher is {link.peer.host_id}")},
+            )
         self._chosen_link = link
 
     def _send_request(self, pending: _PendingRequest) -> None:
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from dataclasses import dataclass
 
@@ -17,6 +18,10 @@
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
 from galenadrum._internal.models.routing import OrganisationKeys, Route, RouteKind
 from galenadrum._internal.network.http1.server import Exchange
+from galenadrum._internal.observability.events import (
+    build_request_event,
+    classify_outcome,
+)
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
 from galenadrum._internal.quarantine.request_digest import digest_request
 
@@ -39,7 +44,19 @@
 
 
 class RequestHandler:
-    """Handles the exchanges of the server that callers connect to."""
+    """Handles the exchanges of the server that callers connect to.
+
+    Args:
+        dialect: Decoder of the requests.
+        in_force: Table of the routes that are served.
+        lease: Tells whether this host knows the newest configuration.
+        plain: Forwards requests to plain servers.
+        streams: Forwards requests to model engines.
+        answers: Sends responses that this host generates itself.
+        quarantine: Requests that are refused.
+        rng: Source of randomness for the choice of services.
+        zone: Availability zone of this host.
+    """
 
     def __init__(
         self,
@@ -51,8 +68,10 @@
         answers: ErrorResponder,
         quarantine: PartQuarantine,
         rng: random.Random,
+        zone: str = "",
     ) -> None:
         self._dialect = dialect
+        self._zone = zone
         self._in_force = in_force
         self._lease = lease
         self._plain_forwarder = plain
@@ -68,6 +87,7 @@
         metadata = self._dialect.parse_request_head(exchange.head)
         context = self._check_request(exchange, metadata)
         if context is None:
+            self._log_end(exchange, metadata, None)
             return
         task = asyncio.current_task()
         if context.route.kind is not RouteKind.NON_IDEMPOTENT:
@@ -85,6 +105,49 @@
                 self._loop.time() - context.received_at,
                 extra={"request_id": metadata.request_id},
             )
+        finally:
+            self._log_end(exchange, metadata, context)
+
+    def _log_end(
+        self,
+        exchange: Exchange,
+        metadata: RequestMetadata,
+        context: RequestContext | None,
+    ) -> None:
+        """Log the outcome of a request as an event.
+
+        Args:
+            exchange: The request and its response.
+            metadata: Values in the head of the request.
+            context: The request; None if it didn't pass the checks.
+        """
+        due_at = math.inf
+        if context is not None:
+            due_at = context.first_requested_at + context.route.objective_s
+        outcome = classify_outcome(
+            exchange.status,
+            exchange.is_complete,
+            exchange.is_caller_disconnected,
+            (exchange.began_at or 0.0) <= due_at,
+        )
+        elapsed_s = self._loop.time() - exchange.received_at
+        route = context.route.name if context is not None else ""
+        logger.info(
+            "request of route %s ended: %s",
+            route or "none",
+            outcome.value,
+            extra={
+                "request_id": metadata.request_id,
+                "event": build_request_event(
+                    route,
+                    self._zone,
+                    outcome,
+                    exchange.status,
+                    elapsed_s,
+                    exchange.own_reason,
+                ),
+            },
+        )
 
     def _check_request(
         self, exchange: Exchange, metadata: RequestMetadata
--- a/src/galenadrum/_internal/network/http1/server.py
+++ b/src/galenadrum/_internal/network/http1/server.py
@@ -71,6 +71,10 @@
         on_caller_disconnected: Called once when the caller does so.
         bytes_sent: Number of bytes of the response sent so far, including its head.
         is_finished: Whether the response was sent completely or aborted.
+        is_complete: Whether the response was sent completely.
+        status: Status of the response; 0 before it began.
+        began_at: Loop time in seconds at which the response began; None before.
+        own_reason: Reason of a response that this host generated itself; else empty.
     """
 
     def __init__(
@@ -88,6 +92,10 @@
         self.on_caller_disconnected: Callable[[], None] | None = None
         self.bytes_sent = 0
         self.is_finished = False
+        self.is_complete = False
+        self.status = 0
+        self.began_at: float | None = None
+        self.own_reason = ""
         self._is_chunked = False
         self._keep_alive = head.keep_alive
 
@@ -95,6 +103,7 @@
         self, status: int, headers: Headers | list[tuple[bytes, bytes]], body: bytes
     ) -> None:
         """Send a complete response."""
+        self._record_begin(status)
         head = [*headers, (b"Content-Length", b"%d" % len(body))]
         payload = b"" if self.head.method == b"HEAD" else body
         self._write(
@@ -108,6 +117,7 @@
         A response to HTTP/1.0 ends with its connection. The connection is therefore
         reset, unless `finish` is called, however it ends.
         """
+        self._record_begin(status)
         if self.head.is_http10:
             self._keep_alive = False
             self._connection.set_reset_on_close(True)
@@ -152,12 +162,16 @@
             return [*headers, (b"Connection", b"close")]
         return headers
 
+    def _record_begin(self, status: int) -> None:
+        self.status = status
+        self.began_at = asyncio.get_running_loop().time()
+
     def _write(self, data: bytes) -> None:
         self.bytes_sent += len(data)
         self._connection.write(data)
 
     def _finish(self) -> None:
-        self.is_finished = True
+        self.is_finished = self.is_complete = True
         self._connection.answered(self._keep_alive)
 
 
--- a/src/galenadrum/_internal/observability/logs.py
+++ b/src/galenadrum/_internal/observability/logs.py
@@ -124,6 +124,8 @@
         for name in ("request_id", "trace_id"):
             if value := getattr(record, name, ""):
                 line[name] = value
+        if event := getattr(record, "event", None):
+            line["event"] = event
         if record.exc_text:
             line["exception"] = record.exc_text
         return _encode_json(line)
--- /dev/null
+++ b/src/galenadrum/_internal/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of a period from the logs of all hosts."""
--- a/tests/functional/routing/test_routing_end_to_end.py
+++ b/tests/functional/routing/test_routing_end_to_end.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 
 import pytest
 
@@ -81,6 +82,24 @@
 
         run_deployment(tmp_path, steps, PLAIN_ENGINES)
 
+    def test_end_of_each_request_is_logged_as_an_event(self, tmp_path, caplog):
+        caplog.set_level(logging.INFO)
+
+        async def steps(deployment):
+            await deployment.send_request("/stock/x")
+            await deployment.send_request("/stock/x", key="bad")
+
+        run_deployment(tmp_path, steps, PLAIN_ENGINES)
+        events = [
+            record.event
+            for record in caplog.records
+            if getattr(record, "event", {}).get("kind") == "request_ended"
+        ]
+        assert [event["outcome"] for event in events] == ["served", "denied"]
+        assert events[0]["route"] == "stock"
+        assert events[0]["zone"] in ("a", "b", "c")
+        assert events[1]["reason"] == "the key is not known"
+
     def test_unknown_route_and_key_are_denied(self, tmp_path):
         async def steps(deployment):
             assert (await deployment.send_request("/none/x"))[1] == 404
