--- a/src/galenadrum/_internal/dispatch/transfer_costs.py
+++ b/src/galenadrum/_internal/dispatch/transfer_costs.py
@@ -15,9 +15,9 @@
 _FIXED_S = 0.02
 # Delay added for each byte of a request that is due, and of one that has much time.
 _URGENT_S_PER_BYTE = 20e-9
-_PATIENT_S_PER_BYTE = 100e-9
+_PATIENT_S_PER_BYTE = 200e-9
 # Share of the time left that a request may wait to save a transfer.
-_SLACK_SHARE = 0.2
+_SLACK_SHARE = 0.3
 
 
 def estimate_transfer_penalty(size: float, slack_s: float) -> float:
