Recognise callers that come back from the deadlines of all hosts

A host knows a caller that returns by its shorter deadline, once it has seen the usual one twice; at 195 hosts a route like keeper-chat comes to a host each 12 s. Until then a returning caller counts as new, its due time has passed in truth, and in a burst it is refused once more. Change: the dispatcher compares the deadlines of all requests that reach it (dispatch/returning_callers.py); hosts send it what the caller gave.

--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -27,6 +27,7 @@
 )
 from galenadrum._internal.dispatch.prompt_screening import PromptScreening
 from galenadrum._internal.dispatch.repeated_answers import RepeatedAnswers
+from galenadrum._internal.dispatch.returning_callers import ReturningCallers
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect
@@ -92,6 +93,7 @@
         self._pacer = pacer
         self._versions = versions
         self._answers = RepeatedAnswers()
+        self._returning_callers = ReturningCallers()
         self._screening = PromptScreening(quarantine)
         self._crashes = CrashDetector(
             pool, self._find_server, self.record_crash, metrics
@@ -137,7 +139,7 @@
                 )
             )
             return
-        request = resolved
+        request = self._returning_callers.recognise(resolved)
         dispatcher = self._get_or_create_dispatcher(zone)
         self._active.set()
         self._replies_by_request[request.request_id] = (dispatcher, reply)
