--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -33,6 +33,7 @@
 from galenadrum._internal.gateway.link_codec import (
     decode_announcement,
     decode_crash,
+    decode_held_prompts,
 )
 from galenadrum._internal.gateway.relay_service import RELAY_LIMITS, RelayService
 from galenadrum._internal.models.routing_settings import RoutingControlSettings
@@ -340,6 +341,9 @@
                 )
             elif body == "limit":
                 self.links.receive_limit(message.limit)
+            elif body == "held_prompts":
+                for held in decode_held_prompts(message.held_prompts):
+                    self.dispatch.record_held_prompt(held)
         finally:
             self._is_handling_link_message = False
 
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -31,6 +31,7 @@
     decode_limit,
     decode_quarantine,
     encode_crash,
+    encode_held_prompts,
     encode_limit,
     encode_placement_update,
     encode_quarantine,
@@ -52,6 +53,8 @@
 logger = logging.getLogger(__name__)
 
 _RENEWAL_INTERVAL_S = 1.0
+# What engines hold is told to other control hosts this often between renewals.
+_CACHE_NEWS_PER_RENEWAL = 4
 _UNKNOWN_ROUTE_RETRY_AFTER_S = 0.5
 # Entry hosts that are named to the others for forwarding; a zone that is cut off as a
 # whole has to find one outside.
@@ -234,9 +237,11 @@
         self._broadcast(pb.LinkMessage(hello=self._hello()))
 
     async def run(self) -> None:
-        """Send renewals to control hosts, and changes of the host list to all."""
+        """Send news to control hosts, and changes of the host list to all."""
         while True:
-            await asyncio.sleep(_RENEWAL_INTERVAL_S)
+            for _ in range(_CACHE_NEWS_PER_RENEWAL):
+                await asyncio.sleep(_RENEWAL_INTERVAL_S / _CACHE_NEWS_PER_RENEWAL)
+                self._send_held_prompts()
             if self._renewed_server_ids:
                 renewals = pb.Renewals(
                     server_ids=sorted(self._renewed_server_ids),
@@ -246,6 +251,11 @@
                 self._broadcast(pb.LinkMessage(renewals=renewals), is_control=True)
             self._broadcast_hosts_if_changed()
 
+    def _send_held_prompts(self) -> None:
+        prompts = self._dispatch.held_prompts.take_unsent()
+        if prompts:
+            self._broadcast(encode_held_prompts(prompts), is_control=True)
+
     def _broadcast_hosts_if_changed(self) -> None:
         addresses = self._list_relay_addresses()
         hosts = (self._members(), self.entry_host_count, addresses)
--- a/src/galenadrum/_internal/dispatch/cache_fetch.py
+++ b/src/galenadrum/_internal/dispatch/cache_fetch.py
@@ -18,7 +18,7 @@
 # Time to set up a transfer between two engines.
 _SETUP_S = 0.006
 # A shorter part is read faster than it is fetched.
-_MIN_FETCHED_TOKENS = 512
+MIN_FETCHED_TOKENS = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
         caches: Id, address and cache of each engine that others can reach.
     """
     best: CacheSource | None = None
-    least_tokens = _MIN_FETCHED_TOKENS - 1
+    least_tokens = MIN_FETCHED_TOKENS - 1
     for server_id, address, cache in caches:
         tokens = cache.held_tokens(prompt)
         if tokens > (best.held_tokens if best else least_tokens):
@@ -92,7 +92,7 @@
     if source is None or limits is None or not limits.cache_link_bytes_per_s:
         return PrefillPlan(read_tokens)
     fetched_tokens = min(source.held_tokens, prompt_tokens) - cached_tokens
-    if fetched_tokens < _MIN_FETCHED_TOKENS:
+    if fetched_tokens < MIN_FETCHED_TOKENS:
         return PrefillPlan(read_tokens)
     size = fetched_tokens * limits.cache_token_bytes
     fetch_s = _SETUP_S + size / limits.cache_link_bytes_per_s
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -13,6 +13,7 @@
 
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.directory.server_limits import ServerLimits
+from galenadrum._internal.dispatch.held_prompts import HeldPrompt, HeldPrompts
 from galenadrum._internal.dispatch.messages import (
     CallFailure,
     PieceResult,
@@ -94,6 +95,7 @@
         self._versions = versions
         self._answers = RepeatedAnswers()
         self._returning_callers = ReturningCallers()
+        self.held_prompts = HeldPrompts()
         self._screening = PromptScreening(quarantine)
         self._crashes = CrashDetector(
             pool, self._find_server, self.record_crash, metrics
@@ -109,8 +111,16 @@
         """Number of admitted requests that have not ended."""
         return sum(d.request_count for d in self._dispatchers_by_zone.values())
 
+    def record_held_prompt(self, held: HeldPrompt) -> None:
+        """Record what an engine has read for another host's dispatcher."""
+        self.held_prompts.record(held)
+        for dispatcher in self._dispatchers_by_zone.values():
+            dispatcher.record_held_prompt(held)
+
     def put_server(self, entry: ServerEntry) -> None:
         """Add or update a server in every dispatcher."""
+        if not entry.accepts_requests:
+            self.held_prompts.remove_server(entry.server_id)
         for dispatcher in self._dispatchers_by_zone.values():
             dispatcher.put_server(entry)
             self._execute_actions(dispatcher)
@@ -214,6 +224,8 @@
             dispatcher.configure(self._services())
             for entry in self._servers():
                 dispatcher.put_server(entry)
+            for held in self.held_prompts.list_prompts():
+                dispatcher.record_held_prompt(held)
             self._dispatchers_by_zone[zone] = dispatcher
             logger.info("started a dispatcher for %s", zone or "all zones")
         return dispatcher
@@ -227,6 +239,15 @@
                     self._start_task(self._run_release(dispatcher, action))
                 case Placement() | PlacementRefusal() | StageProgress():
                     self._deliver(action)
+                case HeldPrompt():
+                    self._record_observed(dispatcher, action)
+
+    def _record_observed(self, observer: ZoneDispatcher, held: HeldPrompt) -> None:
+        """Remember what an engine holds, and tell this host's other dispatchers."""
+        self.held_prompts.record_observed(held, self._loop.time())
+        for dispatcher in self._dispatchers_by_zone.values():
+            if dispatcher is not observer:
+                dispatcher.record_held_prompt(held)
 
     def _deliver(self, update: PlacementUpdate) -> None:
         registered = self._replies_by_request.get(update.request_id)
--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -14,11 +14,13 @@
 from dataclasses import dataclass, field
 
 from galenadrum._internal.dispatch.cache_fetch import (
+    MIN_FETCHED_TOKENS,
     CacheSource,
     PrefillPlan,
     find_source,
     plan_prefill,
 )
+from galenadrum._internal.dispatch.held_prompts import HeldPrompt
 from galenadrum._internal.dispatch.messages import PromptPart
 from galenadrum._internal.dispatch.prefix_cache import PrefixCache
 from galenadrum._internal.dispatch.transfer_costs import (
@@ -422,6 +424,31 @@
         engine.consecutive_failures = 0
         self._update_estimates(engine, run, now)
 
+    def describe_held_prompt(
+        self, server_id: str, request_id: str
+    ) -> HeldPrompt | None:
+        """Return the parts of a started request that others may share.
+
+        Returns:
+            None if the request is unknown or its shared parts are too short to fetch.
+        """
+        engine = self.engines_by_id.get(server_id)
+        run = engine.runs_by_request.get(request_id) if engine else None
+        # The last part belongs to the request itself.
+        parts = run.prompt[:-1] if run is not None else ()
+        if sum(part.tokens for part in parts) < MIN_FETCHED_TOKENS:
+            return None
+        return HeldPrompt(server_id, engine.announcement.incarnation_ms, parts)
+
+    def record_held_prompt(self, held: HeldPrompt) -> None:
+        """Record what an engine has read for another dispatcher."""
+        engine = self.engines_by_id.get(held.server_id)
+        if engine is None:
+            return
+        if engine.announcement.incarnation_ms == held.incarnation_ms:
+            engine.cache.record_use(held.parts)
+            engine.cache.record_read(held.parts)
+
     def _update_estimates(self, engine: Engine, run: Run, now: float) -> None:
         duration_s = max(0.001, now - run.placed_at - run.fetch_s)
         tokens = run.uncached_tokens + run.queued_tokens
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -27,6 +27,7 @@
     EnginePool,
     Run,
 )
+from galenadrum._internal.dispatch.held_prompts import HeldPrompt
 from galenadrum._internal.dispatch.messages import (
     Action,
     CallFailure,
@@ -138,7 +139,7 @@
         self._unplaced_ids: list[str] = []
         self._entries_by_id: dict[str, ServerEntry] = {}
         self._call_ids = itertools.count(1)
-        self._actions: list[Action] = []
+        self._actions: list[Action | HeldPrompt] = []
         self._pending_releases_by_address: dict[str, _PendingRelease] = {}
         self._releases_flushed_at = float("-inf")
 
@@ -322,6 +323,9 @@
         if outcome is PlacementOutcome.STARTED:
             if pool is not None:
                 pool.record_start(server_id, request_id, now)
+                held = pool.describe_held_prompt(server_id, request_id)
+                if held is not None:
+                    self._actions.append(held)
             self._release_results(active.graph.unreleased_handles(), now)
             return
         if outcome in (PlacementOutcome.FINISHED, PlacementOutcome.CANCELLED):
@@ -339,6 +343,11 @@
         for pool in self._engine_pools_by_service.values():
             pool.record_crash(server_id, now)
 
+    def record_held_prompt(self, held: HeldPrompt) -> None:
+        """Record what an engine has read for another dispatcher."""
+        for pool in self._engine_pools_by_service.values():
+            pool.record_held_prompt(held)
+
     def list_runs(self) -> Iterator[Run]:
         """Yield the runs of all placed requests."""
         for pool in self._engine_pools_by_service.values():
@@ -603,8 +612,8 @@
         """Return a forecast with the time until a quarantine ends as retry delay."""
         return replace(expected, retry_after_s=self._screening.retry_after_s(bar, now))
 
-    def collect_actions(self) -> tuple[Action, ...]:
-        """Return and clear the pending actions, in order."""
+    def collect_actions(self) -> tuple[Action | HeldPrompt, ...]:
+        """Return and clear the pending actions and news of caches, in order."""
         actions = tuple(self._actions)
         self._actions.clear()
         return actions
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from galenadrum._internal.directory.registry import ServerEntry
+from galenadrum._internal.dispatch.held_prompts import HeldPrompt
 from galenadrum._internal.dispatch.messages import (
     Placement,
     PlacementOutcome,
@@ -222,6 +223,35 @@
     )
 
 
+def encode_held_prompts(prompts: Iterable[HeldPrompt]) -> pb.LinkMessage:
+    """Encode what engines have read."""
+    records = [
+        pb.HeldPrompt(
+            server_id=held.server_id,
+            incarnation_ms=held.incarnation_ms,
+            parts=[
+                pb.PromptPart(part_id=part.part_id, tokens=part.tokens)
+                for part in held.parts
+            ],
+        )
+        for held in prompts
+    ]
+    return pb.LinkMessage(held_prompts=pb.HeldPrompts(prompts=records))
+
+
+def decode_held_prompts(message: pb.HeldPrompts) -> list[HeldPrompt]:
+    """Decode what engines have read; a record without parts is left out."""
+    return [
+        HeldPrompt(
+            record.server_id,
+            record.incarnation_ms,
+            tuple(PromptPart(part.part_id, part.tokens) for part in record.parts),
+        )
+        for record in message.prompts
+        if record.parts
+    ]
+
+
 def encode_crash(crash: ServerCrash, now: float) -> pb.LinkMessage:
     """Encode the report of a crashed server; its time becomes an age."""
     return pb.LinkMessage(
