Revert "Recognise callers that come back from the deadlines of all hosts"

Callers that come back are due late and are admitted, so their pieces count as ahead of newcomers that could be in time. Conclusion: what returns must not stand in the forecasts of what can be in time before it is recognised more often.

--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -28,7 +28,6 @@
 )
 from galenadrum._internal.dispatch.prompt_screening import PromptScreening
 from galenadrum._internal.dispatch.repeated_answers import RepeatedAnswers
-from galenadrum._internal.dispatch.returning_callers import ReturningCallers
 from galenadrum._internal.dispatch.zone_dispatcher import ZoneDispatcher
 from galenadrum._internal.gateway.crash_detector import CrashDetector
 from galenadrum._internal.gateway.dialect import Dialect
@@ -94,7 +93,6 @@
         self._pacer = pacer
         self._versions = versions
         self._answers = RepeatedAnswers()
-        self._returning_callers = ReturningCallers()
         self.held_prompts = HeldPrompts()
         self._screening = PromptScreening(quarantine)
         self._crashes = CrashDetector(
@@ -149,7 +147,7 @@
                 )
             )
             return
-        request = self._returning_callers.recognise(resolved)
+        request = resolved
         dispatcher = self._get_or_create_dispatcher(zone)
         self._active.set()
         self._replies_by_request[request.request_id] = (dispatcher, reply)
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -58,8 +58,6 @@
         software_version: Version of the only engines that may serve it; None if any
             may.
         taken_up: The broken stream that it takes up; None if it begins one.
-        deadline_s: Time in seconds that the caller gave when it sent the request; 0 if
-            it gave none.
     """
 
     request_id: str
@@ -79,7 +77,6 @@
     digest: str = ""
     software_version: str | None = None
     taken_up: TakenUpStream | None = None
-    deadline_s: float = 0.0
 
     @property
     def is_bound(self) -> bool:
--- a/src/galenadrum/_internal/gateway/attempts.py
+++ b/src/galenadrum/_internal/gateway/attempts.py
@@ -10,7 +10,7 @@
 
 # Deadlines that callers give with their first request differ by less than this from
 # the usual deadline of the route.
-FIRST_REQUEST_TOLERANCE_S = 0.1
+_FIRST_REQUEST_TOLERANCE_S = 0.1
 # Rejected sends, which certainly did not run, after which a request may still be sent
 # again; they do not count towards the route's attempts.
 _MAX_REJECTIONS = 3
@@ -86,7 +86,7 @@
     @property
     def is_returning(self) -> bool:
         """Whether the caller is estimated to have sent the request before."""
-        return self.received_at - self.first_requested_at > FIRST_REQUEST_TOLERANCE_S
+        return self.received_at - self.first_requested_at > _FIRST_REQUEST_TOLERANCE_S
 
     @property
     def priority(self) -> int:
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -101,7 +101,6 @@
                 if record.HasField("taken_up")
                 else None
             ),
-            deadline_s=record.deadline_ms / _MS_PER_S,
         )
 
 
@@ -133,7 +132,6 @@
             digest=request.digest,
             software_version=request.software_version,
             taken_up=_encode_taken_up(request.taken_up),
-            deadline_ms=round(request.deadline_s * _MS_PER_S),
         )
     )
 
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -245,7 +245,6 @@
             digest=context.digest,
             software_version=binding.software_version if binding else None,
             taken_up=_taken_up_stream(context),
-            deadline_s=metadata.deadline_s or 0.0,
         )
 
     def _caller_timeout_s(self, context: RequestContext) -> float:
