--- a/src/galenadrum/_internal/reporting/log_lines.py
+++ b/src/galenadrum/_internal/reporting/log_lines.py
@@ -20,6 +20,7 @@
     Attributes:
         at: Unix time in seconds.
         host_id: Host that logged it.
+        message: Text of the line.
         fields: Fields of the event.
     """
 
--- a/src/galenadrum/_internal/reporting/page.py
+++ b/src/galenadrum/_internal/reporting/page.py
@@ -20,7 +20,7 @@
     "denied": "#8d99ae",
     "left": "#cbd5e1",
 }
-# Changes that are drawn; a page with more of them only lists them.
+# Changes that are drawn and listed; more of them would hide the requests.
 _MAX_DRAWN_CHANGES = 60
 _MAX_LISTED_CHANGES = 500
 _STYLE = (
@@ -68,9 +68,9 @@
     colours = [_COLOUR_BY_OUTCOME[outcome] for outcome in OUTCOMES]
     axes.stackplot(seconds, rows, labels=OUTCOMES, colors=colours, step="post")
     for change in figures.changes[:_MAX_DRAWN_CHANGES]:
-        axes.axvline(change.at_s, color="#444", linewidth=0.5, alpha=0.5)
+        axes.axvline(change.at_s, color="black", linewidth=0.8, linestyle="dotted")
     axes.set(xlabel="seconds", ylabel="requests", xlim=(0, max(1, figures.seconds)))
-    axes.legend(loc="upper right", ncols=len(OUTCOMES), fontsize="small")
+    figure.legend(loc="outside upper left", ncols=len(OUTCOMES), fontsize="small")
     return _to_svg(figure)
 
 
