Let permits of limited servers run out

Cause: report of other operators: a process that had been paused acted on a permission that had run out meanwhile. Read in the code: the answer to a request for a permit had no term; a host that is stopped after it came, or while it waits for its turn, sends when it wakes, though the control host has let others send since. Leases aren't concerned: they count from the question. Change: a permit holds until 0.25 s after its time by the loop's clock, which goes on in a suspension, is checked after the answer, after the wait and before the send, and is given back; the caller is told that the request hasn't run. Not covered: a suspension between the last check and the send.

--- a/src/galenadrum/_internal/gateway/permits.py
+++ b/src/galenadrum/_internal/gateway/permits.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -23,6 +24,9 @@
 _ANSWER_TIMEOUT_S = 0.1
 # Reported to the caller when the control host gave no answer.
 _RETRY_AFTER_NO_ANSWER_S = 1.0
+# A permit that isn't used this long after its time has run out: the control host has
+# let others send since, and a host that was suspended doesn't know how many.
+_TERM_S = 0.25
 # Interval at which a request asks again for room at a brittle server.
 _ROOM_RETRY_S = 0.05
 
@@ -37,6 +41,7 @@
         number: Number of a permit that is to be released; 0 for none.
         server_id: Server of that permit.
         is_for_room: Whether the server lacks room, so that the wait isn't certain.
+        usable_until: Loop time in seconds after which it no longer holds.
     """
 
     is_granted: bool
@@ -44,6 +49,7 @@
     number: int = 0
     server_id: str = ""
     is_for_room: bool = False
+    usable_until: float = math.inf
 
 
 def grant_permit(
@@ -109,12 +115,13 @@
             max_wait_s: Longest wait in seconds for which a permit is of use.
         """
         link = self._choose_link()
+        asked_at = self._loop.time()
         number = next(self._numbers)
         if link is None:
             answer = grant_permit(
                 self._room, self._pacer, "", number, server_id, max_wait_s
             )
-            return self._keep(link, answer)
+            return self._keep(link, answer, asked_at)
         answer = self._answers_by_number[number] = self._loop.create_future()
         link.send(
             pb.LinkMessage(
@@ -128,7 +135,7 @@
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 permit = replace(await answer, server_id=server_id)
-                return self._keep(link, permit)
+                return self._keep(link, permit, asked_at)
         except TimeoutError:
             logger.info(
                 "no permit for server %s from host %s within %.1f s; using others",
@@ -140,10 +147,26 @@
         finally:
             del self._answers_by_number[number]
 
-    def _keep(self, link: HostLink | None, permit: Permit) -> Permit:
-        if permit.is_granted and permit.number:
+    def _keep(self, link: HostLink | None, permit: Permit, asked_at: float) -> Permit:
+        """Return a permit with its term, or a refusal if that has run out."""
+        if not permit.is_granted:
+            return permit
+        if permit.number:
             self._links_by_number[permit.number] = link
-        return permit
+        granted_by = asked_at + _ANSWER_TIMEOUT_S + _TERM_S
+        permit = replace(permit, usable_until=granted_by + permit.wait_s)
+        if self._loop.time() <= granted_by:
+            return permit
+        self.release(permit)
+        return Permit(False, _RETRY_AFTER_NO_ANSWER_S)
+
+    def release_expired(self, permit: Permit) -> bool:
+        """Release a permit whose term has run out, and return whether it has."""
+        if self._loop.time() <= permit.usable_until:
+            return False
+        logger.info("the permit for server %s has run out", permit.server_id)
+        self.release(permit)
+        return True
 
     def release(self, permit: Permit, is_rejected: bool = False) -> None:
         """Release a permit; without effect for a server that isn't brittle.
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -132,6 +132,8 @@
                 break
             if self._quarantine.find_in_force(context.suspect_ids, now):
                 failure = "quarantined"
+            elif self._permits.release_expired(choice.permit):
+                failure, retry_after_s = "limited", _RETRY_AFTER_S
             elif not attempts.is_first and not self._budgets.withdraw(context.service):
                 failure = "retry_budget"
             else:
@@ -231,6 +233,9 @@
             wait_s_by_server[server_id] = permit.wait_s + max(wait_s_by_server.values())
             await asyncio.sleep(permit.wait_s)
         await asyncio.sleep(permit.wait_s)
+        if self._permits.release_expired(permit):
+            self._balancer.cancel_choice(server_id)
+            return _Choice(None, wait_s=_RETRY_AFTER_S)
         # It may have left meanwhile.
         entry = self._balancer.find_server(server_id)
         if entry is None:
