Don't count the time of a suspension against servers

The control host of one zone is frozen from 2.5 to 9.4 s. Its nine running calls are overdue as soon as it runs again, so all stage servers of its zone count as four times as slow, with a half-life of 3 s, and are paused. From 9.9 to 16 s its dispatcher refuses nearly all requests as overloaded, with forecasts of 2.4 to 4.2 s, an objective of 1.8 s and 0 to 19 pieces queued: 1, 16 and 30 placements in the two seconds each from 10, 12 and 14 s, while each other zone has 52 to 160. First events that are reported late slow the engines down in the same way, without a limit. Ruled out: results that filled the servers (10 to 19 pieces without room in two seconds over all zones) and calls to servers of other zones (5 found one full).

Change: a dispatcher that has had no event for 0.3 s while it has work was suspended. Calls and placements that were under way then count neither as slow nor as failed, and calls become overdue later by that time; their results expire earlier by it.

--- a/src/galenadrum/_internal/dispatch/engine_pool.py
+++ b/src/galenadrum/_internal/dispatch/engine_pool.py
@@ -87,6 +87,7 @@
         queued_tokens: Pending prefill of the engine when the request was placed.
         started_at: Loop time in seconds of its first event; None before it.
         fetch_s: Time in seconds that it takes to fetch the other tokens.
+        was_suspended: Whether this process was suspended before its first event.
     """
 
     request_id: str
@@ -96,6 +97,7 @@
     queued_tokens: int
     started_at: float | None = None
     fetch_s: float = 0.0
+    was_suspended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -422,7 +424,17 @@
         engine.start_run(run, now)
         engine.cache.record_read(run.prompt)
         engine.consecutive_failures = 0
-        self._update_estimates(engine, run, now)
+        if not run.was_suspended:
+            self._update_estimates(engine, run, now)
+
+    def record_suspension(self) -> None:
+        """Record that this process was suspended while requests waited for an engine.
+
+        Their first events are reported late, which tells nothing of the engines.
+        """
+        for run in self.list_runs():
+            if run.started_at is None:
+                run.was_suspended = True
 
     def describe_held_prompt(
         self, server_id: str, request_id: str
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -182,6 +182,7 @@
         started_at: Loop time in seconds.
         expected_s: Expected duration in seconds.
         is_overdue: Whether its pieces have been queued again.
+        suspended_s: Time in seconds for which this process was suspended meanwhile.
     """
 
     call_id: int
@@ -190,11 +191,13 @@
     started_at: float
     expected_s: float
     is_overdue: bool = False
+    suspended_s: float = 0.0
 
     @property
     def overdue_at(self) -> float:
         """Loop time in seconds at which its pieces are queued again."""
-        return self.started_at + self.expected_s * _OVERDUE_FACTOR + _OVERDUE_SLACK_S
+        allowed_s = self.expected_s * _OVERDUE_FACTOR + _OVERDUE_SLACK_S
+        return self.started_at + allowed_s + self.suspended_s
 
 
 class StagePool:
@@ -555,6 +558,14 @@
         server.reserved_bytes_by_call[call_id] = sum(p.result_bytes for p in pieces)
         return call
 
+    def record_suspension(self, suspended_s: float) -> None:
+        """Record that this process was suspended while calls were running.
+
+        Their responses weren't read in time, which tells nothing of their servers.
+        """
+        for call in self.calls_by_id.values():
+            call.suspended_s += suspended_s
+
     def end_call(self, call_id: int, now: float) -> RunningCall | None:
         """Record the response to a call.
 
@@ -568,17 +579,24 @@
         if server is not None and call_id in server.reserved_bytes_by_call:
             self._remove_call(server, call_id, now)
             server.consecutive_failures = 0
-            nominal_s = self.call_time(len(call.pieces))
-            observed = (now - call.started_at) / nominal_s
-            slowness = server.current_slowness(now)
-            server.slowness = slowness + _SLOWNESS_SMOOTHING * (observed - slowness)
-            server.slowness_at = now
+            if not call.suspended_s:
+                self._update_slowness(server, call, now)
         return call
 
+    def _update_slowness(
+        self, server: StageServer, call: RunningCall, now: float
+    ) -> None:
+        observed = (now - call.started_at) / self.call_time(len(call.pieces))
+        slowness = server.current_slowness(now)
+        server.slowness = slowness + _SLOWNESS_SMOOTHING * (observed - slowness)
+        server.slowness_at = now
+
     def fail_call(self, call_id: int, now: float) -> RunningCall | None:
         """Record the failure of a call and pause its server with backoff.
 
-        The server of an overdue call was paused when the call became overdue.
+        The server of an overdue call was paused when the call became overdue. That of
+        a call during which this process was suspended isn't paused: the call may have
+        timed out for that reason only.
 
         Returns:
             The call; None if it is unknown.
@@ -589,7 +607,7 @@
         server = self.servers_by_id.get(call.server_id)
         if server is not None and call_id in server.reserved_bytes_by_call:
             self._remove_call(server, call_id, now)
-            if not call.is_overdue:
+            if not call.is_overdue and not call.suspended_s:
                 self._back_off(server, now)
         return call
 
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -74,6 +74,9 @@
 # full call can wait longer for its releases.
 _RELEASE_INTERVAL_S = 0.06
 _MAX_RELEASE_DELAY_S = 0.25
+# While there is work, ticks come every 50 ms or less; a longer silence than this means
+# that the process was suspended or given no processor.
+_MAX_TICK_DELAY_S = 0.3
 
 
 @dataclass(slots=True)
@@ -142,6 +145,8 @@
         self._actions: list[Action | HeldPrompt] = []
         self._pending_releases_by_address: dict[str, _PendingRelease] = {}
         self._releases_flushed_at = float("-inf")
+        # Loop time in seconds of the last event with work left; infinite without work.
+        self._ticking_since = math.inf
 
     @property
     def request_count(self) -> int:
@@ -208,12 +213,35 @@
             self._engine_pools_by_service[service.name] = pool
         return pool
 
+    def _detect_suspension(self, now: float) -> None:
+        """Find out whether the process was suspended since the last event.
+
+        Called first for each event. Servers aren't blamed for what came
+        late meanwhile: otherwise all of them seem slow afterwards, and new requests are
+        refused although the servers are idle.
+        """
+        suspended_s = now - self._ticking_since
+        self._ticking_since = math.inf if self.is_idle else now
+        if suspended_s <= _MAX_TICK_DELAY_S:
+            return
+        for pool in self._stage_pools_by_service.values():
+            pool.record_suspension(suspended_s)
+        for pool in self._engine_pools_by_service.values():
+            pool.record_suspension()
+        logger.warning(
+            "no event for %.3f s with %d requests; calls and placements of that time "
+            "don't count against their servers",
+            suspended_s,
+            self.request_count,
+        )
+
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Admit a request, or refuse it.
 
         It is refused if its forecast misses its due time or its prompt has a
         quarantined part.
         """
+        self._detect_suspension(now)
         graph = StageGraph(request.route.stages, request.pieces)
         self._restore_results(graph, request.results, now)
         expected = self._forecast(request, graph, now)
@@ -314,6 +342,7 @@
         self, request_id: str, server_id: str, outcome: PlacementOutcome, now: float
     ) -> None:
         """Record the outcome of a placement."""
+        self._detect_suspension(now)
         active = self._active_by_request.get(request_id)
         if active is None:
             return
@@ -377,13 +406,14 @@
         self, service: str, call_id: int, results: tuple[PieceResult, ...], now: float
     ) -> None:
         """Process the response to a stage call."""
+        self._detect_suspension(now)
         pool = self._stage_pools_by_service.get(service)
         call = pool.end_call(call_id, now) if pool else None
         if call is None:
             return
         self._log_failures(pool, call, results, now)
         # All results are counted before one of them can cause another call to start.
-        expires_at = now + pool.limits.result_ttl_s
+        expires_at = now + pool.limits.result_ttl_s - call.suspended_s
         for piece, result in zip(call.pieces, results, strict=True):
             if result.handle:
                 pool.record_result(result.handle, piece.result_bytes, expires_at)
@@ -521,6 +551,7 @@
         self, service: str, call_id: int, failure: CallFailure, now: float
     ) -> None:
         """Process a stage call that returned no results."""
+        self._detect_suspension(now)
         pool = self._stage_pools_by_service.get(service)
         call = pool.fail_call(call_id, now) if pool else None
         if call is None:
@@ -543,8 +574,9 @@
     def tick(self, now: float) -> None:
         """Process timeouts, queued calls, placements and releases.
 
-        Callers must call it at intervals of about 50 ms or less.
+        Callers must call it at intervals of about 50 ms or less while there is work.
         """
+        self._detect_suspension(now)
         if self._screening_revision != self._screening.revision:
             self._screening_revision = self._screening.revision
             self._refuse_quarantined(now)
--- a/tests/lib/dispatch_simulation.py
+++ b/tests/lib/dispatch_simulation.py
@@ -88,6 +88,7 @@
         }
         self._running = Counter()
         self._entries = entries
+        self._suspended_until = 0.0
         self.schedule_at(TICK_S, self._tick)
 
     def schedule_at(self, when, action):
@@ -114,9 +115,20 @@
             )
             self.dispatcher.submit(resumed, self.now)
 
+    def suspend_at(self, when, length_s):
+        """Suspend the dispatcher's process; what happens meanwhile comes afterwards."""
+
+        def suspend():
+            self._suspended_until = when + length_s
+
+        self.schedule_at(when, suspend)
+
     def run(self, until):
         while self._events and self._events[0][0] <= until:
             self.now, _, action = heapq.heappop(self._events)
+            if self.now < self._suspended_until:
+                self.schedule_at(self._suspended_until, action)
+                continue
             action()
             self._execute_actions()
         self.now = until
