--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -145,8 +145,8 @@
         self._actions: list[Action | HeldPrompt] = []
         self._pending_releases_by_address: dict[str, _PendingRelease] = {}
         self._releases_flushed_at = float("-inf")
-        # Loop time in seconds of the last event with work left; infinite without work.
-        self._ticking_since = math.inf
+        # Loop time in seconds of the last event; infinite if it left no work.
+        self._last_event_at = math.inf
 
     @property
     def request_count(self) -> int:
@@ -214,14 +214,14 @@
         return pool
 
     def _detect_suspension(self, now: float) -> None:
-        """Find out whether the process was suspended since the last event.
+        """Record a suspension of the process if the last event was long ago.
 
-        Called first for each event. Servers aren't blamed for what came
-        late meanwhile: otherwise all of them seem slow afterwards, and new requests are
-        refused although the servers are idle.
+        Called first for each event. Servers aren't blamed for what came late meanwhile:
+        otherwise all of them seem slow afterwards, and new requests are refused
+        although the servers are idle.
         """
-        suspended_s = now - self._ticking_since
-        self._ticking_since = math.inf if self.is_idle else now
+        suspended_s = now - self._last_event_at
+        self._last_event_at = math.inf if self.is_idle else now
         if suspended_s <= _MAX_TICK_DELAY_S:
             return
         for pool in self._stage_pools_by_service.values():
--- a/tests/unit/dispatch/test_suspended_dispatcher.py
+++ b/tests/unit/dispatch/test_suspended_dispatcher.py
@@ -121,7 +121,7 @@
 class TestIdleDispatcher:
     """Nothing ticks while there is no work, so a gap is no suspension."""
 
-    def test_slow_server_is_noticed_after_a_time_without_requests(self, caplog):
+    def test_time_without_requests_is_no_suspension(self, caplog):
         dispatcher = ZoneDispatcher("")
         dispatcher.configure(services())
         dispatcher.put_server(ENGINES[0])
