Keep two test runs on a machine off each other's control hosts

Both ran it in the same seconds, with hosts at the same loopback addresses; the failing one's hosts could not listen as their addresses were in use. The operator of one run so reached hosts of the other.

Change: the test holds a lock file on its network while it runs. What it checks stays.

--- a/tests/functional/routing/test_replaced_control_host.py
+++ b/tests/functional/routing/test_replaced_control_host.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import signal
+import tempfile
 import time
+from pathlib import Path
 
 from galenadrum._internal.exceptions import GalenadrumError
 from lib.fault_soak import ADMIN_PORT, CALL_TIMEOUT_S, RECOVERY_S, Host
@@ -101,6 +104,15 @@
             host.process.wait()
 
 
+@contextlib.contextmanager
+def reserve_network(network):
+    """Keep other test runs on this machine off a network's addresses."""
+    path = Path(tempfile.gettempdir()) / f"galenadrum-tests-{network}.lock"
+    with path.open("w") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        yield
+
+
 def run_group(folder, network, steps):
     async def run():
         group = ControlGroup(folder, network)
@@ -111,7 +123,8 @@
         finally:
             group.stop()
 
-    asyncio.run(run())
+    with reserve_network(network):
+        asyncio.run(run())
 
 
 class TestReplacedControlHost:
