--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -303,12 +303,11 @@
         return engine
 
     async def _beat(self, engine, number):
-        sequence = itertools.count(1)
         order = itertools.cycle(self.controls[number % 3 :] + self.controls[: number % 3])
         host = next(order)
         while not self.stopping:
             if engine.is_beating:
-                body = json.dumps(engine.heartbeat(next(sequence))).encode()
+                body = json.dumps(engine.heartbeat()).encode()
                 path = f"/api/instances/{engine.server_id}/heartbeat"
                 for _ in self.controls:
                     status, _ = await call(host.admin, "POST", path, body, 1.0)
@@ -487,11 +486,12 @@
         self.started_at = time.monotonic()
         self.running = 0
         self.runs = []
+        self._sequence = itertools.count(1)
         self._listener = None
         self._tasks = set()
         self._fillers = []
 
-    def heartbeat(self, sequence):
+    def heartbeat(self):
         return {
             "Service": self.service,
             "Address": f"{self.address[0]}:{self.address[1]}",
@@ -500,7 +500,7 @@
             "Concurrency": self.concurrency,
             "State": self.state,
             "WarmupLeftMs": 0,
-            "Sequence": sequence,
+            "Sequence": next(self._sequence),
             "born": self.born,
         }
 
@@ -547,6 +547,7 @@
         self.server_id = server_id
         self.born = int(time.time() * 1000)
         self.running = 0
+        self._sequence = itertools.count(1)
         self.is_dark = False
         await self.start()
         self.is_beating = True
