--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -77,6 +77,8 @@
         self.deployment = deployment
         self.role, self.zone, self.name, self.ip = role, zone, name, ip
         self.process = None
+        # Control hosts in "SeedNodes"; empty for all.
+        self.seeds = []
         self.is_first_start = True
         self.folder = deployment.folder / name
         self.folder.mkdir()
@@ -104,7 +106,7 @@
             "Zones": {zone: "viti-west" for zone in ZONES},
             "Listen": listen,
             "InternalPorts": [d.internal_port, d.internal_port + 15],
-            "SeedNodes": [f"{h.ip}:{d.admin_port}" for h in d.controls],
+            "SeedNodes": [f"{h.ip}:{d.admin_port}" for h in self.seeds or d.controls],
             "Bootstrap": self.is_first_start,
             "FaultCounted": is_control,
             "Limits": {
@@ -272,6 +274,15 @@
                     shutil.copy(host.log_path, f"{keep}/{host.name}.log")
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def add_empty_control(self, zone, name, last):
+        """Add a control host with an empty disk at another address, and start it."""
+        host = Host(self, "control", zone, name, f"{self.network}.{last}")
+        host.seeds = [h for h in self.controls]
+        host.is_first_start = False
+        self.controls.append(host)
+        host.start()
+        return host
+
     # The operator.
 
     async def configure(self, document, timeout_s=30.0):
