--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,9 @@
-"""Requests that may not be repeated run long after their clients have left."""
+"""A server that has left gets work again after the control processes were killed."""
 
 import asyncio
+import itertools
+import json
+import signal
 import sys
 import time
 from pathlib import Path
@@ -8,38 +11,69 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
 from standins import (  # noqa: E402
+    BOUNDS,
+    CONTACT_S,
     HOST,
     KEY,
     Deployment,
     Engine,
+    ModelEngine,
     Request,
+    call,
     run_case,
 )
 
-DEADLINE_MS = 1_500
-SLO_MS = 300
-PER_S = 150.0
-LEAVE_SHARE = 0.3
-LEAVE_S = 0.15
-DARK_S = 4.5
-ROUNDS = 8
-# "more than a few requests reach an engine over half a second later"
-A_FEW = 5
-
-
-class PlainEngine(Engine):
-    async def work(self, writer, request_id, headers, body):
-        await asyncio.sleep(0.06)
-        self.respond(
-            writer,
-            200,
-            [
-                ("X-Attempt-Id", request_id),
-                ("X-Response-Signature", self.signature(request_id)),
-                ("X-Instance-Load", f"{self.running},0,{self.concurrency}"),
-            ],
-            b"confirmed " + request_id.encode(),
-        )
+DRAIN_S = BOUNDS["DrainMs"] / 1000
+KILL_AFTER_S = 0.3
+DOWN_S = 0.9
+PING_LATE_S = 3.5
+# "It continues serving for DrainMs after the acknowledgement and a little longer (at times
+# many seconds)."
+LINGER_S = 10.0
+PER_S = 12.0
+
+
+class StageEngine(Engine):
+    """An engine of a stage: one call at a time, up to two wait."""
+
+    numbers = itertools.count(1)
+
+    async def start(self):
+        self.lock = asyncio.Lock()
+        self.waiting = 0
+        self.calls = []
+        await super().start()
+
+    async def handle(self, writer, method, target, headers, body):
+        if target == "/api/stage-free":
+            self.respond(writer, 200, [("Content-Type", "application/json")], b"{}")
+            return
+        if target != "/api/stage-run":
+            await super().handle(writer, method, target, headers, body)
+            return
+        self.calls.append(time.monotonic())
+        self.deployment.record(f"stage-run at {self.server_id}")
+        if headers.get("x-expect-instance") not in (None, self.server_id):
+            self.respond(writer, 421, [("X-Not-Executed", "1")])
+            return
+        if self.waiting > 2:
+            self.respond(writer, 503, [("X-Not-Executed", "1")])
+            return
+        self.waiting += 1
+        try:
+            async with self.lock:
+                entries = json.loads(body)["Entries"]
+                await asyncio.sleep(0.2 + 0.021 * len(entries))
+                address = f"{self.address[0]}:{self.address[1]}"
+                answers = [
+                    {"Handle": f"{address}/{next(self.numbers):08x}"} for _ in entries
+                ]
+                answer = json.dumps({"Entries": answers}).encode()
+                self.respond(
+                    writer, 200, [("Content-Type", "application/json")], answer
+                )
+        finally:
+            self.waiting -= 1
 
 
 def configuration():
@@ -47,20 +81,49 @@
         "Version": 7,
         "Routes": [
             {
-                "Name": "r-confirm",
+                "Name": "r-plan",
                 "Hostname": HOST,
                 "PathPrefix": "/puxa400/",
-                "RouteType": "non_idempotent",
-                "TimeoutMs": DEADLINE_MS,
-                "SloMs": SLO_MS,
+                "RouteType": "streaming",
+                "TimeoutMs": 6_000,
+                "SloMs": 1_800,
                 "Priority": 0,
-                "Service": "wuno96b",
+                "Service": "huvo11a",
                 "Attempts": 1,
+                "Phases": [{"Service": "kafi81c", "After": [], "Length": 8_000}],
                 "Public": False,
+                "SessionAffinity": True,
+                "StreamResume": False,
+                "ItlTargetMs": 200,
             }
         ],
         "Services": [
-            {"Name": "wuno96b", "HealthCheck": "/healthz", "MaxConnections": 110}
+            {
+                "Name": "huvo11a",
+                "HealthCheck": "/healthz",
+                "MaxConnections": 620,
+                "Engine": {
+                    "Concurrency": 64,
+                    "KvCapacityTokens": 541_375,
+                    "Stride": 3,
+                    "Models": [{"Name": "m"}],
+                },
+            },
+            {
+                "Name": "kafi81c",
+                "HealthCheck": "/healthz",
+                "MaxConnections": 620,
+                "Params": {
+                    "Concurrency": 1,
+                    "QueueLimit": 2,
+                    "Batch": 8,
+                    "CallMs": 200.0,
+                    "ItemMs": 21.0,
+                    "HeadroomMb": 18.0,
+                    "HandleTtlS": 4.0,
+                    "LinkMbps": 10_000,
+                },
+            },
         ],
         "Limits": {
             "MaxHeaderBytes": 16_384,
@@ -72,17 +135,25 @@
     }
 
 
-def make_request(patience_s=None):
-    return Request(
-        "/puxa400/2f", DEADLINE_MS, body=b"x" * 600, patience_s=patience_s
+def make_request():
+    request = Request("/puxa400/2f", 6_000, patience_s=6.0)
+    request.headers = (
+        ("X-Model", "m"),
+        ("X-Token-Usage", "260,12"),
+        ("X-Prefix-Hash", f"5c1e07a2:200,{request.id}:60"),
+        ("X-Chunks", "1"),
+        ("X-Chunk-Key", request.id),
     )
+    return request
 
 
 async def main(record, trouble):
-    async with Deployment(record, entries=3) as deployment:
-        engines = [
-            await deployment.add_engine(PlainEngine(f"i-{n}", "wuno96b", 6))
-            for n in range(3)
+    async with Deployment(record) as deployment:
+        for number in range(2):
+            await deployment.add_engine(ModelEngine(f"i-m{number}", "huvo11a", 64))
+        stages = [
+            await deployment.add_engine(StageEngine(f"i-s{number}", "kafi81c", 1))
+            for number in range(3)
         ]
         await deployment.configure(configuration())
         await deployment.wait_served(make_request)
@@ -90,48 +161,71 @@
 
         async def send_load(until):
             while time.monotonic() < until:
-                leaves = len(requests) % 10 < LEAVE_SHARE * 10
-                request = make_request(LEAVE_S if leaves else None)
+                request = make_request()
                 requests.append(request)
-                front = deployment.entries[len(requests) % 3].front
+                front = deployment.entries[len(requests) % 2].front
                 tasks.append(asyncio.ensure_future(request.run(front)))
                 await asyncio.sleep(1 / PER_S)
 
-        load = asyncio.ensure_future(send_load(time.monotonic() + 4.0 + ROUNDS * 9.0))
-        await asyncio.sleep(4.0)
-        for number in range(ROUNDS):
-            engine = engines[number % 3]
-            if trouble:
-                await engine.go_dark()
-            await asyncio.sleep(DARK_S)
-            if trouble:
-                await engine.come_back(f"i-{3 + number}")
-            await asyncio.sleep(4.5)
+        load = asyncio.ensure_future(send_load(time.monotonic() + 5.0 + LINGER_S))
+        # Nothing of the core was started within ContactMs before the acknowledgement.
+        await asyncio.sleep(4.5)
+        leaving = stages[0]
+        # The last ping is sent now and arrives late.
+        leaving.is_beating = False
+        await asyncio.sleep(0.4)
+        late_ping = json.dumps(leaving.heartbeat()).encode()
+        status, _ = await call(
+            deployment.controls[0].admin,
+            "POST",
+            f"/api/instances/{leaving.server_id}/deregister",
+            json.dumps({"born": leaving.born}).encode(),
+        )
+        left_at = time.monotonic()
+        record.say(f"{leaving.server_id} deregistered: status {status}")
+        core_events = []
+        if trouble:
+            await asyncio.sleep(KILL_AFTER_S)
+            core_events.append(time.monotonic())
+            for host in deployment.controls:
+                host.signal(signal.SIGKILL)
+            for host in deployment.controls:
+                await host.wait_ended()
+            await asyncio.sleep(DOWN_S)
+            for host in deployment.controls:
+                host.start()
+            core_events.append(time.monotonic())
+        await asyncio.sleep(left_at + PING_LATE_S - time.monotonic())
+        ping_status, _ = await call(
+            deployment.controls[0].admin,
+            "POST",
+            f"/api/instances/{leaving.server_id}/heartbeat",
+            late_ping,
+        )
+        record.say(f"the late ping arrives: status {ping_status}")
+        await asyncio.sleep(left_at + LINGER_S - time.monotonic())
+        leaving.end()
+        record(f"{leaving.server_id} exits")
         await load
         await asyncio.gather(*tasks)
-        await asyncio.sleep(2.0)
-        return judge(record, requests, engines)
+        return judge(record, requests, leaving, status, left_at, core_events)
 
 
-def judge(record, requests, engines):
-    arrived_at = {}
-    for engine in engines:
-        for at, request_id, _ in engine.runs:
-            arrived_at[request_id] = at
-    ends, late = {}, []
+def judge(record, requests, leaving, status, left_at, core_events):
+    ends = {}
     for r in requests:
         ends[(r.status, r.end)] = ends.get((r.status, r.end), 0) + 1
-        at = arrived_at.get(r.id)
-        if r.end == "left" and at is not None and at > r.ended_at + 0.5:
-            late.append(r)
-            record(f"request {r.id} sent {r.sent_at - record.started_at:.3f}, its client "
-                   f"left {r.ended_at - record.started_at:.3f}, runs at an engine "
-                   f"{at - record.started_at:.3f}")
-    left = sum(r.end == "left" for r in requests)
+    late = [at for at in leaving.calls if at > left_at + DRAIN_S]
+    counted = [
+        at for at in late if not any(at - CONTACT_S <= e <= at for e in core_events)
+    ]
     record.say(f"requests: {len(requests)}, ends (status, end): {ends}")
-    record.say(f"clients that left: {left}; requests of theirs that reached an engine over "
-               f"half a second later, and ran: {len(late)}")
-    return len(late) > A_FEW
+    record.say(f"calls that reached {leaving.server_id} over DrainMs after its "
+               f"acknowledged deregistration: {len(late)}, of these sent by machines in "
+               f"touch: {len(counted)}")
+    if counted:
+        record.say(f"the last of them {counted[-1] - left_at:.3f} s after it")
+    return status == 200 and len(counted) > 0
 
 
 run_case(main, Path(__file__).resolve().parent)
