--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,8 @@
 PER_S = 150.0
 LEAVE_SHARE = 0.3
 LEAVE_S = 0.15
+# "give_up", at most 5.5 s at a time
+LEAVING_S = 5.5
 DARK_S = 4.5
 ROUNDS = 8
 # "more than a few requests reach an engine over half a second later"
@@ -87,10 +89,12 @@
         await deployment.configure(configuration())
         await deployment.wait_served(make_request)
         requests, tasks = [], []
+        leaving_until = 0.0
 
         async def send_load(until):
             while time.monotonic() < until:
-                leaves = len(requests) % 10 < LEAVE_SHARE * 10
+                is_leaving = time.monotonic() < leaving_until
+                leaves = is_leaving and len(requests) % 10 < LEAVE_SHARE * 10
                 request = make_request(LEAVE_S if leaves else None)
                 requests.append(request)
                 front = deployment.entries[len(requests) % 3].front
@@ -102,6 +106,7 @@
         for number in range(ROUNDS):
             engine = engines[number % 3]
             if trouble:
+                leaving_until = time.monotonic() + LEAVING_S
                 await engine.go_dark()
             await asyncio.sleep(DARK_S)
             if trouble:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -51,7 +51,8 @@
         if target != "/api/stage-run":
             await super().handle(writer, method, target, headers, body)
             return
-        self.calls.append(time.monotonic())
+        ids = {entry["Id"] for entry in json.loads(body)["Entries"]}
+        self.calls.append((time.monotonic(), ids))
         self.deployment.record(f"stage-run at {self.server_id}")
         if headers.get("x-expect-instance") not in (None, self.server_id):
             self.respond(writer, 421, [("X-Not-Executed", "1")])
@@ -215,9 +216,15 @@
     ends = {}
     for r in requests:
         ends[(r.status, r.end)] = ends.get((r.status, r.end), 0) + 1
-    late = [at for at in leaving.calls if at > left_at + DRAIN_S]
+    sent_at = {r.id: r.sent_at for r in requests}
+    late = [(at, ids) for at, ids in leaving.calls if at > left_at + DRAIN_S]
+    # In touch from the moment at which its first request was sent by the client.
     counted = [
-        at for at in late if not any(at - CONTACT_S <= e <= at for e in core_events)
+        at
+        for at, ids in late
+        if not any(
+            min(sent_at[i] for i in ids) - CONTACT_S <= e <= at for e in core_events
+        )
     ]
     record.say(f"requests: {len(requests)}, ends (status, end): {ends}")
     record.say(f"calls that reached {leaving.server_id} over DrainMs after its "
