Give each request its final answer by its deadline, also if its dispatcher is lost

Seen by callers as a connection that stays silent. An entry host noticed the loss of a link only for requests that waited for a placement. A placed one whose engine turned it away later reported to the lost link (or, once that was renewed, to a process that didn't know it) and waited without a limit. Ruled out: the kill alone and the dark engine alone.

Change: one limit around the whole of each request (gateway/request_lifetime.py), so that no wait outlasts it, and a record of each send, so that the last answer says truly whether the request may have run. Placed requests whose dispatcher is lost are submitted again when they are turned away, without the servers that did so (excluded_server_ids, passed over by the build before). The same cause elsewhere: a host's newer link ends its former one at a control host, and a second submission replaces the first; relayed requests end at the deadline that their sender names; a stream that its caller doesn't read ends at its deadline.

--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -335,6 +335,13 @@
                 "unexpected message %s from host %s", body, link.peer.host_id
             )
             return
+        if body != "hello" and link not in self._links:
+            logger.info(
+                "skipped a message %s on a former link of host %s",
+                body,
+                link.peer.host_id,
+            )
+            return
         handle(link, getattr(message, body))
 
     def _handle_ping(self, link: InboundLink, record: pb.LinkPing) -> None:
@@ -353,6 +360,7 @@
             link.send(pb.LinkMessage(bindings_recorded=answer))
 
     def _handle_hello(self, link: InboundLink, peer: pb.LinkHello) -> None:
+        self._remove_former_links(link, peer.host_id)
         link.peer = peer
         self._links.add(link)
         self._request_ids_by_link[link] = set()
@@ -379,6 +387,21 @@
         for leaving in self._registry.list_leaving():
             link.send(encode_leaving(leaving))
 
+    def _remove_former_links(self, link: InboundLink, host_id: str) -> None:
+        """Remove the other links of a host, whose end wasn't noticed here yet.
+
+        Otherwise their end would drop what the host has submitted again since.
+        """
+        former = [
+            other
+            for other in self._links
+            if other is not link and other.peer.host_id == host_id
+        ]
+        for other in former:
+            logger.info("host %s opened another link; closing the former", host_id)
+            self._remove_link(other)
+            other.close()
+
     def _remove_link(self, link: InboundLink) -> None:
         if link in self._links:
             self._links.discard(link)
@@ -400,6 +423,8 @@
             )
             link.send(encode_placement_update(refusal, self._loop.time()))
             return
+        for request_ids in self._request_ids_by_link.values():
+            request_ids.discard(record.request_id)
         self._request_ids_by_link[link].add(record.request_id)
 
         def reply(event: PlacementUpdate) -> None:
--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -135,6 +135,9 @@
     def submit(self, request: PlacementRequest, zone: str, reply: Reply) -> None:
         """Submit a request to the dispatcher of a zone.
 
+        A request that is submitted once more, as its host took the first link for
+        lost, replaces the first submission.
+
         Args:
             request: The request, with times on this host's clock.
             zone: Zone whose servers the dispatcher owns; empty for all zones.
@@ -152,6 +155,7 @@
             )
             return
         request = resolved
+        self.abandon([request.request_id])
         dispatcher = self._get_or_create_dispatcher(zone)
         self._active.set()
         self._replies_by_request[request.request_id] = (dispatcher, reply)
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -64,6 +64,8 @@
         taken_up: The broken stream that it takes up; None if it begins one.
         sender: Id of the entry host that sends it to its engine; empty for this host.
         rests: Servers that asked that host for a rest.
+        excluded_ids: Servers that turned the request away when a dispatcher that is
+            now lost placed it there.
     """
 
     request_id: str
@@ -85,6 +87,7 @@
     taken_up: TakenUpStream | None = None
     sender: str = ""
     rests: tuple[ServerRest, ...] = ()
+    excluded_ids: tuple[str, ...] = ()
 
     @property
     def is_bound(self) -> bool:
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -263,7 +263,7 @@
             self._release_results(graph.unreleased_handles(), now)
             self._refuse(request, expected, expected.reason, now)
             return
-        active = _ActiveRequest(request, graph, now)
+        active = _ActiveRequest(request, graph, now, excluded=set(request.excluded_ids))
         self._active_by_request[request.request_id] = active
         stages = (s for s in range(len(graph.stages)) if not graph.is_stage_complete(s))
         self._add_upcoming_pieces(active, stages)
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -203,6 +203,7 @@
             self.dispatch,
             lambda: self.lease.version,
             lambda: self.links.entry_hosts,
+            self.rests.list_rests,
         )
         budgets = RetryBudgets(
             bounds.retry_ratio, bounds.retry_slack, lambda: self.links.entry_hosts
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -118,6 +118,7 @@
                 ServerRest(rest.server_id, rest.left_ms / _MS_PER_S)
                 for rest in record.rests
             ),
+            excluded_ids=tuple(record.excluded_server_ids),
         )
 
 
@@ -155,6 +156,7 @@
                 )
                 for rest in request.rests
             ],
+            excluded_server_ids=request.excluded_ids,
         )
     )
 
--- a/src/galenadrum/_internal/gateway/placement_client.py
+++ b/src/galenadrum/_internal/gateway/placement_client.py
@@ -1,8 +1,9 @@
 """Requests placements from dispatchers for the requests of an entry host.
 
 The dispatcher of the host's own zone is preferred. When the link to a dispatcher goes
-down, its pending requests are submitted again to the next one; without any link, the
-host dispatches for itself.
+down, its pending requests are submitted again to the next one: those that wait at once,
+those that are placed when their server turns them away. Without any link, the host
+dispatches for itself.
 """
 
 from __future__ import annotations
@@ -33,6 +34,7 @@
     encode_request,
 )
 from galenadrum._internal.models.quarantine import ServerCrash
+from galenadrum._internal.models.server_limits import ServerRest
 from galenadrum._internal.network.host_link import HostLink
 from galenadrum._internal.observability.events import build_host_event
 from galenadrum._internal.protocol.gateway_pb2 import LinkMessage
@@ -59,6 +61,9 @@
         domain: Zone whose servers may be used; empty for all zones.
         answer: Future of the next placement or refusal.
         server_id: Id of the server it is placed on; empty if not placed.
+        is_dispatcher_lost: Whether the link to the dispatcher that placed it went down
+            since. The dispatcher has dropped it, also if the link is up again.
+        excluded_ids: Ids of the servers that turned it away.
         results_by_stage: Stage results so far; kept on this host, so that they
             survive the loss of the dispatcher.
     """
@@ -68,6 +73,8 @@
     domain: str
     answer: asyncio.Future[Placement | PlacementRefusal]
     server_id: str = ""
+    is_dispatcher_lost: bool = False
+    excluded_ids: set[str] = field(default_factory=set)
     results_by_stage: dict[int, StageResults] = field(default_factory=dict)
 
 
@@ -80,6 +87,8 @@
         local_dispatcher: Dispatcher of this host, used if no link is up.
         version: Returns the applied configuration version.
         entry_host_count: Returns the number of entry hosts.
+        list_rests: Returns the rests that servers asked this host for, at a loop time
+            in seconds.
     """
 
     def __init__(
@@ -89,12 +98,14 @@
         local_dispatcher: DispatchDriver,
         version: Callable[[], int],
         entry_host_count: Callable[[], int],
+        list_rests: Callable[[float], tuple[ServerRest, ...]] = lambda now: (),
     ) -> None:
         self._zone = zone
         self._links_up = links
         self._local_dispatcher = local_dispatcher
         self._version = version
         self._entry_host_count = entry_host_count
+        self._list_rests = list_rests
         self._pending_by_request: dict[str, _PendingRequest] = {}
         self._chosen_link: HostLink | None = None
         self._loop = asyncio.get_running_loop()
@@ -124,7 +135,12 @@
             return PlacementRefusal(request_id, "unknown", 0.0)
         pending.answer = self._loop.create_future()
         server_id, pending.server_id = pending.server_id, ""
-        self._send_report(pending, server_id, outcome, rest_s)
+        if outcome is not PlacementOutcome.HELD_BACK:
+            pending.excluded_ids.add(server_id)
+        if pending.is_dispatcher_lost:
+            self._submit_again(pending)
+        else:
+            self._send_report(pending, server_id, outcome, rest_s)
         return self._record_answer(pending, await pending.answer)
 
     def _record_answer(
@@ -208,20 +224,39 @@
             pending.answer.set_result(update)
 
     def handle_link_loss(self, link: HostLink) -> None:
-        """Submit requests again that waited at a dispatcher whose link is down."""
+        """Submit requests again that waited at a dispatcher whose link is down.
+
+        A request that it has placed is submitted again only if its server turns it
+        away.
+        """
         for pending in list(self._pending_by_request.values()):
-            if pending.link is link and not pending.answer.done():
-                results = tuple(pending.results_by_stage.values())
-                # The rests of its time may have ended since.
-                pending.request = replace(
-                    pending.request, is_resumed=True, results=results, rests=()
-                )
-                self._submit(pending)
-                logger.info(
-                    "submitted placement request again with the results of %d stages",
-                    len(results),
-                    extra={"request_id": pending.request.request_id},
-                )
+            if pending.link is not link:
+                continue
+            if pending.answer.done():
+                pending.is_dispatcher_lost = True
+            else:
+                self._submit_again(pending)
+
+    def _submit_again(self, pending: _PendingRequest) -> None:
+        """Submit a request whose dispatcher is lost, with what is known of it."""
+        now = self._loop.time()
+        results = tuple(pending.results_by_stage.values())
+        pending.request = replace(
+            pending.request,
+            is_resumed=True,
+            results=results,
+            rests=self._list_rests(now),
+            excluded_ids=tuple(sorted(pending.excluded_ids)),
+        )
+        pending.is_dispatcher_lost = False
+        self._submit(pending)
+        logger.info(
+            "submitted placement request again with the results of %d stages, "
+            "excluding %d servers",
+            len(results),
+            len(pending.excluded_ids),
+            extra={"request_id": pending.request.request_id},
+        )
 
     def _submit(self, pending: _PendingRequest) -> None:
         is_shared = self._entry_host_count() <= _MAX_ENTRY_HOSTS_FOR_SHARED_DISPATCHER
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -28,6 +28,7 @@
     send_failure,
 )
 from galenadrum._internal.gateway.permits import Permit, PermitClient
+from galenadrum._internal.gateway.request_lifetime import RequestLifetime
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.gateway.server_paths import PathAttempts, ServerPaths
 from galenadrum._internal.network.http1.client import (
@@ -126,9 +127,11 @@
         self._waiting = 0
         self._loop = asyncio.get_running_loop()
 
-    async def forward(self, exchange: Exchange, context: RequestContext) -> None:
+    async def forward(
+        self, exchange: Exchange, context: RequestContext, lifetime: RequestLifetime
+    ) -> None:
         """Forward a request and respond to its caller."""
-        attempts = Attempts(context.route)
+        attempts = lifetime.attempts
         self._budgets.deposit(context.service)
         failure = "no_server"
         retry_after_s = _RETRY_AFTER_S
@@ -156,7 +159,7 @@
             entry = choice.entry
             attempts.excluded_ids.add(entry.server_id)
             try:
-                reply, failure = await self._send_request(context, entry, attempts)
+                reply, failure = await self._send_request(context, entry, lifetime)
             finally:
                 self._permits.release(choice.permit, failure == "overloaded")
             if reply is not None and not self._should_retry(reply, attempts):
@@ -352,7 +355,7 @@
         exchange.respond(status, forwarded_headers(reply.head), reply.body)
 
     async def _send_request(
-        self, context: RequestContext, entry: ServerEntry, attempts: Attempts
+        self, context: RequestContext, entry: ServerEntry, lifetime: RequestLifetime
     ) -> tuple[_Reply | None, str]:
         """Send the request to one server.
 
@@ -363,7 +366,7 @@
         paths = PathAttempts()
         while True:
             try:
-                return await self._send_on_path(context, entry, attempts, paths)
+                return await self._send_on_path(context, entry, lifetime, paths)
             except NotForwardedError as error:
                 paths.error = error
                 logger.info(
@@ -374,7 +377,7 @@
         self,
         context: RequestContext,
         entry: ServerEntry,
-        attempts: Attempts,
+        lifetime: RequestLifetime,
         paths: PathAttempts,
     ) -> tuple[_Reply | None, str]:
         """Send the request on the next path to a server.
@@ -382,6 +385,7 @@
         Raises:
             NotForwardedError: Another host has not sent it.
         """
+        attempts = lifetime.attempts
         server_id = entry.server_id
         started_at = self._loop.time()
         try:
@@ -414,7 +418,8 @@
             self._balancer.not_sent(server_id)
             return None, "no_server" if has_left else "resting"
         try:
-            reply = await self._exchange(context, entry, connection, attempts)
+            with lifetime.sending():
+                reply = await self._exchange(context, entry, connection, attempts)
         except (BrokenResponseError, TimeoutError) as error:
             connection.close()
             attempts.possible_runs += 1
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -52,6 +52,8 @@
 # The sender has waited for a connection of its own already.
 _CONNECT_TIMEOUT_S = 0.15
 _VERIFY_TIMEOUT_S = 0.1
+# Limit on the time of a request whose deadline is later or isn't named.
+_MAX_FORWARD_S = 120.0
 # A server may close a connection that was idle for longer while a request is on its
 # way, and the request may not be repeatable.
 _MAX_IDLE_S = 0.5
@@ -159,17 +161,28 @@
                 self._pool.put_unused(connection)
                 self._respond(exchange, reason)
                 return
-            await self._forward(exchange, entry, connection)
-        except (BrokenResponseError, CallerDisconnectedError) as error:
+            async with asyncio.timeout_at(self._find_end(exchange)):
+                await self._forward(exchange, entry, connection)
+        except (BrokenResponseError, CallerDisconnectedError, TimeoutError) as error:
             connection.close()
             exchange.abort()
-            self._record(exchange, entry, f"failed: {error or 'sender left'}", "failed")
+            detail = str(error) or type(error).__name__
+            self._record(exchange, entry, f"failed: {detail}", "failed")
         except asyncio.CancelledError:
             connection.close()
             if not exchange.is_caller_disconnected:
                 raise
             self._record(exchange, entry, "cancelled by its sender", "cancelled")
 
+    def _find_end(self, exchange: Exchange) -> float:
+        """Return the loop time in seconds at which a request is ended here.
+
+        Its host ends it at its deadline; one that is gone without a reset doesn't.
+        """
+        deadline_s = self._dialect.parse_request_head(exchange.head).deadline_s
+        limit_s = _MAX_FORWARD_S if deadline_s is None else deadline_s
+        return exchange.received_at + min(limit_s, _MAX_FORWARD_S)
+
     async def _verify_soon(self, entry: ServerEntry, reason: str) -> bool:
         """Return whether this host is found to be cut off from a server at once.
 
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -13,8 +13,10 @@
 from galenadrum._internal.gateway.dialect import Dialect, RequestMetadata
 from galenadrum._internal.gateway.error_responder import ErrorResponder
 from galenadrum._internal.gateway.first_request_estimator import FirstRequestEstimator
+from galenadrum._internal.gateway.forwarding import send_failure
 from galenadrum._internal.gateway.lease import ConfigurationLease
 from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
+from galenadrum._internal.gateway.request_lifetime import RequestLifetime
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
 from galenadrum._internal.models.routing import OrganisationKeys, Route, RouteKind
 from galenadrum._internal.network.http1.server import Exchange
@@ -29,6 +31,7 @@
 
 _RETRY_AFTER_NO_CONFIGURATION_S = 0.5
 _RETRY_AFTER_NO_LEASE_S = 1.0
+_RETRY_AFTER_OVERDUE_S = 0.5
 _MAX_PIECES = 10_000
 
 
@@ -94,10 +97,7 @@
         if context.route.kind is not RouteKind.NON_IDEMPOTENT:
             exchange.on_caller_disconnected = task.cancel
         try:
-            if context.route.kind is RouteKind.STREAM:
-                await self._stream_forwarder.forward(exchange, context)
-            else:
-                await self._plain_forwarder.forward(exchange, context)
+            await self._forward(exchange, context)
         except asyncio.CancelledError:
             if not exchange.is_caller_disconnected:
                 raise
@@ -109,6 +109,39 @@
         finally:
             self._log_end(exchange, metadata, context)
 
+    async def _forward(self, exchange: Exchange, context: RequestContext) -> None:
+        """Forward a request; give it its final answer if its time runs out first."""
+        lifetime = RequestLifetime(context)
+        forwarder = self._plain_forwarder
+        if context.route.kind is RouteKind.STREAM:
+            forwarder = self._stream_forwarder
+        try:
+            async with lifetime.limit() as limit:
+                await forwarder.forward(exchange, context, lifetime)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            self._end_overdue_request(exchange, context, lifetime)
+
+    def _end_overdue_request(
+        self, exchange: Exchange, context: RequestContext, lifetime: RequestLifetime
+    ) -> None:
+        logger.warning(
+            "request of route %s still waited %.3f s after it was received; ended",
+            context.route.name,
+            self._loop.time() - context.received_at,
+            extra={"request_id": context.metadata.request_id},
+        )
+        send_failure(
+            self._answers,
+            exchange,
+            context,
+            lifetime.attempts,
+            "deadline",
+            _RETRY_AFTER_OVERDUE_S,
+            self._loop.time(),
+        )
+
     def _log_end(
         self,
         exchange: Exchange,
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -38,6 +38,7 @@
     send_failure,
 )
 from galenadrum._internal.gateway.placement_client import PlacementClient
+from galenadrum._internal.gateway.request_lifetime import RequestLifetime
 from galenadrum._internal.gateway.retry_budgets import RetryBudgets
 from galenadrum._internal.gateway.server_paths import PathAttempts, ServerPaths
 from galenadrum._internal.models.stream_bindings import StreamBinding, TakenUpStream
@@ -108,7 +109,7 @@
 
     exchange: Exchange
     context: RequestContext
-    attempts: Attempts
+    lifetime: RequestLifetime
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_event_at: float | None = None
     last_event_at: float | None = None
@@ -116,6 +117,11 @@
     reason: str = ""
     binding: StreamBinding | None = None
 
+    @property
+    def attempts(self) -> Attempts:
+        """Sends of the request so far."""
+        return self.lifetime.attempts
+
 
 class StreamForwarder:
     """Requests placements, sends requests to engines and forwards their events."""
@@ -147,9 +153,11 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
 
-    async def forward(self, exchange: Exchange, context: RequestContext) -> None:
+    async def forward(
+        self, exchange: Exchange, context: RequestContext, lifetime: RequestLifetime
+    ) -> None:
         """Forward a request and stream the response to its caller."""
-        stream = _Stream(exchange, context, Attempts(context.route))
+        stream = _Stream(exchange, context, lifetime)
         request_id = context.metadata.request_id
         self._budgets.deposit(context.service)
         self._find_binding(stream)
@@ -341,7 +349,8 @@
             self._log(stream, "not sent to server %s, which %s", server_id, reason)
             return _AttemptResult.HELD_BACK
         try:
-            return await self._exchange(stream, placement, connection)
+            with stream.lifetime.sending():
+                return await self._exchange(stream, placement, connection)
         except (BrokenResponseError, TimeoutError) as error:
             stream.reason = "timeout" if isinstance(error, TimeoutError) else "broken"
             self._log(
--- a/src/galenadrum/_internal/network/host_link.py
+++ b/src/galenadrum/_internal/network/host_link.py
@@ -279,6 +279,10 @@
         """Queue a message; it is dropped if the link goes down."""
         self._outbox.add(message)
 
+    def close(self) -> None:
+        """End the link, so that `serve` returns."""
+        self._stream.close()
+
     async def serve(self, deliver: Callable[[InboundLink, LinkMessage], None]) -> None:
         """Pass on received messages until the stream ends or the peer falls silent."""
         writer = asyncio.ensure_future(self._outbox.write_to(self._stream.send))
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -44,6 +44,7 @@
             ``endless_body``, ``repeat``, ``repeat_anonymous``, ``drip``.
         most_connections: Largest number of connections that were open at once.
         to_reject: Number of the next requests and stage calls that it rejects.
+        reject_after_s: Time that it takes to reject a request, in seconds.
         resume_status: Status of the error with which it answers requests that go on
             with a stream; None to serve them.
         cut_number: Number of the event that the fault ``cut`` cuts.
@@ -104,6 +105,7 @@
         self.has_crashed = False
         self.most_connections = 0
         self.to_reject = 0
+        self.reject_after_s = 0.0
         self._last_response_by_connection = WeakKeyDictionary()
         self.limit_per_s = None
         self.brittle_at = None
@@ -227,6 +229,7 @@
             )
             return
         if self._take_rejection(exchange.head):
+            await asyncio.sleep(self.reject_after_s)
             self._reject(exchange)
             return
         if self.slots is not None and self._running >= self.slots:
--- a/tests/unit/gateway/test_placement_client.py
+++ b/tests/unit/gateway/test_placement_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from galenadrum._internal.dispatch.messages import (
     PlacementOutcome,
     StageProgress,
@@ -16,6 +18,12 @@
 from lib.paused_loop import run_paused
 from lib.routing_values import FakeLink, request
 
+TURNED_AWAY = (
+    PlacementOutcome.REJECTED,
+    PlacementOutcome.UNREACHABLE,
+    PlacementOutcome.INPUTS_LOST,
+    PlacementOutcome.HELD_BACK,
+)
 HANDLES = ("10.0.0.1:80/a", "10.0.0.1:80/b")
 
 
@@ -78,6 +86,36 @@
 
         self.run_steps(steps)
 
+    @pytest.mark.parametrize("is_renewed", [False, True])
+    @pytest.mark.parametrize("outcome", TURNED_AWAY)
+    def test_placed_request_is_turned_away_after_the_loss(self, outcome, is_renewed):
+        # It reported to the lost dispatcher and waited without an end.
+        async def steps(placements, links, task):
+            first, second = links
+            answer = Placement(request_id="r1", server_id="g-0", address="10.0.0.9:80")
+            placements.handle_message(first, LinkMessage(placement=answer))
+            await task
+            first.is_up = False
+            placements.handle_link_loss(first)
+            first.is_up = is_renewed
+            first.sent.clear()
+            again = asyncio.ensure_future(
+                placements.request_next_placement("r1", outcome)
+            )
+            await asyncio.sleep(0)
+            (submitted,) = (*first.placed(), *second.placed())
+            assert submitted.is_resumed
+            is_held_back = outcome is PlacementOutcome.HELD_BACK
+            assert list(submitted.excluded_server_ids) == ["g-0"][is_held_back:]
+            answer = Placement(request_id="r1", server_id="g-1", address="10.0.0.9:80")
+            link = first if is_renewed else second
+            placements.handle_message(link, LinkMessage(placement=answer))
+            assert (await again).server_id == "g-1"
+            placements.report("r1", PlacementOutcome.FINISHED)
+            assert link.sent[-1].report.outcome == "finished"
+
+        self.run_steps(steps)
+
     def test_answer_of_lost_dispatcher_is_ignored(self):
         async def steps(placements, links, task):
             first, second = links
