Send nothing for a caller who has left

Seen by callers as a delivery that is confirmed although they gave it up. The close of a caller was ignored for such requests, as they must not be broken off once sent, and no send looked for the caller: not after waiting for a connection, a relay, a permit or room, nor after a server that hadn't run the request.

Change: the lifetime of a request knows whether the request is on its way to a server. A caller that leaves ends the work at once, unless a request that may run once is on its way; each send begins with a check. The same cause elsewhere: pieces of stages in a call that waits for its connection, callers that left before their handler began. Found on the way: requests that were cancelled while they waited for a connection stayed counted at their server, or kept its probe or its place.

--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -284,7 +284,7 @@
     async def _run_call(self, dispatcher: ZoneDispatcher, call: StageCall) -> None:
         service = call.server.service
         started_at = self._loop.time()
-        outcome = await self._send_call(call)
+        outcome = await self._send_call(dispatcher, call)
         now = self._loop.time()
         self._record_call(call, outcome, now - started_at)
         if outcome is CallFailure.BROKEN:
@@ -334,7 +334,7 @@
         )
 
     async def _send_call(
-        self, call: StageCall
+        self, dispatcher: ZoneDispatcher, call: StageCall
     ) -> tuple[PieceResult, ...] | CallFailure:
         address = call.server.address
         try:
@@ -342,6 +342,11 @@
         except ConnectError as error:
             logger.debug("stage call %d could not connect: %s", call.call_id, error)
             return CallFailure.UNREACHABLE
+        # Callers may have left while the connection was made.
+        call = dispatcher.remove_unwanted_pieces(call)
+        if call is None:
+            self._pool.put_unused(connection)
+            return CallFailure.UNWANTED
         sent_at = self._loop.time()
         if not self._may_send(call.server.server_id, "stage_call", connection):
             return CallFailure.FULL
--- a/src/galenadrum/_internal/dispatch/messages.py
+++ b/src/galenadrum/_internal/dispatch/messages.py
@@ -235,7 +235,7 @@
 class CallFailure(StrEnum):
     """Reason why a stage call returned no results at all.
 
-    After FULL and MISDIRECTED the server has not run any piece.
+    After FULL, MISDIRECTED and UNWANTED the server has not run any piece.
     """
 
     FULL = "full"
@@ -243,6 +243,7 @@
     UNREACHABLE = "unreachable"
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
+    UNWANTED = "unwanted"
 
 
 PlacementUpdate = Placement | PlacementRefusal | StageProgress
--- a/src/galenadrum/_internal/dispatch/stage_pool.py
+++ b/src/galenadrum/_internal/dispatch/stage_pool.py
@@ -626,9 +626,13 @@
         server.slowness = slowness + _SLOWNESS_SMOOTHING * (observed - slowness)
         server.slowness_at = now
 
-    def fail_call(self, call_id: int, now: float) -> RunningCall | None:
+    def fail_call(
+        self, call_id: int, now: float, is_sent: bool = True
+    ) -> RunningCall | None:
         """Record the failure of a call and pause its server with backoff.
 
+        The server of a call that was not sent isn't paused.
+
         The server of an overdue call was paused when the call became overdue. That of
         a call during which this process was suspended isn't paused: the call may have
         timed out for that reason only.
@@ -642,7 +646,7 @@
         server = self.servers_by_id.get(call.server_id)
         if server is not None and call_id in server.reserved_bytes_by_call:
             self._remove_call(server, call_id, now)
-            if not call.is_overdue and not call.suspended_s:
+            if is_sent and not call.is_overdue and not call.suspended_s:
                 self._back_off(server, now)
         return call
 
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -583,13 +583,36 @@
         active = self._active_by_request.get(request_id)
         return active.request.digest if active is not None else ""
 
+    def remove_unwanted_pieces(self, call: StageCall) -> StageCall | None:
+        """Return a call that is about to be sent without what nobody waits for.
+
+        Returns:
+            The call with the pieces of active requests that lack a result; None if
+            there is none, or if all were queued again since.
+        """
+        pool = self._stage_pools_by_service.get(call.server.service)
+        running = pool.calls_by_id.get(call.call_id) if pool else None
+        if running is None or running.is_overdue:
+            return None
+        is_wanted = [self._is_wanted(piece) for piece in running.pieces]
+        running.pieces = list(itertools.compress(running.pieces, is_wanted))
+        pieces = tuple(itertools.compress(call.pieces, is_wanted))
+        return replace(call, pieces=pieces) if pieces else None
+
+    def _is_wanted(self, piece: WaitingPiece) -> bool:
+        active = self._active_by_request.get(piece.request_id)
+        return active is not None and not active.graph.has_result(
+            piece.stage, piece.number
+        )
+
     def fail_stage_call(
         self, service: str, call_id: int, failure: CallFailure, now: float
     ) -> None:
         """Process a stage call that returned no results."""
         self._detect_suspension(now)
         pool = self._stage_pools_by_service.get(service)
-        call = pool.fail_call(call_id, now) if pool else None
+        is_sent = failure is not CallFailure.UNWANTED
+        call = pool.fail_call(call_id, now, is_sent) if pool else None
         if call is None:
             return
         if failure is CallFailure.MISDIRECTED:
@@ -598,7 +621,7 @@
             for piece in call.pieces:
                 active = self._active_by_request.get(piece.request_id)
                 if active is not None:
-                    if failure is CallFailure.FULL:
+                    if failure in (CallFailure.FULL, CallFailure.UNWANTED):
                         self._requeue(active, pool, piece)
                         continue
                     if failure is CallFailure.BROKEN:
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -41,7 +41,10 @@
     ResponseHead,
     encode_request,
 )
-from galenadrum._internal.network.http1.server import Exchange
+from galenadrum._internal.network.http1.server import (
+    CallerDisconnectedError,
+    Exchange,
+)
 from galenadrum._internal.network.relayed_connection import NotForwardedError
 from galenadrum._internal.observability.metrics import Metrics
 from galenadrum._internal.quarantine.part_quarantine import PartQuarantine
@@ -136,6 +139,7 @@
         failure = "no_server"
         retry_after_s = _RETRY_AFTER_S
         while attempts.may_send:
+            lifetime.check_caller()
             now = self._loop.time()
             if now + MIN_SEND_TIME_S >= context.deadline_at:
                 failure = "deadline"
@@ -308,7 +312,12 @@
             # The others may have room first.
             wait_s_by_server[server_id] = permit.wait_s + max(wait_s_by_server.values())
             await asyncio.sleep(permit.wait_s)
-        await asyncio.sleep(permit.wait_s)
+        try:
+            await asyncio.sleep(permit.wait_s)
+        except asyncio.CancelledError:
+            self._permits.release(permit)
+            self._balancer.cancel_choice(server_id)
+            raise
         if self._permits.release_expired(permit):
             self._balancer.cancel_choice(server_id)
             return _Choice(None, wait_s=_RETRY_AFTER_S)
@@ -323,7 +332,11 @@
             return Permit(True, 0.0)
         if max_wait_s < 0:
             return Permit(False, _RETRY_AFTER_S)
-        permit = await self._permits.request_permit(server_id, max_wait_s)
+        try:
+            permit = await self._permits.request_permit(server_id, max_wait_s)
+        except asyncio.CancelledError:
+            self._balancer.cancel_choice(server_id)
+            raise
         if not permit.is_granted:
             self._balancer.cancel_choice(server_id)
         return permit
@@ -366,7 +379,11 @@
         paths = PathAttempts()
         while True:
             try:
+                lifetime.check_caller()
                 return await self._send_on_path(context, entry, lifetime, paths)
+            except CallerDisconnectedError:
+                self._balancer.not_sent(entry.server_id)
+                raise
             except NotForwardedError as error:
                 paths.error = error
                 logger.info(
@@ -411,6 +428,9 @@
                 extra={"request_id": context.metadata.request_id},
             )
             return None, "connections" if is_limited else "unreachable"
+        except asyncio.CancelledError:
+            self._balancer.not_sent(server_id)
+            raise
         # It may leave or rest since it was chosen.
         has_left = self._balancer.find_server(server_id) is None
         if has_left or not self._rests.may_send(server_id, "plain", self._loop.time()):
@@ -437,6 +457,9 @@
                 extra={"request_id": context.metadata.request_id},
             )
             return None, "timeout" if isinstance(error, TimeoutError) else "broken"
+        except CallerDisconnectedError:
+            self._paths.put_unused(connection)
+            raise
         except NotForwardedError:
             connection.close()
             raise
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -19,7 +19,10 @@
 from galenadrum._internal.gateway.request_lifetime import RequestLifetime
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
 from galenadrum._internal.models.routing import OrganisationKeys, Route, RouteKind
-from galenadrum._internal.network.http1.server import Exchange
+from galenadrum._internal.network.http1.server import (
+    CallerDisconnectedError,
+    Exchange,
+)
 from galenadrum._internal.observability.events import (
     build_request_event,
     classify_outcome,
@@ -93,12 +96,9 @@
         if context is None:
             self._log_end(exchange, metadata, None)
             return
-        task = asyncio.current_task()
-        if context.route.kind is not RouteKind.NON_IDEMPOTENT:
-            exchange.on_caller_disconnected = task.cancel
         try:
             await self._forward(exchange, context)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerDisconnectedError):
             if not exchange.is_caller_disconnected:
                 raise
             logger.info(
@@ -111,7 +111,8 @@
 
     async def _forward(self, exchange: Exchange, context: RequestContext) -> None:
         """Forward a request; give it its final answer if its time runs out first."""
-        lifetime = RequestLifetime(context)
+        lifetime = RequestLifetime(exchange, context)
+        lifetime.check_caller()
         forwarder = self._plain_forwarder
         if context.route.kind is RouteKind.STREAM:
             forwarder = self._stream_forwarder
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -163,7 +163,8 @@
         self._find_binding(stream)
         try:
             await self._run(stream)
-        except asyncio.CancelledError:
+        except BaseException:
+            # Its dispatcher would go on counting it otherwise.
             self._placements.report(request_id, PlacementOutcome.CANCELLED)
             raise
         self._placements.report(request_id, PlacementOutcome.FINISHED)
