Limit what the responses of all servers together hold in memory

Each response is bounded, their sum wasn't: with all three servers of a service sending bytes without end, a host whose settings allow 130 MB peaked at 1,000,720 kB (60 requests a second for 3 s, 1.6 MB/s each response). Seen by callers of other services as the end of their host.

Bodies are collected in one buffer (a body by chunks of two bytes took 28 times its size), a head has 256 headers at most, and a body whose length is too large is rejected by its head.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -45,6 +45,7 @@
 from galenadrum._internal.network.grpc_server import GrpcServer
 from galenadrum._internal.network.host_link import HostLink, InboundLink
 from galenadrum._internal.network.http1.client import ConnectionPool
+from galenadrum._internal.network.http1.response_memory import ResponseMemory
 from galenadrum._internal.network.http1.server import (
     ConnectionLimits,
     Exchange,
@@ -132,7 +133,8 @@
                 lambda: HostCounts(
                     self.links.entry_host_count, len(self.member_addresses())
                 ),
-            )
+            ),
+            memory=ResponseMemory(settings.memory_bytes, self.metrics),
         )
         self.quarantine = PartQuarantine(
             settings.host_id, lambda record: self.links.send_quarantine(record)
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -53,6 +53,7 @@
 from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.network.host_link import HostLink
 from galenadrum._internal.network.http1.client import ConnectionPool
+from galenadrum._internal.network.http1.response_memory import ResponseMemory
 from galenadrum._internal.network.http1.server import (
     ConnectionLimits,
     Exchange,
@@ -124,6 +125,7 @@
             lambda: len(self.limits) > 0,
             self.limits.find_brittle,
         )
+        memory = ResponseMemory(settings.memory_bytes, self.metrics)
         self._pool = ConnectionPool(
             lambda _: self.metrics.increment("connections_opened"),
             find_limit=build_connection_limit(
@@ -133,6 +135,7 @@
                 self._services_by_name,
                 lambda: HostCounts(self.links.entry_hosts, self.links.control_hosts),
             ),
+            memory=memory,
         )
         self.quarantine = PartQuarantine(
             settings.host_id, self._handle_quarantine_change
@@ -147,6 +150,7 @@
             Reachability(self.metrics),
             self.metrics,
             rng,
+            memory,
         )
         self._relay = RelayService(
             dialect,
--- a/src/galenadrum/_internal/gateway/server_paths.py
+++ b/src/galenadrum/_internal/gateway/server_paths.py
@@ -25,6 +25,7 @@
     ConnectionPool,
 )
 from galenadrum._internal.network.http1.heads import encode_request
+from galenadrum._internal.network.http1.response_memory import ResponseMemory
 from galenadrum._internal.network.relayed_connection import (
     CHECK_HEADER,
     NotForwardedError,
@@ -88,6 +89,7 @@
         reachability: Records failed and established connections.
         metrics: Counts the requests through other hosts by outcome.
         rng: Source of randomness for the choice of hosts.
+        memory: Limits what responses hold; None for no limit.
     """
 
     def __init__(
@@ -101,11 +103,14 @@
         reachability: Reachability,
         metrics: Metrics,
         rng: random.Random,
+        memory: ResponseMemory | None = None,
     ) -> None:
         self._host_id = host_id
         self._own_address = own_address
         self._pool = pool
-        self._relay_pool = ConnectionPool(connection_class=RelayedConnection)
+        self._relay_pool = ConnectionPool(
+            connection_class=RelayedConnection, memory=memory
+        )
         self._find_server = find_server
         self._list_server_ids = list_server_ids
         self._relays = relays
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -526,6 +526,7 @@
         self._placements.report(context.metadata.request_id, PlacementOutcome.STARTED)
         while part:
             complete = stream.splitter.feed(part)
+            connection.record_kept(stream.splitter.buffered_bytes)
             if complete:
                 await self._bind(stream, placement)
                 self._start_response(stream, head)
--- a/src/galenadrum/_internal/models/routing_settings.py
+++ b/src/galenadrum/_internal/models/routing_settings.py
@@ -43,6 +43,7 @@
         control_addresses: Peer addresses of some or all control hosts.
         relay_address: IP address and port for requests that this host forwards for
             others; empty to forward none.
+        memory_bytes: Memory that the process may use; 0 if it has no limit.
     """
 
     host_id: str
@@ -54,6 +55,7 @@
     bounds: RoutingBounds = RoutingBounds()
     observability: ObservabilitySettings = _LOG_DEFAULTS
     relay_address: str = ""
+    memory_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +70,7 @@
         is_first_start: True if the whole system starts for the first time.
         relay_address: IP address and port for requests that this host forwards for
             others; empty to forward none.
+        memory_bytes: Memory that the process may use; 0 if it has no limit.
     """
 
     host_id: str
@@ -81,3 +84,4 @@
     bounds: RoutingBounds = RoutingBounds()
     observability: ObservabilitySettings = _LOG_DEFAULTS
     relay_address: str = ""
+    memory_bytes: int = 0
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -16,6 +16,7 @@
 
 from galenadrum._internal.exceptions import GalenadrumError
 from galenadrum._internal.network.http1.heads import Headers, ResponseHead
+from galenadrum._internal.network.http1.response_memory import ResponseMemory
 from galenadrum._internal.utils.addresses import split_address
 
 logger = logging.getLogger(__name__)
@@ -32,6 +33,7 @@
 # Limit on the head of a response, and on the bytes between two parts of its body:
 # chunk extensions and trailers.
 _MAX_HEAD_BYTES = 64 * 1024
+_MAX_HEADERS = 256
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _NO_BODY_STATUSES = frozenset({204, 304})
 # Responses that are kept until it is known which of them belongs to the request.
@@ -75,14 +77,13 @@
 
     Attributes:
         headers: Headers before the head is complete.
+        unread: Bytes of the body that were received and not read yet.
         has_length: Whether the end of the body is marked in it.
-        unread_bytes: Size of ``body_parts``.
     """
 
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     head: ResponseHead | None = None
-    body_parts: deque[bytes] = field(default_factory=deque)
-    unread_bytes: int = 0
+    unread: bytearray = field(default_factory=bytearray)
     is_complete: bool = False
     has_length: bool = True
 
@@ -100,6 +101,7 @@
         is_fresh: Whether no request was completed on the connection yet.
         max_idle_s: Idle time in seconds after which the connection isn't reused.
         on_lost: Called once with the address when the connection has ended.
+        memory: Limits what the responses of all connections hold; None for no limit.
     """
 
     def __init__(self, address: str) -> None:
@@ -120,6 +122,10 @@
         self._is_head_request = False
         self._has_unexpected_data = False
         self.on_lost: Callable[[str], None] | None = None
+        self.memory: ResponseMemory | None = None
+        self._kept_bytes = 0
+        self._held_bytes = 0
+        self._is_broken_off = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
@@ -164,6 +170,7 @@
                 f"the response has more than {_MAX_HEAD_BYTES} bytes before the end of "
                 f"its head or between two parts of its body"
             )
+        self._record_held()
         self._notify_reader()
 
     # Callbacks of httptools.HttpResponseParser.
@@ -177,7 +184,11 @@
             self._has_unexpected_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._responses[-1].headers.append((name, value))
+        headers = self._responses[-1].headers
+        if len(headers) < _MAX_HEADERS:
+            headers.append((name, value))
+        else:
+            self._fail(f"the response has more than {_MAX_HEADERS} headers")
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -209,9 +220,8 @@
         if self._has_unexpected_data or response.is_complete:
             return
         self._overhead_bytes = 0
-        response.body_parts.append(data)
-        response.unread_bytes += len(data)
-        unread_bytes = sum(response.unread_bytes for response in self._responses)
+        response.unread += data
+        unread_bytes = sum(len(response.unread) for response in self._responses)
         if unread_bytes > _MAX_UNREAD_BYTES and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
@@ -291,22 +301,40 @@
                 before the end of the body.
         """
         response = self._responses[0]
-        while not response.body_parts:
+        while not response.unread:
             if response.is_complete:
                 return b""
             if self._error is not None:
                 raise BrokenResponseError(f"{self.address}: {self._error}")
             await self._wait_for_event()
-        data = (
-            response.body_parts.popleft()
-            if len(response.body_parts) == 1
-            else b"".join(response.body_parts)
-        )
-        response.body_parts.clear()
-        response.unread_bytes = 0
+        data, response.unread = bytes(response.unread), bytearray()
+        self._record_held()
         self._resume_reading()
         return data
 
+    def record_kept(self, kept_bytes: int) -> None:
+        """Record the bytes of the current response that its reader keeps."""
+        self._kept_bytes = kept_bytes
+        self._record_held()
+
+    def _record_held(self) -> None:
+        if self.memory is None or self._is_broken_off:
+            return
+        unread_bytes = sum(len(response.unread) for response in self._responses)
+        held_bytes = self._overhead_bytes + unread_bytes + self._kept_bytes
+        if held_bytes != self._held_bytes:
+            self._held_bytes = held_bytes
+            self.memory.record_held(self._break_off, held_bytes)
+
+    def _break_off(self, reason: str) -> None:
+        """End the connection and drop what was received."""
+        self._is_broken_off = True
+        self._held_bytes = 0
+        for response in self._responses:
+            response.unread.clear()
+            response.is_complete = False
+        self.fail(reason)
+
     def _resume_reading(self) -> None:
         if self._is_paused:
             self._is_paused = False
@@ -318,17 +346,27 @@
         Raises:
             BrokenResponseError: The body is larger than 8 MiB, or as for `read_part`.
         """
-        parts = []
-        size = 0
+        self._check_length()
+        body = bytearray()
         while part := await self.read_part():
-            parts.append(part)
-            size += len(part)
-            if size > _MAX_BODY_BYTES:
+            body += part
+            if len(body) > _MAX_BODY_BYTES:
                 raise BrokenResponseError(
                     f"{self.address}: the body of the response has more than "
                     f"{_MAX_BODY_BYTES} bytes"
                 )
-        return b"".join(parts)
+            self.record_kept(len(body))
+        return bytes(body)
+
+    def _check_length(self) -> None:
+        """Reject a body whose head already says that it is too large."""
+        head = self._responses[0].head
+        length = head.get(b"content-length") if head is not None else None
+        if length is not None and length.isdigit() and int(length) > _MAX_BODY_BYTES:
+            raise BrokenResponseError(
+                f"{self.address}: the body of the response has {int(length)} bytes, "
+                f"more than the {_MAX_BODY_BYTES} allowed"
+            )
 
     def discard_response(self) -> None:
         """Drop the current response, so that `read_head` waits for the next one.
@@ -336,6 +374,7 @@
         Used when the response belongs to a request other than the one sent.
         """
         self._responses.popleft()
+        self.record_kept(0)
         if not self._responses:
             self._responses.append(_Response())
             if self._has_unexpected_data:
@@ -349,6 +388,7 @@
         """
         self._is_busy = False
         self.is_fresh = False
+        self._release_held()
         self.idle_since = self._loop.time()
         response = self._responses[0]
         head = response.head
@@ -363,6 +403,11 @@
         else:
             self.max_idle_s = _parse_keep_alive_timeout(head)
 
+    def _release_held(self) -> None:
+        self._kept_bytes = self._held_bytes = 0
+        if self.memory is not None:
+            self.memory.record_held(self._break_off, 0)
+
     def _report_loss(self) -> None:
         on_lost, self.on_lost = self.on_lost, None
         if on_lost is not None:
@@ -373,6 +418,7 @@
         self._report_loss()
         if self._error is None:
             self._error = "closed"
+        self._release_held()
         if self._transport is not None:
             self._transport.abort()
 
@@ -415,6 +461,7 @@
         connection_class: Class of the connections.
         find_limit: Returns the number of connections to an address that may be open;
             None for any.
+        memory: Limits what the responses of all connections hold; None for no limit.
     """
 
     def __init__(
@@ -422,7 +469,9 @@
         on_connected: Callable[[str], None] | None = None,
         connection_class: type[BackendConnection] = BackendConnection,
         find_limit: Callable[[str], int | None] = lambda address: None,
+        memory: ResponseMemory | None = None,
     ) -> None:
+        self._memory = memory
         self._idle_by_address: dict[str, list[BackendConnection]] = defaultdict(list)
         self._on_connected = on_connected
         self._connection_class = connection_class
@@ -505,6 +554,7 @@
         loop = asyncio.get_running_loop()
         connection = self._connection_class(address)
         connection.on_lost = self._count_lost
+        connection.memory = self._memory
         self._open_by_address[address] += 1
         is_connected = False
         try:
--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -124,6 +124,7 @@
 
     Attributes:
         program: Program of an earlier build, which can't be cut off; None for this one.
+        memory_mb: Memory limit in its settings, in MB; None for 300.
     """
 
     def __init__(self, role, zone, ip, seeds, folder):
@@ -136,6 +137,7 @@
         self.is_first_start = True
         self.is_gone = False
         self.program = None
+        self.memory_mb = None
 
     def _settings(self):
         listen = {
@@ -154,6 +156,7 @@
             "Bootstrap": self.is_first_start,
             "DataDir": str(self.folder / "data"),
             "HeartbeatMs": 300,
+            "Limits": {"MemoryMb": self.memory_mb or 300},
             "Bounds": {
                 "RevokeFailClosed": True,
                 "RevokeMs": REVOCATION_BOUND_S * 1_000,
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -44,6 +44,7 @@
             ``endless_body``, ``repeat``, ``repeat_anonymous``, ``drip``.
         most_connections: Largest number of connections that were open at once.
         to_reject: Number of the next requests and stage calls that it rejects.
+        endless_interval_s: Pause between two parts of bytes without end, in seconds.
         reject_after_s: Time that it takes to reject a request, in seconds.
         resume_status: Status of the error with which it answers requests that go on
             with a stream; None to serve them.
@@ -106,6 +107,7 @@
         self.most_connections = 0
         self.to_reject = 0
         self.reject_after_s = 0.0
+        self.endless_interval_s = 0.001
         self._last_response_by_connection = WeakKeyDictionary()
         self.limit_per_s = None
         self.brittle_at = None
@@ -320,7 +322,7 @@
                 exchange._write(b"X-Line: value\r\n" * 1_000)
             else:
                 await exchange.send(b"x" * 65_536)
-            await asyncio.sleep(0.001)
+            await asyncio.sleep(self.endless_interval_s)
 
     async def _send_stream(self, exchange):
         headers = [
