Answer each request before a planned stop ends the process

Requests whose bodies were whole late in the grace time were passed on as at any other time, and cut without an answer when the drain ended, also those that may run once. Seen by callers as a closed connection for a request that had run.

Change: at the end of the drain each request in flight gets its final answer through its lifetime: not run, or outcome unknown; a stream that has begun is broken off.

--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -86,6 +86,8 @@
 # before it is killed.
 _SHUTDOWN_MARGIN_S = 0.6
 _DRAIN_POLL_S = 0.05
+# Time before the end of the drain in which final answers are sent.
+_FINAL_ANSWER_TIME_S = 0.1
 # Forwarded requests at the same time; its own callers go first.
 _MAX_RELAYED_REQUESTS = 96
 
@@ -493,7 +495,11 @@
         """Report not ready and finish the requests in flight within the grace time."""
         self._is_stopping = True
         self._relay.is_stopping = True
-        stop_at = self._loop.time() + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
+        now = self._loop.time()
+        stop_at = now + self._settings.bounds.grace_s - _SHUTDOWN_MARGIN_S
+        self._handler.begin_stop(
+            now + _DEREGISTRATION_DELAY_S, stop_at - _FINAL_ANSWER_TIME_S
+        )
         logger.info(
             "entry host %s is draining",
             self._settings.host_id,
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -16,6 +16,7 @@
 from galenadrum._internal.gateway.forwarding import send_failure
 from galenadrum._internal.gateway.lease import ConfigurationLease
 from galenadrum._internal.gateway.plain_forwarder import PlainForwarder
+from galenadrum._internal.gateway.planned_stop import PlannedStop
 from galenadrum._internal.gateway.request_lifetime import RequestLifetime
 from galenadrum._internal.gateway.stream_forwarder import StreamForwarder
 from galenadrum._internal.models.routing import OrganisationKeys, Route, RouteKind
@@ -35,6 +36,8 @@
 _RETRY_AFTER_NO_CONFIGURATION_S = 0.5
 _RETRY_AFTER_NO_LEASE_S = 1.0
 _RETRY_AFTER_OVERDUE_S = 0.5
+# Another host takes the request at once.
+_RETRY_AFTER_STOPPING_S = 0.05
 _MAX_PIECES = 10_000
 
 
@@ -87,8 +90,18 @@
         self._quarantine = quarantine
         self._rng = rng
         self._first_request_estimator = FirstRequestEstimator()
+        self._stop = PlannedStop()
         self._loop = asyncio.get_running_loop()
 
+    def begin_stop(self, late_from: float, stops_at: float) -> None:
+        """End all requests in time before the process stops.
+
+        Args:
+            late_from: Loop time in seconds from which no requests should come.
+            stops_at: Loop time in seconds by which each request has its final answer.
+        """
+        self._stop.begin(late_from, stops_at)
+
     async def handle(self, exchange: Exchange) -> None:
         """Check one request and forward it, or respond with an error."""
         metadata = self._dialect.parse_request_head(exchange.head)
@@ -111,8 +124,10 @@
 
     async def _forward(self, exchange: Exchange, context: RequestContext) -> None:
         """Forward a request; give it its final answer if its time runs out first."""
+        began_at = self._loop.time()
         lifetime = RequestLifetime(exchange, context)
         lifetime.check_caller()
+        self._stop.add(lifetime)
         forwarder = self._plain_forwarder
         if context.route.kind is RouteKind.STREAM:
             forwarder = self._stream_forwarder
@@ -123,6 +138,11 @@
             if not limit.expired():
                 raise
             self._end_overdue_request(exchange, context, lifetime)
+        finally:
+            self._stop.remove(lifetime)
+        if exchange.is_complete and not exchange.own_reason:
+            duration_s = self._loop.time() - began_at
+            self._stop.record_duration(context.route.name, duration_s)
 
     def _end_overdue_request(
         self, exchange: Exchange, context: RequestContext, lifetime: RequestLifetime
@@ -138,7 +158,7 @@
             exchange,
             context,
             lifetime.attempts,
-            "deadline",
+            "stopping" if self._loop.time() >= self._stop.stops_at else "deadline",
             _RETRY_AFTER_OVERDUE_S,
             self._loop.time(),
         )
@@ -211,6 +231,11 @@
         context = self._build_context(exchange, metadata, route, organisation)
         if self._refuse_if_quarantined(exchange, context):
             return None
+        if self._stop.is_too_late(route.name, self._loop.time()):
+            self._answers.refuse_request(
+                exchange, metadata, "stopping", _RETRY_AFTER_STOPPING_S
+            )
+            return None
         return context
 
     def _refuse_if_quarantined(
--- a/src/galenadrum/_internal/gateway/request_lifetime.py
+++ b/src/galenadrum/_internal/gateway/request_lifetime.py
@@ -38,13 +38,26 @@
         self._exchange = exchange
         self._runs_once = context.route.kind is RouteKind.NON_IDEMPOTENT
         self._ends_at = context.deadline_at + _FORWARDER_MARGIN_S
+        self._limit: asyncio.Timeout | None = None
         self._is_sent = False
         self._task = asyncio.current_task()
         exchange.on_caller_disconnected = self._handle_caller_left
 
     def limit(self) -> asyncio.Timeout:
         """Return a context that cancels its body soon after the request's deadline."""
-        return asyncio.timeout_at(self._ends_at)
+        self._limit = asyncio.timeout_at(self._ends_at)
+        return self._limit
+
+    def end_by(self, ends_at: float) -> None:
+        """End the request earlier; effective inside the context of `limit`.
+
+        Args:
+            ends_at: Loop time in seconds.
+        """
+        if ends_at < self._ends_at:
+            self._ends_at = ends_at
+            if self._limit is not None:
+                self._limit.reschedule(ends_at)
 
     def check_caller(self) -> None:
         """Check that the caller still waits.
