--- a/tests/functional/routing/test_two_builds.py
+++ b/tests/functional/routing/test_two_builds.py
@@ -13,8 +13,10 @@
 from lib.routing_deployment import configuration
 from lib.stream_caller import PROMPT_HEADERS
 
-# The build before servers' rests and departures were obeyed.
+# The build before servers' rests and departures were obeyed, and the one before
+# departures were recorded and requests excluded servers.
 EARLIER_BUILD = "832ea2f"
+PRODUCTION_BUILD = "2469069"
 ENTRY_HOSTS = 3
 REST_S = 1.0
 LONG_REST_S = 5.0
@@ -87,9 +89,9 @@
     return max(versions)
 
 
-def run_replacement(folder, is_upgrade, stop_signal):
+def run_replacement(folder, build, is_upgrade, stop_signal):
     """Replace all hosts one by one under load; return the load and the deployment."""
-    earlier = extract_build(EARLIER_BUILD, folder / "build")
+    earlier = extract_build(build, folder / "build")
     before, after = (earlier, None) if is_upgrade else (None, earlier)
 
     async def run():
@@ -134,11 +136,12 @@
 
 @pytest.mark.parametrize("stop_signal", [signal.SIGTERM, signal.SIGKILL])
 @pytest.mark.parametrize("is_upgrade", [True, False], ids=["newer", "older"])
+@pytest.mark.parametrize("build", [EARLIER_BUILD, PRODUCTION_BUILD])
 class TestReplacedHosts:
     def test_requests_fail_while_builds_are_mixed(
-        self, is_upgrade, stop_signal, tmp_path
+        self, build, is_upgrade, stop_signal, tmp_path
     ):
-        statuses, version = run_replacement(tmp_path, is_upgrade, stop_signal)
+        statuses, version = run_replacement(tmp_path, build, is_upgrade, stop_signal)
         served = sum(status == 200 for _, status in statuses)
         assert version > 10
         # A refusal says that nothing has run; anything else would be a failure.
