Keep quarantines on the disks of control hosts

A quarantine of a prompt part that crashes engines was handed over by other hosts; after the end of all processes none was left, and the part had to crash engines again: 8 in place of 4 engines in the new test. The rule on such parts allows three requests.

Change: each control host writes the quarantines that it knows to a file of its own, replaced as a whole after each change and synced, and merges them when it starts.

Measured: test_departures.py (TestQuarantines) failed on (8 == 4) and passes.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -24,6 +24,7 @@
     LogRunner,
     ReplicationProxy,
 )
+from galenadrum._internal.control.routing.quarantine_file import QuarantineFile
 from galenadrum._internal.directory.registry import Registry, ServerEntry
 from galenadrum._internal.directory.server_limits import ServerLimits
 from galenadrum._internal.directory.server_notices import ServerNotices
@@ -139,6 +140,11 @@
         self.quarantine = PartQuarantine(
             settings.host_id, lambda record: self.links.send_quarantine(record)
         )
+        self.quarantine_file = QuarantineFile(
+            settings.data_folder, self.quarantine.list_records
+        )
+        for record in self.quarantine_file.load():
+            self.quarantine.merge(record, self._loop.time())
         self.limits = ServerLimits(
             self.registry.get, lambda limit: self.links.send_limit(limit)
         )
@@ -200,6 +206,7 @@
             self.versions.table,
             self.binding_file.append,
             self._handle_departures,
+            self.quarantine_file.request_write,
         )
         self.api = RoutingApi(
             dialect.decode_configuration,
@@ -267,6 +274,7 @@
         supervisor.add("directory", self._run_maintenance)
         supervisor.add("stream-bindings", self.binding_file.run)
         supervisor.add("departures", self.departure_file.run)
+        supervisor.add("quarantines", self.quarantine_file.run)
         if settings.relay_address:
             supervisor.add("relays", self._build_relay_server().run)
         register_log_gauges(self.metrics, lambda: self.log_runner.log)
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -88,6 +88,7 @@
         bindings: Bindings of streams that this host knows.
         save_bindings: Queues bindings for this host's disk.
         receive_departures: Handles departures that another control host sends.
+        save_quarantines: Queues the quarantines for this host's disk.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         bindings: BindingTable,
         save_bindings: Callable[[Iterable[StreamBinding]], None],
         receive_departures: Callable[[InboundLink, pb.Departures], None],
+        save_quarantines: Callable[[], None],
     ) -> None:
         self._hello = hello
         self._members = members
@@ -120,6 +122,7 @@
         self._room = room
         self._bindings = bindings
         self._save_bindings = save_bindings
+        self._save_quarantines = save_quarantines
         self._rng = random.Random()
         self._loop = asyncio.get_running_loop()
         self._links: set[InboundLink] = set()
@@ -194,6 +197,7 @@
 
     def send_quarantine(self, record: QuarantinedPart) -> None:
         """Send a quarantined prompt part to all linked hosts."""
+        self._save_quarantines()
         self._broadcast(encode_quarantine(record, self._loop.time()))
         logger.info(
             "sent the quarantine of %s (term %d) to hosts %s",
--- a/tests/functional/routing/test_departures.py
+++ b/tests/functional/routing/test_departures.py
@@ -185,3 +185,47 @@
 
         _, served = run_departure(tmp_path, "plain", "deregister", step_back)
         assert served == 20
+
+
+LETHAL_PART = b"dead"
+
+
+def prompt_with(part, number):
+    headers = (
+        (b"X-Model", b"m"),
+        (b"X-Token-Usage", b"900,20"),
+        (b"X-Prefix-Hash", part + b":100,%x:100" % (0xB000 + number)),
+    )
+    return {"method": b"POST", "headers": headers, "body": b"{}"}
+
+
+class TestQuarantines:
+    """A part that crashes engines had to be found out again after all had ended."""
+
+    def test_lethal_part_reaches_engines_after_all_processes_ended(self, tmp_path):
+        async def run():
+            (tmp_path / "hosts").mkdir()
+            found = ProcessDeployment(tmp_path / "hosts", 2)
+            async with found:
+                for _ in range(9):
+                    engine = await found.add_engine("llm")
+                    engine.lethal_parts.add(LETHAL_PART)
+                await found.configure()
+                sound = prompt_with(b"5c1e", 0)
+                await found.wait_served("/note/x", **sound)
+                for number in range(12):
+                    more = prompt_with(LETHAL_PART, number + 1)
+                    await found.request_status(number, "/note/x", **more)
+                    await asyncio.sleep(0.3)
+                crashed = sum(engine.has_crashed for engine in found.engines)
+                assert 3 <= crashed < len(found.engines)
+                await kill_all(found)
+                await found.wait_served("/note/x", **sound)
+                await asyncio.sleep(1.0)
+                for number in range(12):
+                    more = prompt_with(LETHAL_PART, number + 50)
+                    await found.request_status(number, "/note/x", **more)
+                    await asyncio.sleep(0.1)
+                assert sum(e.has_crashed for e in found.engines) == crashed
+
+        asyncio.run(run())
