Soak: a departure that was acknowledged outlives the end of all processes

Cause: the soak knew no deregistration, and never ended all processes while servers were leaving.

Change: each run deregisters a server, kills all hosts, and lets the server's announcements go on as late ones do; nothing may reach it.

--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -89,6 +89,7 @@
 REST_TRANSIT_S = 0.5
 REST_SHARE = 0.7
 # Time after which nothing is sent to a server that said that it leaves.
+ACKNOWLEDGED_WITHIN_S = 4.0
 DRAIN_S = 2.0
 MAX_HOST_MEMORY_KB = 300_000
 NON_REPEATABLE_PATHS = (b"/confirm", b"/draft")
@@ -284,6 +285,7 @@
             await self._check_limit()
             await self._check_rest()
             await self._check_departure()
+            await self._check_acknowledged_departure()
             self._check_memory()
             await self._check_final_configuration()
             await self._lose_power_and_a_disk()
@@ -455,6 +457,41 @@
         engine.is_leaving = False
         engine.born += 1
 
+    async def _check_acknowledged_departure(self):
+        """Check that a server that deregistered gets nothing after all processes end.
+
+        Its announcements go on, as late ones do.
+        """
+        engine = self.engines[0]
+        if not await self._deregister(engine):
+            self.broken.append("no departure was acknowledged in time")
+            return
+        hosts = [*self.controls, *self.entries]
+        await asyncio.gather(*(self._restart(host, "kill") for host in hosts))
+        await self._wait_until_served(RECOVERY_S, "after the end of all processes")
+        received = len(engine.received_at)
+        await asyncio.sleep(DRAIN_S)
+        arrivals = len(engine.received_at) - received
+        if arrivals:
+            self.broken.append(f"{arrivals} requests at a server that deregistered")
+        engine.born += 1
+
+    async def _deregister(self, engine):
+        """Deregister an engine; return whether that was acknowledged in time."""
+        path = f"/api/instances/{engine.server_id}/deregister".encode()
+        body = json.dumps({"born": engine.born}).encode()
+        end_at = time.monotonic() + ACKNOWLEDGED_WITHIN_S
+        while time.monotonic() < end_at:
+            for host in self.controls:
+                with contextlib.suppress(GalenadrumError, TimeoutError, OSError):
+                    status, _, _ = await self.caller.call(
+                        f"{host.ip}:{ADMIN_PORT}", b"POST", path, (), body, 1.0
+                    )
+                    if status == 200:
+                        return True
+            await asyncio.sleep(0.1)
+        return False
+
     def _check_memory(self):
         for host in (*self.controls, *self.entries):
             peak_kb = host.peak_memory_kb()
