Exclude only servers that rejected a request or were unreachable; spare HEAD

Cause: found in the review of the diff. A request that is submitted again excluded an engine that had lost its inputs, which a dispatcher places on once more; and the check of a body's length by its head would have rejected a HEAD response, which has none.

Measured: tests/unit/gateway, network and control/routing, test_response_memory.py and test_lost_dispatchers.py pass.

--- a/src/galenadrum/_internal/control/routing/departures.py
+++ b/src/galenadrum/_internal/control/routing/departures.py
@@ -134,7 +134,7 @@
         message = encode_departures([departure], number)
         for link in keepers:
             link.send(message)
-        self._start(self._write_own([departure], number))
+        self._start_task(self._write_own([departure], number))
         try:
             async with asyncio.timeout(_RECORD_TIMEOUT_S):
                 await pending.is_recorded
@@ -170,9 +170,9 @@
         departures = decode_departures(record)
         new = [d for d in departures if self._registry.record_departure(d, now)]
         if record.number:
-            self._start(self._confirm(link, departures, record.number))
+            self._start_task(self._confirm(link, departures, record.number))
         elif new:
-            self._start(self._write_own(new, 0))
+            self._start_task(self._write_own(new, 0))
 
     async def _confirm(
         self, link: InboundLink, departures: list[Departure], number: int
@@ -198,7 +198,7 @@
             if now - recorded_at > REMOVE_AFTER_S:
                 del self._recorded_at[key]
 
-    def _start(self, coroutine) -> None:
+    def _start_task(self, coroutine) -> None:
         task = self._loop.create_task(coroutine)
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
--- a/src/galenadrum/_internal/gateway/placement_client.py
+++ b/src/galenadrum/_internal/gateway/placement_client.py
@@ -50,6 +50,10 @@
 _AVAILABILITY_TOLERANCE_S = 3.0
 # Refusal reasons after which the dispatcher of another zone may have capacity.
 _OTHER_ZONE_REASONS = frozenset({"overloaded", "no_server", NO_VERSION_REASON})
+# Outcomes after which a dispatcher doesn't place a request on the server again.
+_EXCLUDING_OUTCOMES = frozenset(
+    {PlacementOutcome.REJECTED, PlacementOutcome.UNREACHABLE}
+)
 
 
 @dataclass(slots=True)
@@ -135,7 +139,7 @@
             return PlacementRefusal(request_id, "unknown", 0.0)
         pending.answer = self._loop.create_future()
         server_id, pending.server_id = pending.server_id, ""
-        if outcome is not PlacementOutcome.HELD_BACK:
+        if outcome in _EXCLUDING_OUTCOMES:
             pending.excluded_ids.add(server_id)
         if pending.is_dispatcher_lost:
             self._submit_again(pending)
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -361,7 +361,9 @@
     def _check_length(self) -> None:
         """Reject a body whose head already says that it is too large."""
         head = self._responses[0].head
-        length = head.get(b"content-length") if head is not None else None
+        if head is None or self._is_head_request:
+            return
+        length = head.get(b"content-length")
         if length is not None and length.isdigit() and int(length) > _MAX_BODY_BYTES:
             raise BrokenResponseError(
                 f"{self.address}: the body of the response has {int(length)} bytes, "
