Reword docstrings and comments of this milestone in plain terms

Cause: read as a newcomer would, some told a story or named their subject late.

Change: wording of docstrings, comments and one log line; the syntax trees are otherwise equal.

Measured: make lint.

--- a/src/galenadrum/_internal/control/routing/departures.py
+++ b/src/galenadrum/_internal/control/routing/departures.py
@@ -193,7 +193,7 @@
             link.send(encode_departures(part, 0))
 
     def remove_expired(self, now: float) -> None:
-        """Forget acknowledgements that no server asks for once more."""
+        """Remove the acknowledgements of departures that are no longer kept."""
         for key, recorded_at in list(self._recorded_at.items()):
             if now - recorded_at > REMOVE_AFTER_S:
                 del self._recorded_at[key]
--- a/src/galenadrum/_internal/control/routing/quarantine_file.py
+++ b/src/galenadrum/_internal/control/routing/quarantine_file.py
@@ -1,8 +1,8 @@
 """Quarantines on a control host's disk.
 
-When all processes end at once, no host is left to hand them over, and each of them
-costs several servers to find out again. The file holds all of them and is replaced as a
-whole after each change, written behind.
+When all processes end at once, no host is left to hand them over, and several servers
+crash before each part is quarantined again. The file holds all quarantines. It is
+written behind, and replaced as a whole after each change.
 """
 
 from __future__ import annotations
@@ -57,7 +57,7 @@
             return []
         except OSError as error:
             logger.error(
-                "can't read quarantines from %s: %s; they are found out anew",
+                "can't read quarantines from %s: %s; starting without them",
                 path,
                 error,
             )
@@ -70,7 +70,7 @@
         return [record for record in decoded if record is not None]
 
     def request_write(self) -> None:
-        """Write all quarantines soon."""
+        """Schedule a write of all quarantines."""
         self._changed.set()
 
     async def run(self) -> None:
--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -243,7 +243,7 @@
 
     def _prune_departures(self, now: float) -> None:
         for server_id, departed_at in list(self._departed_at_by_id.items()):
-            # One that still announces itself is marked for as long as it does.
+            # The departure of a known server is kept for as long as its entry.
             if server_id not in self._entries_by_id and (
                 now - departed_at > REMOVE_AFTER_S
             ):
--- a/src/galenadrum/_internal/dispatch/zone_dispatcher.py
+++ b/src/galenadrum/_internal/dispatch/zone_dispatcher.py
@@ -584,7 +584,7 @@
         return active.request.digest if active is not None else ""
 
     def remove_unwanted_pieces(self, call: StageCall) -> StageCall | None:
-        """Return a call that is about to be sent without what nobody waits for.
+        """Remove the pieces that no active request needs from an unsent call.
 
         Returns:
             The call with the pieces of active requests that lack a result; None if
--- a/src/galenadrum/_internal/gateway/planned_stop.py
+++ b/src/galenadrum/_internal/gateway/planned_stop.py
@@ -1,8 +1,8 @@
-"""Requests of an entry host that is about to stop.
+"""Planned stop of an entry host: every request that was read gets a response.
 
-A request that was read is answered before the process ends: those in flight get their
-final answer when the time is up, and one that would hardly end in time is refused at
-once, so that its caller can send it to another host.
+Requests in flight get their final response before the process ends. A request that is
+unlikely to finish by then is refused at once, so that its caller can send it to another
+host.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 from galenadrum._internal.gateway.request_lifetime import RequestLifetime
 
-# Durations vary; the longest of late weighs in for some fifty requests of its route.
+# Factor by which the longest duration of a route shrinks with each request.
 _DURATION_DECAY = 0.98
 _DURATION_FACTOR = 1.25
 _DURATION_MARGIN_S = 0.3
@@ -20,12 +20,12 @@
 
 @dataclass(slots=True)
 class PlannedStop:
-    """Requests in flight, and the times of a stop.
+    """Requests in flight and the schedule of a planned stop.
 
     Attributes:
-        late_from: Loop time in seconds from which requests are refused that would
-            hardly end in time; infinite before a stop. Until then callers are still
-            sent here, and a refusal would only bring them back.
+        late_from: Loop time in seconds from which requests that are unlikely to finish
+            are refused; infinite before a stop. Until then load balancers still send
+            callers here, and a refused caller would return.
         stops_at: Loop time in seconds at which all requests end.
     """
 
@@ -35,13 +35,13 @@
     _longest_s_by_route: dict[str, float] = field(default_factory=dict)
 
     def begin(self, late_from: float, stops_at: float) -> None:
-        """Begin to stop; requests in flight end by ``stops_at``."""
+        """Begin a stop; requests in flight end by ``stops_at``."""
         self.late_from, self.stops_at = late_from, stops_at
         for lifetime in self._lifetimes:
             lifetime.end_by(stops_at)
 
     def is_too_late(self, route: str, now: float) -> bool:
-        """Return whether a request that comes now would hardly end in time."""
+        """Return whether a request that arrives now is unlikely to finish in time."""
         if now < self.late_from:
             return False
         longest_s = self._longest_s_by_route.get(route, 0.0)
@@ -58,6 +58,6 @@
         self._lifetimes.discard(lifetime)
 
     def record_duration(self, route: str, duration_s: float) -> None:
-        """Record the time that a request took which was answered, in seconds."""
+        """Record the duration of a request that was answered, in seconds."""
         longest_s = self._longest_s_by_route.get(route, 0.0) * _DURATION_DECAY
         self._longest_s_by_route[route] = max(longest_s, duration_s)
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -52,7 +52,7 @@
 # The sender has waited for a connection of its own already.
 _CONNECT_TIMEOUT_S = 0.15
 _VERIFY_TIMEOUT_S = 0.1
-# Limit on the time of a request whose deadline is later or isn't named.
+# Limit on the duration of a request, also if its sender names no deadline.
 _MAX_FORWARD_S = 120.0
 # A server may close a connection that was idle for longer while a request is on its
 # way, and the request may not be repeatable.
@@ -175,9 +175,9 @@
             self._record(exchange, entry, "cancelled by its sender", "cancelled")
 
     def _find_end(self, exchange: Exchange) -> float:
-        """Return the loop time in seconds at which a request is ended here.
+        """Return the loop time in seconds at which a request ends here.
 
-        Its host ends it at its deadline; one that is gone without a reset doesn't.
+        Its sender ends it at its deadline, unless the sender has failed silently.
         """
         deadline_s = self._dialect.parse_request_head(exchange.head).deadline_s
         limit_s = _MAX_FORWARD_S if deadline_s is None else deadline_s
--- a/src/galenadrum/_internal/gateway/request_handler.py
+++ b/src/galenadrum/_internal/gateway/request_handler.py
@@ -94,11 +94,11 @@
         self._loop = asyncio.get_running_loop()
 
     def begin_stop(self, late_from: float, stops_at: float) -> None:
-        """End all requests in time before the process stops.
+        """End all requests before the process stops.
 
         Args:
-            late_from: Loop time in seconds from which no requests should come.
-            stops_at: Loop time in seconds by which each request has its final answer.
+            late_from: Loop time in seconds from which load balancers send no requests.
+            stops_at: Loop time in seconds at which all requests end.
         """
         self._stop.begin(late_from, stops_at)
 
--- a/src/galenadrum/_internal/gateway/request_lifetime.py
+++ b/src/galenadrum/_internal/gateway/request_lifetime.py
@@ -1,4 +1,4 @@
-"""Time for which a host works for one request.
+"""Lifetime of one request on an entry host.
 
 The work ends when the caller leaves, and at the deadline at the latest. Each request is
 forwarded inside `RequestLifetime.limit`, and each send to a server inside
@@ -17,8 +17,7 @@
 from galenadrum._internal.models.routing import RouteKind
 from galenadrum._internal.network.http1.server import CallerDisconnectedError, Exchange
 
-# The waits of forwarders end at the deadline and tell more about what was missing, so
-# they go first.
+# The waits of forwarders end at the deadline with a more specific reason.
 _FORWARDER_MARGIN_S = 0.1
 
 
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -164,7 +164,7 @@
         try:
             await self._run(stream)
         except BaseException:
-            # Its dispatcher would go on counting it otherwise.
+            # Otherwise its dispatcher would count it as placed.
             self._placements.report(request_id, PlacementOutcome.CANCELLED)
             raise
         self._placements.report(request_id, PlacementOutcome.FINISHED)
