--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -231,6 +231,7 @@
 
     Attributes:
         ran: Times at which each request began to run, by its id.
+        holds_until: Time before which its heartbeats are held back on their way.
         answer: Called with the engine, the head, the body and the writer in place of a
             sound answer; returns whether it has answered.
     """
@@ -246,6 +247,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.concurrency = 6
+        self.holds_until = 0.0
         self._server = None
         self._tasks = set()
 
@@ -455,6 +457,8 @@
         path = f"/api/instances/{engine.server_id}/heartbeat"
         while True:
             body = json.dumps(engine.heartbeat()).encode()
+            while time.monotonic() < engine.holds_until:
+                await asyncio.sleep(0.05)
             for daemon in self.controls:
                 status, _, _ = await call(
                     f"{daemon.ip}:{ADMIN_PORT}", "POST", path, body=body, timeout_s=1.0
