--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -31,6 +31,7 @@
 START_TIMEOUT_S = 30.0
 HOST = "x.example"
 KEY = "k1"
+CORE_MEMORY_MB = 296
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -418,7 +419,7 @@
         network = self.network = free_network()
         seeds = [f"{network}.{10 + i}" for i in range(3)]
         self.controls = [
-            Daemon("control", zone, ip, seeds, folder, 296)
+            Daemon("control", zone, ip, seeds, folder, CORE_MEMORY_MB)
             for zone, ip in zip(ZONES, seeds, strict=True)
         ]
         self.entries = [
