--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,9 @@
 """A second answer that comes late hides that a request has begun to run.
 
-The stage servers crash and are back at once, so that the model engine rejects a request
-whose inputs are gone (409, not run). The inputs are made again and the request returns
-to that engine on the same channel, where the engine first writes its rejection once
-more, as a second answer that comes late, and then runs the request.
+One stage server of three crashes once and is back at once, so that a model engine
+rejects a request whose inputs are gone (409, not run). The inputs are made again and the
+request returns to that engine on the same channel, where the engine first writes its
+rejection once more, as a second answer that comes late, and then runs the request.
 """
 
 import asyncio
@@ -30,7 +30,11 @@
     run_case,
 )
 
-REQUESTS = 8
+REQUESTS = 50
+INTERVAL_S = 0.2
+# The crash comes once each model engine has given so many answers: one answer of them is
+# then below x = 0.03.
+ANSWERS_BEFORE = 34
 # TROUBLE=crash leaves out the second answers and keeps the crashes.
 HAS_SECOND_ANSWERS = os.environ.get("TROUBLE") not in ("0", "crash")
 EVENTS = 6
@@ -83,7 +87,17 @@
 
 
 class ModelEngine(Engine):
-    """Runs streams; with trouble, it writes each rejection once more, late."""
+    """Runs streams; with trouble, it writes its one rejection once more, late."""
+
+    answers = 0
+    has_crashed = [False]
+
+    def loses_next(self):
+        """Return whether the inputs are lost before this request; only once."""
+        if not TROUBLE or self.has_crashed[0] or self.answers < ANSWERS_BEFORE:
+            return False
+        self.has_crashed[0] = True
+        return True
 
     async def _serve(self, reader, writer):
         last_rejection = b""
@@ -95,12 +109,14 @@
                     self.record(f"engine {self.server_id} writes its last answer again")
                     writer.write(last_rejection)
                 last_rejection = b""
+                self.answers += 1
                 handles = (head.get("x-inputs") or "").split(",")
-                if self.lose_next:
-                    self.lose_next = False
-                    for server in self.stage_servers:
-                        server.restart()
-                    self.record("the stage servers have crashed and started again")
+                if self.loses_next():
+                    server = next(
+                        s for s in self.stage_servers if handles[0] in s.results
+                    )
+                    server.restart()
+                    self.record(f"{server.server_id} has crashed and started again")
                 known = set().union(*(s.results for s in self.stage_servers))
                 if not set(handles) <= known:
                     headers = [*self.common_headers(head), ("X-Not-Executed", "1")]
@@ -189,7 +205,7 @@
     address = f"{system.network}.6%d:8080"
     stages = [
         StageServer(f"st-{i}", "ledger", address % i, "lautoka-a", record)
-        for i in range(2)
+        for i in range(3)
     ]
     models = [
         ModelEngine(f"m-{i}", "drum-pool", address % (5 + i), "lautoka-a", record)
@@ -199,7 +215,7 @@
         server.results, server.writers = set(), set()
         server.concurrency = 1
     for engine in models:
-        engine.stage_servers, engine.lose_next = stages, False
+        engine.stage_servers = stages
         engine.concurrency = 128
     system.engines += stages + models
     async with system:
@@ -208,7 +224,8 @@
             record("the deployment does not serve")
             return 2
         answers = {}
-        for number in range(-2, REQUESTS):
+
+        async def send(number):
             request_id, headers = request_headers(6000)
             headers += [
                 ("X-Model", "m"),
@@ -217,17 +234,15 @@
                 ("X-Chunks", "1"),
                 ("X-Chunk-Key", f"key{number + 99:x}"),
             ]
-            if number >= 0 and TROUBLE:
-                for engine in models:
-                    engine.lose_next = True
             status, _, body = await call(
                 system.front(), "POST", "/plan/a", headers, b"{}", timeout_s=7
             )
-            for engine in models:
-                engine.lose_next = False
             record(f"client was answered {status} for {request_id}, {len(body)} bytes")
             answers[request_id] = status
-            await asyncio.sleep(0.2)
+
+        for number in range(REQUESTS):
+            await send(number)
+            await asyncio.sleep(INTERVAL_S)
         await asyncio.sleep(0.5)
         runs = {
             request_id: sum(len(m.ran.get(request_id, ())) for m in models)
@@ -237,6 +252,10 @@
         if not any(runs.values()):
             record("no request ran")
             return 2
+        record(f"answers of the engines: {[m.answers for m in models]}")
+        if TROUBLE and not models[0].has_crashed[0]:
+            record("no stage server crashed")
+            return 2
         record(f"{len(twice)} of {len(runs)} requests ran more than once: {twice}")
         record("BROKEN" if twice else "held")
         return int(bool(twice))
