Log on which connection a server answered a rejection

Cause: two rejections of one request by one server look alike in the logs. They can't show whether the server rejected it twice, a dispatcher placed it twice, or the first answer was read twice. Change: the log line of a rejection names the connection, how many requests it has carried and how long ago the request was sent; a relaying host logs the same.

--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -511,6 +511,14 @@
         finally:
             watch.cancel()
         self._paths.record_response(connection, entry.server_id)
+        if reply.metadata.did_not_run:
+            logger.info(
+                "server %s rejected the request with status %d (%s)",
+                entry.server_id,
+                reply.head.status,
+                connection.use,
+                extra={"request_id": context.metadata.request_id},
+            )
         self._paths.put(connection)
         return reply
 
@@ -552,12 +560,6 @@
             self._balancer.rejected(server_id, reply.metadata, now)
             if reply.head.status == 421:
                 self._balancer.remove_server(server_id)
-            logger.info(
-                "server %s rejected the request with status %d",
-                server_id,
-                reply.head.status,
-                extra={"request_id": context.metadata.request_id},
-            )
             return None, "overloaded"
         attempts.possible_runs += 1
         failed = reply.head.status >= 500
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -224,8 +224,9 @@
         else:
             exchange.start(response.status, headers)
             await self._forward_body(exchange, connection)
+        detail = f"status {response.status} ({connection.use})"
         self._pool.put(connection)
-        self._record(exchange, entry, f"status {response.status}", "complete")
+        self._record(exchange, entry, detail, "complete")
 
     def _find_reason_to_hold_back(self, server_id: str) -> RelayOutcome | None:
         """Return why a server may be sent nothing since its connection was made."""
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -407,8 +407,15 @@
         if head.status != 200:
             async with asyncio.timeout_at(context.deadline_at):
                 body = await connection.read_body()
+            self._log(
+                stream,
+                "server %s answered with status %d (%s)",
+                placement.server_id,
+                head.status,
+                connection.use,
+            )
             self._paths.put(connection)
-            return self._handle_error_response(stream, placement, head, body)
+            return self._handle_error_response(stream, head, body)
         if stream.has_sent_head and not _is_event_stream(head):
             raise BrokenResponseError(
                 f"{connection.address}: the response that goes on with a stream isn't "
@@ -475,15 +482,9 @@
             connection.discard_response()
 
     def _handle_error_response(
-        self, stream: _Stream, placement: Placement, head: ResponseHead, body: bytes
+        self, stream: _Stream, head: ResponseHead, body: bytes
     ) -> _AttemptResult:
         metadata = self._dialect.parse_response_head(head)
-        self._log(
-            stream,
-            "server %s answered with status %d",
-            placement.server_id,
-            head.status,
-        )
         if metadata.did_not_run or head.status == 421:
             stream.reason = "overloaded"
             return (
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable
@@ -96,6 +97,7 @@
 
     Attributes:
         address: IP address and port of the backend server.
+        number: Number of the connection in this process, for logs.
         idle_since: Loop time in seconds at which the last request was completed, or
             the connection was created.
         is_fresh: Whether no request was completed on the connection yet.
@@ -104,9 +106,14 @@
         memory: Limits what the responses of all connections hold; None for no limit.
     """
 
+    _numbers = itertools.count(1)
+
     def __init__(self, address: str) -> None:
         self.address = address
+        self.number = next(self._numbers)
         self._loop = asyncio.get_running_loop()
+        self._request_count = 0
+        self._sent_at = 0.0
         self.idle_since = self._loop.time()
         self.is_fresh = True
         self.max_idle_s = _DEFAULT_MAX_IDLE_S
@@ -250,6 +257,15 @@
         """How the connection ended, for logs; ``open`` while it has not."""
         return self._end
 
+    @property
+    def use(self) -> str:
+        """Which request the connection carries, and how old it is, for logs."""
+        age_s = self._loop.time() - self._sent_at
+        return (
+            f"request {self._request_count} on connection {self.number}, sent "
+            f"{age_s:.4f} s ago"
+        )
+
     @property
     def is_relayed(self) -> bool:
         """Whether requests pass another host of the system."""
@@ -275,6 +291,8 @@
             is_head_request: Whether the method is HEAD, whose response has no body.
         """
         self._is_busy = True
+        self._request_count += 1
+        self._sent_at = self._loop.time()
         self._is_head_request = is_head_request
         self._responses = deque([_Response()])
         self._overhead_bytes = 0
