Send a request id on a connection only once

A caller that used an id twice was refused as not run, though the request had run, and could run at a second server (found by the test). Cause: responses name a request by its id, which two sends of the request share. A server that wrote its rejection once more, on the connection that carried both sends, had the copy taken for the response to the second. Servers that rejected a request were left out for it, but not after a 409 for lost inputs, behind a relaying host, or when a caller uses an id twice. Change: BackendConnection.send refuses an id that the connection has carried, and the pool chooses or opens another one, on direct connections, to relaying hosts, and from these to servers. A connection is closed after 256 requests, as it remembers their ids. Heads of responses to requests are read in one place, read_response_head. Why it works: an id is sent once on a connection, so a response that names the request being read for is the response to that send; copies name another request and are discarded, as before.

--- a/src/galenadrum/_internal/gateway/forwarding.py
+++ b/src/galenadrum/_internal/gateway/forwarding.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import logging
+
 from galenadrum._internal.gateway.attempts import Attempts, RequestContext
-from galenadrum._internal.gateway.dialect import ResponseMetadata
+from galenadrum._internal.gateway.dialect import Dialect, ResponseMetadata
 from galenadrum._internal.gateway.error_responder import ErrorResponder
 from galenadrum._internal.gateway.server_paths import PathAttempts, ServerPaths
 from galenadrum._internal.network.http1.client import (
@@ -16,6 +18,8 @@
 )
 from galenadrum._internal.network.http1.server import Exchange
 
+logger = logging.getLogger(__name__)
+
 # Connecting takes a few milliseconds within a zone. If the listen queue is full, TCP
 # retries only after a second, which is too late.
 _CONNECT_TIMEOUT_S = 0.4
@@ -78,14 +82,42 @@
         )
 
 
-def is_response_to(
+async def read_response_head(
+    connection: BackendConnection, dialect: Dialect, request_id: str
+) -> tuple[ResponseHead, ResponseMetadata]:
+    """Read the head of the response to the request that was sent.
+
+    Responses to other requests, which a faulty server writes once more, are discarded.
+
+    Raises:
+        BrokenResponseError: The response is invalid, or it can't be told to which
+            request it belongs; the request may have run.
+    """
+    while True:
+        head = await connection.read_head()
+        metadata = dialect.parse_response_head(head)
+        if _is_response_to(request_id, metadata, connection):
+            return head, metadata
+        await connection.read_body()
+        logger.info(
+            "discarded a response of %s with status %d to another request, %s (%s)",
+            connection.address,
+            head.status,
+            metadata.request_id,
+            connection.use,
+            extra={"request_id": request_id},
+        )
+        connection.discard_response()
+
+
+def _is_response_to(
     request_id: str, metadata: ResponseMetadata, connection: BackendConnection
 ) -> bool:
     """Return whether a response belongs to the request that was sent.
 
-    Servers name the request in each response. A faulty one may write the response to
-    an earlier request once more; if it names none, only the first request on a
-    connection, or the host that relays it, can be sure.
+    Servers name the request in each response, and a connection carries each request id
+    once. If a response names none, only the first request on a connection, or the host
+    that relays it, can be sure.
 
     Raises:
         BrokenResponseError: It can't be told; the request may have run.
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -24,7 +24,7 @@
     check_signature,
     connect,
     forwarded_headers,
-    is_response_to,
+    read_response_head,
     send_failure,
 )
 from galenadrum._internal.gateway.permits import Permit, PermitClient
@@ -379,7 +379,7 @@
             The response, or None if there is none, and the failure reason.
         """
         self._balancer.started(entry.server_id)
-        paths = PathAttempts()
+        paths = PathAttempts(context.metadata.request_id)
         while True:
             try:
                 lifetime.check_caller()
@@ -493,7 +493,7 @@
             headers.append((b"Content-Length", b"%d" % len(context.body)))
         headers += self._paths.request_headers(connection, entry.server_id)
         data = encode_request(head.method, head.target, headers) + context.body
-        connection.send(data, head.method == b"HEAD")
+        connection.send(data, head.method == b"HEAD", context.metadata.request_id)
         watch = self._paths.watch(
             connection, entry.server_id, context.route.is_repeatable
         )
@@ -525,20 +525,9 @@
     async def _read_reply(
         self, connection: BackendConnection, request_id: str
     ) -> _Reply:
-        while True:
-            head = await connection.read_head()
-            body = await connection.read_body()
-            metadata = self._dialect.parse_response_head(head)
-            if is_response_to(request_id, metadata, connection):
-                check_signature(head, metadata)
-                return _Reply(head, body, metadata)
-            # A late second response to the previous request on this connection.
-            logger.info(
-                "discarded a response to another request: %s",
-                metadata.request_id,
-                extra={"request_id": request_id},
-            )
-            connection.discard_response()
+        head, metadata = await read_response_head(connection, self._dialect, request_id)
+        check_signature(head, metadata)
+        return _Reply(head, await connection.read_body(), metadata)
 
     def _record_reply(
         self,
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -15,7 +15,7 @@
 from galenadrum._internal.directory.server_notices import SentRequest, ServerNotices
 from galenadrum._internal.directory.server_rests import ServerRests
 from galenadrum._internal.gateway.dialect import Dialect
-from galenadrum._internal.gateway.forwarding import is_response_to
+from galenadrum._internal.gateway.forwarding import read_response_head
 from galenadrum._internal.network.http1.client import (
     BackendConnection,
     BrokenResponseError,
@@ -25,7 +25,6 @@
     Framing,
 )
 from galenadrum._internal.network.http1.heads import (
-    ResponseHead,
     encode_request,
     select_end_to_end_headers,
 )
@@ -142,7 +141,10 @@
                 await self._pool.open_idle(address, _CONNECT_TIMEOUT_S)
             else:
                 connection = await self._pool.get(
-                    address, _CONNECT_TIMEOUT_S, _MAX_IDLE_S
+                    address,
+                    _CONNECT_TIMEOUT_S,
+                    _MAX_IDLE_S,
+                    self._find_request_id(exchange),
                 )
         except ConnectionLimitError:
             self._respond(exchange, RelayOutcome.FULL)
@@ -210,9 +212,15 @@
             head.method, head.target, remove_relay_headers(head.headers)
         )
         sent_at = self._loop.time()
-        connection.send(data + exchange.body, head.method == b"HEAD")
-        response = await self._read_head(exchange, connection)
-        self._record_notices(exchange, entry, response, sent_at)
+        request_id = self._find_request_id(exchange)
+        connection.send(data + exchange.body, head.method == b"HEAD", request_id)
+        response, metadata = await read_response_head(
+            connection, self._dialect, request_id
+        )
+        sent = SentRequest(
+            entry.server_id, entry.announcement.incarnation_ms, sent_at, request_id
+        )
+        self._notices.record_response(sent, metadata, self._loop.time())
         headers = [
             (name, value)
             for name, value in select_end_to_end_headers(response.headers)
@@ -240,34 +248,8 @@
         entry = self._find_server(server_id)
         return entry is not None and entry.accepts_requests
 
-    def _record_notices(
-        self,
-        exchange: Exchange,
-        entry: ServerEntry,
-        response: ResponseHead,
-        sent_at: float,
-    ) -> None:
-        sent = SentRequest(
-            entry.server_id,
-            entry.announcement.incarnation_ms,
-            sent_at,
-            self._dialect.parse_request_head(exchange.head).request_id,
-        )
-        metadata = self._dialect.parse_response_head(response)
-        self._notices.record_response(sent, metadata, self._loop.time())
-
-    async def _read_head(
-        self, exchange: Exchange, connection: BackendConnection
-    ) -> ResponseHead:
-        request_id = self._dialect.parse_request_head(exchange.head).request_id
-        while True:
-            head = await connection.read_head()
-            metadata = self._dialect.parse_response_head(head)
-            if is_response_to(request_id, metadata, connection):
-                return head
-            # A late second response to the previous request on this connection.
-            await connection.read_body()
-            connection.discard_response()
+    def _find_request_id(self, exchange: Exchange) -> str:
+        return self._dialect.parse_request_head(exchange.head).request_id
 
     async def _forward_body(
         self, exchange: Exchange, connection: BackendConnection
@@ -296,7 +278,5 @@
             sender,
             entry.server_id,
             detail,
-            extra={
-                "request_id": self._dialect.parse_request_head(exchange.head).request_id
-            },
+            extra={"request_id": self._find_request_id(exchange)},
         )
--- a/src/galenadrum/_internal/gateway/server_paths.py
+++ b/src/galenadrum/_internal/gateway/server_paths.py
@@ -64,12 +64,14 @@
     """Ways on which one request was tried to be sent to one server.
 
     Attributes:
+        request_id: Id by which responses name the request; empty if it has none.
         is_direct_tried: Whether this host tried to connect itself.
         relay_addresses: Hosts through which it was tried.
         error: Last error; None before any.
         is_limited: Whether this host may not open another connection itself.
     """
 
+    request_id: str = ""
     is_direct_tried: bool = False
     relay_addresses: set[str] = field(default_factory=set)
     error: ConnectError | None = None
@@ -186,7 +188,9 @@
         if not attempts.is_direct_tried and not self.is_cut_off(server_id):
             attempts.is_direct_tried = True
             try:
-                connection = await self._pool.get(address, timeout_s, max_idle_s)
+                connection = await self._pool.get(
+                    address, timeout_s, max_idle_s, attempts.request_id
+                )
             except ConnectionLimitError as error:
                 self._metrics.increment("connection_limit_reached")
                 attempts.error = error
@@ -226,7 +230,10 @@
             attempts.relay_addresses.add(relay.address)
             try:
                 connection = await self._relay_pool.get(
-                    relay.address, _RELAY_CONNECT_TIMEOUT_S, max_idle_s
+                    relay.address,
+                    _RELAY_CONNECT_TIMEOUT_S,
+                    max_idle_s,
+                    attempts.request_id,
                 )
             except ConnectError as error:
                 self._pause_relay(relay.address)
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -34,7 +34,7 @@
     check_signature,
     connect,
     forwarded_headers,
-    is_response_to,
+    read_response_head,
     send_failure,
 )
 from galenadrum._internal.gateway.placement_client import PlacementClient
@@ -307,7 +307,7 @@
         if remaining_s <= MIN_SEND_TIME_S:
             stream.reason = "deadline"
             return _AttemptResult.UNREACHABLE
-        attempts = PathAttempts()
+        attempts = PathAttempts(context.metadata.request_id)
         while True:
             try:
                 return await self._send_on_path(stream, placement, attempts)
@@ -392,14 +392,20 @@
             self._loop.time(),
             context.metadata.request_id,
         )
-        connection.send(self._encode_request(stream, placement, connection))
+        connection.send(
+            self._encode_request(stream, placement, connection),
+            request_id=context.metadata.request_id,
+        )
         watch = self._paths.watch(
             connection, placement.server_id, context.route.is_repeatable
         )
         first_event_at = self._first_event_deadline(stream)
         try:
             async with asyncio.timeout_at(first_event_at):
-                head, metadata = await self._read_head(stream, connection)
+                head, metadata = await read_response_head(
+                    connection, self._dialect, context.metadata.request_id
+                )
+                check_signature(head, metadata)
         finally:
             watch.cancel()
         self._paths.record_response(connection, placement.server_id)
@@ -463,24 +469,6 @@
             )
         return max(give_up_at, now + MIN_SEND_TIME_S)
 
-    async def _read_head(
-        self, stream: _Stream, connection: BackendConnection
-    ) -> tuple[ResponseHead, ResponseMetadata]:
-        request_id = stream.context.metadata.request_id
-        while True:
-            head = await connection.read_head()
-            metadata = self._dialect.parse_response_head(head)
-            if is_response_to(request_id, metadata, connection):
-                check_signature(head, metadata)
-                return head, metadata
-            await connection.read_body()
-            self._log(
-                stream,
-                "discarded a response to another request: %s",
-                metadata.request_id,
-            )
-            connection.discard_response()
-
     def _handle_error_response(
         self, stream: _Stream, head: ResponseHead, body: bytes
     ) -> _AttemptResult:
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -1,6 +1,10 @@
 """Asyncio HTTP/1.1 connections to backend servers and a pool of idle ones.
 
 A connection carries one request at a time. Response bodies are read incrementally.
+
+A faulty server may write a response once more where the next one is expected. Responses
+name the request by its id, so that a connection carries each request id once: a copy
+then never names the request that is read for.
 """
 
 from __future__ import annotations
@@ -15,7 +19,7 @@
 
 import httptools
 
-from galenadrum._internal.exceptions import GalenadrumError
+from galenadrum._internal.exceptions import GalenadrumError, InvariantError
 from galenadrum._internal.network.http1.heads import Headers, ResponseHead
 from galenadrum._internal.network.http1.memory_account import MemoryAccount
 from galenadrum._internal.utils.addresses import split_address
@@ -29,6 +33,8 @@
 # may be reset.
 _KEEP_ALIVE_MARGIN_S = 1.0
 _DEFAULT_MAX_IDLE_S = 3.0
+# A connection is closed after this number of requests, as it remembers their ids.
+MAX_REQUESTS = 256
 # Reading from the socket pauses while more bytes of a body than this are buffered.
 _MAX_UNREAD_BYTES = 256 * 1024
 # Limit on the head of a response, and on the bytes between two parts of its body:
@@ -113,6 +119,8 @@
         self.number = next(self._numbers)
         self._loop = asyncio.get_running_loop()
         self._request_count = 0
+        # Hashes, as callers choose the length of an id.
+        self._sent_ids: set[int] = set()
         self._sent_at = 0.0
         self.idle_since = self._loop.time()
         self.is_fresh = True
@@ -283,13 +291,32 @@
             self._error is None and not self._has_unexpected_data and not self._is_busy
         )
 
-    def send(self, data: bytes, is_head_request: bool = False) -> None:
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether a request with an id was sent on the connection."""
+        return hash(request_id) in self._sent_ids
+
+    def send(
+        self, data: bytes, is_head_request: bool = False, request_id: str = ""
+    ) -> None:
         """Send a complete request.
 
         Args:
             data: Head and body of the request.
             is_head_request: Whether the method is HEAD, whose response has no body.
+            request_id: Id by which the response names the request; empty if it has
+                none.
+
+        Raises:
+            InvariantError: The connection has carried the id before, so that a copy of
+                the earlier response couldn't be told from the response.
         """
+        if request_id:
+            if self.has_sent(request_id):
+                raise InvariantError(
+                    f"{self.address}: request {request_id} was sent on connection "
+                    f"{self.number} before, expected another connection"
+                )
+            self._sent_ids.add(hash(request_id))
         self._is_busy = True
         self._request_count += 1
         self._sent_at = self._loop.time()
@@ -414,8 +441,8 @@
         head = response.head
         if head is None or not head.keep_alive or not response.has_length:
             self.close()
-        elif len(self._responses) > 1:
-            # The further response belongs to no request.
+        elif len(self._responses) > 1 or self._request_count >= MAX_REQUESTS:
+            # A further response belongs to no request.
             self.close()
         elif self._transport.get_write_buffer_size():
             # The backend server responded before it had read the whole request.
@@ -542,7 +569,11 @@
                 return
 
     async def get(
-        self, address: str, timeout_s: float, max_idle_s: float | None = None
+        self,
+        address: str,
+        timeout_s: float,
+        max_idle_s: float | None = None,
+        request_id: str = "",
     ) -> BackendConnection:
         """Return an idle connection, or open a new one.
 
@@ -551,17 +582,19 @@
             timeout_s: Timeout for opening a new connection.
             max_idle_s: Limit on the idle time of a reused connection, in addition to
                 the limit of the connection itself.
+            request_id: Id of the request to send; connections that carried it are left
+                out. Empty if it has none.
 
         Raises:
             ConnectError: Connecting failed or timed out.
             ConnectionLimitError: All connections that this host may have are in use.
         """
-        connection = self._pop_idle(address, max_idle_s)
+        connection = self._pop_idle(address, max_idle_s, request_id)
         if connection is not None:
             return connection
         limit = self._find_limit(address)
         if limit is not None and self._open_by_address[address] >= limit:
-            # One that was idle for too long gives way to a new one.
+            # One that was idle for too long, or carried the request, gives way.
             if limit == 0 or not self._idle_by_address.get(address):
                 raise ConnectionLimitError(
                     f"{address}: all {limit} connections of this host are in use"
@@ -599,22 +632,20 @@
         self._notify_waiter(address)
 
     def _pop_idle(
-        self, address: str, max_idle_s: float | None
+        self, address: str, max_idle_s: float | None, request_id: str
     ) -> BackendConnection | None:
-        idle = self._idle_by_address.get(address)
+        idle = self._idle_by_address.get(address, [])
         now = asyncio.get_running_loop().time()
-        while idle:
-            connection = idle.pop()
-            limit_s = connection.max_idle_s
-            if max_idle_s is not None:
-                limit_s = min(limit_s, max_idle_s)
-            if connection.is_usable and now - connection.idle_since < limit_s:
-                return connection
-            if max_idle_s is None or not connection.is_usable:
+        for connection in reversed(tuple(idle)):
+            idle_s = now - connection.idle_since
+            if not connection.is_usable or idle_s >= connection.max_idle_s:
+                idle.remove(connection)
                 connection.close()
-            else:
-                idle.insert(0, connection)
-                return None
+                continue
+            is_too_old = max_idle_s is not None and idle_s >= max_idle_s
+            if not is_too_old and not connection.has_sent(request_id):
+                idle.remove(connection)
+                return connection
         return None
 
     def put(self, connection: BackendConnection) -> None:
--- a/tests/functional/routing/test_repeated_responses.py
+++ b/tests/functional/routing/test_repeated_responses.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lib.cut_off_hosts import cut_off, wait_for_relays
 from lib.routing_deployment import run_deployment
 
 PROMPT = (
@@ -21,6 +22,16 @@
     return sum(engine.run_count_by_request_id[request_id] for engine in engines)
 
 
+async def use_one_relay(deployment):
+    """Let requests of zone "a" pass one other host, over one connection."""
+    await wait_for_relays(deployment)
+    daemon = deployment.entry_daemon_by_zone["a"]
+    cut_off(daemon)
+    other = deployment.entry_daemon_by_zone["b"].paths._own_address
+    relays = tuple(r for r in daemon.links.relays if r.address == other)
+    daemon.paths._relays = lambda: relays
+
+
 async def send_after_refusal(deployment, path, count, **more):
     """Send requests, the first of which meets a refusal of each server.
 
@@ -68,6 +79,56 @@
         run_deployment(tmp_path, steps, ENGINES)
 
 
+class TestRequestSentTwiceToOneServer:
+    """The copy of a rejection names the request of both sends."""
+
+    @pytest.mark.parametrize("is_relayed", [False, True], ids=["direct", "relayed"])
+    def test_stream_whose_inputs_were_lost_runs_twice(self, is_relayed, tmp_path):
+        # After a 409 the inputs are made again for the same engine.
+        async def steps(deployment):
+            engine = deployment.engines["g-1"]
+            if is_relayed:
+                await use_one_relay(deployment)
+            engine.rejected_status = 409
+            engine.faults.add("repeat")
+            for number in range(6):
+                engine.to_reject = number % 2
+                request_id, status, _, body = await deployment.send_request(
+                    "/plan/x",
+                    method=b"POST",
+                    headers=(*PROMPT, STAGES[0], (b"X-Chunk-Key", b"k%d" % number)),
+                    body=b"{}",
+                )
+                assert count_runs(deployment, request_id) == 1
+                assert (status, body) == (200, STREAM)
+
+        run_deployment(tmp_path, steps, ENGINES)
+
+    @pytest.mark.parametrize("is_relayed", [False, True], ids=["direct", "relayed"])
+    def test_caller_that_uses_an_id_twice_has_its_request_run_twice(
+        self, is_relayed, tmp_path
+    ):
+        async def steps(deployment):
+            if is_relayed:
+                await use_one_relay(deployment)
+            for engine in deployment.engines.values():
+                engine.faults.add("repeat")
+            for number in range(3):
+                for engine in deployment.engines.values():
+                    engine.to_reject = 1
+                request_id = f"{number + 1:016x}"
+                statuses = []
+                for _ in range(2):
+                    _, status, _, _ = await deployment.send_request(
+                        "/confirm/x", request_id=request_id
+                    )
+                    statuses.append(status)
+                assert count_runs(deployment, request_id) == statuses.count(200)
+                assert 200 in statuses
+
+        run_deployment(tmp_path, steps, PLAIN)
+
+
 class TestStageAnswerWrittenOnceMore:
     @pytest.mark.parametrize("to_reject", [0, 1])
     def test_pieces_get_results_of_another_request(self, to_reject, tmp_path):
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -42,9 +42,11 @@
         cancelled: Ids of the requests whose connection was closed by the caller.
         faults: Names of the active faults: ``reject``, ``reset``, ``hang``, ``error``,
             ``cut``, ``unsigned``, ``unframed``, ``anonymous``, ``endless_head``,
-            ``endless_body``, ``repeat``, ``repeat_anonymous``, ``drip``.
+            ``endless_body``, ``repeat``, ``repeat_anonymous``, ``repeat_release``,
+            ``drip``.
         most_connections: Largest number of connections that were open at once.
         to_reject: Number of the next requests and stage calls that it rejects.
+        rejected_status: Status of these rejections.
         endless_interval_s: Pause between two parts of bytes without end, in seconds.
         reject_after_s: Time that it takes to reject a request, in seconds.
         resume_status: Status of the error with which it answers requests that go on
@@ -110,6 +112,7 @@
         self.has_crashed = False
         self.most_connections = 0
         self.to_reject = 0
+        self.rejected_status = 503
         self.reject_after_s = 0.0
         self.endless_interval_s = 0.001
         self._last_response_by_connection = WeakKeyDictionary()
@@ -171,13 +174,16 @@
             self.released += handles
             self.results -= set(handles)
             exchange.respond(200, [], b"{}")
+            if "repeat_release" in self.faults:
+                self._record_response(exchange, 200, [], b"{}")
         else:
             await self._run_request(exchange)
 
     def _repeat_last_response(self, exchange):
         """Write the response before once more where the next one is expected."""
         last = self._last_response_by_connection.pop(exchange._connection, None)
-        if last is not None and self.faults & {"repeat", "repeat_anonymous"}:
+        repeating = {"repeat", "repeat_anonymous", "repeat_release"}
+        if last is not None and self.faults & repeating:
             exchange._write(last)
 
     def _respond(self, exchange, status, headers, body):
@@ -185,6 +191,10 @@
         exchange.respond(status, headers, body)
         if "repeat_anonymous" in self.faults:
             headers = [h for h in headers if h[0] != b"X-Attempt-Id"]
+        if "repeat_release" not in self.faults:
+            self._record_response(exchange, status, headers, body)
+
+    def _record_response(self, exchange, status, headers, body):
         length = (b"Content-Length", b"%d" % len(body))
         self._last_response_by_connection[exchange._connection] = (
             encode_response(status, [*headers, length]) + body
@@ -199,7 +209,7 @@
         if self.rest_s is not None:
             self.rests.append((asyncio.get_running_loop().time(), self.rest_s))
             headers.append((b"Retry-After", b"%g" % self.rest_s))
-        self._respond(exchange, 503, headers, b"")
+        self._respond(exchange, self.rejected_status, headers, b"")
 
     def _take_rejection(self, head):
         is_due = self.to_reject > 0
--- a/tests/unit/network/test_http1_client.py
+++ b/tests/unit/network/test_http1_client.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from galenadrum._internal.exceptions import InvariantError
 from galenadrum._internal.network.http1.client import (
+    MAX_REQUESTS,
     BrokenResponseError,
     ConnectionPool,
     Framing,
@@ -153,3 +155,70 @@
         # Sockets and streams of both sides buffer some megabytes.
         assert sent_bytes < bound_bytes + 2**24
         assert peak_bytes < 4 * bound_bytes + 2**22
+
+
+async def serve_requests(steps):
+    """Run steps with the address of a server that answers each request."""
+    address = reserve_address()
+    host, port = address.split(":")
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(HEAD + b"Content-Length: 0\r\n\r\n")
+                await writer.drain()
+
+    async with await asyncio.start_server(serve, host, int(port)):
+        async with asyncio.timeout(10.0):
+            await steps(address)
+
+
+async def send_request(pool, address, request_id):
+    """Send a request on a connection of a pool; return the connection."""
+    connection = await pool.get(address, 2.0, request_id=request_id)
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", request_id=request_id)
+    await connection.read_head()
+    await connection.read_body()
+    pool.put(connection)
+    return connection
+
+
+class TestRequestIds:
+    """A copy of a response is told by the request id in it."""
+
+    def test_request_is_sent_twice_on_one_connection(self):
+        async def steps(address):
+            pool = ConnectionPool()
+            first = await send_request(pool, address, "r1")
+            assert await send_request(pool, address, "r2") is first
+            second = await send_request(pool, address, "r1")
+            assert second is not first
+            # Both carried it; a request that neither carried uses one of them.
+            assert await send_request(pool, address, "r1") not in (first, second)
+            assert (await send_request(pool, address, "r3")).is_usable
+            with pytest.raises(InvariantError, match="r1"):
+                first.send(b"GET / HTTP/1.1\r\n\r\n", request_id="r1")
+
+        asyncio.run(serve_requests(steps))
+
+    def test_request_is_sent_twice_where_no_other_connection_may_be_opened(self):
+        async def steps(address):
+            pool = ConnectionPool(find_limit=lambda address: 1)
+            first = await send_request(pool, address, "r1")
+            second = await send_request(pool, address, "r1")
+            assert second is not first
+            assert not first.is_usable
+
+        asyncio.run(serve_requests(steps))
+
+    def test_connection_remembers_ids_without_bound(self):
+        async def steps(address):
+            pool = ConnectionPool()
+            first = await send_request(pool, address, "0")
+            for number in range(1, MAX_REQUESTS):
+                assert await send_request(pool, address, str(number)) is first
+            assert not first.is_usable
+            assert await send_request(pool, address, "0") is not first
+
+        asyncio.run(serve_requests(steps))
