Tell a copy of a release's answer from the answer to a call

Callers saw: late answers; calls to stage servers failed as broken and their pieces were made again, which costs a call at a server that runs one at a time. Cause: answers on a connection to a stage server name no request. An answer to a release of results was not remembered, so that a copy of it, written where the answer to the next call was expected, was taken for that answer. Change: answers to releases are remembered by connection; a call passes them over, as they hold no results. A release with another status than 200 closes its connection. Why it works: an answer to a call that was executed has results, so no answer to a release can be it.

--- a/src/galenadrum/_internal/dispatch/driver.py
+++ b/src/galenadrum/_internal/dispatch/driver.py
@@ -392,7 +392,7 @@
             connection.close()
             return CallFailure.BROKEN
         results = self._dialect.stage_results(head, body, call)
-        if self._answers.may_reuse(connection, body, results):
+        if self._answers.may_reuse(connection, head, body, results):
             self._pool.put(connection)
         else:
             connection.close()
@@ -421,19 +421,27 @@
         return False
 
     async def _read_answer(
-        self, connection: BackendConnection
+        self, connection: BackendConnection, is_release: bool = False
     ) -> tuple[ResponseHead, bytes]:
         """Read the next answer of a stage server that isn't a copy of an earlier one.
 
+        Args:
+            connection: Connection of the answer.
+            is_release: Whether results were released; otherwise pieces were called.
+
         Raises:
             BrokenResponseError: As for `BackendConnection.read_body`.
         """
         while True:
             head = await connection.read_head()
             body = await connection.read_body()
-            if not self._answers.is_repeated(connection, body):
+            if not self._answers.is_repeated(connection, head, body, is_release):
                 return head, body
-            logger.warning("discarded a repeated answer of %s", connection.address)
+            logger.warning(
+                "discarded a repeated answer of %s (%s)",
+                connection.address,
+                connection.use,
+            )
             connection.discard_response()
 
     async def _run_release(
@@ -456,12 +464,15 @@
         try:
             connection.send(self._dialect.release_request(release))
             async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                head, _ = await self._read_answer(connection)
+                head, body = await self._read_answer(connection, is_release=True)
         except (BackendError, TimeoutError) as error:
             logger.debug("release failed, results remain until expiry: %r", error)
             connection.close()
             return
-        self._pool.put(connection)
+        if self._answers.record_release(connection, head, body):
+            self._pool.put(connection)
+        else:
+            connection.close()
         metadata = self._dialect.parse_response_head(head)
         sent = SentRequest(release.server_id, release.incarnation_ms, sent_at)
         self._notices.record_response(sent, metadata, self._loop.time())
--- a/tests/functional/routing/test_repeated_responses.py
+++ b/tests/functional/routing/test_repeated_responses.py
@@ -1,5 +1,7 @@
 """Servers that write an earlier response once more where the next one is expected."""
 
+import asyncio
+
 import pytest
 
 from lib.cut_off_hosts import cut_off, wait_for_relays
@@ -153,3 +155,29 @@
                 assert server.request_by_handle[inputs.decode()] == (request_id, 1)
 
         run_deployment(tmp_path, steps, ENGINES)
+
+
+class TestReleaseAnswerWrittenOnceMore:
+    def test_call_fails_and_its_pieces_are_made_twice(self, tmp_path):
+        # The answer to a release holds no results, and was taken for that to a call.
+        async def steps(deployment):
+            server = deployment.engines["e-1"]
+            server.faults.add("repeat_release")
+            for number in range(12):
+                _, status, _, body = await deployment.send_request(
+                    "/plan/x",
+                    method=b"POST",
+                    headers=(*PROMPT, STAGES[0], (b"X-Chunk-Key", b"k%d" % number)),
+                    body=b"{}",
+                )
+                assert (status, body) == (200, STREAM)
+                await asyncio.sleep(0.05)
+            assert len(server.released) > 12
+            pieces = [
+                (entry["Id"], entry["Phase"], entry["Segment"])
+                for entries in server.stage_calls
+                for entry in entries
+            ]
+            assert len(pieces) == len(set(pieces))
+
+        run_deployment(tmp_path, steps, ENGINES)
