Treat a response with an invalid status as broken

Cause: the parser takes any three digits, and the client of backend servers took all but 100 to 199 for final. 000 passed as an answer of the server, as it is below 500. Change: a status outside 100 to 599 breaks the response when its head is read; the former path's client gives it an unknown outcome, whatever it says of its run.

--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -20,7 +20,7 @@
 import httptools
 
 from galenadrum._internal.exceptions import GalenadrumError, InvariantError
-from galenadrum._internal.network.http1.heads import Headers, ResponseHead
+from galenadrum._internal.network.http1.heads import STATUSES, Headers, ResponseHead
 from galenadrum._internal.network.http1.memory_account import MemoryAccount
 from galenadrum._internal.utils.addresses import split_address
 
@@ -210,7 +210,13 @@
         if self._has_unexpected_data:
             return
         response = self._responses[-1]
-        if 100 <= status < 200:
+        if status not in STATUSES:
+            self._fail(
+                f"the response has the status {status:03}, expected one from "
+                f"{STATUSES[0]} to {STATUSES[-1]}"
+            )
+            return
+        if status < 200:
             response.headers = []
             return
         self._overhead_bytes = 0
--- a/src/galenadrum/_internal/network/http1/heads.py
+++ b/src/galenadrum/_internal/network/http1/heads.py
@@ -8,6 +8,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Valid statuses (RFC 9110, section 15).
+STATUSES = range(100, 600)
+
 # Hop-by-hop headers, which intermediaries don't forward (RFC 9110, section 7.6.1).
 _HOP_BY_HOP_HEADERS = frozenset(
     {
--- a/src/galenadrum/_internal/network/stage_replies.py
+++ b/src/galenadrum/_internal/network/stage_replies.py
@@ -14,6 +14,7 @@
 from urllib3.response import HTTPResponse
 
 from galenadrum._internal.models.requests import Outcome
+from galenadrum._internal.network.http1.heads import STATUSES
 from galenadrum._internal.network.sockets import is_closed_by_peer
 from galenadrum._internal.network.stage_protocol import (
     ERROR_EVENT,
@@ -93,10 +94,17 @@
     """Check that a reply has status 200.
 
     Raises:
-        AttemptError: The status differs; the run header determines the outcome.
+        AttemptError: The status differs; the run header determines the outcome, which
+            is unknown after an invalid status.
     """
     if response.status == 200:
         return
+    if response.status not in STATUSES:
+        raise AttemptError(
+            Outcome.UNKNOWN,
+            f"the reply has the status {response.status:03}, expected one from "
+            f"{STATUSES[0]} to {STATUSES[-1]}",
+        )
     retry_after_s = _parse_retry_after(response)
     outcome = Outcome.FAILED
     run = response.headers.get(RUN_HEADER)
--- a/tests/functional/test_stage_client.py
+++ b/tests/functional/test_stage_client.py
@@ -139,6 +139,8 @@
             encode_stream(b'event: other\ndata: {"x": 1}\n\n'),
             b"",
             b"not HTTP\r\n\r\n",
+            encode_reply().replace(b" 200 OK", b" 000 OK"),
+            encode_reply().replace(b" 200 OK", b" 600 OK\r\nGalenadrum-Run: not_run"),
         ],
         ids=[
             "other request",
@@ -149,6 +151,8 @@
             "event without a delta",
             "closed",
             "no HTTP",
+            "status 000",
+            "status 600 that says not run",
         ],
     )
     def test_invalid_reply_or_one_to_another_call_has_unknown_outcome(self, wire):
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -68,6 +68,8 @@
         head_cut: Fraction of the head of a response, and of what follows it, after
             which it closes the connection; None to send whole responses.
         resets_cut: Whether it resets the connection then.
+        status_text: Status of its responses to requests and stage calls, three digits;
+            None for the right one.
         rest_s: Seconds for which it asks the sender of a request that it rejects to
             send nothing; None to accept requests.
         rest_zone: Zone whose callers' requests alone it rejects then, as their header
@@ -124,6 +126,7 @@
         self.received_at = []
         self.head_cut = None
         self.resets_cut = False
+        self.status_text = None
         self.rest_s = None
         self.rest_zone = None
         self.rests = []
@@ -296,6 +299,16 @@
         else:
             exchange._connection._transport.close()
 
+    def _send_status(self, exchange, body):
+        """Send a whole response whose status line has another status."""
+        headers = [
+            *self._common_headers(exchange),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        data = encode_response(200, headers) + body
+        exchange._write(data.replace(b" 200 ", b" %s " % self.status_text, 1))
+        exchange.finish()
+
     async def _run_accepted(self, exchange, request_id):
         head = exchange.head
         self.run_count_by_request_id[request_id] += 1
@@ -305,6 +318,9 @@
         if self.head_cut is not None:
             await self._send_cut_head(exchange)
             return
+        if self.status_text is not None:
+            self._send_status(exchange, b"answer to " + request_id.encode())
+            return
         if "reset" in self.faults:
             exchange.abort()
             return
@@ -408,6 +424,9 @@
             self.request_by_handle[handle] = (entry["Id"], entry["Phase"])
             answers.append({"Handle": handle})
         body = json.dumps({"Entries": answers}).encode()
+        if self.status_text is not None:
+            self._send_status(exchange, body)
+            return
         self._respond(exchange, 200, self._limit_headers(), body)
 
 
--- a/tests/unit/network/test_http1_client.py
+++ b/tests/unit/network/test_http1_client.py
@@ -76,6 +76,19 @@
         assert result == (Framing.CONNECTION, "closed by the back end", b"part")
 
 
+class TestInvalidStatuses:
+    @pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+    def test_response_with_an_invalid_status_is_read(self, status):
+        reply = b"HTTP/1.1 %s OK\r\nContent-Length: 4\r\n\r\npart" % status
+        with pytest.raises(BrokenResponseError, match=status.decode()):
+            asyncio.run(read_response(reply, False))
+
+    @pytest.mark.parametrize("status", [b"200", b"299", b"418", b"599"])
+    def test_response_with_an_unknown_status_is_rejected(self, status):
+        reply = b"HTTP/1.1 %s OK\r\nContent-Length: 4\r\n\r\npart" % status
+        assert asyncio.run(read_response(reply, False))[2] == b"part"
+
+
 LONG = b"x" * 16_384
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
