Don't take a part of a response for the whole before its request is received

After a reset or a close of the whole connection the part was not passed on, before and now. Cause: a response without a length ends with its connection. The end counted although the server had not received the request; the transport's own buffer was empty, as the kernel takes some megabytes. Change: when a server ends its side, bytes of the request that are unsent or not acknowledged by its TCP make a response below 400 broken. Why it works: a server that has read its request has acknowledged it at the latest with the segment that ends its side. Open: a rest of the request that fits the server's receive buffer (up to 250 KB here).

--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -22,6 +22,7 @@
 from galenadrum._internal.exceptions import GalenadrumError, InvariantError
 from galenadrum._internal.network.http1.heads import STATUSES, Headers, ResponseHead
 from galenadrum._internal.network.http1.memory_account import MemoryAccount
+from galenadrum._internal.network.sockets import count_unacknowledged_bytes
 from galenadrum._internal.utils.addresses import split_address
 
 logger = logging.getLogger(__name__)
@@ -42,6 +43,8 @@
 _MAX_HEAD_BYTES = 64 * 1024
 _MAX_HEADERS = 256
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+# Servers may send errors before they have received the request.
+_MIN_ERROR_STATUS = 400
 _NO_BODY_STATUSES = frozenset({204, 304})
 # Responses that are kept until it is known which of them belongs to the request.
 _MAX_RESPONSES = 4
@@ -147,6 +150,18 @@
 
     def eof_received(self) -> None:
         self._end = "closed by the back end"
+        head = self._responses[0].head
+        if not self._is_busy or head is None or head.status >= _MIN_ERROR_STATUS:
+            return
+        unreceived_bytes = self._transport.get_write_buffer_size()
+        unreceived_bytes += count_unacknowledged_bytes(
+            self._transport.get_extra_info("socket")
+        )
+        if unreceived_bytes:
+            self._fail(
+                f"the back end ended its response before it received the last "
+                f"{unreceived_bytes} bytes of the request"
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is not None:
--- a/src/galenadrum/_internal/network/sockets.py
+++ b/src/galenadrum/_internal/network/sockets.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 # Value of SO_LINGER: whether closing waits, and for how many seconds. Waiting no time
 # discards unsent data and resets the connection.
 _LINGER = struct.Struct("ii")
 
+_INT = struct.Struct("i")
+
 # The kernel lets buffers grow to several MB for each connection, also for one that this
 # process doesn't read from, or whose peer doesn't read.
 _SOCKET_BUFFER_BYTES = 256 * 1024
@@ -47,3 +51,15 @@
     The setting also holds for a socket that is closed by the end of the process.
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(resets, 0))
+
+
+def count_unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return the bytes written to a TCP socket that its peer has not acknowledged.
+
+    They include those that were not sent yet. 0 where the system can't tell.
+    """
+    try:
+        value = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        return 0
+    return max(0, *_INT.unpack(value))
--- a/tests/unit/network/test_http1_client.py
+++ b/tests/unit/network/test_http1_client.py
@@ -76,6 +76,44 @@
         assert result == (Framing.CONNECTION, "closed by the back end", b"part")
 
 
+async def read_early_response(status):
+    """Read a part of a response that ends before the request was received."""
+    address = reserve_address()
+    host, port = address.split(":")
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.pause_reading()
+        writer.write(b"HTTP/1.1 %d OK\r\n\r\npart" % status)
+        writer.write_eof()
+        # Ends with the client's connection, which it doesn't read from.
+        await asyncio.sleep(0.2)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, host, int(port))
+    connection = await ConnectionPool().get(address, 2.0)
+    connection.send(b"POST / HTTP/1.1\r\n\r\n" + bytes(3 * 1024 * 1024))
+    try:
+        async with asyncio.timeout(5.0):
+            await connection.read_head()
+            return await connection.read_body()
+    finally:
+        connection.close()
+        server.close()
+        await asyncio.sleep(0.3)
+
+
+class TestEndsBeforeRequest:
+    @pytest.mark.parametrize("status", [200, 302])
+    def test_part_of_a_success_is_complete(self, status):
+        with pytest.raises(BrokenResponseError, match="bytes of the request"):
+            asyncio.run(read_early_response(status))
+
+    @pytest.mark.parametrize("status", [413, 503])
+    def test_early_error_is_lost(self, status):
+        assert asyncio.run(read_early_response(status)) == b"part"
+
+
 class TestInvalidStatuses:
     @pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
     def test_response_with_an_invalid_status_is_read(self, status):
