Check crashing requests in the soak by the rule, not by a total

The rule allows runs for ContactMs after the third crash and three more; the bound of five in all had no source. Change: the soak sends the requests until 3 s after ContactMs has passed since the third crash, and counts the runs that begin in these 3 s: more than three break the guarantee. The sends of the fault phase count for the third crash too.

--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -20,13 +20,13 @@
 import sys
 import tempfile
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 
 import yaml
 
 from galenadrum._internal.exceptions import GalenadrumError
-from lib.platform_engine import FakePlatformEngine, PlatformClient
+from lib.platform_engine import PREFILL_S, FakePlatformEngine, PlatformClient
 from lib.routing_deployment import configuration
 from lib.silent_relay import SilentRelay
 from lib.stream_caller import StreamCaller
@@ -78,8 +78,13 @@
     (b"X-Token-Usage", b"900,20"),
     (b"X-Prefix-Hash", b"5c1e:800,dead:100,91bd:100"),
 )
-# Crashes that a part or a request may cause before its requests are refused.
-MAX_LETHAL_RUNS = 5
+LETHAL_STREAM = {"method": b"POST", "headers": LETHAL_HEADERS}
+# Runs of a part or a request that may begin later than CONTACT_S after its third crash.
+MAX_LETHAL_RUNS = 3
+# Time from then for which it is still sent.
+LETHAL_LOAD_S = 3.0
+LETHAL_TIMEOUT_S = 6.0
+CRASHES_TO_KNOW = 3
 CONTACT_S = 3.0
 LIMIT_PER_S = 1.5
 LIMIT_WINDOW_S = 4.0
@@ -256,6 +261,7 @@
         self.caller = PlatformClient()
         self.stream_caller = StreamCaller()
         self.take_ups = Counter()
+        self._lethal_ids_by_path = defaultdict(list)
         self.broken = []
         self.statuses = Counter()
         self.faults = Counter()
@@ -352,68 +358,82 @@
         engine.has_crashed = False
         await engine.start()
 
-    async def _send_lethal_requests(self, count):
-        """Send requests with the lethal part; return how many reached an engine."""
-        request_ids = []
-        for number in range(count):
-            request_id = f"{self.rng.getrandbits(60):016x}"
-            request_ids.append(request_id)
-            with contextlib.suppress(GalenadrumError, TimeoutError):
-                await self.caller.send_request(
-                    f"{self.entries[number % 2].ip}:{FRONT_PORT}",
-                    "x.example",
-                    "/note/x",
-                    key="k1",
-                    request_id=request_id,
-                    method=b"POST",
-                    deadline_ms=1_500,
-                    timeout_s=2.0,
-                    headers=LETHAL_HEADERS,
-                )
-            await asyncio.sleep(0.2)
-        return sum(
-            engine.run_count_by_request_id[request_id]
-            for engine in self.model_engines
-            for request_id in request_ids
-        )
+    async def _send_lethal(self, entry, path, **more):
+        """Send a request that may crash its server."""
+        request_id = f"{self.rng.getrandbits(60):016x}"
+        self._lethal_ids_by_path[path].append(request_id)
+        with contextlib.suppress(GalenadrumError, TimeoutError):
+            await self.caller.send_request(
+                f"{entry.ip}:{FRONT_PORT}",
+                "x.example",
+                path,
+                key="k1",
+                request_id=request_id,
+                deadline_ms=1_500,
+                timeout_s=2.0,
+                **more,
+            )
+
+    async def _send_several_lethal(self, path, interval_s, **more):
+        for number in range(self.rng.randint(1, 6)):
+            await self._send_lethal(self.entries[number % 2], path, **more)
+            await asyncio.sleep(interval_s)
+
+    async def _count_lethal_runs(self, engines, path, interval_s, **more):
+        """Send requests that crash engines until long after the third crash.
 
-    async def _send_lethal_lookups(self, count):
-        """Send a plain request that crashes its servers; return how many ran."""
-        request_ids = []
+        Returns:
+            Number of runs that began later than `CONTACT_S` after that crash.
+        """
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+
+        def list_runs():
+            return sorted(
+                at
+                for engine in engines
+                for request_id in self._lethal_ids_by_path[path]
+                for at in engine.ran_at_by_request_id[request_id]
+            )
+
+        def find_known_at():
+            """Return the time from which all hosts know of three crashes."""
+            runs = list_runs()
+            if len(runs) < CRASHES_TO_KNOW:
+                return float("inf")
+            return runs[CRASHES_TO_KNOW - 1] + PREFILL_S + CONTACT_S
+
+        def find_end():
+            known_at = find_known_at()
+            if known_at == float("inf"):
+                return began_at + LETHAL_TIMEOUT_S
+            return max(known_at, began_at) + LETHAL_LOAD_S
+
+        while loop.time() < find_end():
+            entry = self.entries[len(self._lethal_ids_by_path[path]) % 2]
+            await self._send_lethal(entry, path, **more)
+            await asyncio.sleep(interval_s)
+        known_at = max(find_known_at(), began_at)
+        return sum(at > known_at for at in list_runs())
+
+    async def _check_lethal_request(self):
+        """Check that a request that crashes servers is refused after three crashes."""
         for engine in self.engines:
             engine.lethal_targets.add(LETHAL_TARGET)
-        for number in range(count):
-            request_id = f"{self.rng.getrandbits(60):016x}"
-            request_ids.append(request_id)
-            with contextlib.suppress(GalenadrumError, TimeoutError):
-                await self.caller.send_request(
-                    f"{self.entries[number % 2].ip}:{FRONT_PORT}",
-                    "x.example",
-                    LETHAL_TARGET.decode(),
-                    key="k1",
-                    request_id=request_id,
-                    deadline_ms=1_500,
-                    timeout_s=2.0,
-                )
-            await asyncio.sleep(0.3)
         # The relay in front of the last engine goes on listening when that crashes.
-        return sum(
-            engine.run_count_by_request_id[request_id]
-            for engine in self.engines[:-1]
-            for request_id in request_ids
+        runs = await self._count_lethal_runs(
+            self.engines[:-1], LETHAL_TARGET.decode(), 0.3
         )
-
-    async def _check_lethal_request(self):
-        """Check that a request that crashes servers is refused after a few crashes."""
-        runs = await self._send_lethal_lookups(20)
         if runs > MAX_LETHAL_RUNS:
             self.broken.append(f"the lethal request reached servers {runs} times")
 
     async def _check_lethal_part(self):
-        """Check that a part that crashes engines is refused after a few crashes."""
+        """Check that a part that crashes engines is refused after three crashes."""
         for engine in self.model_engines:
             engine.lethal_parts.add(LETHAL_PART)
-        runs = await self._send_lethal_requests(20)
+        runs = await self._count_lethal_runs(
+            self.model_engines, "/note/x", 0.2, **LETHAL_STREAM
+        )
         if runs > MAX_LETHAL_RUNS:
             self.broken.append(f"the lethal part reached engines {runs} times")
 
@@ -713,12 +733,14 @@
             await self._release_engine()
             return
         if fault == "engine_lethal_request":
-            await self._send_lethal_lookups(self.rng.randint(1, 6))
+            for engine in self.engines:
+                engine.lethal_targets.add(LETHAL_TARGET)
+            await self._send_several_lethal(LETHAL_TARGET.decode(), 0.3)
             return
         if fault == "engine_lethal":
             for engine in self.model_engines:
                 engine.lethal_parts.add(LETHAL_PART)
-            await self._send_lethal_requests(self.rng.randint(1, 6))
+            await self._send_several_lethal("/note/x", 0.2, **LETHAL_STREAM)
             return
         if fault.startswith("engine_endless"):
             engine = self.rng.choice(self._all_engines())
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -6,7 +6,7 @@
 import asyncio
 import itertools
 import json
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import replace
 from weakref import WeakKeyDictionary
 
@@ -58,6 +58,7 @@
         lethal_targets: Targets of requests that do the same; a plain one gets no head.
         lethal_piece_keys: Keys of stage pieces that crash it when it begins their call.
         has_crashed: Whether one of these has crashed it.
+        ran_at_by_request_id: Loop times in seconds at which requests began to run.
         limit_per_s: Limit that its responses name; None for none.
         brittle_at: Rejections in a second at which it crashes, named in its responses;
             None if it isn't brittle.
@@ -112,6 +113,7 @@
         self.lethal_targets = set()
         self.lethal_piece_keys = set()
         self.has_crashed = False
+        self.ran_at_by_request_id = defaultdict(list)
         self.most_connections = 0
         self.to_reject = 0
         self.rejected_status = 503
@@ -312,6 +314,7 @@
     async def _run_accepted(self, exchange, request_id):
         head = exchange.head
         self.run_count_by_request_id[request_id] += 1
+        self.ran_at_by_request_id[request_id].append(asyncio.get_running_loop().time())
         self.head_by_request_id[request_id] = head
         self.body_by_id[request_id] = exchange.body
         exchange.on_caller_disconnected = lambda: self.cancelled.append(request_id)
