Check a wait that begins after its server counts as hung at once

Cause: the second wait of an exchange, for the first event of a stream, may begin later than the time from which the engine counts as hung; limit_wait took the difference for a suspension of this process and waited as long again. Change: the first check is due when the wait begins, at the earliest. Measured: the new case of test_limit_wait.py failed before (simulated clock).

--- a/src/galenadrum/_internal/gateway/forwarding.py
+++ b/src/galenadrum/_internal/gateway/forwarding.py
@@ -89,7 +89,7 @@
 
     async with asyncio.timeout_at(ends_at) as limit:
         if hangs_at < ends_at:
-            schedule_check(hangs_at)
+            schedule_check(max(hangs_at, loop.time()))
         try:
             yield
         finally:
--- a/tests/unit/gateway/test_limit_wait.py
+++ b/tests/unit/gateway/test_limit_wait.py
@@ -43,3 +43,8 @@
             await asyncio.sleep(0.2)
 
         run_wait(wait)
+
+    def test_wait_that_begins_late_is_taken_for_a_suspension(self):
+        # The second wait of an exchange may begin when the server counts as hung.
+        with pytest.raises(TimeoutError):
+            run_wait(lambda: asyncio.sleep(1.0), 60.0, -10.0)
