Wait for a replaced host to vote before the next disk is replaced

Traced from the logs of its hosts: the process of control-a took 4.6 s to start and asked to join at 38.92; its neighbour's disk had been deleted 0.2 s before, as the test waits for fixed 3 s. Two of three disks were lost at once, so that no leader could be elected, by design of the quorum. The test says that there are never two at once. Change: after these 3 s the test waits until all hosts have committed the replaced host, with its new disk, as a voter. All assertions and their bounds stay.

--- a/tests/functional/routing/test_full_disks.py
+++ b/tests/functional/routing/test_full_disks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import resource
 import signal
 
@@ -9,7 +10,7 @@
 
 from galenadrum._internal.exceptions import GalenadrumError
 from lib.fault_soak import ADMIN_PORT
-from lib.process_deployment import ProcessDeployment
+from lib.process_deployment import START_TIMEOUT_S, ProcessDeployment
 from lib.routing_deployment import configuration
 
 FULL_S = 1.5
@@ -46,6 +47,24 @@
     set_largest_file(host, 0)
 
 
+def is_voter(found, host):
+    """Return whether each host knows a host, with its present disk, as a voter.
+
+    A process that takes long to start joins later than the next disk is replaced.
+    """
+    started = re.findall(r"log member (\S+) started", (host.folder / "log").read_text())
+    if not started or host.process.poll() is not None:
+        return False
+    for other in found.controls:
+        committed = re.findall(
+            r"members committed at entry \d+: voters ([^;]*);",
+            (other.folder / "log").read_text(),
+        )
+        if not committed or started[-1] not in committed[-1].split(","):
+            return False
+    return True
+
+
 async def read_versions(found):
     versions = []
     for host in found.controls:
@@ -94,6 +113,9 @@
                     set_largest_file(host, UNLIMITED)
                     # Never two at once: each one catches up first.
                     await asyncio.sleep(RECOVERY_S)
+                    async with asyncio.timeout(START_TIMEOUT_S):
+                        while not is_voter(found, host):
+                            await asyncio.sleep(0.1)
                 changes.cancel()
                 await asyncio.gather(changes, return_exceptions=True)
                 async with asyncio.timeout(ACKNOWLEDGED_WITHIN_S):
