Read responses for the id that was sent last on their connection

Cause: read_response_head took the id from its caller, so that a path could send one id and read for another, outside the rule that a connection carries each id once. Change: the connection keeps the id of its current request, and responses are compared with it. A path that sends without the id now discards every response that names one. Measured: test_repeated_responses.py, test_relayed_requests.py, test_invalid_statuses.py, test_routing_end_to_end.py and the unit tests of network and gateway: 281 passed.

--- a/src/galenadrum/_internal/gateway/forwarding.py
+++ b/src/galenadrum/_internal/gateway/forwarding.py
@@ -132,11 +132,12 @@
 
 
 async def read_response_head(
-    connection: BackendConnection, dialect: Dialect, request_id: str
+    connection: BackendConnection, dialect: Dialect
 ) -> tuple[ResponseHead, ResponseMetadata]:
-    """Read the head of the response to the request that was sent.
+    """Read the head of the response to the current request of a connection.
 
     Responses to other requests, which a faulty server writes once more, are discarded.
+    The connection has sent the id that is read for only once.
 
     Raises:
         BrokenResponseError: The response is invalid, or it can't be told to which
@@ -145,7 +146,7 @@
     while True:
         head = await connection.read_head()
         metadata = dialect.parse_response_head(head)
-        if _is_response_to(request_id, metadata, connection):
+        if _is_own_response(metadata, connection):
             return head, metadata
         await connection.read_body()
         logger.info(
@@ -154,15 +155,13 @@
             head.status,
             metadata.request_id,
             connection.use,
-            extra={"request_id": request_id},
+            extra={"request_id": connection.request_id},
         )
         connection.discard_response()
 
 
-def _is_response_to(
-    request_id: str, metadata: ResponseMetadata, connection: BackendConnection
-) -> bool:
-    """Return whether a response belongs to the request that was sent.
+def _is_own_response(metadata: ResponseMetadata, connection: BackendConnection) -> bool:
+    """Return whether a response belongs to the current request of its connection.
 
     Servers name the request in each response, and a connection carries each request id
     once. If a response names none, only the first request on a connection, or the host
@@ -172,12 +171,12 @@
         BrokenResponseError: It can't be told; the request may have run.
     """
     if metadata.request_id:
-        return metadata.request_id == request_id
+        return metadata.request_id == connection.request_id
     if connection.is_fresh or connection.is_relayed:
         return True
     raise BrokenResponseError(
         f"{connection.address}: a response on a connection that carried other requests "
-        f"names no request, expected {request_id}"
+        f"names no request, expected {connection.request_id}"
     )
 
 
--- a/src/galenadrum/_internal/gateway/plain_forwarder.py
+++ b/src/galenadrum/_internal/gateway/plain_forwarder.py
@@ -510,7 +510,7 @@
             async with limit_wait(
                 ends_at, hangs_at, lambda: self._may_send_elsewhere(context, attempts)
             ):
-                reply = await self._read_reply(connection, context.metadata.request_id)
+                reply = await self._read_reply(connection)
         finally:
             watch.cancel()
         self._paths.record_response(connection, entry.server_id)
@@ -536,10 +536,8 @@
             return False
         return self._budgets.withdraw_for_hung(context.service, attempts)
 
-    async def _read_reply(
-        self, connection: BackendConnection, request_id: str
-    ) -> _Reply:
-        head, metadata = await read_response_head(connection, self._dialect, request_id)
+    async def _read_reply(self, connection: BackendConnection) -> _Reply:
+        head, metadata = await read_response_head(connection, self._dialect)
         check_signature(head, metadata)
         return _Reply(head, await connection.read_body(), metadata)
 
--- a/src/galenadrum/_internal/gateway/relay_service.py
+++ b/src/galenadrum/_internal/gateway/relay_service.py
@@ -214,9 +214,7 @@
         sent_at = self._loop.time()
         request_id = self._find_request_id(exchange)
         connection.send(data + exchange.body, head.method == b"HEAD", request_id)
-        response, metadata = await read_response_head(
-            connection, self._dialect, request_id
-        )
+        response, metadata = await read_response_head(connection, self._dialect)
         sent = SentRequest(
             entry.server_id, entry.announcement.incarnation_ms, sent_at, request_id
         )
--- a/src/galenadrum/_internal/gateway/stream_forwarder.py
+++ b/src/galenadrum/_internal/gateway/stream_forwarder.py
@@ -407,9 +407,7 @@
 
         try:
             async with limit_wait(ends_at, hangs_at, may_send_elsewhere):
-                head, metadata = await read_response_head(
-                    connection, self._dialect, context.metadata.request_id
-                )
+                head, metadata = await read_response_head(connection, self._dialect)
                 check_signature(head, metadata)
         finally:
             watch.cancel()
--- a/src/galenadrum/_internal/network/http1/client.py
+++ b/src/galenadrum/_internal/network/http1/client.py
@@ -107,6 +107,7 @@
     Attributes:
         address: IP address and port of the backend server.
         number: Number of the connection in this process, for logs.
+        request_id: Id of the current request; empty if it has none.
         idle_since: Loop time in seconds at which the last request was completed, or
             the connection was created.
         is_fresh: Whether no request was completed on the connection yet.
@@ -120,6 +121,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.number = next(self._numbers)
+        self.request_id = ""
         self._loop = asyncio.get_running_loop()
         self._request_count = 0
         # Hashes, as callers choose the length of an id.
@@ -338,6 +340,7 @@
                     f"{self.number} before, expected another connection"
                 )
             self._sent_ids.add(hash(request_id))
+        self.request_id = request_id
         self._is_busy = True
         self._request_count += 1
         self._sent_at = self._loop.time()
