Wait for all entry hosts before the budget of the test of slow servers is used

Traced with the budget printed: in 12 runs, four at a time, the one that failed had sized its budget while it knew two entry hosts (12 / 2 = 6 retries), the eleven others three (4). Change: the test waits until the host knows all three.

--- a/tests/functional/routing/test_hung_servers.py
+++ b/tests/functional/routing/test_hung_servers.py
@@ -17,6 +17,9 @@
 
 async def send_burst(deployment, path, count, **more):
     """Send requests through one host at once; return the statuses and run counts."""
+    # Its part of the budget depends on the number of entry hosts that it knows.
+    links = deployment.entry_daemon_by_zone["a"].links
+    await deployment.wait_until(lambda: links.entry_hosts == len(deployment.zones))
     requests = [
         deployment.send_request(path, deadline_ms=5_000, **more) for _ in range(count)
     ]
