--- a/review/lib3/stand_ins.py
+++ b/review/lib3/stand_ins.py
@@ -89,7 +89,8 @@
     def admin(self):
         return self.ip, ADMIN_PORT
 
-    def _settings(self):
+    def settings(self):
+        """Return the fields of the settings file, as DEPLOY.md has them."""
         is_core = self.role == "control"
         listen = (
             {"Admin": f"{self.ip}:{ADMIN_PORT}"}
@@ -135,7 +136,7 @@
     def start(self):
         settings = self.folder / "boot.yaml"
         # JSON is YAML too.
-        settings.write_text(json.dumps(self._settings(), indent=1))
+        settings.write_text(json.dumps(self.settings(), indent=1))
         if self.role == "control":
             self.data_folder.mkdir(exist_ok=True)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -164,6 +165,14 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def memory_mb(self):
+        """Return the resident memory of the process, 0 if it has just ended."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+            return int(status.split("VmRSS:")[1].split()[0]) * 1024 / 1e6
+        except (OSError, IndexError):
+            return 0.0
+
     def peak_memory_mb(self):
         status = Path(f"/proc/{self.process.pid}/status").read_text()
         return int(status.split("VmHWM:")[1].split()[0]) * 1024 / 1e6
@@ -342,7 +351,8 @@
         try:
             while (request := await read_message(reader)) is not None:
                 await self.answer(request, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # Ends with the channel or with the case.
             pass
         finally:
             self._writers.discard(writer)
