--- a/review/13/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/bash
-exec python3 "$(dirname "$0")/play.py"
