Review: a first configuration of version 0 is acknowledged and not kept

Cause: 0 stands for no configuration, so that such a document counts as superseded, which is acknowledged. Done: a script that sends one, reads it back for 20 s and sends requests.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec python3 "$(dirname "$0")/play.py"
