--- a/review/lib3/stand_ins.py
+++ b/review/lib3/stand_ins.py
@@ -49,7 +49,8 @@
     "MaxDelayMs": 120,
     "ReuseWindowS": 7.7,
 }
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# run.sh makes 1 of BROKEN and 2 of anything else but HELD, also of an error in the script.
+HELD, BROKEN, NOT_RUN = 0, 3, 2
 
 
 class CannotRunError(Exception):
@@ -551,7 +552,7 @@
 
 
 def main(play, folder):
-    """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 otherwise.
+    """Play a case; exit with BROKEN, HELD, or NOT_RUN if it couldn't run.
 
     Args:
         play: Coroutine function of the deployment, the record and whether there is
@@ -570,7 +571,7 @@
         async with asyncio.timeout(110):
             deployment = Deployment(**getattr(play, "size", {}))
             is_broken = await play(deployment, record, has_trouble)
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:
         record.write(f"the case couldn't run: {error!r}")
         return NOT_RUN
     finally:
