Keep a first configuration of version 0

What callers saw: an operator's first configuration of version 0 got 200.

Cause: 0 stood for a version that an operator may send and for no configuration. The leader compared 0 with the version of its empty state, also 0, and acknowledged the document as superseded without proposing it.

Evidence: "configuration version 0 was submitted: outcome superseded after 0.006 s" in the log of the control host, with no commit and no "configuration version 0 applied" after it. That rules out a loss after the commit and a failed read.

Change: no configuration has the version -1, lower than any that may be sent, so that each comparison is right as it stands. Messages between hosts leave the field out for it. Everything else is stored byte for byte as before. The build before passes over both forms. While a linked control host runs that build, version 0 is answered 503, as it would ignore the document.

--- a/src/galenadrum/_internal/configuration/checks.py
+++ b/src/galenadrum/_internal/configuration/checks.py
@@ -4,11 +4,10 @@
 
 from collections.abc import Iterator
 
+from galenadrum._internal.configuration.versions import MAX_VERSION
 from galenadrum._internal.models.findings import Finding
 from galenadrum._internal.models.routing import Route, RoutingConfiguration
 
-_MAX_VERSION = 2**63 - 1
-
 
 def find_problems(configuration: RoutingConfiguration) -> tuple[Finding, ...]:
     """Return the findings of all checks, grouped by check."""
@@ -28,8 +27,8 @@
 
 
 def _check_version(version: int) -> Iterator[Finding]:
-    if not 0 <= version <= _MAX_VERSION:
-        yield build_finding("version", f"is {version}, expected 0 to {_MAX_VERSION}")
+    if not 0 <= version <= MAX_VERSION:
+        yield build_finding("version", f"is {version}, expected 0 to {MAX_VERSION}")
 
 
 def _check_services(configuration: RoutingConfiguration) -> Iterator[Finding]:
--- a/src/galenadrum/_internal/configuration/state.py
+++ b/src/galenadrum/_internal/configuration/state.py
@@ -10,15 +10,20 @@
 import struct
 import zlib
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from typing import Any
 
+from galenadrum._internal.configuration import version_zero
 from galenadrum._internal.configuration.evacuations import (
+    build_records,
     decode_change,
-    decode_evacuations,
+    decode_records,
     encode_change,
-    encode_evacuations,
+    encode_records,
+    find_evacuations,
     split_snapshot,
 )
+from galenadrum._internal.configuration.versions import NO_VERSION
 from galenadrum._internal.exceptions import InvariantError, StorageError
 from galenadrum._internal.models.evacuations import Evacuation
 
@@ -29,8 +34,8 @@
 _SUPERSEDED = b"\x00"
 # Documents are repetitive; higher levels hardly reduce their size further.
 _COMPRESSION_LEVEL = 3
-# Version in commands that change an evacuation; documents have higher ones.
-_EVACUATION_VERSION = 0
+# Header of everything but a document of a higher version, which builds before can read.
+_ZERO_HEADER = _VERSION_HEADER.pack(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,18 +60,39 @@
 
     def to_command(self) -> bytes:
         """Return the log command that replaces an older document with this one."""
+        if self.version == 0:
+            return _ZERO_HEADER + version_zero.encode_command(self.compressed)
         return _VERSION_HEADER.pack(self.version) + self.compressed
 
 
-def _decode_command(command: bytes) -> VersionedDocument:
+def _decode_document(command: bytes) -> VersionedDocument | None:
+    """Return the document of a log command; None if it holds something else."""
     (version,) = _VERSION_HEADER.unpack_from(command)
-    return VersionedDocument(version, command[_VERSION_HEADER.size :])
+    data = command[_VERSION_HEADER.size :]
+    if version > 0:
+        return VersionedDocument(version, data)
+    compressed = version_zero.decode_command(data)
+    return None if compressed is None else VersionedDocument(0, compressed)
+
+
+def _decode_snapshot(
+    data: bytes,
+) -> tuple[VersionedDocument | None, list[dict[str, Any]]]:
+    """Return the document of a snapshot, None if it holds none, and its records."""
+    (version,) = _VERSION_HEADER.unpack_from(data)
+    content = data[_VERSION_HEADER.size :]
+    if version > 0:
+        compressed, encoded = split_snapshot(content)
+        return VersionedDocument(version, compressed), decode_records(encoded)
+    records = decode_records(content)
+    compressed = version_zero.find_document(records)
+    document = None if compressed is None else VersionedDocument(0, compressed)
+    return document, records
 
 
 def encode_evacuation_command(zone: str, is_active: bool, changed_at_ms: int) -> bytes:
     """Return the log command that begins or withdraws an evacuation."""
-    header = _VERSION_HEADER.pack(_EVACUATION_VERSION)
-    return header + encode_change(zone, is_active, changed_at_ms)
+    return _ZERO_HEADER + encode_change(zone, is_active, changed_at_ms)
 
 
 class ConfigurationState:
@@ -84,8 +110,8 @@
 
     @property
     def version(self) -> int:
-        """Version of the current document; 0 before the first document."""
-        return self.current.version if self.current else 0
+        """Version of the current document; `NO_VERSION` before the first document."""
+        return self.current.version if self.current else NO_VERSION
 
     def add_listener(self, listener: Callable[[VersionedDocument], None]) -> None:
         """Register a callback that receives each newer document."""
@@ -118,46 +144,44 @@
             raise InvariantError(
                 f"the command of log entry {index} is too short to hold a version"
             )
-        document = _decode_command(command)
-        if document.version == _EVACUATION_VERSION:
-            return self._apply_change(index, document.compressed)
+        document = _decode_document(command)
+        if document is None:
+            return self._apply_change(index, command[_VERSION_HEADER.size :])
         if document.version <= self.version:
             return _SUPERSEDED
         self._replace_current(document)
         return _ACCEPTED
 
     def snapshot(self) -> bytes:
-        """Return version, document and evacuations; empty before the first of them.
+        """Return the document and the evacuations; empty before the first of them.
 
-        Version 0 stands for no document.
+        A document of a version above 0 follows its version, and the records of the
+        evacuations follow the document. Otherwise only records follow version 0.
         """
-        evacuations = encode_evacuations(self._evacuations_by_zone.values())
+        records = build_records(self._evacuations_by_zone.values())
+        if self.version > 0:
+            return self.current.to_command() + encode_records(records)
         if self.current is not None:
-            return self.current.to_command() + evacuations
-        header = _VERSION_HEADER.pack(_EVACUATION_VERSION)
-        return header + evacuations if evacuations else b""
+            records.insert(0, version_zero.build_record(self.current.compressed))
+        return _ZERO_HEADER + encode_records(records) if records else b""
 
     def restore(self, data: bytes) -> None:
         """Load what is newer in a snapshot than the current document and evacuations.
 
         Raises:
-            StorageError: The snapshot is too short to hold a version, or its
-                evacuations can't be read.
+            StorageError: The snapshot is too short to hold a version, or its records
+                can't be read.
         """
         if not data:
             return
         if len(data) < _VERSION_HEADER.size:
             raise StorageError("the snapshot is too short to hold a document version")
-        document = _decode_command(data)
-        if document.version == _EVACUATION_VERSION:
-            compressed, evacuations = b"", document.compressed
-        else:
-            compressed, evacuations = split_snapshot(document.compressed)
-        self._merge_evacuations(decode_evacuations(evacuations))
+        document, records = _decode_snapshot(data)
+        self._merge_evacuations(find_evacuations(records))
         # After a member reopens its data folder, the snapshot there may be older than
         # what the member has already applied.
-        if document.version > self.version:
-            self._replace_current(replace(document, compressed=compressed))
+        if document is not None and document.version > self.version:
+            self._replace_current(document)
 
     def _apply_change(self, index: int, data: bytes) -> bytes:
         change = decode_change(data, index)
--- a/src/galenadrum/_internal/control/routing/configurations.py
+++ b/src/galenadrum/_internal/control/routing/configurations.py
@@ -13,6 +13,11 @@
     VersionedDocument,
     was_accepted,
 )
+from galenadrum._internal.configuration.versions import (
+    NO_VERSION,
+    decode_version,
+    encode_version,
+)
 from galenadrum._internal.control.replication.driver import ReplicatedLog
 from galenadrum._internal.control.replication.peer_streams import STREAM_ERRORS
 from galenadrum._internal.exceptions import (
@@ -40,6 +45,8 @@
 NOT_LEADER = "not_leader"
 BUSY = "busy"
 UNKNOWN = "unknown"
+# A linked control host runs a build that would ignore the change.
+UNSUPPORTED = "unsupported"
 
 
 class Configurations:
@@ -48,6 +55,8 @@
     Args:
         log: Returns the log member of this host; None while it isn't running.
         state: Configuration state that the log replicates.
+        keeps_version_zero: Returns whether all linked control hosts keep a document of
+            version 0.
 
     Attributes:
         confirmed_at: Loop time in seconds at which this host was last confirmed
@@ -55,12 +64,16 @@
     """
 
     def __init__(
-        self, log: Callable[[], ReplicatedLog | None], state: ConfigurationState
+        self,
+        log: Callable[[], ReplicatedLog | None],
+        state: ConfigurationState,
+        keeps_version_zero: Callable[[], bool],
     ) -> None:
         self._log = log
         self._state = state
+        self._keeps_version_zero = keeps_version_zero
         self._loop = asyncio.get_running_loop()
-        self._confirmed_version = 0
+        self._confirmed_version = NO_VERSION
         self.confirmed_at = float("-inf")
 
     # Submitting.
@@ -77,6 +90,10 @@
         log = self._log()
         if log is None:
             return pb.SubmitResponse(outcome=NOT_LEADER)
+        # Also where another host leads: of the build before, it would acknowledge the
+        # document and not keep it.
+        if self._would_be_lost(document):
+            return pb.SubmitResponse(outcome=UNSUPPORTED)
         try:
             if document.version <= self._state.version and log.is_leader:
                 await log.wait_until_settled(_PROPOSE_TIMEOUT_S)
@@ -101,6 +118,11 @@
         outcome = ACCEPTED if was_accepted(result) else SUPERSEDED
         return pb.SubmitResponse(outcome=outcome)
 
+    def _would_be_lost(self, document: VersionedDocument) -> bool:
+        """Return whether a linked control host would ignore a document in the log."""
+        is_new = document.version > self._state.version
+        return is_new and document.version == 0 and not self._keeps_version_zero()
+
     async def _forward(self, document: VersionedDocument, address: str) -> str:
         request = pb.SubmitRequest(
             version=document.version, compressed=document.compressed
@@ -129,9 +151,10 @@
         return self._state.current
 
     async def _fetch_newest_version(self) -> int:
+        """Return the newest accepted version; `NO_VERSION` if there is none."""
         response = await self.confirm_newest_version()
         if response.is_confirmed:
-            return response.version
+            return decode_version(response)
         log = self._log()
         leader_address = log.leader_address if log is not None else None
         if leader_address:
@@ -142,7 +165,7 @@
                 _READ_TIMEOUT_S,
             )
             if response is not None and response.is_confirmed:
-                return response.version
+                return decode_version(response)
         raise ControlUnreachableError(
             "no leader of the control hosts confirmed the newest configuration version"
         )
@@ -162,7 +185,9 @@
             return pb.NewestVersionResponse()
         version = self._state.version
         self.confirm(version, requested_at)
-        return pb.NewestVersionResponse(is_confirmed=True, version=version)
+        return pb.NewestVersionResponse(
+            is_confirmed=True, version=encode_version(version)
+        )
 
     # Confirmations.
 
@@ -187,7 +212,7 @@
             pong=pb.LinkPong(
                 token=ping.token,
                 is_confirmed=True,
-                version=self._confirmed_version,
+                version=encode_version(self._confirmed_version),
                 # Rounded up, so that the age is never understated.
                 age_ms=int(age_s * 1_000) + 1,
             )
--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -13,6 +13,7 @@
     ConfigurationState,
     VersionedDocument,
 )
+from galenadrum._internal.configuration.versions import encode_version
 from galenadrum._internal.control.replication.log_metrics import register_log_gauges
 from galenadrum._internal.control.routing.api import RoutingApi
 from galenadrum._internal.control.routing.availability import Availability
@@ -165,7 +166,9 @@
         self._is_holding_servers = settings.bounds.evacuation_s is not None
         self._is_handling_link_message = False
         self.log_runner = self._build_log_runner(rng)
-        self.configurations = Configurations(lambda: self.log_runner.log, self.state)
+        self.configurations = Configurations(
+            lambda: self.log_runner.log, self.state, self._keeps_version_zero
+        )
         evacuations = EvacuationOrders(
             lambda: self.log_runner.log, self._keeps_evacuations
         )
@@ -431,12 +434,13 @@
             host_id=self._settings.host_id,
             zone=self._settings.zone,
             is_control=True,
-            version=self.state.version,
+            version=encode_version(self.state.version),
             available_ms=int((self._loop.time() - self._availability.since) * 1_000),
             servers_covered_ms=int(covered_s * 1_000),
             relay_address=self._settings.relay_address,
             keeps_departures=True,
             keeps_evacuations=True,
+            keeps_version_zero=True,
         )
 
     def _observe_availability(self) -> None:
@@ -524,6 +528,13 @@
             link.peer.keeps_evacuations for link in links
         )
 
+    def _keeps_version_zero(self) -> bool:
+        """Return whether all linked control hosts keep a document of version 0."""
+        links = self._peer_links.links_up()
+        return self.links.keeps_version_zero and all(
+            link.peer.keeps_version_zero for link in links
+        )
+
     def _apply_own_evacuations(self) -> None:
         self._apply_evacuations(
             self.state.evacuation_order, self.state.find_evacuated_zones()
--- a/src/galenadrum/_internal/control/routing/evacuations.py
+++ b/src/galenadrum/_internal/control/routing/evacuations.py
@@ -17,6 +17,7 @@
     BUSY,
     NOT_LEADER,
     UNKNOWN,
+    UNSUPPORTED,
     call_leader,
 )
 from galenadrum._internal.exceptions import (
@@ -33,8 +34,6 @@
 SUBMIT_TIMEOUT_S = 0.85
 _RETRY_INTERVAL_S = 0.05
 
-# A linked control host runs a build that would ignore the order.
-UNSUPPORTED = "unsupported"
 _FINAL_OUTCOMES = (ACCEPTED, UNSUPPORTED)
 
 
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -15,6 +15,7 @@
     ConfigurationState,
     VersionedDocument,
 )
+from galenadrum._internal.configuration.versions import decode_version
 from galenadrum._internal.control.routing.configurations import Configurations
 from galenadrum._internal.control.routing.evacuations import EvacuationOrders
 from galenadrum._internal.directory.evacuated_zones import EvacuatedZones
@@ -167,8 +168,15 @@
     @property
     def keeps_evacuations(self) -> bool:
         """Whether all control hosts that are linked to this one keep evacuations."""
-        peers = [link.peer for link in self._links if link.peer.is_control]
-        return all(peer.keeps_evacuations for peer in peers)
+        return all(peer.keeps_evacuations for peer in self._list_control_peers())
+
+    @property
+    def keeps_version_zero(self) -> bool:
+        """Whether all linked control hosts keep a document of version 0."""
+        return all(peer.keeps_version_zero for peer in self._list_control_peers())
+
+    def _list_control_peers(self) -> list[pb.LinkHello]:
+        return [link.peer for link in self._links if link.peer.is_control]
 
     async def Link(self, stream: Stream) -> None:  # noqa: N802
         """Serve a link until the other host closes it."""
@@ -415,7 +423,7 @@
         if (
             current is not None
             and not peer.is_control
-            and (peer.version < current.version)
+            and decode_version(peer) < current.version
         ):
             link.send(_encode_document(current))
         # Before the servers, so that the host sends nothing to those of the zones.
--- a/src/galenadrum/_internal/gateway/control_links.py
+++ b/src/galenadrum/_internal/gateway/control_links.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 
+from galenadrum._internal.configuration.versions import decode_version
 from galenadrum._internal.network.host_link import HostLink
 from galenadrum._internal.network.relayed_connection import RelayHost
 from galenadrum._internal.protocol.gateway_pb2 import LinkHello, LinkMessage
@@ -30,8 +31,8 @@
         seeds: Returns addresses at which control hosts may be found.
         on_message: Called with each message other than pongs and lists of control
             hosts.
-        on_confirmed: Called with a configuration version and the loop time in
-            seconds at which no higher version had been accepted.
+        on_confirmed: Called with a configuration version, or `NO_VERSION`, and the
+            loop time in seconds at which no higher version had been accepted.
         on_changed: Called with a link that came up or went down.
         rng: Source of randomness for the choice of links and their reconnects.
         max_links: Maximum number of links.
@@ -176,7 +177,7 @@
         pong = message.pong
         sent_at = link.pop_ping_sent_at(pong.token)
         if sent_at is not None and pong.is_confirmed:
-            self._on_confirmed(pong.version, sent_at - pong.age_ms / 1_000)
+            self._on_confirmed(decode_version(pong), sent_at - pong.age_ms / 1_000)
 
 
 def choose_new_links(
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 from galenadrum._internal.configuration.route_table import RouteTable
 from galenadrum._internal.configuration.state import VersionedDocument
+from galenadrum._internal.configuration.versions import encode_version
 from galenadrum._internal.directory.cold_servers import CutOffColdServers
 from galenadrum._internal.directory.evacuated_zones import EvacuatedZones
 from galenadrum._internal.directory.registry import ServerEntry
@@ -361,7 +362,7 @@
             host_id=self._settings.host_id,
             zone=self._settings.zone,
             is_control=False,
-            version=self.lease.version,
+            version=encode_version(self.lease.version),
             relay_address=self._settings.relay_address,
         )
 
@@ -463,9 +464,9 @@
         self.cold_servers.configure(configuration.services_by_name)
         self.dispatch.configure(configuration.services_by_name)
         logger.info(
-            "applied configuration version %d (previous version: %d)",
+            "applied configuration version %d (previous version: %s)",
             document.version,
-            before.configuration.version if before else 0,
+            before.configuration.version if before else "none",
         )
 
     def _handle_server_change(self, entry: ServerEntry) -> None:
--- a/src/galenadrum/_internal/gateway/lease.py
+++ b/src/galenadrum/_internal/gateway/lease.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from galenadrum._internal.configuration.versions import NO_VERSION
+
 # Share of the bound for which a confirmation is valid. The rest covers the time from
 # the check of a request to its arrival at a backend server, and clock drift, which is
 # far smaller.
@@ -20,11 +22,14 @@
         bound_s: Time in seconds after the acceptance of a configuration from which
             no request that it forbids may run; None if hosts may serve without
             confirmations.
+
+    Attributes:
+        version: Version that is applied on this host; `NO_VERSION` before the first.
     """
 
     def __init__(self, bound_s: float | None) -> None:
         self._bound_s = bound_s
-        self.version = 0
+        self.version = NO_VERSION
         self._confirmed_at_by_version: dict[int, float] = {}
         self._confirmed_at = float("-inf")
 
@@ -42,7 +47,8 @@
         A confirmation of a version that is not applied yet counts once it is.
 
         Args:
-            version: Newest accepted version at that time.
+            version: Newest accepted version at that time; `NO_VERSION` if there was
+                none.
             confirmed_at: Loop time in seconds of the confirmation.
         """
         if version <= self.version:
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from galenadrum._internal.configuration.versions import encode_version
 from galenadrum._internal.directory.registry import ServerEntry
 from galenadrum._internal.dispatch.held_prompts import HeldPrompt
 from galenadrum._internal.dispatch.messages import (
@@ -149,7 +150,7 @@
             objective_left_ms=int((request.objective_at - now) * _MS_PER_S),
             give_up_left_ms=int((request.give_up_at - now) * _MS_PER_S),
             zone=request.zone,
-            version=version,
+            version=encode_version(version),
             domain=domain,
             is_returning=request.is_returning,
             is_resumed=request.is_resumed,
