Hold announcements whose service isn't named

Cause: an announcement was merged into the registry before anyone asked whether its service is named. It took the address of the server in use, whose incarnation then counted as gone; under that server's id it replaced its entry; and as a draining one it became a departure of that id on most control hosts' disks.

Evidence: "server entry changed: server i-desk-0 of dispatch-desk: gone" and "server exporter-i-desk-0 of node-exporter: ready" in the same millisecond, then "ignored outdated announcement of i-desk-0" for each heartbeat.

Change: the registry, through which all announcements of all hosts go, merges only those whose service the host's configuration names. The others are held until it is named, so that the order in which names and servers become known doesn't matter. A departure that such a server announces is recorded with its service and concerns no other. The silence that control hosts report counts for id and service.

Two builds: only a departure of a server whose service isn't named is written and sent otherwise. Builds before skip it on disk and aren't sent it.

--- a/src/galenadrum/_internal/control/routing/api.py
+++ b/src/galenadrum/_internal/control/routing/api.py
@@ -64,13 +64,17 @@
     async def record_announcement(self, announcement: Announcement) -> bool:
         """Register or renew a backend server; ignore an outdated announcement.
 
+        An announcement whose service isn't named is held, and the departure that it
+        tells of concerns no server of another service.
+
         Returns:
             Whether it may be acknowledged. What a server says of its departure may
             be, once it outlives the processes of the control hosts.
         """
+        is_named = self._registry.names_service(announcement.service)
         if self._registry.apply_announcement(announcement, self._loop.time()):
             self._on_announcement(announcement.server_id)
-        else:
+        elif is_named:
             logger.info(
                 "ignored outdated announcement of %s (incarnation %d, sequence %d)",
                 announcement.server_id,
@@ -85,6 +89,7 @@
                 announcement.incarnation_ms,
                 announcement.sequence,
                 announcement.state,
+                "" if is_named else announcement.service,
             )
         )
 
@@ -99,17 +104,17 @@
             InvalidAnnouncementError: A value is out of its bounds.
         """
         server_id = deregistration.server_id
-        known = self._registry.get(server_id)
         incarnation_ms = deregistration.incarnation_ms
         if not incarnation_ms:
-            if known is None:
+            known_ms = self._registry.find_incarnation(server_id)
+            if known_ms is None:
                 logger.warning(
                     "can't tell which incarnation of server %s deregisters: it names "
                     "none and isn't known here",
                     server_id,
                 )
                 return False
-            incarnation_ms = known.announcement.incarnation_ms
+            incarnation_ms = known_ms
         departure = Departure(server_id, incarnation_ms, MAX_SEQUENCE, ServerState.GONE)
         is_recorded = await self._departures.record(departure)
         logger.info(
--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -156,6 +156,9 @@
             settings.bounds.announcement_interval_s,
             self._publish_server,
             lambda service: self.cold_servers.find_longest_warm_up(service),
+            lambda announcement: self.links.send_held(
+                announcement, not self._is_handling_link_message
+            ),
         )
         self.cold_servers = ColdServers(
             self.registry.get, settings.bounds, self._loop.time
@@ -353,6 +356,9 @@
             "evacuated_zones", lambda: len(self.evacuated_zones.zones)
         )
         self.metrics.register_gauge("cold_servers", self._count_cold_servers)
+        self.metrics.register_gauge(
+            "held_announcements", lambda: self.registry.held_count
+        )
         self.metrics.register_gauge("placed", lambda: self.dispatch.request_count)
         return supervisor
 
@@ -441,6 +447,7 @@
             keeps_departures=True,
             keeps_evacuations=True,
             keeps_version_zero=True,
+            scopes_departures=True,
         )
 
     def _observe_availability(self) -> None:
@@ -485,6 +492,7 @@
         self._route_table = RouteTable(configuration)
         self.cold_servers.configure(configuration.services_by_name)
         self.dispatch.configure(configuration.services_by_name)
+        self.registry.set_services(configuration.services_by_name)
         logger.info("configuration version %d applied", document.version)
 
     def _publish_server(self, entry: ServerEntry) -> None:
--- a/src/galenadrum/_internal/control/routing/departure_file.py
+++ b/src/galenadrum/_internal/control/routing/departure_file.py
@@ -156,19 +156,22 @@
 
 
 def _encode_line(departure: Departure) -> bytes:
-    return encode_line(
-        [
-            departure.server_id,
-            departure.incarnation_ms,
-            departure.sequence,
-            departure.state.value,
-        ]
-    )
+    values: list[object] = [
+        departure.server_id,
+        departure.incarnation_ms,
+        departure.sequence,
+        departure.state.value,
+    ]
+    # Earlier builds skip a line with a service; they would apply it to any server.
+    return encode_line([*values, departure.service] if departure.service else values)
 
 
 def _decode_values(values: list) -> Departure | None:
     try:
-        server_id, incarnation_ms, sequence, state = values
-        return Departure(server_id, incarnation_ms, sequence, ServerState(state))
+        server_id, incarnation_ms, sequence, state, *more = values
+        (service,) = more or ("",)
+        return Departure(
+            server_id, incarnation_ms, sequence, ServerState(state), service
+        )
     except (ValueError, TypeError, InvalidAnnouncementError):
         return None
--- a/src/galenadrum/_internal/control/routing/departures.py
+++ b/src/galenadrum/_internal/control/routing/departures.py
@@ -79,7 +79,7 @@
         self._numbers = itertools.count(1)
         self._pending_by_number: dict[int, _PendingRecord] = {}
         # Loop times in seconds at which departures were acknowledged.
-        self._recorded_at: dict[tuple[str, int, ServerState], float] = {}
+        self._recorded_at: dict[tuple[str, str, int, ServerState], float] = {}
         self._last_members: tuple[str, ...] = ()
         self._writes: set[asyncio.Task[None]] = set()
 
@@ -96,7 +96,12 @@
             Whether most control hosts have it on disk, so that it may be acknowledged.
         """
         self._registry.record_departure(departure, self._loop.time())
-        key = (departure.server_id, departure.incarnation_ms, departure.state)
+        key = (
+            departure.server_id,
+            departure.service,
+            departure.incarnation_ms,
+            departure.state,
+        )
         if key in self._recorded_at:
             return True
         started_at = self._loop.time()
@@ -124,7 +129,7 @@
         if not members:
             return False
         links = [link for link in self._links_up() if link.address in members]
-        keepers = [link for link in links if link.peer.keeps_departures]
+        keepers = [link for link in links if _keeps_departure(link, departure)]
         number = next(self._numbers)
         pending = _PendingRecord(
             count_needed_copies(len(members), len(links) - len(keepers)),
@@ -187,7 +192,11 @@
 
     def hand_over(self, link: HostLink) -> None:
         """Send all departures to a control host that may lack them."""
-        departures = self._registry.list_departures()
+        departures = [
+            departure
+            for departure in self._registry.list_departures()
+            if _keeps_departure(link, departure)
+        ]
         for start in range(0, len(departures), _MESSAGE_DEPARTURES):
             part = departures[start : start + _MESSAGE_DEPARTURES]
             link.send(encode_departures(part, 0))
@@ -204,6 +213,12 @@
         task.add_done_callback(self._writes.discard)
 
 
+def _keeps_departure(link: HostLink, departure: Departure) -> bool:
+    """Return whether a control host's build keeps a departure as it is meant."""
+    is_scoped = not departure.service or link.peer.scopes_departures
+    return link.peer.keeps_departures and is_scoped
+
+
 def count_needed_copies(members: int, unable: int) -> int:
     """Return the number of disks that must hold a departure.
 
--- a/src/galenadrum/_internal/control/routing/link_service.py
+++ b/src/galenadrum/_internal/control/routing/link_service.py
@@ -46,7 +46,7 @@
     encode_server_entry,
 )
 from galenadrum._internal.gateway.permits import grant_permit
-from galenadrum._internal.models.announcements import LeavingServer
+from galenadrum._internal.models.announcements import Announcement, LeavingServer
 from galenadrum._internal.models.quarantine import QuarantinedPart
 from galenadrum._internal.models.server_limits import ServerLimit
 from galenadrum._internal.models.stream_bindings import StreamBinding
@@ -221,6 +221,15 @@
             if is_wanted:
                 link.send(message)
 
+    def send_held(self, announcement: Announcement, is_direct: bool) -> None:
+        """Send a held announcement, which each host judges by its own configuration.
+
+        Args:
+            announcement: The announcement.
+            is_direct: As for `send_entry`.
+        """
+        self.send_entry(ServerEntry(announcement), is_direct)
+
     def _encode_entry(self, entry: ServerEntry) -> pb.LinkMessage | None:
         """Return the message of an entry; None if it has none, so that others go on."""
         try:
@@ -431,7 +440,8 @@
             link.send(self._build_evacuations_message())
         now = self._loop.time()
         is_held = self._holds_servers() and not peer.is_control
-        for entry in self._registry if not is_held else ():
+        held = (ServerEntry(a) for a in self._registry.list_held())
+        for entry in (*self._registry, *held) if not is_held else ():
             message = self._encode_entry(entry)
             if message is not None:
                 link.send(message)
--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -3,6 +3,9 @@
 Announcements are ordered by incarnation and sequence, so that merging them gives the
 same result in any order of arrival. Departures are kept apart from the entries, so that
 a late announcement can't restore a server that has left, whether it is known or not.
+
+Only an announcement whose service the configuration names gets an entry, an address or
+an id. All others are held until their service is named, whichever host they come from.
 """
 
 from __future__ import annotations
@@ -11,6 +14,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 
+from galenadrum._internal.directory.held_announcements import HeldAnnouncements
 from galenadrum._internal.models.announcements import (
     MAX_SEQUENCE,
     Announcement,
@@ -81,6 +85,9 @@
             limited.
         find_longest_warm_up: Returns the longest warm-up in seconds of a service whose
             cold servers are limited, 0 for any other.
+        on_held: Called with each held announcement that is new or has changed, for
+            hosts that know a newer configuration. Not called before the first one, nor
+            if the id or address is that of a server in use.
     """
 
     def __init__(
@@ -88,9 +95,13 @@
         interval_s: float,
         on_changed: Callable[[ServerEntry], None],
         find_longest_warm_up: Callable[[str], float] = lambda service: 0.0,
+        on_held: Callable[[Announcement], None] = lambda announcement: None,
     ) -> None:
         self._silent_after_s = interval_s * SILENT_AFTER_INTERVALS
         self._on_changed = on_changed
+        self._on_held = on_held
+        self._services: frozenset[str] = frozenset()
+        self._held = HeldAnnouncements()
         self._find_longest_warm_up = find_longest_warm_up
         self._evacuated_zones: frozenset[str] = frozenset()
         # Loop time in seconds until which a server counts as cold, whatever it says.
@@ -100,8 +111,9 @@
         self._entries_by_id: dict[str, ServerEntry] = {}
         self._received_at_by_id: dict[str, float] = {}
         self._id_by_address: dict[str, str] = {}
-        self._departures_by_id: dict[str, Departure] = {}
-        self._departed_at_by_id: dict[str, float] = {}
+        # By server id and service; the service is empty in most departures.
+        self._departures_by_key: dict[tuple[str, str], Departure] = {}
+        self._departed_at_by_key: dict[tuple[str, str], float] = {}
 
     def __iter__(self) -> Iterator[ServerEntry]:
         return iter(self._entries_by_id.values())
@@ -115,12 +127,51 @@
         server_id = self._id_by_address.get(address)
         return self._entries_by_id.get(server_id) if server_id is not None else None
 
+    @property
+    def held_count(self) -> int:
+        """Number of held announcements."""
+        return len(self._held)
+
+    def names_service(self, service: str) -> bool:
+        """Return whether the configuration names a service."""
+        return service in self._services
+
+    def set_services(self, services: Iterable[str]) -> tuple[str, ...]:
+        """Set the services that the configuration names.
+
+        The held announcements of services that are named now are merged. Entries of
+        services that are named no more stay, but can't defend their address.
+
+        Returns:
+            Ids of the servers whose held announcements were merged.
+        """
+        self._services = frozenset(services)
+        return tuple(
+            held.announcement.server_id
+            for held in self._held.release(self._services)
+            if self.apply_announcement(held.announcement, held.received_at)
+        )
+
+    def list_held(self) -> list[Announcement]:
+        """Return the held announcements that `on_held` would be called with."""
+        held = self._held if self._services else ()
+        return [a for a in held if not self._contests_entry(a)]
+
+    def find_incarnation(self, server_id: str) -> int | None:
+        """Return the incarnation of a server in Unix milliseconds, None if unknown."""
+        entry = self._entries_by_id.get(server_id)
+        latest = entry.announcement if entry else self._held.find_latest(server_id)
+        return latest.incarnation_ms if latest is not None else None
+
     def apply_announcement(self, announcement: Announcement, now: float) -> bool:
-        """Merge an announcement.
+        """Merge an announcement, or hold it if its service isn't named.
 
         Returns:
-            False if the announcement is outdated and was ignored.
+            False if the announcement is held, or outdated and was ignored.
         """
+        if announcement.service not in self._services:
+            self._hold(announcement, now)
+            return False
         known = self._entries_by_id.get(announcement.server_id)
         if known is not None and announcement.order <= known.announcement.order:
             return False
@@ -138,6 +189,32 @@
         self._store_entry(entry, known)
         return True
 
+    def _hold(self, announcement: Announcement, now: float) -> None:
+        if not self._held.hold(announcement, now):
+            return
+        is_contesting = self._contests_entry(announcement)
+        logger.info(
+            "no configuration names service %s; holding the announcement of server %s "
+            "at %s (%s, incarnation %d, sequence %d)%s",
+            announcement.service,
+            announcement.server_id,
+            announcement.address,
+            announcement.state.value,
+            announcement.incarnation_ms,
+            announcement.sequence,
+            ", whose id or address is in use" if is_contesting else "",
+        )
+        if self._services and not is_contesting:
+            self._on_held(announcement)
+
+    def _contests_entry(self, announcement: Announcement) -> bool:
+        """Return whether the id or the address is that of another server in use."""
+        known = self._entries_by_id.get(announcement.server_id)
+        if known is not None and known.announcement.service != announcement.service:
+            return True
+        holder_id = self._id_by_address.get(announcement.address)
+        return holder_id not in (None, announcement.server_id)
+
     def set_evacuated_zones(self, zones: Iterable[str], now: float) -> None:
         """Evacuate the given zones, and take the others back."""
         former, self._evacuated_zones = self._evacuated_zones, frozenset(zones)
@@ -193,17 +270,19 @@
         Returns:
             False if that is known already, or of an earlier incarnation.
         """
-        server_id = departure.server_id
-        recorded = self._departures_by_id.get(server_id)
+        key = (departure.server_id, departure.service)
+        recorded = self._departures_by_key.get(key)
         if recorded is not None and departure.order <= recorded.order:
             return False
-        known = self._entries_by_id.get(server_id)
+        known = self._entries_by_id.get(departure.server_id)
+        if known is not None and not departure.concerns(known.announcement):
+            known = None
         if known is not None and (
             known.announcement.incarnation_ms > departure.incarnation_ms
         ):
             return False
-        self._departures_by_id[server_id] = departure
-        self._departed_at_by_id[server_id] = now
+        self._departures_by_key[key] = departure
+        self._departed_at_by_key[key] = now
         if known is not None:
             announcement = self._apply_departure(known.announcement)
             self._store_entry(replace(known, announcement=announcement), known)
@@ -229,11 +308,26 @@
         """Return the departures of incarnations that no later one has replaced."""
         return [
             departure
-            for server_id, departure in self._departures_by_id.items()
-            if (entry := self._entries_by_id.get(server_id)) is None
+            for departure in self._departures_by_key.values()
+            if (entry := self._find_departed(departure)) is None
             or entry.announcement.incarnation_ms <= departure.incarnation_ms
         ]
 
+    def _find_departed(self, departure: Departure) -> ServerEntry | None:
+        """Return the entry of a departure's server."""
+        entry = self._entries_by_id.get(departure.server_id)
+        is_concerned = entry is not None and departure.concerns(entry.announcement)
+        return entry if is_concerned else None
+
+    def _find_departure(self, announcement: Announcement) -> Departure | None:
+        """Return the departure that counts for the server of an announcement."""
+        server_id = announcement.server_id
+        departures = (
+            self._departures_by_key.get((server_id, service))
+            for service in ("", announcement.service)
+        )
+        return max(filter(None, departures), key=lambda d: d.order, default=None)
+
     def list_leaving(self) -> list[LeavingServer]:
         """Return the servers whose current incarnation is marked as leaving."""
         return [
@@ -241,11 +335,12 @@
             for departure in self.list_departures()
             if departure.state is ServerState.DRAINING
             and departure.sequence == MAX_SEQUENCE
+            and not departure.service
         ]
 
     def _apply_departure(self, announcement: Announcement) -> Announcement:
         """Return an announcement with the state that its server's departure leaves."""
-        departure = self._departures_by_id.get(announcement.server_id)
+        departure = self._find_departure(announcement)
         if departure is None or departure.incarnation_ms != announcement.incarnation_ms:
             return announcement
         if departure.state is ServerState.GONE:
@@ -296,17 +391,18 @@
             self._cut_incarnation_by_id.pop(server_id, None)
             if self._id_by_address.get(address) == server_id:
                 del self._id_by_address[address]
+        self._held.prune(now - REMOVE_AFTER_S)
         self._prune_departures(now)
         return expired_ids
 
     def _prune_departures(self, now: float) -> None:
-        for server_id, departed_at in list(self._departed_at_by_id.items()):
+        for key, departed_at in list(self._departed_at_by_key.items()):
             # The departure of a known server is kept for as long as its entry.
-            if server_id not in self._entries_by_id and (
-                now - departed_at > REMOVE_AFTER_S
+            if now - departed_at > REMOVE_AFTER_S and (
+                self._find_departed(self._departures_by_key[key]) is None
             ):
-                del self._departures_by_id[server_id]
-                del self._departed_at_by_id[server_id]
+                del self._departures_by_key[key]
+                del self._departed_at_by_key[key]
 
     def last_received_at(self, server_id: str) -> float:
         """Return the loop time in seconds of a server's last announcement or renewal.
@@ -361,7 +457,8 @@
         if holder_id is None or holder_id == announcement.server_id:
             return False
         holder = self._entries_by_id[holder_id].announcement
-        return holder.incarnation_ms > announcement.incarnation_ms
+        is_later = holder.incarnation_ms > announcement.incarnation_ms
+        return is_later and holder.service in self._services
 
     def _has_left(self, announcement: Announcement) -> bool:
         """Return whether an announcement's incarnation, or a later one, is gone."""
@@ -369,7 +466,7 @@
         incarnation_ms = announcement.incarnation_ms
         if known is not None and known.announcement.state is ServerState.GONE:
             return known.announcement.incarnation_ms == incarnation_ms
-        departure = self._departures_by_id.get(announcement.server_id)
+        departure = self._find_departure(announcement)
         if departure is None or incarnation_ms > departure.incarnation_ms:
             return False
         is_same = incarnation_ms == departure.incarnation_ms
--- a/src/galenadrum/_internal/gateway/daemon.py
+++ b/src/galenadrum/_internal/gateway/daemon.py
@@ -334,6 +334,9 @@
             "evacuated_zones", lambda: len(self.evacuated_zones.zones)
         )
         self.metrics.register_gauge("cold_servers", self._count_cold_servers)
+        self.metrics.register_gauge(
+            "held_announcements", lambda: self.servers.registry.held_count
+        )
         self.metrics.register_gauge("links_up", lambda: len(self.links.links_up()))
         self.metrics.register_gauge(
             "busy_connections", lambda: self._caller_server.busy_count
@@ -463,6 +466,7 @@
         self.lease.record_applied_version(document.version)
         self.cold_servers.configure(configuration.services_by_name)
         self.dispatch.configure(configuration.services_by_name)
+        self.servers.set_services(configuration.services_by_name)
         logger.info(
             "applied configuration version %d (previous version: %s)",
             document.version,
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -418,6 +418,7 @@
             incarnation_ms=departure.incarnation_ms,
             sequence=departure.sequence,
             state=departure.state.value,
+            service=departure.service,
         )
         for departure in departures
     ]
@@ -436,6 +437,7 @@
             departure.incarnation_ms,
             departure.sequence,
             ServerState(departure.state),
+            departure.service,
         )
         for departure in record.departures
     ]
--- a/src/galenadrum/_internal/gateway/server_directory.py
+++ b/src/galenadrum/_internal/gateway/server_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from galenadrum._internal.directory.registry import Registry, ServerEntry
 from galenadrum._internal.gateway.link_codec import decode_announcement
@@ -28,24 +28,37 @@
     ) -> None:
         # Control hosts detect silence, so detection is off in this registry.
         self.registry = Registry(float("inf"), on_changed, find_longest_warm_up)
-        self._silent_ids_by_link: dict[str, set[str]] = {}
+        # Ids and services of the servers that each linked control host calls silent.
+        self._silent_by_link: dict[str, set[tuple[str, str]]] = {}
 
     def record_announcement(
         self, link_address: str, record: ServerAnnouncement, now: float
     ) -> None:
         """Record a server announcement relayed by one control host."""
         self.registry.apply_announcement(decode_announcement(record), now)
-        silent_ids = self._silent_ids_by_link.setdefault(link_address, set())
+        silent = self._silent_by_link.setdefault(link_address, set())
+        server = (record.server_id, record.service)
         if record.is_silent:
-            silent_ids.add(record.server_id)
+            silent.add(server)
         else:
-            silent_ids.discard(record.server_id)
-        is_silent = all(
-            record.server_id in ids for ids in self._silent_ids_by_link.values()
-        )
-        self.registry.set_silent(record.server_id, is_silent)
+            silent.discard(server)
+        self._update_silence(*server)
+
+    def set_services(self, services: Iterable[str]) -> None:
+        """Set the services that the configuration names."""
+        for server_id in self.registry.set_services(services):
+            service = self.registry.get(server_id).announcement.service
+            self._update_silence(server_id, service)
+
+    def _update_silence(self, server_id: str, service: str) -> None:
+        """Apply the silence reports to a server unless its id is another service's."""
+        entry = self.registry.get(server_id)
+        if entry is not None and entry.announcement.service == service:
+            reports = self._silent_by_link.values()
+            is_silent = all((server_id, service) in silent for silent in reports)
+            self.registry.set_silent(server_id, is_silent)
 
     def remove_link(self, link_address: str) -> None:
         """Discard the silence reports of a lost link, unless it is the last one."""
-        if len(self._silent_ids_by_link) > 1:
-            self._silent_ids_by_link.pop(link_address, None)
+        if len(self._silent_by_link) > 1:
+            self._silent_by_link.pop(link_address, None)
--- a/src/galenadrum/_internal/models/announcements.py
+++ b/src/galenadrum/_internal/models/announcements.py
@@ -93,6 +93,8 @@
         sequence: Sequence of the announcement that said so. Announcements up to it
             can't restore the server.
         state: DRAINING or GONE.
+        service: Service of the server, if no configuration named it when the departure
+            was recorded; empty for the server of any service.
 
     Raises:
         InvalidAnnouncementError: A value is out of its bounds.
@@ -102,9 +104,11 @@
     incarnation_ms: int
     sequence: int
     state: ServerState
+    service: str = ""
 
     def __post_init__(self) -> None:
         _check_text(self.server_id, "server_id", self.server_id)
+        _check_text(self.server_id, "service", self.service)
         _check_number(
             self.server_id, "incarnation_ms", self.incarnation_ms, MAX_INCARNATION_MS
         )
@@ -115,6 +119,12 @@
         """Sort key of the departures of one server; the one that counts is highest."""
         return self.incarnation_ms, self.state is ServerState.GONE, self.sequence
 
+    def concerns(self, announcement: Announcement) -> bool:
+        """Return whether this departure is that of the server of an announcement."""
+        return self.server_id == announcement.server_id and (
+            self.service in ("", announcement.service)
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class LeavingServer:
--- a/tests/lib/cold_servers.py
+++ b/tests/lib/cold_servers.py
@@ -39,6 +39,7 @@
         self.registry = Registry(
             1.2, self._publish, self.cold_servers.find_longest_warm_up
         )
+        self.registry.set_services(services)
         self.limits = ServerLimits(self._find, cold_servers=self.cold_servers)
 
     def _build_cold_servers(self):
--- a/tests/unit/control/routing/test_departure_records.py
+++ b/tests/unit/control/routing/test_departure_records.py
@@ -4,6 +4,7 @@
 import contextlib
 import errno
 import os
+from dataclasses import replace
 
 import pytest
 
@@ -12,6 +13,7 @@
     DepartureRecorder,
     count_needed_copies,
 )
+from galenadrum._internal.control.routing.record_lines import decode_lines
 from galenadrum._internal.directory.registry import REMOVE_AFTER_S, Registry
 from galenadrum._internal.models.announcements import Departure, ServerState
 from galenadrum._internal.observability.metrics import Metrics
@@ -64,6 +66,15 @@
             departure(3),
         ]
 
+    def test_service_is_lost_or_changes_the_lines_of_other_departures(self, tmp_path):
+        named, unnamed = departure(1), replace(departure(2), service="node-exporter")
+        write(tmp_path, [named, unnamed])
+        assert load(tmp_path) == [named, unnamed]
+        (path,) = tmp_path.iterdir()
+        # The build before skips a line with more values.
+        records, _ = decode_lines(path.read_bytes())
+        assert [len(values) for values in records] == [4, 5]
+
     def test_torn_line_hides_later_ones(self, tmp_path):
         write(tmp_path, [departure(1)])
         (path,) = tmp_path.iterdir()
@@ -131,6 +142,7 @@
         self.links = [FakeLink(f"other-{n}") for n in range(others)]
         self.members = (OWN, *(link.address for link in self.links))
         self.registry = Registry(1.0, lambda entry: None)
+        self.registry.set_services(["encode"])
         self.file = DepartureFile(folder)
         if not is_disk_sound:
             self.file.write = lambda departures: asyncio.sleep(60)
@@ -193,6 +205,30 @@
 
         run_control(tmp_path, steps, others, is_disk_sound=is_disk_sound)
 
+    @pytest.mark.parametrize("scopes", [False, True])
+    def test_build_before_applies_a_departure_to_any_service(self, scopes, tmp_path):
+        async def steps(control):
+            for link in control.links:
+                link.peer.scopes_departures = scopes
+            unnamed = replace(departure(), service="node-exporter")
+            # The others don't count while their build would take it for another's.
+            assert await control.record(1, unnamed)
+            control.recorder.hand_over(control.links[1])
+            sent = [m for link in control.links for m in link.sent]
+            assert len(sent) == (3 if scopes else 0)
+
+        run_control(tmp_path, steps, 2)
+
+    def test_departure_of_an_unnamed_service_acknowledges_another(self, tmp_path):
+        async def steps(control):
+            for link in control.links:
+                link.peer.scopes_departures = True
+            unnamed = replace(departure(), service="node-exporter")
+            assert await control.record(1, unnamed)
+            assert not await control.record(0)
+
+        run_control(tmp_path, steps, 2)
+
     def test_recorded_departure_is_acknowledged_again_at_once(self, tmp_path):
         async def steps(control):
             assert await control.record(1)
--- a/tests/unit/directory/test_server_registry.py
+++ b/tests/unit/directory/test_server_registry.py
@@ -22,7 +22,9 @@
 
 def create_registry():
     changed = []
-    return Registry(INTERVAL_S, changed.append), changed
+    registry = Registry(INTERVAL_S, changed.append)
+    registry.set_services(["encode", "generate", "stock"])
+    return registry, changed
 
 
 class TestOrder:
@@ -285,6 +287,7 @@
 
     def test_servers_taken_back_count_as_cold_whatever_they_announce(self):
         registry = Registry(INTERVAL_S, lambda entry: None, {"stock": 3.0}.get)
+        registry.set_services(["stock"])
         registry.apply_announcement(announcement(zone="b", service="stock"), 0.0)
         registry.set_evacuated_zones(["b"], 1.0)
         registry.set_evacuated_zones([], 10.0)
--- a/tests/unit/gateway/test_server_paths.py
+++ b/tests/unit/gateway/test_server_paths.py
@@ -31,6 +31,7 @@
     def test_engine_fetches_a_prompt_from_an_evacuated_engine(self):
         async def run():
             registry = Registry(1.0, lambda entry: None)
+            registry.set_services(["generate"])
             registry.apply_announcement(announcement("g", "generate", "b"), 0.0)
             address = registry.get("g").announcement.address
             paths = create_paths(registry)
