Let a server hold only the address of its entry

What callers saw: 503 for each request of a service for about a minute, after its engines had restarted under their ids at other addresses and engines of another service had taken the former ones.

Cause: the registry kept the former address of a server that moved in its index. The next server there was taken for its successor, and the moved server's current incarnation was marked as gone until its entry was removed after 60 s. Once removed, its id stayed in the index: each announcement from the address raised KeyError.

Evidence: with a registry alone: a-1 at A, a-1 at B with a later start, g at A; a-1 is gone.

Change: one function moves an entry and the index together. A server that loses its address counts as gone only until it announces itself elsewhere, so that it doesn't matter whether its move or the reuse becomes known first; one that is gone takes no address. As with announcements of services that aren't named, the user of an address whose service is named no more doesn't keep its predecessor from it. deregister_server had no other user left; its four uses in tests check the same with the departure that the API records.

--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -19,7 +19,6 @@
     MAX_SEQUENCE,
     Announcement,
     Departure,
-    Deregistration,
     LeavingServer,
     ServerState,
 )
@@ -123,9 +122,9 @@
         return self._entries_by_id.get(server_id)
 
     def find_by_address(self, address: str) -> ServerEntry | None:
-        """Return the entry of the server that uses an address."""
+        """Return the entry of the server that holds an address."""
         server_id = self._id_by_address.get(address)
-        return self._entries_by_id.get(server_id) if server_id is not None else None
+        return self._entries_by_id[server_id] if server_id is not None else None
 
     @property
     def held_count(self) -> int:
@@ -178,7 +177,6 @@
         if self._is_superseded(announcement) or self._has_left(announcement):
             return False
         announcement = self._apply_departure(announcement)
-        self._reassign_address(announcement)
         self._received_at_by_id[announcement.server_id] = now
         warm_up_ends_at = max(
             self._find_warm_up_end(announcement, known, now),
@@ -186,7 +184,7 @@
         )
         is_evacuated = announcement.zone in self._evacuated_zones
         entry = ServerEntry(announcement, False, warm_up_ends_at, is_evacuated)
-        self._store_entry(entry, known)
+        self._store_announced(entry, known)
         return True
 
     def _hold(self, announcement: Announcement, now: float) -> None:
@@ -245,25 +243,6 @@
         entries = self._entries_by_id.values()
         return [entry for entry in entries if entry.announcement.zone == zone]
 
-    def deregister_server(self, deregistration: Deregistration) -> bool:
-        """Mark a server as gone.
-
-        Returns:
-            False if the server is unknown, gone already or of another incarnation.
-        """
-        known = self._entries_by_id.get(deregistration.server_id)
-        if known is None:
-            return False
-        announcement = known.announcement
-        incarnation_ms = deregistration.incarnation_ms or announcement.incarnation_ms
-        if incarnation_ms != announcement.incarnation_ms:
-            return False
-        if announcement.state is ServerState.GONE:
-            return False
-        gone = replace(announcement, state=ServerState.GONE, sequence=_GONE_SEQUENCE)
-        self._store_entry(replace(known, announcement=gone), known)
-        return True
-
     def record_departure(self, departure: Departure, now: float) -> bool:
         """Record that an incarnation of a server takes no new work any more.
 
@@ -385,12 +364,10 @@
             and now - self._received_at_by_id[server_id] > REMOVE_AFTER_S
         )
         for server_id in expired_ids:
-            address = self._entries_by_id.pop(server_id).announcement.address
+            self._release_address(self._entries_by_id.pop(server_id))
             del self._received_at_by_id[server_id]
             self._cold_until_by_id.pop(server_id, None)
             self._cut_incarnation_by_id.pop(server_id, None)
-            if self._id_by_address.get(address) == server_id:
-                del self._id_by_address[address]
         self._held.prune(now - REMOVE_AFTER_S)
         self._prune_departures(now)
         return expired_ids
@@ -451,34 +428,67 @@
             announcement.service,
         )
 
-    def _is_superseded(self, announcement: Announcement) -> bool:
-        """Return whether a later incarnation under another id uses the address."""
+    def _find_holder(self, announcement: Announcement) -> ServerEntry | None:
+        """Return the entry of another server that holds the announced address."""
         holder_id = self._id_by_address.get(announcement.address)
-        if holder_id is None or holder_id == announcement.server_id:
+        if holder_id in (None, announcement.server_id):
+            return None
+        return self._entries_by_id[holder_id]
+
+    def _is_superseded(self, announcement: Announcement) -> bool:
+        """Return whether another server keeps the announced address.
+
+        That is one of a named service with a later incarnation, or also with the same
+        one if the announced server has lost the address to another before.
+        """
+        holder = self._find_holder(announcement)
+        if holder is None or holder.announcement.service not in self._services:
             return False
-        holder = self._entries_by_id[holder_id].announcement
-        is_later = holder.incarnation_ms > announcement.incarnation_ms
-        return is_later and holder.service in self._services
+        known = self._entries_by_id.get(announcement.server_id)
+        has_lost_address = (
+            known is not None
+            and known.announcement.state is ServerState.GONE
+            and known.announcement.incarnation_ms == announcement.incarnation_ms
+            and known.announcement.address == announcement.address
+        )
+        holder_ms, own_ms = (
+            holder.announcement.incarnation_ms,
+            announcement.incarnation_ms,
+        )
+        return holder_ms > own_ms or (has_lost_address and holder_ms == own_ms)
 
     def _has_left(self, announcement: Announcement) -> bool:
         """Return whether an announcement's incarnation, or a later one, is gone."""
-        known = self._entries_by_id.get(announcement.server_id)
-        incarnation_ms = announcement.incarnation_ms
-        if known is not None and known.announcement.state is ServerState.GONE:
-            return known.announcement.incarnation_ms == incarnation_ms
         departure = self._find_departure(announcement)
-        if departure is None or incarnation_ms > departure.incarnation_ms:
+        if departure is None or announcement.incarnation_ms > departure.incarnation_ms:
             return False
-        is_same = incarnation_ms == departure.incarnation_ms
+        is_same = announcement.incarnation_ms == departure.incarnation_ms
         return not is_same or departure.state is ServerState.GONE
 
-    def _reassign_address(self, announcement: Announcement) -> None:
-        """Assign the address to the server and mark its former user as gone."""
-        holder_id = self._id_by_address.get(announcement.address)
-        if holder_id is not None and holder_id != announcement.server_id:
-            holder = self._entries_by_id[holder_id].announcement
-            self.deregister_server(Deregistration(holder_id, holder.incarnation_ms))
-        self._id_by_address[announcement.address] = announcement.server_id
+    def _store_announced(self, entry: ServerEntry, known: ServerEntry | None) -> None:
+        """Store the entry of an announcement, and let its server hold the address.
+
+        It is the only function that changes which server holds an address, except that
+        removed entries hold none. A server holds only the address of its entry. One
+        that loses its address counts as gone until it announces itself elsewhere; one
+        that is gone takes no address from another.
+        """
+        address = entry.announcement.address
+        if known is not None and known.announcement.address != address:
+            self._release_address(known)
+        holder = self._find_holder(entry.announcement)
+        if holder is None:
+            self._id_by_address[address] = entry.server_id
+        elif entry.announcement.state is not ServerState.GONE:
+            lost = replace(holder.announcement, state=ServerState.GONE)
+            self._store_entry(replace(holder, announcement=lost), holder)
+            self._id_by_address[address] = entry.server_id
+        self._store_entry(entry, known)
+
+    def _release_address(self, entry: ServerEntry) -> None:
+        address = entry.announcement.address
+        if self._id_by_address.get(address) == entry.server_id:
+            del self._id_by_address[address]
 
     def _store_entry(self, entry: ServerEntry, known: ServerEntry | None) -> None:
         self._entries_by_id[entry.server_id] = entry
--- a/tests/lib/routing_deployment.py
+++ b/tests/lib/routing_deployment.py
@@ -184,8 +184,9 @@
         )
         await self.entry_daemon_by_zone[zone].start()
 
-    async def add_engine(self, server_id, service, zone="a", **more):
-        engine = FakePlatformEngine(server_id, service, reserve_address(), zone, **more)
+    async def add_engine(self, server_id, service, zone="a", address=None, **more):
+        address = address or reserve_address()
+        engine = FakePlatformEngine(server_id, service, address, zone, **more)
         self.engines[server_id] = engine
         await engine.start()
         self._tasks.append(asyncio.ensure_future(self._announce_repeatedly(engine)))
--- a/tests/unit/directory/test_server_registry.py
+++ b/tests/unit/directory/test_server_registry.py
@@ -10,8 +10,8 @@
 from galenadrum._internal.directory.evacuated_zones import EvacuatedZones
 from galenadrum._internal.directory.registry import REMOVE_AFTER_S, Registry
 from galenadrum._internal.models.announcements import (
+    MAX_SEQUENCE,
     Departure,
-    Deregistration,
     LeavingServer,
     ServerState,
 )
@@ -55,14 +55,16 @@
     def test_late_announcement_does_not_restore_a_server_that_left(self):
         registry, _ = create_registry()
         registry.apply_announcement(announcement(sequence=5), 0.0)
-        registry.deregister_server(Deregistration("a-1", 1_000))
+        departure = Departure("a-1", 1_000, MAX_SEQUENCE, ServerState.GONE)
+        assert registry.record_departure(departure, 0.0)
         assert not registry.apply_announcement(announcement(sequence=6), 0.1)
         assert registry.get("a-1").announcement.state is ServerState.GONE
 
     def test_farewell_of_an_earlier_incarnation_changes_nothing(self):
         registry, _ = create_registry()
         registry.apply_announcement(announcement(incarnation_ms=2_000), 0.0)
-        assert not registry.deregister_server(Deregistration("a-1", 1_000))
+        departure = Departure("a-1", 1_000, MAX_SEQUENCE, ServerState.GONE)
+        assert not registry.record_departure(departure, 1.0)
         assert registry.get("a-1").accepts_requests
 
     @given(
@@ -197,7 +199,8 @@
 
     def test_marks_end_with_their_servers(self):
         registry, _ = self.create_leaving()
-        registry.deregister_server(Deregistration("a-1", 1_000))
+        departure = Departure("a-1", 1_000, MAX_SEQUENCE, ServerState.GONE)
+        assert registry.record_departure(departure, 0.0)
         registry.prune(REMOVE_AFTER_S + 1.0)
         assert registry.list_leaving() == []
 
@@ -272,7 +275,8 @@
         registry, _ = create_registry()
         registry.apply_announcement(announcement(zone="b"), 0.0)
         registry.set_evacuated_zones(["b"], 1.0)
-        registry.deregister_server(Deregistration("a-1", 1_000))
+        departure = Departure("a-1", 1_000, MAX_SEQUENCE, ServerState.GONE)
+        assert registry.record_departure(departure, 0.0)
         registry.set_evacuated_zones([], 2.0)
         assert not registry.get("a-1").accepts_requests
 
