Tell a departure of a service without a name from one of any service

What callers would see: 503 for the requests of a service after a heartbeat of another writer under its engine's id, draining, with the empty text as service.

Cause: in departures the empty service stood both for a service that an announcement may name and for that of any server, so that such a departure concerned the engine.

Change: the service of a departure is None, and absent in messages and on disk, if it concerns any server. What is stored and sent without a service stays as it was.

--- a/src/galenadrum/_internal/control/routing/api.py
+++ b/src/galenadrum/_internal/control/routing/api.py
@@ -89,7 +89,7 @@
                 announcement.incarnation_ms,
                 announcement.sequence,
                 announcement.state,
-                "" if is_named else announcement.service,
+                None if is_named else announcement.service,
             )
         )
 
--- a/src/galenadrum/_internal/control/routing/departure_file.py
+++ b/src/galenadrum/_internal/control/routing/departure_file.py
@@ -163,13 +163,15 @@
         departure.state.value,
     ]
     # Earlier builds skip a line with a service; they would apply it to any server.
-    return encode_line([*values, departure.service] if departure.service else values)
+    if departure.service is not None:
+        values.append(departure.service)
+    return encode_line(values)
 
 
 def _decode_values(values: list) -> Departure | None:
     try:
         server_id, incarnation_ms, sequence, state, *more = values
-        (service,) = more or ("",)
+        (service,) = more or (None,)
         return Departure(
             server_id, incarnation_ms, sequence, ServerState(state), service
         )
--- a/src/galenadrum/_internal/control/routing/departures.py
+++ b/src/galenadrum/_internal/control/routing/departures.py
@@ -79,7 +79,7 @@
         self._numbers = itertools.count(1)
         self._pending_by_number: dict[int, _PendingRecord] = {}
         # Loop times in seconds at which departures were acknowledged.
-        self._recorded_at: dict[tuple[str, str, int, ServerState], float] = {}
+        self._recorded_at: dict[tuple[str, str | None, int, ServerState], float] = {}
         self._last_members: tuple[str, ...] = ()
         self._writes: set[asyncio.Task[None]] = set()
 
@@ -215,8 +215,8 @@
 
 def _keeps_departure(link: HostLink, departure: Departure) -> bool:
     """Return whether a control host's build keeps a departure as it is meant."""
-    is_scoped = not departure.service or link.peer.scopes_departures
-    return link.peer.keeps_departures and is_scoped
+    is_understood = departure.service is None or link.peer.scopes_departures
+    return link.peer.keeps_departures and is_understood
 
 
 def count_needed_copies(members: int, unable: int) -> int:
--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -110,9 +110,9 @@
         self._entries_by_id: dict[str, ServerEntry] = {}
         self._received_at_by_id: dict[str, float] = {}
         self._id_by_address: dict[str, str] = {}
-        # By server id and service; the service is empty in most departures.
-        self._departures_by_key: dict[tuple[str, str], Departure] = {}
-        self._departed_at_by_key: dict[tuple[str, str], float] = {}
+        # By server id and service, which most departures don't name.
+        self._departures_by_key: dict[tuple[str, str | None], Departure] = {}
+        self._departed_at_by_key: dict[tuple[str, str | None], float] = {}
 
     def __iter__(self) -> Iterator[ServerEntry]:
         return iter(self._entries_by_id.values())
@@ -303,7 +303,7 @@
         server_id = announcement.server_id
         departures = (
             self._departures_by_key.get((server_id, service))
-            for service in ("", announcement.service)
+            for service in (None, announcement.service)
         )
         return max(filter(None, departures), key=lambda d: d.order, default=None)
 
@@ -314,7 +314,7 @@
             for departure in self.list_departures()
             if departure.state is ServerState.DRAINING
             and departure.sequence == MAX_SEQUENCE
-            and not departure.service
+            and departure.service is None
         ]
 
     def _apply_departure(self, announcement: Announcement) -> Announcement:
--- a/src/galenadrum/_internal/gateway/link_codec.py
+++ b/src/galenadrum/_internal/gateway/link_codec.py
@@ -437,7 +437,7 @@
             departure.incarnation_ms,
             departure.sequence,
             ServerState(departure.state),
-            departure.service,
+            departure.service if departure.HasField("service") else None,
         )
         for departure in record.departures
     ]
--- a/src/galenadrum/_internal/models/announcements.py
+++ b/src/galenadrum/_internal/models/announcements.py
@@ -94,7 +94,7 @@
             can't restore the server.
         state: DRAINING or GONE.
         service: Service of the server, if no configuration named it when the departure
-            was recorded; empty for the server of any service.
+            was recorded; None for the server of any service.
 
     Raises:
         InvalidAnnouncementError: A value is out of its bounds.
@@ -104,11 +104,12 @@
     incarnation_ms: int
     sequence: int
     state: ServerState
-    service: str = ""
+    service: str | None = None
 
     def __post_init__(self) -> None:
         _check_text(self.server_id, "server_id", self.server_id)
-        _check_text(self.server_id, "service", self.service)
+        if self.service is not None:
+            _check_text(self.server_id, "service", self.service)
         _check_number(
             self.server_id, "incarnation_ms", self.incarnation_ms, MAX_INCARNATION_MS
         )
@@ -122,7 +123,7 @@
     def concerns(self, announcement: Announcement) -> bool:
         """Return whether this departure is that of the server of an announcement."""
         return self.server_id == announcement.server_id and (
-            self.service in ("", announcement.service)
+            self.service in (None, announcement.service)
         )
 
 
--- a/tests/functional/routing/test_unnamed_services.py
+++ b/tests/functional/routing/test_unnamed_services.py
@@ -40,6 +40,13 @@
         "Sequence": 10**9,
         "State": "draining",
     },
+    "id, draining, no name": {
+        "id": "{}",
+        "born": 0,
+        "Sequence": 10**9,
+        "State": "draining",
+        "Service": "",
+    },
     "id, later and draining": {"id": "{}", "born": LATER_MS, "State": "draining"},
 }
 
--- a/tests/unit/control/routing/test_departure_records.py
+++ b/tests/unit/control/routing/test_departure_records.py
@@ -66,8 +66,9 @@
             departure(3),
         ]
 
-    def test_service_is_lost_or_changes_the_lines_of_other_departures(self, tmp_path):
-        named, unnamed = departure(1), replace(departure(2), service="node-exporter")
+    @pytest.mark.parametrize("service", ["node-exporter", ""])
+    def test_service_is_lost_or_changes_other_lines(self, service, tmp_path):
+        named, unnamed = departure(1), replace(departure(2), service=service)
         write(tmp_path, [named, unnamed])
         assert load(tmp_path) == [named, unnamed]
         (path,) = tmp_path.iterdir()
--- a/tests/unit/directory/test_held_announcements.py
+++ b/tests/unit/directory/test_held_announcements.py
@@ -2,7 +2,11 @@
 
 from galenadrum._internal.directory.held_announcements import MAX_HELD
 from galenadrum._internal.directory.registry import REMOVE_AFTER_S, Registry
-from galenadrum._internal.gateway.link_codec import encode_server_entry
+from galenadrum._internal.gateway.link_codec import (
+    decode_departures,
+    encode_departures,
+    encode_server_entry,
+)
 from galenadrum._internal.gateway.server_directory import ServerDirectory
 from galenadrum._internal.models.announcements import (
     MAX_SEQUENCE,
@@ -59,6 +63,17 @@
         assert registry.get("a-1").accepts_requests
         assert not registry.list_leaving()
 
+    def test_empty_service_stands_for_any(self):
+        # Another writer may announce a service without a name.
+        registry, _ = create_registry("encode")
+        registry.apply_announcement(announcement(), 0.0)
+        departure = Departure("a-1", 9_000, 5, ServerState.DRAINING, "")
+        (relayed,) = decode_departures(encode_departures([departure], 0).departures)
+        assert relayed == departure
+        registry.record_departure(relayed, 1.0)
+        assert registry.get("a-1").accepts_requests
+        assert registry.apply_announcement(announcement(sequence=2), 2.0)
+
     def test_own_departure_is_hidden_by_one_of_an_unnamed_service(self):
         registry, _ = create_registry("encode")
         registry.apply_announcement(announcement(sequence=5), 0.0)
