Let the soak announce unnamed services and begin at version 0

Cause: the soak knew neither another writer nor a first configuration of version 0. Change: beside the faults, announcements of services that no configuration names contest the ids and addresses of its engines; its first configuration has version 0. A test of servers that are held back gets a configuration, without which no server is used.

--- a/tests/functional/routing/test_evacuations.py
+++ b/tests/functional/routing/test_evacuations.py
@@ -1,8 +1,10 @@
 """Evacuations of zones: which servers get requests while an order holds."""
 
 import asyncio
+import json
 
-from lib.routing_deployment import RoutingDeployment, run_deployment
+from galenadrum._internal.configuration.state import VersionedDocument
+from lib.routing_deployment import RoutingDeployment, configuration, run_deployment
 from lib.stream_caller import PROMPT_HEADERS
 
 ENGINES = [
@@ -130,6 +132,8 @@
             engine = await deployment.add_engine("plain-b", "plain", "b")
             control = deployment.control_daemon_by_zone["a"]
             entry = deployment.entry_daemon_by_zone["a"]
+            # As from a snapshot: servers are used only if a configuration names them.
+            control.state.apply(1, encode_document(configuration()))
             try:
                 await deployment.wait_until(
                     lambda: control.registry.get(engine.server_id) is not None
@@ -145,6 +149,11 @@
         asyncio.run(run())
 
 
+def encode_document(document):
+    data = json.dumps(document).encode()
+    return VersionedDocument.from_bytes(document["Version"], data).to_command()
+
+
 class TestRunningRequests:
     def test_release_of_results_reaches_an_evacuated_stage_server(self, tmp_path):
         engines = [("llm-a", "llm", "a"), ("enc-b", "enc", "b")]
--- a/tests/lib/fault_soak.py
+++ b/tests/lib/fault_soak.py
@@ -25,6 +25,7 @@
 
 import yaml
 
+from galenadrum._internal.configuration.versions import NO_VERSION
 from galenadrum._internal.exceptions import GalenadrumError
 from lib.platform_engine import PREFILL_S, FakePlatformEngine, PlatformClient
 from lib.routing_deployment import configuration
@@ -267,8 +268,8 @@
         self.faults = Counter()
         self._folder, self._network, self._seeds = folder, network, seeds
         self._replacements = 0
-        self.accepted = (0, None)
-        self._version = 0
+        self.accepted = (NO_VERSION, None)
+        self._version = NO_VERSION
         self._revoked_at_by_key = {}
         self._refused_request_ids = set()
         self._sent_at_by_request_id = {}
@@ -316,6 +317,7 @@
         yield from (self._announce_repeatedly(e) for e in self._all_engines())
         yield self._replace_configurations()
         yield self._poll_configuration()
+        yield self._contest_engines()
         yield from (self._stream_repeatedly() for _ in range(4))
         yield from (
             self._send_requests(entry, path, method)
@@ -554,6 +556,28 @@
             self.broken.append(f"version {document['Version']} refused: {status}")
         return status == 200
 
+    async def _contest_engines(self):
+        """Announce an unnamed service for engines, as another writer might."""
+        rng = random.Random(self.seed)
+        while True:
+            engine = rng.choice(self._all_engines())
+            beat = {
+                **engine.build_heartbeat(),
+                "Service": rng.choice(["node-exporter", ""]),
+                "Sequence": rng.choice([1, 10**9]),
+                "State": rng.choice(["ready", "draining"]),
+                "born": engine.born + rng.choice([0, 60_000]),
+            }
+            server_id = rng.choice([engine.server_id, f"other-{engine.server_id}"])
+            path = f"/api/instances/{server_id}/heartbeat".encode()
+            address = f"{rng.choice(self.controls).ip}:{ADMIN_PORT}"
+            body = json.dumps(beat).encode()
+            with contextlib.suppress(GalenadrumError, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await self.caller.call(address, b"POST", path, body=body)
+            self.faults["claim"] += 1
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
+
     async def _poll_configuration(self):
         while True:
             await self._read_configuration(
