Send a configuration before the servers that it names

Cause: control hosts published the servers of newly named services before the configuration that names them, so that each entry host held all of them first, with a log line for each. Change: the listener that publishes servers follows the one that sends the configuration.

--- a/src/galenadrum/_internal/control/routing/daemon.py
+++ b/src/galenadrum/_internal/control/routing/daemon.py
@@ -151,7 +151,6 @@
         self.metrics = Metrics()
         self.state = ConfigurationState()
         self._route_table: RouteTable | None = None
-        self.state.add_listener(self._apply_configuration)
         self.registry = Registry(
             settings.bounds.announcement_interval_s,
             self._publish_server,
@@ -267,6 +266,9 @@
             self.evacuated_zones,
             lambda: self._is_holding_servers,
         )
+        # After the listener of the links: entry hosts get a configuration before the
+        # servers of the services that it names.
+        self.state.add_listener(self._apply_configuration)
         self.state.add_evacuation_listener(self._apply_own_evacuations)
         self.api = RoutingApi(
             dialect.decode_configuration,
