Relay held announcements with the state that their server's departure leaves

What callers saw: a request reached a server after its acknowledged departure. Its service was taken out when it said draining; all hosts were killed, and a late announcement came before the service was named again. Cause: a control host held the late announcement as it came, and relayed it so, although it had the departure on disk. The entry host merged it as ready. What the control host then published, draining with the same sequence, was outdated there. Evidence: entry-a-0 has s0 ready with sequence 14 at .268 and sends it a request at .572; control-b and control-c have it draining, with sequence 14 too. Change: the departure of a server counts when its announcement is held, as when it is merged. Measured: test_late_announcement_is_passed_on_without_the_departure failed before.

--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -188,6 +188,10 @@
         return True
 
     def _hold(self, announcement: Announcement, now: float) -> None:
+        if self._has_left(announcement):
+            return
+        # Other hosts get it with the state that its server's departure leaves.
+        announcement = self._apply_departure(announcement)
         if not self._held.hold(announcement, now):
             return
         is_contesting = self._contests_entry(announcement)
--- a/tests/unit/directory/test_held_announcements.py
+++ b/tests/unit/directory/test_held_announcements.py
@@ -139,6 +139,17 @@
         registry.set_services(["encode"])
         assert not registry.get("a-1").accepts_requests
 
+    def test_late_announcement_is_passed_on_without_the_departure(self):
+        registry, held = create_registry("generate")
+        departure = Departure("a-1", 1_000, 4, ServerState.DRAINING, "encode")
+        registry.record_departure(departure, 0.0)
+        registry.apply_announcement(announcement(sequence=3), 1.0)
+        assert [a.state for a in held] == [ServerState.DRAINING]
+        gone = Departure("a-2", 1_000, 4, ServerState.GONE, "encode")
+        registry.record_departure(gone, 0.0)
+        registry.apply_announcement(announcement("a-2", sequence=3), 1.0)
+        assert len(held) == registry.held_count == 1
+
     def test_held_announcements_have_no_bound(self):
         registry, _ = create_registry()
         for number in range(MAX_HELD + 5):
