Let a departure that a control host learns later reach entry hosts

What callers would see: requests reach a server after its acknowledged departure, where a control host that lacks the departure (it has lost its disk, or has just started) has passed on a late announcement of the server as ready. Cause: once it has the departure from another host, it publishes the server as draining with the same sequence, which entry hosts took for outdated. Change: of two announcements that are equally new, one that drains replaces one that is ready, also among held ones. Measured: test_departure_that_another_host_learns_later_is_outdated fails without it (the draining one was ignored); the unit tests of the directory and control hosts pass.

--- a/src/galenadrum/_internal/directory/held_announcements.py
+++ b/src/galenadrum/_internal/directory/held_announcements.py
@@ -43,7 +43,7 @@
         """
         key = (announcement.server_id, announcement.service)
         known = self._held_by_key.get(key)
-        if known is not None and announcement.order <= known.announcement.order:
+        if known is not None and not announcement.supersedes(known.announcement):
             return False
         self._held_by_key.pop(key, None)
         self._held_by_key[key] = HeldAnnouncement(announcement, now)
--- a/src/galenadrum/_internal/directory/registry.py
+++ b/src/galenadrum/_internal/directory/registry.py
@@ -172,7 +172,7 @@
             self._hold(announcement, now)
             return False
         known = self._entries_by_id.get(announcement.server_id)
-        if known is not None and announcement.order <= known.announcement.order:
+        if known is not None and not announcement.supersedes(known.announcement):
             return False
         if self._is_superseded(announcement) or self._has_left(announcement):
             return False
--- a/src/galenadrum/_internal/models/announcements.py
+++ b/src/galenadrum/_internal/models/announcements.py
@@ -70,6 +70,18 @@
         """Sort key of announcements of one server; the newest has the highest."""
         return self.incarnation_ms, self.sequence
 
+    def supersedes(self, known: Announcement) -> bool:
+        """Return whether this announcement replaces a known one of the same server.
+
+        A host that has a server's departure changes the state of an announcement that
+        others may know as it came. So of two that are equally new, one that drains
+        replaces one that is ready.
+        """
+        if self.order != known.order:
+            return self.order > known.order
+        drains = self.state is ServerState.DRAINING
+        return drains and known.state is ServerState.READY
+
 
 @dataclass(frozen=True, slots=True)
 class Deregistration:
--- a/tests/unit/directory/test_server_registry.py
+++ b/tests/unit/directory/test_server_registry.py
@@ -36,6 +36,17 @@
         assert not registry.apply_announcement(announcement(sequence=4), 0.1)
         assert not registry.get("a-1").accepts_requests
 
+    def test_departure_that_another_host_learns_later_is_outdated(self):
+        # An entry host knows the announcement as ready from a control host that has
+        # lost its disk, and gets it as draining once that host has the departure.
+        registry, _ = create_registry()
+        registry.apply_announcement(announcement(sequence=5), 0.0)
+        draining = announcement(sequence=5, state=ServerState.DRAINING)
+        assert registry.apply_announcement(draining, 0.1)
+        assert not registry.get("a-1").accepts_requests
+        assert not registry.apply_announcement(announcement(sequence=5), 0.2)
+        assert not registry.get("a-1").accepts_requests
+
     def test_new_incarnation_may_restart_its_sequence(self):
         registry, _ = create_registry()
         registry.apply_announcement(announcement(sequence=50), 0.0)
